--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,1 @@
+export * from './agent.js';
--- /dev/null
+++ b/packages/checker/src/index.ts
@@ -0,0 +1,2 @@
+export * from './records.js';
+export * from './rules.js';
--- /dev/null
+++ b/packages/checker/src/records.ts
@@ -0,0 +1,66 @@
+export interface ToldRecord {
+  readonly kind: 'program' | 'turn' | 'fetch' | 'call';
+  readonly tenant: string;
+  readonly program: string;
+  readonly key: string;
+  readonly turn: string;
+  readonly from: number;
+  readonly to: number;
+  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
+  readonly mishap: string;
+  readonly pieces: readonly number[];
+  readonly text: string;
+  readonly tokens: number;
+  readonly sent: string;
+}
+
+export interface RanRecord {
+  readonly kind: 'generate' | 'act';
+  readonly server: string;
+  readonly pool: string;
+  readonly key: string;
+  readonly began: number;
+  readonly at: number;
+  readonly said: string;
+  readonly reply: string;
+  readonly complete: boolean;
+  readonly tokens: number;
+}
+
+export interface ConfigRecord {
+  readonly version: number;
+  readonly text: string;
+  readonly turnPools: readonly string[];
+  readonly callPools: readonly string[];
+  readonly sentAt: number;
+  readonly told: 'done' | 'refused' | 'unknown';
+  readonly toldAt: number;
+}
+
+export interface LeavingRecord {
+  readonly server: string;
+  readonly at: number;
+  readonly until: number;
+}
+
+export interface RestartRecord {
+  readonly stoppedAt: number;
+  readonly startedAt: number;
+  readonly servedAt: number;
+  readonly configBefore: number;
+  readonly configAfter: number;
+}
+
+export interface Records {
+  readonly told: readonly ToldRecord[];
+  readonly ran: readonly RanRecord[];
+  readonly configs: readonly ConfigRecord[];
+  readonly leavings: readonly LeavingRecord[];
+  readonly restarts: readonly RestartRecord[];
+  readonly readBack: { readonly version: number; readonly text: string } | undefined;
+  readonly perTurn: number;
+}
+
+export const noRecords: Records = {
+  told: [], ran: [], configs: [], leavings: [], restarts: [], readBack: undefined, perTurn: 0,
+};
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,3 @@
+export * from './operate.js';
+export * from './keeper.js';
+export * from './node.js';
--- /dev/null
+++ b/packages/control/src/keeper.ts
@@ -0,0 +1,110 @@
+import { z } from 'zod';
+import { allot, reduce, type State } from '@tillerstair/state';
+import { pause, type Clock, type Log } from '@tillerstair/wire';
+import type { MasterView, ZenBounds } from '@tillerstair/zen';
+
+export const FrontReport = z.object({
+  seen: z.array(z.object({ id: z.string(), url: z.string(), ok: z.boolean(), pace: z.number().optional() })),
+});
+export type FrontReport = z.infer<typeof FrontReport>;
+
+interface Sight {
+  readonly url: string;
+  readonly ok: boolean;
+  readonly pace: number | undefined;
+  readonly at: number;
+}
+
+export class Keeper {
+  private readonly sights = new Map<string, Map<string, Sight>>();
+  private silentStores: ReadonlySet<string> = new Set();
+  private fronts = new Set<string>();
+  private frontJoinedAt = -Infinity;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly bounds: ZenBounds,
+    private readonly log: Log,
+    private readonly copies: number,
+  ) {}
+
+  readonly settle = (s: State): State => {
+    const fronts = [...s.nodes.values()].filter((m) => m.kind === 'front').map((m) => m.id);
+    const now = this.clock.now();
+    if (fronts.some((id) => !this.fronts.has(id))) this.frontJoinedAt = now;
+    this.fronts = new Set(fronts);
+    if (now - this.frontJoinedAt < this.bounds.beat / 2) return s;
+    const moves = Math.max(1, Math.ceil(s.slots.length / 16));
+    return allot(s, { copies: this.copies, moves, silentStores: this.silentStores });
+  };
+
+  readonly onReport = (front: string, report: unknown): void => {
+    const got = FrontReport.safeParse(report);
+    if (!got.success) return;
+    const at = this.clock.now();
+    this.sights.set(front, new Map(got.data.seen.map((x) => [x.id, { url: x.url, ok: x.ok, pace: x.pace, at }])));
+  };
+
+  paces(s: State): ReadonlyMap<string, number> {
+    const out = new Map<string, number>();
+    for (const v of s.servers.values()) {
+      const paces = [...this.sights.values()].flatMap((m) => {
+        const sight = m.get(v.id);
+        return sight && sight.url === v.url && sight.pace !== undefined ? [sight.pace] : [];
+      });
+      const mid = paces.sort((a, b) => a - b)[Math.floor(paces.length / 2)];
+      if (mid !== undefined) out.set(v.id, mid);
+    }
+    return out;
+  }
+
+  async run(master: MasterView): Promise<void> {
+    while (!master.lost.aborted) {
+      await pause(this.clock, this.bounds.beat / 2, master.lost);
+      const s = master.committed;
+      if (master.lost.aborted || !s) continue;
+      this.silentStores = new Set(
+        [...new Set(s.slots.flatMap((slot) => slot.copies))].filter(
+          (id) => !s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter,
+        ),
+      );
+      const downs = this.downs(s);
+      await master
+        .submit((t) => {
+          const marked = [...downs].reduce((u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }), t);
+          return this.replaceVoter(marked, master);
+        })
+        .catch(() => undefined);
+    }
+    this.sights.clear();
+  }
+
+  private downs(s: State): ReadonlyMap<string, boolean> {
+    const out = new Map<string, boolean>();
+    const now = this.clock.now();
+    for (const v of s.servers.values()) {
+      let good = 0;
+      let bad = 0;
+      for (const m of this.sights.values()) {
+        const sight = m.get(v.id);
+        if (!sight || sight.url !== v.url || now - sight.at > this.bounds.silent) continue;
+        if (sight.ok) good++;
+        else bad++;
+      }
+      if (good + bad > 0) out.set(v.id, bad > good);
+    }
+    return out;
+  }
+
+  private replaceVoter(s: State, master: MasterView): State {
+    if (s.voters.now.join() !== s.voters.next.join()) return s;
+    const out = s.voters.now.find((id) => !s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter);
+    if (out === undefined) return s;
+    const spare = [...s.nodes.values()]
+      .filter((m) => m.kind === 'control' && !s.voters.now.includes(m.id) && master.silentFor(m.id) < this.bounds.beat * 2)
+      .sort((a, b) => (a.id < b.id ? -1 : 1))[0];
+    if (!spare) return s;
+    this.log.info(`Control ${out} is silent, ${spare.addr} takes its place.`);
+    return reduce(s, { kind: 'voters', out, in: spare });
+  }
+}
--- /dev/null
+++ b/packages/control/src/node.ts
@@ -0,0 +1,90 @@
+import { z } from 'zod';
+import { beliefOf, checkConfig, reduce, type Mate } from '@tillerstair/state';
+import { Mishap, mishapOf, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import { ZenNode, type Keep, type MasterView, type ZenBounds } from '@tillerstair/zen';
+import { Keeper } from './keeper.js';
+import { operate, Operation, Outcome } from './operate.js';
+import { tuneWeights } from './weights.js';
+
+export interface ControlParts {
+  readonly me: Mate;
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly keep: Keep;
+  readonly bounds: ZenBounds;
+  readonly log: Log;
+  readonly slots: number;
+  readonly copies: number;
+}
+
+const Filled = z.object({ store: z.string(), slot: z.number(), tenure: z.number() });
+
+export class ControlNode {
+  readonly zen: ZenNode;
+  private readonly keeper: Keeper;
+
+  constructor(private readonly p: ControlParts) {
+    this.keeper = new Keeper(p.clock, p.bounds, p.log, p.copies);
+    this.zen = new ZenNode({
+      ...p,
+      settle: this.keeper.settle,
+      onReport: this.keeper.onReport,
+      onLead: (m) => this.lead(m),
+    });
+  }
+
+  private lead(m: MasterView): void {
+    void this.keeper.run(m);
+    void tuneWeights(m, this.keeper, this.p.clock, this.p.bounds);
+  }
+
+  async start(): Promise<void> {
+    await this.p.circuits.serve((inq) => this.handle(inq));
+    this.zen.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.zen.stop();
+    await this.p.circuits.close();
+  }
+
+  async handle(inq: Inquiry): Promise<unknown> {
+    if (inq.kind.startsWith('zen/')) return this.zen.handle(inq);
+    if (inq.kind === 'control/operate') {
+      const m = this.zen.leading;
+      if (!m) throw new Mishap('not-master', 'this control is not master');
+      return operate(m, Operation.parse(inq.body));
+    }
+    if (inq.kind === 'control/filled') {
+      const m = this.zen.leading;
+      if (!m) throw new Mishap('not-master', 'this control is not master');
+      const f = Filled.parse(inq.body);
+      await m.submit((s) => reduce(s, { kind: 'filled', ...f }));
+      return {};
+    }
+    throw new Mishap('unknown-kind', `no such inquiry: ${inq.kind}`);
+  }
+
+  async operate(o: Operation): Promise<Outcome> {
+    if (o.method === 'GET' && o.path === '/v1/belief')
+      return { status: 200, body: beliefOf(this.p.me.id, 'control', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied) };
+    if (o.method === 'POST' && o.path === '/v1/config/check') {
+      const { findings } = checkConfig(o.body);
+      return { status: findings.length > 0 ? 422 : 200, body: { findings } };
+    }
+    const m = this.zen.leading;
+    if (m) return operate(m, o);
+    const master = this.zen.masterSeen;
+    const wait = { retryAfter: Math.ceil(this.p.bounds.silent / 1000) };
+    if (!master) return { status: 503, body: { ran: 'no', mishap: 'no-master', text: 'no master is known' }, ...wait };
+    try {
+      const within = this.p.bounds.silent * 4;
+      return Outcome.parse(await this.p.circuits.call(master.addr, 'control/operate', o, { within }));
+    } catch (e) {
+      const x = mishapOf(e);
+      if (x.ran === 'no') return { status: 503, body: { ran: 'no', mishap: x.code, text: x.message, master: master.http }, ...wait };
+      return { status: 504, body: { ran: 'unknown', mishap: 'unknown', text: x.message, how: 'GET /v1/status or GET /v1/config' } };
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/operate.ts
@@ -0,0 +1,197 @@
+import { z } from 'zod';
+import { checkConfig, digestOf, reduce, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
+import { Mishap, mishapOf } from '@tillerstair/wire';
+import type { MasterView } from '@tillerstair/zen';
+
+export const Operation = z.object({ method: z.string(), path: z.string(), body: z.string() });
+export type Operation = z.infer<typeof Operation>;
+export const Outcome = z.object({ status: z.number(), body: z.unknown(), retryAfter: z.number().optional() });
+export type Outcome = z.infer<typeof Outcome>;
+
+const no = (status: number, mishap: string, text: string, more: object = {}): Outcome => ({
+  status,
+  body: { ran: 'no', mishap, text, ...more },
+});
+const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { ran: 'unknown', mishap: 'unknown', text, how } });
+
+const NewServer = z.strictObject({
+  pool: z.string().min(1),
+  url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, { message: 'must be http://IP:PORT' }),
+});
+
+class WrongBase extends Mishap {
+  constructor(readonly current: number) {
+    super('wrong-base', `the configuration is at version ${current}`);
+  }
+}
+
+const recordOf = (s: State, base: number, text: string, digest: string): ConfigRecord | 'held' => {
+  const current = s.config?.version ?? 0;
+  if (s.config && s.config.digest === digest && current === base + 1) return 'held';
+  if (base !== current) throw new WrongBase(current);
+  return { version: current + 1, text, digest };
+};
+
+const putConfig = async (m: MasterView, text: string): Promise<Outcome> => {
+  const { config, findings } = checkConfig(text);
+  if (!config) return no(422, 'findings', `${findings.length} findings`, { findings });
+  const digest = digestOf(text);
+  const how = 'GET /v1/config and compare the digest, or hand in the same file again';
+  try {
+    const c = await m.submit((s) => {
+      const record = recordOf(s, config.base, text, digest);
+      return record === 'held' ? s : reduce(s, { kind: 'config', record });
+    });
+    await m.inForce(c);
+    if (c.state.config?.digest !== digest) {
+      const now = c.state.config?.version ?? 0;
+      return { status: 200, body: { version: config.base + 1, digest, newest: now } };
+    }
+    return { status: 200, body: { version: c.state.config.version, digest } };
+  } catch (e) {
+    if (e instanceof WrongBase) return no(409, 'wrong-base', e.message, { current: e.current });
+    const x = mishapOf(e);
+    return x.ran === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { ran: 'unknown', mishap: 'unknown', text: x.message, how, digest } };
+  }
+};
+
+const change = async (m: MasterView, f: (s: State) => State, view: (s: State) => unknown): Promise<Outcome> => {
+  try {
+    const { state } = await m.submit(f);
+    return { status: 200, body: view(state) };
+  } catch (e) {
+    const x = mishapOf(e);
+    if (x.code === 'missing') return no(404, x.code, x.message);
+    if (x.code === 'refused') return no(409, x.code, x.message);
+    return x.ran === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'GET /v1/status');
+  }
+};
+
+const mateOf = (s: State, id: string): Mate => {
+  const mate = s.nodes.get(id) ?? [...s.nodes.values()].find((x) => x.addr === id);
+  if (!mate) throw new Mishap('missing', `no node ${id}`);
+  return mate;
+};
+
+const servers = async (m: MasterView, o: Operation, id: string, verb: string): Promise<Outcome> => {
+  if (o.method === 'PUT' && verb === '') {
+    let raw: unknown;
+    try {
+      raw = JSON.parse(o.body);
+    } catch {
+      return no(400, 'bad-json', 'the body is not JSON');
+    }
+    const got = NewServer.safeParse(raw);
+    if (!got.success)
+      return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
+    const server = { id, ...got.data, leaving: false, down: false };
+    return change(m, (s) => reduce(s, { kind: 'server', server }), (s) => s.servers.get(id));
+  }
+  if (o.method === 'POST' && verb === 'leaving')
+    return change(
+      m,
+      (s) => {
+        if (!s.servers.has(id)) throw new Mishap('missing', `no server ${id}`);
+        return reduce(s, { kind: 'server-mark', id, leaving: true });
+      },
+      (s) => s.servers.get(id),
+    );
+  if (o.method === 'DELETE' && verb === '') return change(m, (s) => reduce(s, { kind: 'server-gone', id }), () => ({ id, gone: true }));
+  return no(405, 'no-such-operation', `${o.method} ${o.path}`);
+};
+
+export const emptyingOf = (s: State, id: string): object => {
+  const held = s.slots.filter((x) => x.copies.includes(id)).length;
+  const filling = s.slots.filter((x) => x.filling.length > 0).length;
+  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 };
+};
+
+const retire = (m: MasterView, id: string, on: boolean, kind: 'store' | 'front'): Promise<Outcome> => {
+  let found = id;
+  return change(
+    m,
+    (s) => {
+      const mate = mateOf(s, id);
+      found = mate.id;
+      if (mate.kind !== kind) throw new Mishap('refused', `${id} is a ${mate.kind}, not a ${kind}`);
+      const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== mate.id && !s.retiring.has(x.id));
+      if (on && kind === 'store' && rest.length < 3) throw new Mishap('refused', `only ${rest.length} other stores would stay, 3 copies are needed`);
+      if (on && kind === 'front' && rest.length < 1) throw new Mishap('refused', 'no other front would stay');
+      return reduce(s, { kind: 'retire', id: mate.id, on });
+    },
+    (s) => (kind === 'store' ? emptyingOf(s, found) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
+  );
+};
+
+const voters = (m: MasterView, id: string, add: boolean): Promise<Outcome> =>
+  change(
+    m,
+    (s) => {
+      if (s.voters.now.join() !== s.voters.next.join()) throw new Mishap('refused', 'another change of controls is under way');
+      if (!add) {
+        if (!s.voters.now.includes(id)) throw new Mishap('missing', `${id} is no voting control`);
+        if (s.voters.now.length <= 1) throw new Mishap('refused', 'the last control cannot be taken out');
+        return reduce(s, { kind: 'voters', out: id, in: undefined });
+      }
+      const mate = mateOf(s, id);
+      if (mate.kind !== 'control') throw new Mishap('refused', `${id} is a ${mate.kind}`);
+      return reduce(s, { kind: 'voters', out: '', in: mate });
+    },
+    (s) => ({ controls: s.voters.next }),
+  );
+
+export const statusOf = (s: State): object => ({
+  clusterId: s.clusterId,
+  term: s.term,
+  version: s.version,
+  master: s.master,
+  controls: s.voters,
+  config: s.config ? { version: s.config.version, digest: s.config.digest } : null,
+  nodes: [...s.nodes.values()],
+  servers: [...s.servers.values()],
+  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id)),
+  slots: {
+    count: s.slots.length,
+    stewarded: s.slots.filter((x) => s.nodes.has(x.steward)).length,
+    filling: s.slots.filter((x) => x.filling.length > 0).length,
+  },
+  weights: [...s.weights],
+});
+
+export const operate = async (m: MasterView, o: Operation): Promise<Outcome> => {
+  const [, v1 = '', section = '', rawId = '', verb = ''] = o.path.split('/');
+  const id = decodeURIComponent(rawId);
+  if (v1 !== 'v1') return no(404, 'no-such-page', o.path);
+  if (section === 'config' && id === '') {
+    if (o.method === 'PUT') return putConfig(m, o.body);
+    if (o.method !== 'GET') return no(405, 'no-such-operation', `${o.method} ${o.path}`);
+    try {
+      const s = await m.confirm();
+      if (!s.config) return no(404, 'missing', 'no configuration has been handed in');
+      return { status: 200, body: s.config };
+    } catch (e) {
+      return no(503, 'unavailable', mishapOf(e).message);
+    }
+  }
+  if (section === 'servers' && id !== '') return servers(m, o, id, verb);
+  if (section === 'stores' && verb === 'empty') {
+    if (o.method === 'POST') return retire(m, id, true, 'store');
+    if (o.method === 'DELETE') return retire(m, id, false, 'store');
+  }
+  if (section === 'fronts' && verb === 'drain') {
+    if (o.method === 'POST') return retire(m, id, true, 'front');
+    if (o.method === 'DELETE') return retire(m, id, false, 'front');
+  }
+  if (section === 'controls' && id !== '') {
+    if (o.method === 'POST') return voters(m, id, true);
+    if (o.method === 'DELETE') return voters(m, id, false);
+  }
+  if (section === 'status' && o.method === 'GET') {
+    try {
+      return { status: 200, body: statusOf(await m.confirm()) };
+    } catch (e) {
+      return no(503, 'unavailable', mishapOf(e).message);
+    }
+  }
+  return no(404, 'no-such-page', o.path);
+};
--- /dev/null
+++ b/packages/env/src/index.ts
@@ -0,0 +1,2 @@
+export * from './env.js';
+export * from './daemon.js';
--- /dev/null
+++ b/packages/fleet/src/layout.ts
@@ -0,0 +1,63 @@
+import { createServer } from 'node:net';
+
+export interface House {
+  readonly name: string;
+  readonly modelPool: string;
+  readonly servicePool: string;
+  readonly models: number;
+  readonly services: number;
+  readonly msPerToken: number;
+  readonly paths: readonly string[];
+}
+
+export const seoul: House = {
+  name: 'seoul', modelPool: 'seoul-models', servicePool: 'shop', models: 13, services: 3, msPerToken: 4,
+  paths: ['/shop/stock/hold', '/shop/delivery/book', '/shop/catalogue/update'],
+};
+
+export const norway: House = {
+  name: 'norway', modelPool: 'norway-models', servicePool: 'notices', models: 6, services: 3, msPerToken: 2,
+  paths: ['/notices/shift/approve', '/notices/payroll/remind', '/notices/safety/sign-off'],
+};
+
+export interface Sizes {
+  readonly controls: number;
+  readonly stores: number;
+  readonly fronts: number;
+}
+
+export const fullSizes: Sizes = { controls: 5, stores: 3, fronts: 8 };
+export const smallSizes: Sizes = { controls: 3, stores: 3, fronts: 2 };
+
+export const zones = ['zone-a', 'zone-b', 'zone-c'] as const;
+export const zoneOf = (n: number): string => zones[n % zones.length] ?? zones[0];
+
+const portFloor = 11000;
+const portSpan = 20000;
+let nextPort = (process.pid * 613) % portSpan;
+
+const bindable = (port: number): Promise<boolean> =>
+  new Promise((done) => {
+    const s = createServer();
+    s.once('error', () => done(false));
+    s.listen(port, '127.0.0.1', () => s.close(() => done(true)));
+  });
+
+export const freePorts = async (count: number): Promise<readonly number[]> => {
+  const out: number[] = [];
+  for (let tries = 0; out.length < count && tries < portSpan; tries++) {
+    const port = portFloor + (nextPort++ % portSpan);
+    if (await bindable(port)) out.push(port);
+  }
+  return out;
+};
+
+export const seeded = (seed: number): (() => number) => {
+  let a = (seed ^ 0x9e3779b9) >>> 0;
+  return () => {
+    a = (a + 0x6d2b79f5) >>> 0;
+    let t = Math.imul(a ^ (a >>> 15), 1 | a);
+    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
+    return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
+  };
+};
--- /dev/null
+++ b/packages/fleet/src/proc.ts
@@ -0,0 +1,73 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { dirname, join } from 'node:path';
+
+const require = createRequire(import.meta.url);
+
+export const programs: ReadonlyMap<string, string> = new Map(
+  [
+    ['control-node', 'control'],
+    ['store-node', 'store'],
+    ['front-proxy', 'proxy'],
+    ['front-agent', 'agent'],
+  ].map(([name = '', pkg = '']) => [name, join(dirname(require.resolve(`@tillerstair/${pkg}`)), 'main.js')]),
+);
+
+export class Proc {
+  private child: ChildProcess | undefined;
+  private frozen = false;
+
+  constructor(
+    readonly name: string,
+    readonly program: string,
+    readonly env: object,
+    readonly dir: string,
+  ) {}
+
+  get running(): boolean {
+    return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  start(): void {
+    if (this.running) return;
+    mkdirSync(this.dir, { recursive: true });
+    const settings = join(this.dir, 'settings.json');
+    writeFileSync(settings, JSON.stringify(this.env, null, 1));
+    const log = openSync(join(this.dir, 'log'), 'a');
+    const main = programs.get(this.program);
+    if (main === undefined) throw new Error(`no program ${this.program}`);
+    this.child = spawn(process.execPath, ['--max-semi-space-size=8', main, '--settings', settings], { stdio: ['ignore', log, log] });
+    closeSync(log);
+    this.frozen = false;
+  }
+
+  private signal(name: NodeJS.Signals): void {
+    if (this.running) this.child?.kill(name);
+  }
+
+  freeze(): void {
+    this.frozen = true;
+    this.signal('SIGSTOP');
+  }
+
+  wake(): void {
+    this.frozen = false;
+    this.signal('SIGCONT');
+  }
+
+  async end(name: NodeJS.Signals = 'SIGKILL', within = 8000): Promise<void> {
+    const child = this.child;
+    if (!child || !this.running) return;
+    const over = new Promise<void>((done) => child.once('exit', () => done()));
+    child.kill(name);
+    if (this.frozen) child.kill('SIGCONT');
+    const hard = setTimeout(() => child.kill('SIGKILL'), within);
+    await over;
+    clearTimeout(hard);
+  }
+
+  wipe(): void {
+    rmSync(join(this.dir, 'data'), { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/packages/journal/src/index.ts
@@ -0,0 +1,2 @@
+export * from './disk.js';
+export * from './journal.js';
--- /dev/null
+++ b/packages/proxy/src/front.ts
@@ -0,0 +1,141 @@
+import { z } from 'zod';
+import { beliefOf, Entries, markOf, newer, unflatten, type Belief, type State } from '@tillerstair/state';
+import {
+  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, Verdict, type Backend, type EmitPiece, type StewardBounds,
+} from '@tillerstair/steward';
+import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+
+export interface FrontParts {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly backend: Backend;
+  readonly bounds: StewardBounds;
+  readonly log: Log;
+  readonly affinity: boolean;
+}
+
+export const Feed = z.object({
+  state: Entries.optional(),
+  freshAt: z.number(),
+  agent: z.string(),
+  master: z.string(),
+  term: z.number(),
+});
+export type Feed = z.infer<typeof Feed>;
+export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown() });
+
+const PieceLine = z.object({ n: z.number(), text: z.string() });
+
+interface Delivery {
+  readonly kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call';
+  readonly slotKey: string;
+  readonly body: unknown;
+  readonly within: number;
+}
+
+export class Front {
+  readonly steward: Steward;
+  private agentTerm = 0;
+  private master = '';
+  private readonly gone = new AbortController();
+  private active = 0;
+
+  constructor(readonly p: FrontParts) {
+    this.steward = new Steward(p);
+  }
+
+  async start(): Promise<void> {
+    await this.p.circuits.serve((inq, emit, gone) => this.handle(inq, emit, gone));
+    this.steward.start();
+  }
+
+  async stop(): Promise<void> {
+    this.gone.abort();
+    const end = this.p.clock.now() + this.p.bounds.beat * 5;
+    while (this.active > 0 && this.p.clock.now() < end) await pause(this.p.clock, this.p.bounds.beat / 20);
+    this.steward.stop();
+    await this.p.circuits.close();
+  }
+
+  get stopping(): boolean {
+    return this.gone.signal.aborted;
+  }
+
+  belief(): Belief {
+    return beliefOf(this.p.id, 'front', this.agentTerm, this.master, this.steward.current?.state);
+  }
+
+  feed(body: unknown): z.infer<typeof Fed> {
+    const f = Feed.parse(body);
+    const now = this.p.clock.now();
+    const held = this.steward.current?.state;
+    const next: State | undefined = f.state ? unflatten(new Map(f.state)) : undefined;
+    if (next && held && held.clusterId !== next.clusterId) throw new Mishap('other-cluster', `this front is of cluster ${held.clusterId}`);
+    if (next && (!held || newer(markOf(next), markOf(held)))) this.steward.take(next);
+    if (f.term >= this.agentTerm) {
+      this.agentTerm = f.term;
+      this.master = f.master;
+      if (f.freshAt <= now) this.steward.freshen(f.freshAt);
+    }
+    return { id: this.p.id, applied: markOf(this.steward.current?.state), seen: this.steward.placement.report() };
+  }
+
+  private async handle(inq: Inquiry, emit: (piece: unknown) => void, gone: AbortSignal): Promise<unknown> {
+    return this.local(inq.kind, inq.body, (n, text) => emit({ n, text }), gone);
+  }
+
+  private async local(kind: string, body: unknown, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
+    this.active++;
+    try {
+      switch (kind) {
+        case 'front/program':
+          return await this.steward.turns.program(ProgramAsk.parse(body));
+        case 'front/turn':
+          return await this.steward.turns.turn(TurnAsk.parse(body), emit, gone);
+        case 'front/history':
+          return await this.steward.turns.history(HistoryAsk.parse(body));
+        case 'front/call':
+          return await this.steward.calls.call(CallAsk.parse(body), gone);
+        default:
+          return refused(404, 'unknown-kind', kind);
+      }
+    } finally {
+      this.active--;
+    }
+  }
+
+  async deliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
+    const { clock, bounds, id, circuits } = this.p;
+    const end = clock.now() + bounds.beat * 1.5;
+    let emitted = 0;
+    const counting: EmitPiece = (n, text) => {
+      emitted++;
+      emit(n, text);
+    };
+    for (;;) {
+      let mishap: Mishap;
+      try {
+        this.steward.requireFresh();
+        const steward = this.steward.stewardOf(this.steward.slotFor(d.slotKey));
+        if (steward === id) return await this.local(d.kind, d.body, counting, gone);
+        const mate = this.steward.current?.state.nodes.get(steward);
+        if (!mate) throw new Mishap('no-steward', 'no steward is known for this');
+        const back = await circuits.call(mate.data, d.kind, d.body, {
+          within: d.within,
+          gone,
+          onPiece: (piece) => {
+            const { n, text } = PieceLine.parse(piece);
+            counting(n, text);
+          },
+        });
+        return Verdict.parse(back);
+      } catch (e) {
+        mishap = mishapOf(e);
+      }
+      const passing = ['not-steward', 'taking-over', 'no-steward'].includes(mishap.code) || mishap instanceof CircuitRefused;
+      if (emitted > 0 || !passing || gone.aborted || clock.now() >= end) return ofMishap(mishap);
+      await pause(clock, bounds.beat / 20);
+    }
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,3 @@
+export * from './backend.js';
+export * from './front.js';
+export * from './pages.js';
--- /dev/null
+++ b/packages/stand-ins/src/caller.ts
@@ -0,0 +1,150 @@
+import split2 from 'split2';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+
+export interface Told {
+  readonly kind: 'program' | 'turn' | 'fetch' | 'call';
+  readonly tenant: string;
+  readonly program: string;
+  readonly key: string;
+  readonly turn: string;
+  readonly front: string;
+  readonly from: number;
+  readonly to: number;
+  readonly status: number;
+  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
+  readonly mishap: string;
+  readonly pieces: readonly number[];
+  readonly text: string;
+  readonly tokens: number;
+  readonly sent: string;
+  readonly firstMs: number;
+  readonly retryAfter: number;
+}
+
+const Piece = z.object({ n: z.number(), text: z.string() });
+const End = z.object({ end: z.object({ turn: z.string(), pieces: z.number(), tokens: z.number(), digest: z.string() }) });
+const Line = z.union([End, Piece, z.object({ partial: z.literal(true), mishap: z.string().optional() })]);
+const Refusal = z.object({ ran: z.enum(['no', 'unknown']), mishap: z.string().optional() });
+const Made = z.object({ program: z.string() });
+const Fetched = z.object({ turn: z.string(), text: z.string(), tokens: z.number() });
+const Did = z.object({ did: z.string(), key: z.string().nullable(), by: z.string() });
+
+const blank = { program: '', key: '', turn: '', mishap: '', pieces: [], text: '', tokens: 0, sent: '', firstMs: 0, retryAfter: 0 };
+
+export class Caller {
+  private static readonly agent = new Agent({ connections: 256, pipelining: 1, connect: { timeout: 1000 } });
+
+  constructor(
+    readonly tenant: string,
+    private readonly record: (t: Told) => void,
+    private readonly within = 20000,
+  ) {}
+
+  static close(): Promise<void> {
+    return Caller.agent.destroy();
+  }
+
+  private done(base: Partial<Told> & Pick<Told, 'kind' | 'front' | 'from' | 'status' | 'told'>): Told {
+    const t: Told = { ...blank, tenant: this.tenant, to: Date.now(), ...base };
+    this.record(t);
+    return t;
+  }
+
+  private async post(front: string, path: string, body: unknown, key: string) {
+    return request(`http://${front}${path}`, {
+      method: 'POST',
+      dispatcher: Caller.agent,
+      headers: { 'content-type': 'application/json', 'x-tenant': this.tenant, ...(key ? { 'operation-key': key } : {}) },
+      body: JSON.stringify(body),
+      headersTimeout: this.within,
+      bodyTimeout: this.within,
+    });
+  }
+
+  private refusal(status: number, raw: unknown): { told: 'refused' | 'unknown'; mishap: string } {
+    const got = Refusal.safeParse(raw);
+    if (!got.success) return { told: 'unknown', mishap: `status ${status} without a word` };
+    return { told: got.data.ran === 'no' ? 'refused' : 'unknown', mishap: got.data.mishap === 'internal' ? JSON.stringify(raw) : got.data.mishap ?? '' };
+  }
+
+  async program(front: string, budget: number, parent?: string): Promise<Told> {
+    const from = Date.now();
+    const base = { kind: 'program' as const, front, from, sent: String(budget) };
+    try {
+      const res = await this.post(front, '/v1/programs', parent === undefined ? { budget } : { parent }, '');
+      const raw: unknown = await res.body.json();
+      const made = Made.safeParse(raw);
+      if (res.statusCode === 201 && made.success) return this.done({ ...base, status: 201, told: 'done', program: made.data.program });
+      return this.done({ ...base, status: res.statusCode, ...this.refusal(res.statusCode, raw) });
+    } catch (e) {
+      return this.done({ ...base, status: 0, ...this.lost(e) });
+    }
+  }
+
+  private lost(e: unknown): { told: 'refused' | 'unknown'; mishap: string } {
+    const code = e !== null && typeof e === 'object' && 'code' in e ? String(e.code) : '';
+    return { told: code === 'ECONNREFUSED' ? 'refused' : 'unknown', mishap: code || String(e) };
+  }
+
+  async turn(front: string, program: string, after: string | null, words: string, key: string, maxTokens?: number): Promise<Told> {
+    const from = Date.now();
+    const base = { kind: 'turn' as const, front, from, program, key, sent: words };
+    const pieces: number[] = [];
+    let text = '';
+    let firstMs = 0;
+    try {
+      const body = { after, words, ...(maxTokens === undefined ? {} : { maxTokens }) };
+      const res = await this.post(front, `/v1/programs/${program}/turns`, body, key);
+      if (res.statusCode !== 200) {
+        const raw: unknown = await res.body.json().catch(() => null);
+        const retryAfter = Number(res.headers['retry-after'] ?? 0);
+        return this.done({ ...base, status: res.statusCode, retryAfter, ...this.refusal(res.statusCode, raw) });
+      }
+      for await (const row of res.body.pipe(split2())) {
+        const line = Line.parse(JSON.parse(String(row)));
+        if ('end' in line)
+          return this.done({ ...base, status: 200, told: 'done', turn: line.end.turn, tokens: line.end.tokens, pieces, text, firstMs });
+        if ('partial' in line) return this.done({ ...base, status: 200, told: 'partial', mishap: line.mishap ?? '', pieces, text, firstMs });
+        firstMs ||= Date.now() - from;
+        pieces.push(line.n);
+        text += line.text;
+      }
+      return this.done({ ...base, status: 200, told: 'partial', mishap: 'cut', pieces, text, firstMs });
+    } catch (e) {
+      if (pieces.length > 0) return this.done({ ...base, status: 200, told: 'partial', mishap: 'cut', pieces, text, firstMs });
+      return this.done({ ...base, status: 0, ...this.lost(e) });
+    }
+  }
+
+  async fetch(front: string, program: string, turn: string): Promise<Told> {
+    const from = Date.now();
+    const base = { kind: 'fetch' as const, front, from, program, turn };
+    try {
+      const res = await request(`http://${front}/v1/programs/${program}/turns/${turn}`, {
+        dispatcher: Caller.agent, headers: { 'x-tenant': this.tenant }, headersTimeout: this.within,
+      });
+      const raw: unknown = await res.body.json();
+      const got = Fetched.safeParse(raw);
+      if (res.statusCode === 200 && got.success) return this.done({ ...base, status: 200, told: 'done', text: got.data.text, tokens: got.data.tokens });
+      return this.done({ ...base, status: res.statusCode, ...this.refusal(res.statusCode, raw) });
+    } catch (e) {
+      return this.done({ ...base, status: 0, ...this.lost(e) });
+    }
+  }
+
+  async call(front: string, path: string, body: unknown, key: string): Promise<Told> {
+    const from = Date.now();
+    const base = { kind: 'call' as const, front, from, key, sent: JSON.stringify(body) };
+    try {
+      const res = await this.post(front, `/v1/calls${path}`, body, key);
+      const raw: unknown = await res.body.json();
+      const did = Did.safeParse(raw);
+      const retryAfter = Number(res.headers['retry-after'] ?? 0);
+      if (res.statusCode === 200 && did.success) return this.done({ ...base, status: 200, told: 'done', text: `${did.data.by} ${did.data.key ?? ''}` });
+      return this.done({ ...base, status: res.statusCode, retryAfter, ...this.refusal(res.statusCode, raw) });
+    } catch (e) {
+      return this.done({ ...base, status: 0, ...this.lost(e) });
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,4 @@
+export * from './model.js';
+export * from './service.js';
+export * from './ledger.js';
+export * from './caller.js';
--- /dev/null
+++ b/packages/stand-ins/src/model.ts
@@ -0,0 +1,137 @@
+import { createHash } from 'node:crypto';
+import type { Server } from 'node:http';
+import { z } from 'zod';
+import { hostClock, pause, readBody, sendJson, serveHttp } from '@tillerstair/wire';
+import { saidOf, type Ledger } from './ledger.js';
+
+export interface ModelSpec {
+  readonly id: string;
+  readonly pool: string;
+  readonly addr: string;
+  readonly prefillMsPerKb: number;
+  readonly msPerToken: number;
+  readonly slots: number;
+  readonly cacheKb: number;
+}
+
+const Generate = z.object({
+  id: z.string(),
+  messages: z.array(z.object({ role: z.string(), text: z.string() })),
+  maxTokens: z.number(),
+});
+export const Faults = z.object({
+  leaving: z.boolean().optional(),
+  cutAfter: z.number().optional(),
+  loseEnd: z.number().optional(),
+  slow: z.number().optional(),
+});
+export type Faults = z.infer<typeof Faults>;
+
+const block = 256;
+
+export const blocksOf = (messages: readonly { role: string; text: string }[]): readonly string[] => {
+  const out: string[] = [];
+  let h = '';
+  for (const m of messages)
+    for (let i = 0; i < m.text.length; i += block) {
+      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + block)).digest('base64url').slice(0, 12);
+      out.push(h);
+    }
+  return out;
+};
+
+export const replyTo = (messages: readonly { role: string; text: string }[], most: number): readonly string[] => {
+  const h = createHash('sha256').update(JSON.stringify(messages)).digest();
+  const count = Math.max(1, Math.min(most, 8 + (h[0] ?? 0) % 24));
+  return Array.from({ length: count }, (_, i) => `w${(h[i % 32] ?? 0).toString(36)}${i} `);
+};
+
+export class ModelServer {
+  private faults: Faults = {};
+  private busy = 0;
+  private served = 0;
+  private readonly cache = new Map<string, true>();
+  private http: Server | undefined;
+
+  constructor(
+    readonly spec: ModelSpec,
+    private readonly ledger: Ledger,
+  ) {}
+
+  set(f: Faults): void {
+    this.faults = { ...this.faults, ...f };
+  }
+
+  async start(): Promise<void> {
+    this.http = await serveHttp(this.spec.addr, async (req, res, url) => {
+      if (url.pathname === '/load') return sendJson(res, 200, { busy: this.busy, leaving: this.faults.leaving ?? false });
+      if (url.pathname === '/faults') {
+        this.set(Faults.parse(JSON.parse(await readBody(req, 4096))));
+        return sendJson(res, 200, this.faults);
+      }
+      if (url.pathname !== '/v1/generate') return sendJson(res, 404, { ran: 'no' });
+      const g = Generate.parse(JSON.parse(await readBody(req, 16 << 20)));
+      if (this.busy >= this.spec.slots * 4) return sendJson(res, 503, { ran: 'no' });
+      const gone = new AbortController();
+      res.on('close', () => gone.abort());
+      this.busy++;
+      this.served++;
+      const nth = this.served;
+      const began = Date.now();
+      let tokens = 0;
+      let reply = '';
+      let complete = false;
+      const blocks = blocksOf(g.messages);
+      const cached = this.warm(blocks);
+      try {
+        const slow = this.faults.slow ?? 1;
+        const crowd = Math.max(1, this.busy / this.spec.slots);
+        await pause(hostClock, ((blocks.length - cached) * block * this.spec.prefillMsPerKb * slow) / 1024, gone.signal);
+        res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+        for (const text of replyTo(g.messages, g.maxTokens)) {
+          if (gone.signal.aborted) return;
+          if (this.faults.cutAfter && nth % this.faults.cutAfter === 0 && tokens >= 3) {
+            res.destroy();
+            return;
+          }
+          res.write(`${JSON.stringify({ id: g.id, n: tokens, text })}\n`);
+          tokens++;
+          reply += text;
+          await pause(hostClock, this.spec.msPerToken * slow * crowd, gone.signal);
+        }
+        complete = true;
+        if (this.faults.loseEnd && nth % this.faults.loseEnd === 0) {
+          res.destroy();
+          return;
+        }
+        res.end(`${JSON.stringify({ id: g.id, end: true, pieces: tokens })}\n`);
+      } finally {
+        this.busy--;
+        this.ledger.add({
+          kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
+          said: saidOf(g.messages.at(-1)?.text ?? ''), reply, complete,
+        });
+      }
+    });
+  }
+
+  private warm(blocks: readonly string[]): number {
+    let hit = 0;
+    while (hit < blocks.length && this.cache.has(blocks[hit] ?? '')) hit++;
+    for (const b of blocks) {
+      this.cache.delete(b);
+      this.cache.set(b, true);
+    }
+    while (this.cache.size * block > this.spec.cacheKb * 1024) {
+      const oldest = this.cache.keys().next().value;
+      if (oldest === undefined) break;
+      this.cache.delete(oldest);
+    }
+    return hit;
+  }
+
+  async stop(): Promise<void> {
+    this.http?.closeAllConnections();
+    await new Promise<void>((done) => (this.http ? this.http.close(() => done()) : done()));
+  }
+}
--- /dev/null
+++ b/packages/state/src/allot.ts
@@ -0,0 +1,97 @@
+import type { Mate, Slot, State } from './state.js';
+
+export interface AllotBounds {
+  readonly copies: number;
+  readonly moves: number;
+  readonly silentStores: ReadonlySet<string>;
+}
+
+const byId = (a: Mate, b: Mate): number => (a.id < b.id ? -1 : 1);
+
+const spread = (stores: readonly Mate[], have: readonly Mate[], want: number, held: ReadonlyMap<string, number>): readonly Mate[] => {
+  const out = [...have];
+  while (out.length < want) {
+    const zones = new Set(out.map((m) => m.zone));
+    const free = stores.filter((m) => !out.some((o) => o.id === m.id));
+    const best = free.sort(
+      (a, b) =>
+        Number(zones.has(a.zone)) - Number(zones.has(b.zone)) || (held.get(a.id) ?? 0) - (held.get(b.id) ?? 0) || byId(a, b),
+    )[0];
+    if (!best) break;
+    out.push(best);
+  }
+  return out;
+};
+
+const allotCopies = (s: State, bounds: AllotBounds): readonly Slot[] => {
+  const live = [...s.nodes.values()].filter((m) => m.kind === 'store').sort(byId);
+  const usable = live.filter((m) => !s.retiring.has(m.id));
+  const held = new Map<string, number>();
+  for (const slot of s.slots) for (const id of slot.copies) held.set(id, (held.get(id) ?? 0) + 1);
+  const gone = (id: string): boolean => bounds.silentStores.has(id) && !s.nodes.has(id);
+  let moving = s.slots.filter((slot) => slot.filling.length > 0).length;
+  return s.slots.map((slot) => {
+    if (slot.copies.length === 0) {
+      if (usable.length < bounds.copies) return slot;
+      const copies = spread(usable, [], bounds.copies, held).map((m) => m.id);
+      for (const id of copies) held.set(id, (held.get(id) ?? 0) + 1);
+      return { ...slot, copies, tenure: slot.tenure + 1 };
+    }
+    if (slot.filling.length > 0) {
+      const lost = slot.filling.find((id) => gone(id));
+      if (lost === undefined) return slot;
+      const spare = usable.filter((m) => !slot.copies.includes(m.id))[0];
+      if (!spare) return slot;
+      return swap(slot, lost, spare.id, held);
+    }
+    if (moving >= bounds.moves) return slot;
+    const out = slot.copies.find((id) => gone(id)) ?? slot.copies.find((id) => s.retiring.has(id));
+    if (out === undefined) return slot;
+    const stay = live.filter((m) => slot.copies.includes(m.id) && m.id !== out);
+    if (stay.length < bounds.copies - 1) return slot;
+    const spare = spread(usable.filter((m) => !slot.copies.includes(m.id)), stay, stay.length + 1, held)[stay.length];
+    if (!spare) return slot;
+    moving++;
+    return swap(slot, out, spare.id, held);
+  });
+};
+
+const swap = (slot: Slot, out: string, into: string, held: Map<string, number>): Slot => {
+  held.set(into, (held.get(into) ?? 0) + 1);
+  held.set(out, (held.get(out) ?? 0) - 1);
+  return {
+    ...slot,
+    copies: [...slot.copies.filter((id) => id !== out), into].sort(),
+    filling: [...slot.filling.filter((id) => id !== out), into],
+    tenure: slot.tenure + 1,
+  };
+};
+
+const allotStewards = (s: State, slots: readonly Slot[], moves: number): readonly Slot[] => {
+  const fronts = [...s.nodes.values()].filter((m) => m.kind === 'front' && !s.retiring.has(m.id)).sort(byId);
+  if (fronts.length === 0) return slots;
+  const held = new Map<string, number>(fronts.map((f) => [f.id, 0]));
+  for (const slot of slots) if (held.has(slot.steward)) held.set(slot.steward, (held.get(slot.steward) ?? 0) + 1);
+  const least = (): string => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0] ?? '';
+  const give = (slot: Slot, to: string): Slot => {
+    held.set(to, (held.get(to) ?? 0) + 1);
+    return { ...slot, steward: to, tenure: slot.tenure + 1 };
+  };
+  const settled = slots.map((slot) => (slot.copies.length === 0 || held.has(slot.steward) ? slot : give(slot, least())));
+  const fair = Math.ceil(slots.length / fronts.length);
+  let left = moves;
+  return settled.map((slot) => {
+    const mine = held.get(slot.steward) ?? 0;
+    const to = least();
+    if (left <= 0 || slot.copies.length === 0 || slot.filling.length > 0) return slot;
+    if (mine <= fair || (held.get(to) ?? 0) + 1 >= mine) return slot;
+    left--;
+    held.set(slot.steward, mine - 1);
+    return give(slot, to);
+  });
+};
+
+export const allot = (s: State, bounds: AllotBounds): State => {
+  const slots = allotStewards(s, allotCopies(s, bounds), bounds.moves);
+  return slots.every((slot, i) => slot === s.slots[i]) ? s : { ...s, slots };
+};
--- /dev/null
+++ b/packages/state/src/config.ts
@@ -0,0 +1,105 @@
+import { createHash } from 'node:crypto';
+import { array, boolean, number, object, string, ValidationError, type InferType } from 'yup';
+import { LineCounter, parseDocument } from 'yaml';
+
+const name = () => string().strict().matches(/^[a-z0-9][a-z0-9-]{0,62}$/, { message: '${path} must be a lower-case name' }).required();
+const whole = (least: number, most: number) => number().strict().integer().min(least).max(most);
+
+const Share = object({ pool: name(), share: whole(0, 1000).required() }).noUnknown().strict();
+const Lane = object({
+  name: name(),
+  match: object({
+    kind: string().strict().oneOf(['turn', 'call']).required(),
+    path: string().strict().matches(/^\/[A-Za-z0-9/_-]*$/, { message: '${path} must begin with / and hold plain characters' }).required(),
+  }).noUnknown().strict().required(),
+  acting: boolean().strict().default(false),
+  urgent: boolean().strict().default(false),
+  shares: array().of(Share.required()).min(1).required(),
+}).noUnknown().strict();
+const Pool = object({ name: name(), kind: string().strict().oneOf(['model', 'service']).required() }).noUnknown().strict();
+const File = object({
+  base: whole(0, Number.MAX_SAFE_INTEGER).required(),
+  pools: array().of(Pool.required()).min(1).required(),
+  lanes: array().of(Lane.required()).min(1).max(10000).required(),
+  budgets: object({
+    program: whole(1, 1e9).default(100000),
+    turn: whole(1, 1e6).default(2000),
+  }).noUnknown().strict().default({ program: 100000, turn: 2000 }),
+  bounds: object({
+    turnMs: whole(100, 3600000).default(60000),
+    callMs: whole(10, 600000).default(5000),
+    line: whole(1, 100000).default(256),
+    perServer: whole(1, 10000).default(16),
+  }).noUnknown().strict().default({ turnMs: 60000, callMs: 5000, line: 256, perServer: 16 }),
+}).noUnknown().strict();
+
+export type Config = InferType<typeof File>;
+export type Lane = Config['lanes'][number];
+export interface Finding {
+  readonly place: string;
+  readonly text: string;
+}
+export interface Checked {
+  readonly config: Config | undefined;
+  readonly findings: readonly Finding[];
+}
+
+const lanes = (c: Config): readonly Finding[] => {
+  const out: Finding[] = [];
+  const pools = new Map<string, string>();
+  c.pools.forEach((p, i) => {
+    if (pools.has(p.name)) out.push({ place: `pools[${i}].name`, text: `pool ${p.name} is named twice` });
+    pools.set(p.name, p.kind);
+  });
+  const seen = new Set<string>();
+  const matches = new Map<string, string>();
+  c.lanes.forEach((l, i) => {
+    if (seen.has(l.name)) out.push({ place: `lanes[${i}].name`, text: `lane ${l.name} is named twice` });
+    seen.add(l.name);
+    const m = `${l.match.kind} ${l.match.path}`;
+    const other = matches.get(m);
+    if (other !== undefined) out.push({ place: `lanes[${i}].match`, text: `lane ${other} already takes ${m}` });
+    matches.set(m, l.name);
+    const want = l.match.kind === 'turn' ? 'model' : 'service';
+    const named = new Set<string>();
+    l.shares.forEach((s, j) => {
+      const place = `lanes[${i}].shares[${j}].pool`;
+      const kind = pools.get(s.pool);
+      if (kind === undefined) out.push({ place, text: `pool ${s.pool} is not in this file` });
+      else if (kind !== want) out.push({ place, text: `a ${l.match.kind} lane needs a ${want} pool, ${s.pool} is a ${kind} pool` });
+      if (named.has(s.pool)) out.push({ place, text: `pool ${s.pool} is named twice` });
+      named.add(s.pool);
+    });
+    if (l.shares.every((s) => s.share === 0)) out.push({ place: `lanes[${i}].shares`, text: 'at least one share must be above 0' });
+  });
+  return out;
+};
+
+export const checkConfig = (text: string): Checked => {
+  const counter = new LineCounter();
+  const doc = parseDocument(text, { lineCounter: counter, uniqueKeys: true });
+  if (doc.errors.length > 0)
+    return {
+      config: undefined,
+      findings: doc.errors.map((e) => {
+        const { line, col } = counter.linePos(e.pos[0]);
+        return { place: `line ${line}, column ${col}`, text: e.message.split('\n')[0] ?? e.message };
+      }),
+    };
+  try {
+    const config = File.cast(File.validateSync(doc.toJS(), { abortEarly: false, strict: true }));
+    const findings = lanes(config);
+    return { config: findings.length === 0 ? config : undefined, findings };
+  } catch (e) {
+    if (!(e instanceof ValidationError)) throw e;
+    const each = e.inner.length > 0 ? e.inner : [e];
+    return { config: undefined, findings: each.map((x) => ({ place: x.path || 'file', text: x.errors.join('; ') })) };
+  }
+};
+
+export const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32);
+
+export const laneFor = (config: Config, kind: 'turn' | 'call', path: string): Lane | undefined =>
+  config.lanes
+    .filter((l) => l.match.kind === kind && (path === l.match.path || path.startsWith(l.match.path.endsWith('/') ? l.match.path : `${l.match.path}/`)))
+    .sort((a, b) => b.match.path.length - a.match.path.length)[0];
--- /dev/null
+++ b/packages/state/src/item.ts
@@ -0,0 +1,27 @@
+import { z } from 'zod';
+
+export const Item = z.object({
+  key: z.string(),
+  tenure: z.number(),
+  seq: z.number(),
+  value: z.unknown(),
+}).readonly();
+export type Item = z.infer<typeof Item>;
+
+export const newerItem = (a: Item, b: Item): boolean => a.tenure > b.tenure || (a.tenure === b.tenure && a.seq > b.seq);
+export const sameItem = (a: Item, b: Item): boolean => a.tenure === b.tenure && a.seq === b.seq;
+
+export const Put = z.object({ slot: z.number(), tenure: z.number(), items: z.array(Item) });
+export const Seal = z.object({ slot: z.number(), tenure: z.number() });
+export const Sealed = z.object({ items: z.array(Item) });
+export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
+export const ReadBack = z.object({ item: Item.nullable() });
+export const Hint = z.object({ to: z.string(), slot: z.number(), items: z.array(Item) });
+export const Hand = z.object({ slot: z.number(), items: z.array(Item) });
+
+export const rootOf = (pid: string): string => pid.split('~')[0] ?? pid;
+
+export const groupOf = (key: string): string => {
+  const [kind = '', id = ''] = key.split('/');
+  return kind === 'p' ? `p/${rootOf(id)}` : key;
+};
--- /dev/null
+++ b/packages/state/src/state.ts
@@ -0,0 +1,100 @@
+import { z } from 'zod';
+
+export const Mate = z.object({
+  id: z.string(),
+  kind: z.enum(['control', 'store', 'front']),
+  addr: z.string(),
+  http: z.string(),
+  zone: z.string(),
+  data: z.string(),
+}).readonly();
+export type Mate = z.infer<typeof Mate>;
+
+export const Slot = z.object({
+  steward: z.string(),
+  tenure: z.number(),
+  copies: z.array(z.string()).readonly(),
+  filling: z.array(z.string()).readonly(),
+}).readonly();
+export type Slot = z.infer<typeof Slot>;
+
+export const Server = z.object({
+  id: z.string(),
+  pool: z.string(),
+  url: z.string(),
+  leaving: z.boolean(),
+  down: z.boolean(),
+}).readonly();
+export type Server = z.infer<typeof Server>;
+
+export const ConfigRecord = z.object({
+  version: z.number(),
+  text: z.string(),
+  digest: z.string(),
+}).readonly();
+export type ConfigRecord = z.infer<typeof ConfigRecord>;
+
+export const Voters = z.object({
+  now: z.array(z.string()).readonly(),
+  next: z.array(z.string()).readonly(),
+}).readonly();
+export type Voters = z.infer<typeof Voters>;
+
+export const Mark = z.object({ term: z.number(), version: z.number() }).readonly();
+export type Mark = z.infer<typeof Mark>;
+
+export const Head = z.object({
+  clusterId: z.string(),
+  term: z.number(),
+  version: z.number(),
+  master: z.string(),
+  voters: Voters,
+}).readonly();
+export type Head = z.infer<typeof Head>;
+
+export interface State extends Head {
+  readonly nodes: ReadonlyMap<string, Mate>;
+  readonly voterMates: ReadonlyMap<string, Mate>;
+  readonly retiring: ReadonlySet<string>;
+  readonly slots: readonly Slot[];
+  readonly config: ConfigRecord | undefined;
+  readonly servers: ReadonlyMap<string, Server>;
+  readonly weights: ReadonlyMap<string, number>;
+}
+
+export const emptySlots = (count: number): readonly Slot[] =>
+  Array.from({ length: count }, () => ({ steward: '', tenure: 0, copies: [], filling: [] }));
+
+export const foundingState = (clusterId: string, members: readonly Mate[], slots: number): State => ({
+  clusterId,
+  term: 0,
+  version: 1,
+  master: '',
+  voters: { now: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
+  nodes: new Map(),
+  voterMates: new Map(members.map((m) => [m.id, m])),
+  retiring: new Set(),
+  slots: emptySlots(slots),
+  config: undefined,
+  servers: new Map(),
+  weights: new Map(),
+});
+
+export const newer = (a: Mark, b: Mark): boolean => a.term > b.term || (a.term === b.term && a.version > b.version);
+export const sameMark = (a: Mark, b: Mark): boolean => a.term === b.term && a.version === b.version;
+export const markOf = (s: Mark | undefined): Mark =>
+  s ? { term: s.term, version: s.version } : { term: -1, version: 0 };
+
+export const isMajority = (group: readonly string[], yes: ReadonlySet<string>): boolean =>
+  group.length > 0 && group.filter((id) => yes.has(id)).length * 2 > group.length;
+
+export const quorum = (v: Voters, yes: ReadonlySet<string>): boolean => isMajority(v.now, yes) && isMajority(v.next, yes);
+
+export const slotOf = (key: string, count: number): number => {
+  let h = 0x811c9dc5;
+  for (let i = 0; i < key.length; i++) h = Math.imul(h ^ key.charCodeAt(i), 0x01000193) >>> 0;
+  h = Math.imul(h ^ (h >>> 15), 0x2c1b3c6d) >>> 0;
+  return ((h ^ (h >>> 13)) >>> 0) % count;
+};
+
+export const weightKey = (lane: string, server: string): string => `${lane}|${server}`;
--- /dev/null
+++ b/packages/steward/src/backend.ts
@@ -0,0 +1,36 @@
+import type { Server } from '@tillerstair/state';
+
+export interface Message {
+  readonly role: 'user' | 'assistant';
+  readonly text: string;
+}
+
+export type Ended =
+  | { readonly kind: 'never-left'; readonly text: string }
+  | { readonly kind: 'declined'; readonly text: string }
+  | { readonly kind: 'lost'; readonly text: string }
+  | { readonly kind: 'done'; readonly code: number; readonly body: unknown };
+
+export interface Generate {
+  readonly id: string;
+  readonly messages: readonly Message[];
+  readonly maxTokens: number;
+}
+
+export interface Act {
+  readonly id: string;
+  readonly key: string;
+  readonly path: string;
+  readonly body: string;
+}
+
+export interface LoadReport {
+  readonly busy: number;
+  readonly leaving: boolean;
+}
+
+export interface Backend {
+  generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number): Promise<Ended>;
+  act(server: Server, a: Act, gone: AbortSignal, within: number): Promise<Ended>;
+  load(server: Server, within: number): Promise<LoadReport>;
+}
--- /dev/null
+++ b/packages/steward/src/calls.ts
@@ -0,0 +1,103 @@
+import { createHash } from 'node:crypto';
+import { laneFor, type Config, type Lane } from '@tillerstair/state';
+import { Mishap, mishapOf } from '@tillerstair/wire';
+import type { SlotKeeper } from './keeper.js';
+import type { Steward } from './steward.js';
+import { done, ofMishap, OpValue, refused, unknown, type CallAsk, type Verdict } from './verdict.js';
+
+export const opKeyOf = (tenant: string, key: string): string => `o/${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
+
+const digestOf = (ask: CallAsk): string => createHash('sha256').update(`${ask.path}\n${ask.body}`).digest('hex').slice(0, 16);
+
+export class Calls {
+  private readonly running = new Map<string, { readonly digest: string; readonly verdict: Promise<Verdict> }>();
+  private made = 0;
+
+  constructor(private readonly s: Steward) {}
+
+  async call(ask: CallAsk, gone: AbortSignal): Promise<Verdict> {
+    const { config } = this.s.requireFresh();
+    if (!config) return refused(503, 'not-ready', 'no configuration yet', 1);
+    const lane = laneFor(config, 'call', ask.path);
+    if (!lane) return refused(404, 'no-lane', `no lane takes calls at ${ask.path}`);
+    if (ask.key === '') {
+      if (lane.acting) return refused(400, 'no-key', 'this lane needs an Operation-Key');
+      return this.run(ask, lane, config, undefined, gone);
+    }
+    const key = opKeyOf(ask.tenant, ask.key);
+    const keeper = this.s.keeper(key);
+    const digest = digestOf(ask);
+    const run = this.running.get(key);
+    if (run) return run.digest === digest ? run.verdict : refused(422, 'other-body', 'this key was used with another body');
+    const old = OpValue.safeParse(keeper.get(key));
+    if (old.success && old.data.status !== 'void') {
+      if (old.data.digest !== digest) return refused(422, 'other-body', 'this key was used with another body');
+      if (old.data.status === 'done') return done(old.data.body, old.data.code);
+      return unknown('this operation may have run; it is not run again');
+    }
+    const verdict = this.run(ask, lane, config, keeper, new AbortController().signal);
+    this.running.set(key, { digest, verdict });
+    return verdict.finally(() => this.running.delete(key));
+  }
+
+  private async run(ask: CallAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
+    try {
+      return await this.tryServers(ask, lane, config, keeper, gone);
+    } catch (e) {
+      return ofMishap(mishapOf(e));
+    }
+  }
+
+  private async tryServers(ask: CallAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
+    const { clock, backend } = this.s.p;
+    const key = opKeyOf(ask.tenant, ask.key);
+    const digest = digestOf(ask);
+    const note = (status: OpValue['status'], code: number, body: unknown): Promise<void> =>
+      keeper ? keeper.putSoon(key, { t: 'op', status, digest, code, body } satisfies OpValue, status === 'intent' ? 1 : 20) : Promise.resolve();
+    const skip = new Set<string>();
+    const end = clock.now() + config.bounds.callMs / 2;
+    let noted = false;
+    const notRun = async (text: string): Promise<Verdict> => {
+      if (noted) await note('void', 0, null).catch(() => undefined);
+      return refused(503, 'no-server', text, 1);
+    };
+    for (;;) {
+      const left = end - clock.now();
+      if (left <= 0) return notRun('no server came free in time');
+      const server = await this.s.place(lane, [], '', skip, left, gone).catch((e: unknown) => mishapOf(e));
+      if (server instanceof Mishap) {
+        const v = await notRun(server.message);
+        return { ...v, mishap: server.code };
+      }
+      let ok = false;
+      try {
+        if (!noted) await note('intent', 0, null);
+        noted = true;
+        if (!this.s.fresh) {
+          ok = true;
+          return await notRun('the control link is down and its grace ran out');
+        }
+        const act = { id: `call-${++this.made}`, key: ask.key, path: ask.path, body: ask.body };
+        const ended = await backend.act(server, act, gone, config.bounds.callMs);
+        if (ended.kind === 'done') {
+          ok = true;
+          try {
+            await note('done', ended.code, ended.body);
+          } catch (e) {
+            return unknown(`the operation ran but its verdict could not be kept: ${mishapOf(e).message}`);
+          }
+          return done(ended.body, ended.code);
+        }
+        if (ended.kind === 'lost') {
+          await note('unknown', 0, null).catch(() => undefined);
+          return unknown(ended.text);
+        }
+        ok = ended.kind === 'declined';
+        skip.add(server.id);
+        if (skip.size > 2) return await notRun(ended.text);
+      } finally {
+        this.s.finished(server, ok);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/steward/src/keeper.ts
@@ -0,0 +1,234 @@
+import {
+  Item, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
+} from '@tillerstair/state';
+import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import type { Table } from './table.js';
+import { TurnValue } from './verdict.js';
+
+export interface KeeperParts {
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly log: Log;
+  readonly table: () => Table | undefined;
+  readonly putWithin: number;
+  readonly beat: number;
+}
+
+const needed = 2;
+
+export class SlotKeeper {
+  private slot: Slot | undefined;
+  private seq = 0;
+  private openTenure = -1;
+  private held = new Map<string, Item>();
+  private spentBy = new Map<string, number>();
+  private turnsBy = new Map<string, string[]>();
+
+  constructor(
+    readonly n: number,
+    private readonly p: KeeperParts,
+  ) {}
+
+  get open(): boolean {
+    return this.slot !== undefined && this.openTenure === this.slot.tenure;
+  }
+
+  get(key: string): unknown {
+    return this.held.get(key)?.value;
+  }
+
+  spent(root: string): number {
+    return this.spentBy.get(root) ?? 0;
+  }
+
+  turnsOf(pid: string): readonly string[] {
+    return this.turnsBy.get(pid) ?? [];
+  }
+
+  take(slot: Slot): void {
+    const old = this.slot;
+    this.slot = slot;
+    if (old?.tenure === slot.tenure) return;
+    this.seq = 0;
+    void this.unseal(slot.tenure);
+  }
+
+  release(): void {
+    this.slot = undefined;
+    this.openTenure = -1;
+    this.held = new Map();
+    this.spentBy = new Map();
+    this.turnsBy = new Map();
+  }
+
+  private counted(slot: Slot): ReadonlySet<string> {
+    return new Set(slot.copies.filter((id) => !slot.filling.includes(id)));
+  }
+
+  private async unseal(tenure: number): Promise<void> {
+    const { clock, log, beat } = this.p;
+    while (this.slot?.tenure === tenure) {
+      try {
+        if (await this.sealOnce(tenure)) return;
+      } catch (e) {
+        log.debug(`Slot ${this.n} is not open yet: ${mishapOf(e).message}.`);
+      }
+      await pause(clock, beat / 10);
+    }
+  }
+
+  private async sealOnce(tenure: number): Promise<boolean> {
+    const slot = this.slot;
+    if (!slot) return true;
+    const counted = this.counted(slot);
+    const seen = new Map<string, Map<string, Item>>();
+    await new Promise<void>((done) => {
+      let left = counted.size;
+      const one = () => {
+        left--;
+        if (left <= 0 || seen.size >= needed) done();
+      };
+      if (left === 0) done();
+      for (const id of counted)
+        void this.ask(id, 'store/seal', { slot: this.n, tenure })
+          .then((back) => {
+            seen.set(id, new Map(Sealed.parse(back).items.map((i) => [i.key, i])));
+          })
+          .catch(() => undefined)
+          .finally(one);
+    });
+    if (seen.size < needed) throw new Mishap('unavailable', `${seen.size} of ${counted.size} copies sealed`);
+    const views = [...seen.values()];
+    const merged = new Map<string, Item>(this.openTenure >= 0 ? this.held : []);
+    for (const view of views)
+      for (const item of view.values()) {
+        const old = merged.get(item.key);
+        if (!old || newerItem(item, old)) merged.set(item.key, item);
+      }
+    const uneven = [...merged.values()].filter((item) => {
+      const same = views.filter((v) => {
+        const theirs = v.get(item.key);
+        return theirs && sameItem(theirs, item);
+      });
+      return same.length < needed;
+    });
+    if (this.slot?.tenure !== tenure) return true;
+    const again = uneven.map((item) => ({ key: item.key, tenure, seq: ++this.seq, value: item.value }));
+    for (let i = 0; i < again.length; i += 64) await this.spread(tenure, again.slice(i, i + 64));
+    if (this.slot?.tenure !== tenure) return true;
+    for (const item of again) merged.set(item.key, item);
+    this.held = new Map();
+    this.spentBy = new Map();
+    this.turnsBy = new Map();
+    for (const item of merged.values()) this.hold(item);
+    this.openTenure = tenure;
+    this.p.log.debug(`Slot ${this.n} is open at tenure ${tenure} with ${merged.size} items.`);
+    return true;
+  }
+
+  private hold(item: Item): void {
+    const [kind, pid = '', t] = item.key.split('/');
+    if (kind === 'p' && t === 't') {
+      const cost = (v: unknown): number => {
+        const turn = TurnValue.safeParse(v);
+        return turn.success ? turn.data.cost : 0;
+      };
+      const root = rootOf(pid);
+      const before = this.held.get(item.key);
+      if (!before) this.turnsBy.set(pid, [...(this.turnsBy.get(pid) ?? []), item.key]);
+      this.spentBy.set(root, this.spent(root) - (before ? cost(before.value) : 0) + cost(item.value));
+    }
+    this.held.set(item.key, item);
+  }
+
+  private ask(id: string, kind: string, body: unknown): Promise<unknown> {
+    const mate = this.p.table()?.state.nodes.get(id);
+    if (!mate) return Promise.reject(new Mishap('away', `copy ${id} is away`));
+    return this.p.circuits.call(mate.addr, kind, body, { within: this.p.putWithin });
+  }
+
+  private spread(tenure: number, items: readonly Item[]): Promise<void> {
+    const slot = this.slot;
+    if (slot?.tenure !== tenure) return Promise.reject(new Mishap('not-steward', 'the slot has moved on'));
+    const counted = this.counted(slot);
+    const missed: string[] = [];
+    const good: string[] = [];
+    let acks = 0;
+    let left = slot.copies.length;
+    return new Promise((done, fail) => {
+      const settle = () => {
+        if (acks >= needed) done();
+        if (left > 0) return;
+        if (acks < needed) fail(new Mishap('unavailable', `${acks} of ${counted.size} copies synced`));
+        if (good.length > 0) for (const id of missed) void this.hint(good, id, items);
+      };
+      for (const id of slot.copies)
+        this.ask(id, 'store/put', { slot: this.n, tenure, items })
+          .then(
+            () => {
+              good.push(id);
+              if (counted.has(id)) acks++;
+            },
+            (e: unknown) => {
+              if (mishapOf(e).code !== 'lower-tenure') missed.push(id);
+              else if (this.slot?.tenure === tenure) this.openTenure = -1;
+            },
+          )
+          .finally(() => {
+            left--;
+            settle();
+          });
+    });
+  }
+
+  private async hint(good: readonly string[], to: string, items: readonly Item[]): Promise<void> {
+    for (const id of good) {
+      try {
+        await this.ask(id, 'store/hint', { to, slot: this.n, items });
+        return;
+      } catch (e) {
+        this.p.log.debug(`Hint for ${to} was not kept by ${id}: ${mishapOf(e).message}.`);
+      }
+    }
+  }
+
+  async put(key: string, value: unknown): Promise<void> {
+    const slot = this.slot;
+    if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
+    const item: Item = { key, tenure: slot.tenure, seq: ++this.seq, value };
+    await this.spread(slot.tenure, [item]);
+    if (this.openTenure === item.tenure) this.hold(item);
+  }
+
+  async putSoon(key: string, value: unknown, tries: number): Promise<void> {
+    for (let n = 1; ; n++) {
+      try {
+        return await this.put(key, value);
+      } catch (e) {
+        if (n >= tries || !this.slot) throw e;
+        await pause(this.p.clock, this.p.beat / 10);
+      }
+    }
+  }
+
+  async confirmMissing(key: string): Promise<boolean> {
+    const slot = this.slot;
+    if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
+    const counted = [...this.counted(slot)];
+    const reads = await Promise.allSettled(
+      counted.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
+    );
+    const good = reads.flatMap((r) => (r.status === 'fulfilled' ? [r.value.item] : []));
+    if (good.length < needed) throw new Mishap('unavailable', 'too few copies confirm');
+    if (this.slot?.tenure !== slot.tenure) throw new Mishap('unavailable', 'the slot has moved on');
+    return good.every((item) => item === null);
+  }
+
+  dropGroups(gone: (key: string) => boolean): void {
+    for (const key of [...this.held.keys()]) if (gone(key)) this.held.delete(key);
+  }
+
+  get size(): number {
+    return this.held.size;
+  }
+}
--- /dev/null
+++ b/packages/steward/src/placement.ts
@@ -0,0 +1,165 @@
+import { createHash } from 'node:crypto';
+import { weightKey, type Lane, type Server } from '@tillerstair/state';
+import type { Clock } from '@tillerstair/wire';
+import type { Backend, Message } from './backend.js';
+import type { Candidate, PlaceContext, Policy, Seen } from './policies.js';
+import type { Table } from './table.js';
+
+interface Sight {
+  readonly url: string;
+  readonly inflight: number;
+  readonly busy: number;
+  readonly leaving: boolean;
+  readonly badSince: number;
+  readonly failures: number;
+  readonly pace: number | undefined;
+}
+
+const fresh = (url: string): Sight => ({
+  url, inflight: 0, busy: 0, leaving: false, badSince: -Infinity, failures: 0, pace: undefined,
+});
+
+export const prefixesOf = (messages: readonly Message[]): readonly string[] => {
+  const out: string[] = [];
+  let h = '';
+  for (const m of messages) {
+    for (let i = 0; i < m.text.length; i += 256) {
+      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + 256)).digest('base64url').slice(0, 12);
+      out.push(h);
+    }
+  }
+  return out;
+};
+
+export interface PlacementBounds {
+  readonly poll: number;
+  readonly pollWithin: number;
+  readonly retryBad: number;
+}
+
+export class Placement {
+  private readonly sights = new Map<string, Sight>();
+  private readonly warm = new Map<string, string>();
+  private readonly credit = new Map<string, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly backend: Backend,
+    private readonly chain: readonly Policy[],
+    private readonly bounds: PlacementBounds,
+    private readonly table: () => Table | undefined,
+    private readonly perServer: () => number,
+  ) {}
+
+  private sight(s: Server): Sight {
+    const old = this.sights.get(s.id);
+    return old && old.url === s.url ? old : fresh(s.url);
+  }
+
+  private set(s: Server, change: Partial<Sight>): void {
+    this.sights.set(s.id, { ...this.sight(s), ...change });
+  }
+
+  private seen(s: Server): Seen {
+    const v = this.sight(s);
+    const since = this.clock.now() - v.badSince;
+    const standing = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
+    return { inflight: v.inflight, busy: v.busy, leaving: v.leaving, standing };
+  }
+
+  usable(lane: Lane): boolean {
+    const state = this.table()?.state;
+    if (!state) return false;
+    const pools = new Set(lane.shares.filter((s) => s.share > 0).map((s) => s.pool));
+    return [...state.servers.values()].some((s) => pools.has(s.pool) && !s.leaving && !this.seen(s).leaving && this.seen(s).standing !== 'bad');
+  }
+
+  pick(lane: Lane, prefixes: readonly string[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
+    const state = this.table()?.state;
+    if (!state) return undefined;
+    const shares = lane.shares.filter((s) => s.share > 0);
+    const total = shares.reduce((n, s) => n + s.share, 0);
+    const depth = new Map<string, number>();
+    prefixes.forEach((h, i) => {
+      const server = this.warm.get(h);
+      if (server !== undefined) depth.set(server, i + 1);
+    });
+    const ctx: PlaceContext = {
+      lane,
+      now: this.clock.now(),
+      prefixes,
+      seen: (s) => this.seen(s),
+      warmth: (s) => (prefixes.length === 0 ? 0 : (depth.get(s.id) ?? 0) / prefixes.length),
+      weight: (s) => state.weights.get(weightKey(lane.name, s.id)) ?? 1,
+    };
+    const from = (pool: string): Server | undefined => {
+      const start: readonly Candidate[] = [...state.servers.values()]
+        .filter((s) => s.pool === pool && !skip.has(s.id))
+        .map((server) => ({ server, score: 0 }));
+      const ranked = this.chain
+        .reduce((cands, p) => p.apply(cands, ctx), start)
+        .filter((c) => this.sight(c.server).inflight < this.perServer());
+      return [...ranked].sort((a, b) => b.score - a.score || (a.server.id < b.server.id ? -1 : 1))[0]?.server;
+    };
+    const credit = (pool: string): number => this.credit.get(`${lane.name}|${pool}`) ?? 0;
+    const order = shares
+      .map((s) => ({ pool: s.pool, at: s.pool === stickyPool ? Infinity : credit(s.pool) + s.share / total }))
+      .sort((a, b) => b.at - a.at || (a.pool < b.pool ? -1 : 1));
+    for (const { pool } of order) {
+      const server = from(pool);
+      if (!server) continue;
+      for (const s of shares) {
+        const next = credit(s.pool) + s.share / total - (s.pool === pool ? 1 : 0);
+        this.credit.set(`${lane.name}|${s.pool}`, Math.max(-8, Math.min(8, next)));
+      }
+      return server;
+    }
+    return undefined;
+  }
+
+  begin(s: Server, prefixes: readonly string[]): void {
+    this.set(s, { inflight: this.sight(s).inflight + 1 });
+    for (const h of prefixes) {
+      this.warm.delete(h);
+      this.warm.set(h, s.id);
+    }
+    while (this.warm.size > 20000) {
+      const oldest = this.warm.keys().next().value;
+      if (oldest === undefined) break;
+      this.warm.delete(oldest);
+    }
+  }
+
+  end(s: Server, ok: boolean, pace?: number): void {
+    const v = this.sight(s);
+    const inflight = Math.max(0, v.inflight - 1);
+    if (ok) {
+      const next = pace === undefined ? v.pace : v.pace === undefined ? pace : v.pace * 0.8 + pace * 0.2;
+      this.set(s, { inflight, failures: 0, pace: next });
+    } else this.set(s, { inflight, failures: v.failures + 1, badSince: this.clock.now() });
+  }
+
+  report(): readonly { id: string; url: string; ok: boolean; pace?: number }[] {
+    const state = this.table()?.state;
+    return [...(state?.servers.values() ?? [])].map((s) => {
+      const v = this.sight(s);
+      return { id: s.id, url: s.url, ok: v.failures < 3, ...(v.pace === undefined ? {} : { pace: v.pace }) };
+    });
+  }
+
+  async poll(): Promise<void> {
+    const state = this.table()?.state;
+    if (!state) return;
+    for (const id of [...this.sights.keys()]) if (!state.servers.has(id)) this.sights.delete(id);
+    await Promise.all(
+      [...state.servers.values()].map(async (s) => {
+        try {
+          const load = await this.backend.load(s, this.bounds.pollWithin);
+          this.set(s, { busy: load.busy, leaving: load.leaving, failures: 0 });
+        } catch {
+          this.set(s, { failures: this.sight(s).failures + 1, badSince: this.clock.now() });
+        }
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/steward/src/steward.ts
@@ -0,0 +1,169 @@
+import { rootOf, slotOf, type Lane, type Server, type State } from '@tillerstair/state';
+import { Mishap, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import type { Backend } from './backend.js';
+import { Calls } from './calls.js';
+import { Gate } from './gate.js';
+import { SlotKeeper } from './keeper.js';
+import { Placement } from './placement.js';
+import { chainOf } from './policies.js';
+import { tableOf, type Table } from './table.js';
+import { Turns } from './turns.js';
+
+export interface StewardBounds {
+  readonly beat: number;
+  readonly putWithin: number;
+  readonly grace: number;
+  readonly poll: number;
+  readonly keepMs: number;
+}
+
+export interface StewardParts {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly backend: Backend;
+  readonly bounds: StewardBounds;
+  readonly log: Log;
+  readonly affinity: boolean;
+}
+
+export interface Held {
+  readonly server: Server;
+  readonly lane: Lane;
+}
+
+export class Steward {
+  private table: Table | undefined;
+  private freshAt = -Infinity;
+  private readonly keepers = new Map<number, SlotKeeper>();
+  private readonly gone = new AbortController();
+  readonly placement: Placement;
+  readonly gate: Gate<Server>;
+  readonly turns: Turns;
+  readonly calls: Calls;
+
+  constructor(readonly p: StewardParts) {
+    const table = () => this.table;
+    this.placement = new Placement(
+      p.clock,
+      p.backend,
+      chainOf(p.affinity),
+      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.beat },
+      table,
+      () => this.table?.config?.bounds.perServer ?? 16,
+    );
+    this.gate = new Gate<Server>(p.clock, () => this.table?.config?.bounds.line ?? 256);
+    this.turns = new Turns(this);
+    this.calls = new Calls(this);
+  }
+
+  start(): void {
+    void this.pollServers();
+  }
+
+  stop(): void {
+    this.gone.abort();
+  }
+
+  private async pollServers(): Promise<void> {
+    while (!this.gone.signal.aborted) {
+      await this.placement.poll();
+      this.gate.pump();
+      await pause(this.p.clock, this.p.bounds.poll, this.gone.signal);
+    }
+  }
+
+  get current(): Table | undefined {
+    return this.table;
+  }
+
+  take(state: State): void {
+    this.table = tableOf(state, this.table);
+    state.slots.forEach((slot, n) => {
+      const old = this.keepers.get(n);
+      if (slot.steward === this.p.id) {
+        const keeper = old ?? this.makeKeeper(n);
+        keeper.take(slot);
+      } else if (old) {
+        old.release();
+        this.keepers.delete(n);
+      }
+    });
+    this.gate.pump();
+  }
+
+  private makeKeeper(n: number): SlotKeeper {
+    const { clock, circuits, log, bounds } = this.p;
+    const keeper = new SlotKeeper(n, {
+      clock, circuits, log, table: () => this.table, putWithin: bounds.putWithin, beat: bounds.beat,
+    });
+    this.keepers.set(n, keeper);
+    return keeper;
+  }
+
+  freshen(at: number): void {
+    this.freshAt = Math.max(this.freshAt, at);
+  }
+
+  get fresh(): boolean {
+    return this.p.clock.now() - this.freshAt < this.p.bounds.grace;
+  }
+
+  readiness(): { ready: boolean; why: string } {
+    if (!this.table) return { ready: false, why: 'no committed state yet' };
+    if (!this.table.config) return { ready: false, why: 'no configuration yet' };
+    if (!this.fresh) return { ready: false, why: 'the control link is down and its grace ran out' };
+    if (!this.table.state.nodes.has(this.p.id)) return { ready: false, why: 'not listed in the cluster state' };
+    return { ready: true, why: 'serving' };
+  }
+
+  requireFresh(): Table {
+    const r = this.readiness();
+    if (!this.table || (!r.ready && this.table.config === undefined)) throw new Mishap('not-ready', r.why);
+    if (!this.fresh) throw new Mishap('not-ready', r.why);
+    return this.table;
+  }
+
+  slotFor(key: string): number {
+    const state = this.table?.state;
+    if (!state) throw new Mishap('not-ready', 'no committed state yet');
+    return slotOf(key, state.slots.length);
+  }
+
+  stewardOf(slot: number): string {
+    return this.table?.state.slots[slot]?.steward ?? '';
+  }
+
+  keeper(key: string): SlotKeeper {
+    const n = this.slotFor(key);
+    const keeper = this.keepers.get(n);
+    if (!keeper) throw new Mishap('not-steward', `slot ${n} has another steward`);
+    if (!keeper.open) throw new Mishap('taking-over', `slot ${n} is being taken over`);
+    return keeper;
+  }
+
+  programSlotKey(pid: string): string {
+    return `p/${rootOf(pid)}`;
+  }
+
+  async place(lane: Lane, prefixes: readonly string[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
+    if (!this.placement.usable(lane)) throw new Mishap('no-server', `no server of lane ${lane.name} is usable`);
+    return this.gate.enter(lane.urgent, within, gone, () => {
+      if (!this.fresh) return undefined;
+      const server = this.placement.pick(lane, prefixes, sticky, skip);
+      if (server) this.placement.begin(server, prefixes);
+      return server;
+    });
+  }
+
+  finished(server: Server, ok: boolean, pace?: number): void {
+    this.placement.end(server, ok, pace);
+    this.gate.pump();
+  }
+
+  sizes(): { slots: number; items: number; waiting: number } {
+    let items = 0;
+    for (const k of this.keepers.values()) items += k.size;
+    return { slots: this.keepers.size, items, waiting: this.gate.waiting };
+  }
+}
--- /dev/null
+++ b/packages/steward/src/verdict.ts
@@ -0,0 +1,82 @@
+import { z } from 'zod';
+import type { Mishap } from '@tillerstair/wire';
+
+export const Verdict = z.object({
+  verdict: z.enum(['done', 'refused', 'unknown']),
+  status: z.number(),
+  mishap: z.string().optional(),
+  text: z.string().optional(),
+  retryAfter: z.number().optional(),
+  body: z.unknown().optional(),
+});
+export type Verdict = z.infer<typeof Verdict>;
+
+export const done = (body: unknown, status = 200): Verdict => ({ verdict: 'done', status, body });
+
+export const refused = (status: number, mishap: string, text: string, retryAfter?: number): Verdict => ({
+  verdict: 'refused',
+  status,
+  mishap,
+  text,
+  ...(retryAfter === undefined ? {} : { retryAfter }),
+});
+
+export const unknown = (text: string, mishap = 'unknown'): Verdict => ({ verdict: 'unknown', status: 504, mishap, text });
+
+export const ofMishap = (m: Mishap): Verdict =>
+  m.ran === 'no' ? refused(m.code === 'line-full' ? 429 : 503, m.code, m.message, 1) : unknown(m.message, m.code);
+
+export const ProgramAsk = z.object({
+  tenant: z.string(),
+  pid: z.string(),
+  budget: z.number().int().min(1).optional(),
+  parent: z.string().optional(),
+});
+export type ProgramAsk = z.infer<typeof ProgramAsk>;
+
+export const TurnAsk = z.object({
+  tenant: z.string(),
+  pid: z.string(),
+  after: z.string().nullable(),
+  path: z.string(),
+  words: z.string(),
+  maxTokens: z.number().int().min(1).optional(),
+  key: z.string(),
+});
+export type TurnAsk = z.infer<typeof TurnAsk>;
+
+export const HistoryAsk = z.object({ tenant: z.string(), pid: z.string(), turn: z.string().optional() });
+export type HistoryAsk = z.infer<typeof HistoryAsk>;
+
+export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string() });
+export type CallAsk = z.infer<typeof CallAsk>;
+
+export const ProgramValue = z.object({
+  t: z.literal('program'),
+  tenant: z.string(),
+  budget: z.number(),
+  parent: z.string().nullable(),
+});
+export type ProgramValue = z.infer<typeof ProgramValue>;
+
+export const TurnValue = z.object({
+  t: z.literal('turn'),
+  status: z.enum(['reserved', 'done', 'failed', 'void']),
+  after: z.string().nullable(),
+  digest: z.string(),
+  words: z.string(),
+  pool: z.string(),
+  server: z.string(),
+  cost: z.number(),
+  pieces: z.array(z.string()),
+});
+export type TurnValue = z.infer<typeof TurnValue>;
+
+export const OpValue = z.object({
+  t: z.literal('op'),
+  status: z.enum(['intent', 'done', 'unknown', 'void']),
+  digest: z.string(),
+  code: z.number(),
+  body: z.unknown(),
+});
+export type OpValue = z.infer<typeof OpValue>;
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,2 @@
+export * from './shelf.js';
+export * from './node.js';
--- /dev/null
+++ b/packages/store/src/node.ts
@@ -0,0 +1,163 @@
+import pLimit from 'p-limit';
+import { z } from 'zod';
+import { beliefOf, Hand, Hint, Item, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type Mate, type State } from '@tillerstair/state';
+import { Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import { ZenNode, type Keep, type ZenBounds } from '@tillerstair/zen';
+import type { Shelf } from './shelf.js';
+
+export interface StoreParts {
+  readonly me: Mate;
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly keep: Keep;
+  readonly shelf: Shelf;
+  readonly bounds: ZenBounds;
+  readonly log: Log;
+}
+
+const Pulled = z.object({ items: z.array(Item) });
+
+export class StoreNode {
+  readonly zen: ZenNode;
+  private readonly gone = new AbortController();
+  private readonly few = pLimit(2);
+
+  constructor(private readonly p: StoreParts) {
+    this.zen = new ZenNode({ ...p, slots: 0 });
+  }
+
+  async start(): Promise<void> {
+    await this.p.circuits.serve((inq) => this.handle(inq));
+    this.zen.start();
+    void this.repair();
+  }
+
+  async stop(): Promise<void> {
+    this.gone.abort();
+    await this.zen.stop();
+    await this.p.circuits.close();
+  }
+
+  belief(): Belief {
+    const b = beliefOf(this.p.me.id, 'store', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
+    const c = this.p.shelf.counts();
+    return { ...b, facts: [...b.facts, ['own hints', String(c.hints)]] };
+  }
+
+  async handle(inq: Inquiry): Promise<unknown> {
+    const { shelf } = this.p;
+    switch (inq.kind) {
+      case 'store/put': {
+        const { slot, tenure, items } = Put.parse(inq.body);
+        await shelf.write(slot, tenure, items);
+        return {};
+      }
+      case 'store/seal': {
+        const { slot, tenure } = Seal.parse(inq.body);
+        return { items: await shelf.seal(slot, tenure) };
+      }
+      case 'store/read': {
+        const { slot, tenure, key } = Read.parse(inq.body);
+        return { item: await shelf.read(slot, tenure, key) };
+      }
+      case 'store/pull': {
+        const { slot, tenure } = Seal.parse(inq.body);
+        return { items: shelf.pull(slot, tenure) };
+      }
+      case 'store/hint': {
+        const { to, slot, items } = Hint.parse(inq.body);
+        await shelf.hint(to, slot, items);
+        return {};
+      }
+      case 'store/hand': {
+        const { slot, items } = Hand.parse(inq.body);
+        await shelf.hand(slot, items);
+        return {};
+      }
+      default:
+        if (inq.kind.startsWith('zen/')) return this.zen.handle(inq);
+        throw new Mishap('unknown-kind', `no such inquiry: ${inq.kind}`);
+    }
+  }
+
+  private async repair(): Promise<void> {
+    const { clock, bounds, log } = this.p;
+    while (!this.gone.signal.aborted) {
+      await pause(clock, bounds.beat / 2, this.gone.signal);
+      const s = this.zen.applied;
+      if (!s || this.gone.signal.aborted) continue;
+      try {
+        await this.handOver(s);
+        await this.refill(s);
+        await this.p.shelf.dropOld();
+        await this.p.shelf.forgetSlots((n) => {
+          const slot = s.slots[n];
+          return slot && slot.copies.length > 0 && !slot.copies.includes(this.p.me.id) ? slot.tenure : -1;
+        });
+      } catch (e) {
+        log.warn(`Repair stopped: ${mishapOf(e).message}.`);
+      }
+    }
+  }
+
+  private async handOver(s: State): Promise<void> {
+    const { shelf, circuits, bounds, log } = this.p;
+    for (const to of shelf.hintTargets()) {
+      const mate = s.nodes.get(to);
+      const holds = s.slots.some((x) => x.copies.includes(to));
+      if (!mate && holds) continue;
+      let count = 0;
+      for (const h of shelf.hintsFor(to)) {
+        const wanted = s.slots[h.slot]?.copies.includes(to) ?? false;
+        if (wanted && mate) {
+          try {
+            await circuits.call(mate.addr, 'store/hand', { slot: h.slot, items: h.items }, { within: bounds.silent });
+          } catch (e) {
+            log.debug(`Handing over to ${mate.addr} failed: ${mishapOf(e).message}.`);
+            break;
+          }
+        }
+        await shelf.handed(h.n);
+        count++;
+      }
+      if (count > 0) log.info(`Handed ${count} hints to ${mate?.addr ?? to}.`);
+    }
+  }
+
+  private async refill(s: State): Promise<void> {
+    const me = this.p.me.id;
+    const todo = s.slots.flatMap((slot, n) => (slot.filling.includes(me) ? [{ slot, n }] : []));
+    await Promise.all(
+      todo.map(({ slot, n }) =>
+        this.few(async () => {
+          const sources = slot.copies.filter((id) => !slot.filling.includes(id));
+          try {
+            await this.refillOne(s, n, slot.tenure, sources);
+          } catch (e) {
+            this.p.log.debug(`Refill of slot ${n} waits: ${mishapOf(e).message}.`);
+          }
+        }),
+      ),
+    );
+  }
+
+  private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
+    const { circuits, shelf, bounds, me } = this.p;
+    if (sources.length < 2) throw new Mishap('unavailable', 'fewer than two full copies');
+    const best = new Map<string, ItemT>();
+    for (const id of sources) {
+      const mate = s.nodes.get(id);
+      if (!mate) throw new Mishap('unavailable', `copy ${id} is away`);
+      const back = await circuits.call(mate.addr, 'store/pull', { slot, tenure }, { within: bounds.silent * 2 });
+      for (const item of Pulled.parse(back).items) {
+        const old = best.get(item.key);
+        if (!old || newerItem(item, old)) best.set(item.key, item);
+      }
+    }
+    await shelf.hand(slot, [...best.values()]);
+    const master = this.zen.masterSeen;
+    if (!master) throw new Mishap('unavailable', 'no master is known');
+    await circuits.call(master.addr, 'control/filled', { store: me.id, slot, tenure }, { within: bounds.silent });
+  }
+}
--- /dev/null
+++ b/packages/store/src/shelf.ts
@@ -0,0 +1,196 @@
+import { z } from 'zod';
+import { groupOf, Item, newerItem, type Item as ItemT } from '@tillerstair/state';
+import { Journal, type Disk } from '@tillerstair/journal';
+import { Mishap, type Clock } from '@tillerstair/wire';
+
+const Rec = z.discriminatedUnion('t', [
+  z.object({ t: z.literal('put'), slot: z.number(), tenure: z.number(), items: z.array(Item) }),
+  z.object({ t: z.literal('seal'), slot: z.number(), tenure: z.number() }),
+  z.object({ t: z.literal('drop'), slot: z.number(), groups: z.array(z.string()) }),
+  z.object({ t: z.literal('hint'), n: z.number(), to: z.string(), slot: z.number(), items: z.array(Item) }),
+  z.object({ t: z.literal('handed'), n: z.number() }),
+]);
+type Rec = z.infer<typeof Rec>;
+
+export interface HintRecord {
+  readonly n: number;
+  readonly to: string;
+  readonly slot: number;
+  readonly items: readonly ItemT[];
+}
+
+interface SlotShelf {
+  sealed: number;
+  readonly items: Map<string, ItemT>;
+  readonly touched: Map<string, number>;
+}
+
+export interface ShelfBounds {
+  readonly journalLongAt: number;
+  readonly keepMs: number;
+  readonly hintsMost: number;
+}
+
+export class Shelf {
+  private readonly slots = new Map<number, SlotShelf>();
+  private readonly hints = new Map<number, HintRecord>();
+  private hintSeq = 0;
+  private rewriting = false;
+  private constructor(
+    private readonly journal: Journal,
+    private readonly clock: Clock,
+    private readonly bounds: ShelfBounds,
+  ) {}
+
+  static async open(disk: Disk, clock: Clock, bounds: ShelfBounds): Promise<Shelf> {
+    const { journal, records } = await Journal.open(disk, 'store.log');
+    const shelf = new Shelf(journal, clock, bounds);
+    for (const r of records) shelf.take(Rec.parse(r));
+    return shelf;
+  }
+
+  private slot(n: number): SlotShelf {
+    const old = this.slots.get(n);
+    if (old) return old;
+    const made: SlotShelf = { sealed: 0, items: new Map(), touched: new Map() };
+    this.slots.set(n, made);
+    return made;
+  }
+
+  private take(r: Rec): void {
+    switch (r.t) {
+      case 'put': {
+        const s = this.slot(r.slot);
+        s.sealed = Math.max(s.sealed, r.tenure);
+        for (const item of r.items) {
+          const old = s.items.get(item.key);
+          if (!old || newerItem(item, old)) s.items.set(item.key, item);
+          s.touched.set(groupOf(item.key), this.clock.now());
+        }
+        return;
+      }
+      case 'seal': {
+        const s = this.slot(r.slot);
+        s.sealed = Math.max(s.sealed, r.tenure);
+        return;
+      }
+      case 'drop': {
+        const s = this.slot(r.slot);
+        const groups = new Set(r.groups);
+        for (const key of [...s.items.keys()]) if (groups.has(groupOf(key))) s.items.delete(key);
+        for (const g of groups) s.touched.delete(g);
+        return;
+      }
+      case 'hint':
+        this.hints.set(r.n, r);
+        this.hintSeq = Math.max(this.hintSeq, r.n);
+        return;
+      case 'handed':
+        this.hints.delete(r.n);
+        return;
+    }
+  }
+
+  private async put(r: Rec): Promise<void> {
+    this.take(r);
+    await this.journal.append(r);
+    if (this.rewriting || !this.journal.long(this.bounds.journalLongAt)) return;
+    this.rewriting = true;
+    await this.journal.rewrite(() => this.whole()).finally(() => {
+      this.rewriting = false;
+    });
+  }
+
+  private whole(): readonly Rec[] {
+    const out: Rec[] = [];
+    for (const [slot, s] of this.slots) {
+      if (s.sealed > 0) out.push({ t: 'seal', slot, tenure: s.sealed });
+      for (const item of s.items.values()) out.push({ t: 'put', slot, tenure: 0, items: [item] });
+    }
+    for (const h of this.hints.values()) out.push({ t: 'hint', ...h, items: [...h.items] });
+    return out;
+  }
+
+  private fence(slot: number, tenure: number): SlotShelf {
+    const s = this.slot(slot);
+    if (tenure < s.sealed) throw new Mishap('lower-tenure', `slot ${slot} is sealed at tenure ${s.sealed}`);
+    return s;
+  }
+
+  async write(slot: number, tenure: number, items: readonly ItemT[]): Promise<void> {
+    this.fence(slot, tenure);
+    await this.put({ t: 'put', slot, tenure, items: [...items] });
+  }
+
+  async seal(slot: number, tenure: number): Promise<readonly ItemT[]> {
+    const s = this.fence(slot, tenure);
+    if (s.sealed < tenure) await this.put({ t: 'seal', slot, tenure });
+    else await this.synced();
+    return [...s.items.values()];
+  }
+
+  private synced(): Promise<void> {
+    return this.journal.append({ t: 'seal', slot: 0, tenure: 0 });
+  }
+
+  async read(slot: number, tenure: number, key: string): Promise<ItemT | null> {
+    return this.fence(slot, tenure).items.get(key) ?? null;
+  }
+
+  pull(slot: number, tenure: number): readonly ItemT[] {
+    const s = this.slot(slot);
+    if (s.sealed < tenure) throw new Mishap('not-sealed', `slot ${slot} is not sealed at tenure ${tenure} yet`);
+    return [...s.items.values()];
+  }
+
+  async hand(slot: number, items: readonly ItemT[]): Promise<void> {
+    const s = this.slot(slot);
+    const fresh = items.filter((i) => {
+      const old = s.items.get(i.key);
+      return !old || newerItem(i, old);
+    });
+    if (fresh.length > 0) await this.put({ t: 'put', slot, tenure: 0, items: fresh });
+    else await this.synced();
+  }
+
+  async hint(to: string, slot: number, items: readonly ItemT[]): Promise<void> {
+    if (this.hints.size >= this.bounds.hintsMost) throw new Mishap('hints-full', `${this.hints.size} hints are held already`);
+    await this.put({ t: 'hint', n: ++this.hintSeq, to, slot, items: [...items] });
+  }
+
+  hintsFor(to: string): readonly HintRecord[] {
+    return [...this.hints.values()].filter((h) => h.to === to).sort((a, b) => a.n - b.n);
+  }
+
+  hintTargets(): ReadonlySet<string> {
+    return new Set([...this.hints.values()].map((h) => h.to));
+  }
+
+  async handed(n: number): Promise<void> {
+    await this.put({ t: 'handed', n });
+  }
+
+  async dropOld(): Promise<number> {
+    const now = this.clock.now();
+    let dropped = 0;
+    for (const [slot, s] of this.slots) {
+      const groups = [...s.touched].filter(([, at]) => now - at > this.bounds.keepMs).map(([g]) => g);
+      if (groups.length === 0) continue;
+      dropped += groups.length;
+      await this.put({ t: 'drop', slot, groups });
+    }
+    return dropped;
+  }
+
+  async forgetSlots(outAt: (slot: number) => number): Promise<void> {
+    for (const [slot, s] of this.slots)
+      if (s.items.size > 0 && outAt(slot) >= s.sealed)
+        await this.put({ t: 'drop', slot, groups: [...new Set([...s.items.keys()].map(groupOf))] });
+  }
+
+  counts(): { items: number; hints: number; bytes: number; slots: number } {
+    let items = 0;
+    for (const s of this.slots.values()) items += s.items.size;
+    return { items, hints: this.hints.size, bytes: this.journal.size, slots: this.slots.size };
+  }
+}
--- /dev/null
+++ b/packages/wire/src/http.ts
@@ -0,0 +1,52 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { splitAddr } from './tcp.js';
+
+export type Page = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void>;
+
+export const sendJson = (
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: ReadonlyMap<string, string> = new Map(),
+): void => {
+  if (res.destroyed || res.writableEnded) return;
+  const text = JSON.stringify(body);
+  for (const [k, v] of headers) res.setHeader(k, v);
+  res.setHeader('content-type', 'application/json');
+  res.statusCode = status;
+  res.end(text);
+};
+
+export class BodyTooLarge extends Error {}
+
+export const readBody = async (req: IncomingMessage, most: number): Promise<string> => {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of req) {
+    const b = Buffer.isBuffer(part) ? part : Buffer.from(String(part));
+    size += b.length;
+    if (size > most) throw new BodyTooLarge(`body is over ${most} bytes`);
+    parts.push(b);
+  }
+  return Buffer.concat(parts).toString('utf8');
+};
+
+export const serveHttp = (addr: string, page: Page): Promise<Server> => {
+  const server = createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://x');
+    page(req, res, url).catch((e: unknown) => {
+      if (e instanceof BodyTooLarge) {
+        sendJson(res, 413, { ran: 'no', mishap: 'body-too-large', text: e.message });
+        return;
+      }
+      const text = e instanceof Error ? e.message : String(e);
+      if (res.headersSent) res.destroy();
+      else sendJson(res, 500, { ran: 'unknown', mishap: 'internal', text });
+    });
+  });
+  const { host, port } = splitAddr(addr);
+  return new Promise((done, fail) => {
+    server.once('error', fail);
+    server.listen(port, host, () => done(server));
+  });
+};
--- /dev/null
+++ b/packages/wire/src/log-on.ts
@@ -0,0 +1,1 @@
+process.env['ROARR_LOG'] ??= 'true';
--- /dev/null
+++ b/packages/zen/src/bounds.ts
@@ -0,0 +1,32 @@
+export interface ZenBounds {
+  readonly beat: number;
+  readonly silent: number;
+  readonly pingWait: number;
+  readonly joinWait: number;
+  readonly joinTries: number;
+  readonly publishWait: number;
+  readonly foundingStill: number;
+  readonly replaceAfter: number;
+  readonly grace: number;
+  readonly pingsFromAnotherMaster: number;
+}
+
+export interface OuterBounds {
+  readonly serveWithin: number;
+  readonly leavingWithin: number;
+  readonly beat: number;
+  readonly silent: number;
+}
+
+export const zenBounds = (o: OuterBounds): ZenBounds => ({
+  beat: o.beat,
+  silent: o.silent,
+  pingWait: o.serveWithin / 24,
+  joinWait: o.serveWithin / 8,
+  joinTries: 3,
+  publishWait: o.silent / 2,
+  foundingStill: o.serveWithin / 6,
+  replaceAfter: o.silent * 2,
+  grace: (o.leavingWithin * 5) / 6,
+  pingsFromAnotherMaster: 1,
+});
--- /dev/null
+++ b/packages/zen/src/node.ts
@@ -0,0 +1,435 @@
+import { inflateSync } from 'node:zlib';
+import { flatten, markOf, newer, patch, quorum, sameMark, unflatten, type Mark, type Mate, type State } from '@tillerstair/state';
+import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import type { ZenBounds } from './bounds.js';
+import { elect, type Self } from './elect.js';
+import { Founder } from './found.js';
+import { acceptedMark, type Keep } from './keep.js';
+import { Master, type MasterView } from './master.js';
+import {
+  Commit, Join, MasterPing, MasterPong, NodePing, Payload, Ping, Pong, Promised, Publish, Validate,
+} from './messages.js';
+import { Pinger, type Round } from './pinger.js';
+
+export interface ZenParts {
+  readonly me: Mate;
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly circuits: Circuits;
+  readonly keep: Keep;
+  readonly bounds: ZenBounds;
+  readonly log: Log;
+  readonly slots: number;
+  readonly settle?: (s: State) => State;
+  readonly onApplied?: (s: State) => Promise<void>;
+  readonly report?: () => unknown;
+  readonly onReport?: (id: string, report: unknown) => void;
+  readonly onLead?: (m: MasterView) => void;
+}
+
+interface PendingJoin {
+  readonly join: Join;
+  done(v: { term: number }): void;
+  fail(e: Error): void;
+}
+
+export class ZenNode {
+  private readonly gone = new AbortController();
+  private readonly pinger: Pinger;
+  private readonly founder: Founder;
+  private pending: Map<string, PendingJoin> | undefined;
+  private joining: Mate | undefined;
+  private following: Mate | undefined;
+  private wake: () => void = () => undefined;
+  private master: Master | undefined;
+  private readonly applying = new Line('apply');
+  private ended: Promise<void> = Promise.resolve();
+  applied: State | undefined;
+  freshAt = -Infinity;
+
+  constructor(private readonly p: ZenParts) {
+    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, p.seeds);
+    this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots);
+    const old = p.keep.kept.accepted;
+    if (old) this.pinger.learn([...old.voterMates.values(), ...old.nodes.values()], p.me);
+  }
+
+  get leading(): MasterView | undefined {
+    return this.master?.lost.aborted ? undefined : this.master;
+  }
+
+  get masterSeen(): Mate | undefined {
+    return this.leading ? this.p.me : this.following;
+  }
+
+  get term(): number {
+    return this.p.keep.kept.term;
+  }
+
+  get clusterId(): string {
+    return this.p.keep.kept.accepted?.clusterId ?? '';
+  }
+
+  get accepted(): State | undefined {
+    return this.p.keep.kept.accepted;
+  }
+
+  start(): void {
+    this.ended = this.run();
+  }
+
+  async stop(): Promise<void> {
+    const master = this.following;
+    if (master)
+      await this.p.circuits
+        .call(master.addr, 'zen/leave', { from: this.p.me }, { within: this.p.bounds.beat })
+        .catch(() => undefined);
+    this.gone.abort();
+    this.master?.stepDown('stopping');
+    this.wake();
+    await this.ended;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.gone.signal.aborted) {
+      try {
+        const chosen = await this.findMaster();
+        if (!chosen) continue;
+        if (chosen.id === this.p.me.id) await this.lead();
+        else await this.follow(chosen);
+      } catch (e) {
+        this.p.log.warn(`Round ended: ${mishapOf(e).message}.`);
+        await pause(this.p.clock, this.p.bounds.beat / 10, this.gone.signal);
+      }
+    }
+    this.dropPending();
+  }
+
+  private self(): Self {
+    const { me, keep } = this.p;
+    const acc = keep.kept.accepted;
+    return {
+      mate: me,
+      canWin: acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
+      joinedBefore: acc !== undefined && acc.version > 1,
+      accepted: markOf(acc),
+      voters: acc?.voters,
+    };
+  }
+
+  private async findMaster(): Promise<Mate | undefined> {
+    const { me, keep, log } = this.p;
+    if (me.kind === 'control') this.pending ??= new Map();
+    const ping = (): Ping => ({ from: me, known: [...this.knownControls()], clusterId: this.clusterId });
+    const round = await this.pinger.round(ping, this.gone.signal);
+    if (this.gone.signal.aborted) return undefined;
+    this.freshen(round);
+    const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
+    if (me.kind === 'control' && !keep.kept.accepted) {
+      const view = { me, seeds: this.p.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
+      if (await this.founder.round(view)) return undefined;
+    }
+    const choice = elect(this.self(), mine);
+    if (choice.kind === 'none') {
+      log.debug(`No master yet: ${choice.why}.`);
+      return undefined;
+    }
+    log.info(`Elected ${choice.mate.addr} (${choice.by}).`);
+    return choice.mate;
+  }
+
+  private knownControls(): readonly Mate[] {
+    return this.pinger.heardOf().filter((m) => m.kind === 'control');
+  }
+
+  private freshen(round: Round): void {
+    const s = this.applied;
+    if (!s || !s.nodes.has(this.p.me.id)) return;
+    const old = new Set(round.pongs.filter((g) => !newer(g.accepted, markOf(s))).map((g) => g.from.id));
+    if (quorum(s.voters, old)) this.freshAt = Math.max(this.freshAt, round.at);
+  }
+
+  private dropPending(): void {
+    const all = this.pending;
+    this.pending = undefined;
+    for (const j of all?.values() ?? []) j.fail(new Mishap('not-master', 'another control was elected'));
+  }
+
+  private async lead(): Promise<void> {
+    const { me, keep, bounds, clock, log } = this.p;
+    const acc = keep.kept.accepted;
+    if (!acc) return;
+    const joined = (): ReadonlySet<string> => new Set([me.id, ...(this.pending?.keys() ?? [])]);
+    const end = clock.now() + bounds.joinWait;
+    while (!quorum(acc.voters, joined())) {
+      if (clock.now() >= end || this.gone.signal.aborted) return this.dropPending();
+      await this.nudge(Math.min(bounds.joinWait / 4, end - clock.now()));
+    }
+    const joins = [...(this.pending?.values() ?? [])];
+    const term = Math.max(keep.kept.term, ...joins.map((j) => j.join.term)) + 1;
+    await keep.promise(term, me.id);
+    const promised = new Map<string, PendingJoin>();
+    let newest: State = acc;
+    const promises = joins.map(async (j) => {
+      const body = { from: me, term, clusterId: acc.clusterId, have: markOf(acc) };
+      const back = await this.p.circuits.call(j.join.from.addr, 'zen/validate', body, { within: bounds.joinWait });
+      const got = Promised.parse(back);
+      const theirs = got.state ? unflatten(new Map(got.state)) : undefined;
+      if (theirs && newer(markOf(theirs), markOf(newest))) newest = theirs;
+      promised.set(j.join.from.id, j);
+    });
+    let open = true;
+    void Promise.allSettled(promises).then(() => {
+      open = false;
+    });
+    const late = clock.now() + bounds.joinWait;
+    while (open && clock.now() < late && !quorum(acc.voters, new Set([me.id, ...promised.keys()]))) await pause(clock, bounds.beat / 50);
+    if (open) await pause(clock, bounds.beat / 20);
+    const yes = new Set([me.id, ...promised.keys()]);
+    if (keep.kept.term !== term || !quorum(acc.voters, yes) || !quorum(newest.voters, yes)) {
+      log.info(`Won no majority in term ${term}.`);
+      return this.dropPending();
+    }
+    log.info(`Master in term ${term} with ${yes.size} promises.`);
+    const joiners = new Map(promised);
+    const master = new Master(
+      {
+        me,
+        clock,
+        circuits: this.p.circuits,
+        keep,
+        bounds,
+        log,
+        settle: this.p.settle ?? ((s) => s),
+        apply: (s) => this.apply(s),
+        onReport: this.p.onReport ?? (() => undefined),
+      },
+      term,
+      newest,
+    );
+    this.master = master;
+    const early = this.pending;
+    this.pending = undefined;
+    try {
+      await master.begin([...joiners.values()].map((j) => j.join.from));
+      for (const j of joiners.values()) j.done({ term });
+      for (const [id, j] of early ?? []) if (!joiners.has(id)) master.onJoin(j.join).then(j.done, j.fail);
+      this.p.onLead?.(master);
+      if (!master.lost.aborted)
+        await new Promise<void>((done) => master.lost.addEventListener('abort', () => done(), { once: true }));
+    } catch (e) {
+      for (const j of early?.values() ?? []) j.fail(mishapOf(e));
+      master.stepDown(mishapOf(e).message);
+    } finally {
+      this.master = undefined;
+    }
+  }
+
+  private nudge(ms: number): Promise<void> {
+    return new Promise((done) => {
+      const beat = this.p.clock.after(ms, done);
+      this.wake = () => {
+        beat.stop();
+        done();
+      };
+    });
+  }
+
+  private async follow(master: Mate): Promise<void> {
+    const { me, circuits, bounds, clock, keep, log } = this.p;
+    this.dropPending();
+    this.joining = master;
+    try {
+      const ping: Ping = { from: me, known: [], clusterId: this.clusterId };
+      const pong = Pong.parse(await circuits.call(master.addr, 'zen/ping', ping, { within: bounds.pingWait }));
+      if (pong.from.id !== master.id) throw new Mishap('gone', `${master.addr} is another node now`);
+      const join: Join = { from: me, term: keep.kept.term, accepted: acceptedMark(keep), clusterId: this.clusterId };
+      for (let n = 1; ; n++) {
+        try {
+          await circuits.call(master.addr, 'zen/join', join, { within: bounds.joinWait });
+          break;
+        } catch (e) {
+          const m = mishapOf(e);
+          if (n >= bounds.joinTries || m.code === 'not-master' || m instanceof CircuitRefused) throw m;
+        }
+      }
+      this.following = master;
+    } finally {
+      this.joining = undefined;
+    }
+    log.info(`Joined ${master.addr}.`);
+    await this.watchMaster();
+    log.info('Lost the master.');
+    this.following = undefined;
+    if (keep.kept.accepted === undefined) await pause(clock, bounds.beat / 10, this.gone.signal);
+  }
+
+  private async watchMaster(): Promise<void> {
+    const { me, circuits, bounds, clock } = this.p;
+    let good = clock.now();
+    let refused = 0;
+    let unlisted = 0;
+    while (!this.gone.signal.aborted) {
+      const master = this.following;
+      if (!master) return;
+      const sent = clock.now();
+      try {
+        const ping: MasterPing = {
+          from: me, term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null,
+        };
+        const back = await circuits.call(master.addr, 'zen/master-ping', ping, { within: bounds.silent });
+        const pong = MasterPong.parse(back);
+        unlisted = pong.listed ? 0 : unlisted + 1;
+        if (!pong.leading || pong.term < this.term || unlisted >= 2) return;
+        good = clock.now();
+        refused = 0;
+        if (pong.listed && !newer(pong.committed, markOf(this.applied)))
+          this.freshAt = Math.max(this.freshAt, sent - pong.age);
+      } catch (e) {
+        if (e instanceof CircuitRefused) refused++;
+      }
+      if (refused >= 2 || clock.now() - good > bounds.silent) return;
+      await this.nudge(refused === 1 ? bounds.beat / 10 : bounds.beat);
+    }
+  }
+
+  private apply(s: State): Promise<void> {
+    return this.applying.run(async () => {
+      if (this.applied && !newer(markOf(s), markOf(this.applied))) return;
+      this.pinger.learn([...s.voterMates.values(), ...s.nodes.values()], this.p.me);
+      await this.p.onApplied?.(s);
+      this.applied = s;
+    });
+  }
+
+  private pong(): Pong {
+    const self = this.self();
+    return {
+      from: this.p.me,
+      eligible: this.p.me.kind === 'control',
+      canWin: self.canWin,
+      master: this.masterSeen,
+      term: this.term,
+      clusterId: this.clusterId,
+      joinedBefore: self.joinedBefore,
+      accepted: self.accepted,
+      voters: self.voters,
+      known: [...this.knownControls()],
+    };
+  }
+
+  async handle(inq: Inquiry): Promise<unknown> {
+    switch (inq.kind) {
+      case 'zen/ping': {
+        const ping = Ping.parse(inq.body);
+        this.pinger.learn([ping.from], this.p.me);
+        return this.pong();
+      }
+      case 'zen/found':
+        return this.founder.onVote(this.p.me, inq.body);
+      case 'zen/join':
+        return this.onJoin(Join.parse(inq.body));
+      case 'zen/validate':
+        return this.onValidate(inq.body);
+      case 'zen/publish':
+        return this.onPublish(inq.body);
+      case 'zen/commit':
+        return this.onCommit(Commit.parse(inq.body).mark);
+      case 'zen/node-ping':
+        return this.onNodePing(NodePing.parse(inq.body));
+      case 'zen/master-ping': {
+        const ping = MasterPing.parse(inq.body);
+        const m = this.master;
+        if (m && ping.term > m.term) m.stepDown(`${ping.from.addr} is in term ${ping.term}`);
+        if (m && !m.lost.aborted) return m.onMasterPing(ping);
+        return { leading: false, listed: false, term: this.term, committed: markOf(undefined), age: 0 };
+      }
+      case 'zen/leave': {
+        const { id } = Ping.pick({ from: true }).parse(inq.body).from;
+        await this.leading?.submit((s) => ({ ...s, nodes: new Map([...s.nodes].filter(([k]) => k !== id)) }));
+        return {};
+      }
+      default:
+        throw new Mishap('unknown-kind', `no such inquiry: ${inq.kind}`);
+    }
+  }
+
+  private onNodePing(ping: NodePing): unknown {
+    this.pinger.learn([ping.from], this.p.me);
+    if (ping.clusterId === this.clusterId) this.master?.onAnotherMaster(ping.term, ping.from.addr);
+    return { term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null };
+  }
+
+  private onJoin(join: Join): Promise<{ term: number }> {
+    if (join.clusterId && join.clusterId !== this.clusterId)
+      throw new Mishap('other-cluster', `this is cluster ${this.clusterId}`);
+    const m = this.master;
+    if (m && !m.lost.aborted) return m.onJoin(join);
+    const pending = this.pending;
+    if (!pending) throw new Mishap('not-master', 'this node follows another');
+    return new Promise((done, fail) => {
+      pending.get(join.from.id)?.fail(new Mishap('superseded', 'a later join replaced this one'));
+      pending.set(join.from.id, { join, done, fail });
+      this.wake();
+    });
+  }
+
+  private async onValidate(body: unknown): Promise<Promised> {
+    const v = Validate.parse(body);
+    const { keep } = this.p;
+    if (this.joining?.id !== v.from.id) throw new Mishap('not-joining', 'this node is not joining you');
+    if (this.clusterId && this.clusterId !== v.clusterId) throw new Mishap('other-cluster', `this is cluster ${this.clusterId}`);
+    const { term, promisedTo } = keep.kept;
+    if (v.term < term || (v.term === term && promisedTo !== v.from.id && promisedTo !== ''))
+      throw new Mishap('stale-term', `term ${term} is promised to ${promisedTo}`);
+    if (v.term !== term || promisedTo !== v.from.id) await keep.promise(v.term, v.from.id);
+    else await keep.synced();
+    const acc = keep.kept.accepted;
+    const ahead = acc && newer(markOf(acc), v.have);
+    return { accepted: markOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
+  }
+
+  private async onPublish(body: unknown): Promise<{ verdict: 'accepted' | 'need-full' }> {
+    const { from, term, clusterId, packed } = Publish.parse(body);
+    const { keep } = this.p;
+    const mine = this.clusterId;
+    if (mine ? mine !== clusterId : this.joining?.id !== from.id && this.following?.id !== from.id)
+      throw new Mishap('other-cluster', 'this node is not of that cluster');
+    if (term < keep.kept.term || (term === keep.kept.term && keep.kept.promisedTo !== from.id))
+      throw new Mishap('stale-term', `term ${keep.kept.term} is promised`);
+    const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
+    const acc = keep.kept.accepted;
+    let next: State;
+    if ('diff' in payload) {
+      if (acc && sameMark(markOf(acc), payload.diff.to)) return this.held();
+      const patched = acc && patch(acc, payload.diff);
+      if (!patched) return { verdict: 'need-full' };
+      next = patched;
+    } else {
+      next = unflatten(new Map(payload.full));
+      if (acc && sameMark(markOf(acc), markOf(next))) return this.held();
+    }
+    if (next.term !== term || (acc && !newer(markOf(next), markOf(acc)))) throw new Mishap('stale-state', 'a newer state is held');
+    if (this.master && term > this.master.term) this.master.stepDown(`${from.addr} publishes in term ${term}`);
+    if (term > keep.kept.term) await keep.promise(term, from.id);
+    if (keep.kept.term !== term) throw new Mishap('stale-term', `term ${keep.kept.term} is promised`);
+    await keep.accept(next);
+    if (this.following && this.following.id !== from.id) this.following = from;
+    return { verdict: 'accepted' };
+  }
+
+  private async held(): Promise<{ verdict: 'accepted' }> {
+    await this.p.keep.synced();
+    return { verdict: 'accepted' };
+  }
+
+  private async onCommit(mark: Mark): Promise<unknown> {
+    const acc = this.p.keep.kept.accepted;
+    if (!acc) throw new Mishap('not-held', 'that state is not held');
+    const { applied } = this;
+    if (applied && !newer(mark, markOf(applied))) return {};
+    if (!sameMark(markOf(acc), mark)) throw new Mishap('not-held', 'that state is not held');
+    await this.apply(acc);
+    return {};
+  }
+}
--- /dev/null
+++ b/packages/zen/src/pinger.ts
@@ -0,0 +1,82 @@
+import type { Mate } from '@tillerstair/state';
+import { pause, within, type Circuits, type Clock, TooLate } from '@tillerstair/wire';
+import type { ZenBounds } from './bounds.js';
+import { Pong, type Ping } from './messages.js';
+
+export interface Round {
+  readonly at: number;
+  readonly pongs: readonly Pong[];
+}
+
+export class Pinger {
+  private readonly learned = new Map<string, Mate>();
+  private readonly askedFor = new Map<string, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly circuits: Circuits,
+    private readonly bounds: ZenBounds,
+    private readonly seeds: readonly string[],
+  ) {}
+
+  learn(mates: Iterable<Mate>, me: Mate): void {
+    for (const m of mates) {
+      if (m.addr === me.addr) continue;
+      this.learned.delete(m.addr);
+      this.learned.set(m.addr, m);
+    }
+    while (this.learned.size > 256) {
+      const oldest = this.learned.keys().next().value;
+      if (oldest === undefined) break;
+      this.learned.delete(oldest);
+    }
+  }
+
+  forget(addr: string): void {
+    this.learned.delete(addr);
+  }
+
+  heardOf(): readonly Mate[] {
+    return [...this.learned.values()];
+  }
+
+  async round(ping: () => Ping, gone: AbortSignal): Promise<Round> {
+    const at = this.clock.now();
+    const me = ping().from;
+    const pongs = new Map<string, Pong>();
+    const asked = new Set<string>([me.addr]);
+    const end = at + this.bounds.pingWait;
+    const ask = async (addr: string): Promise<void> => {
+      const left = end - this.clock.now();
+      if (left <= 0 || gone.aborted) return;
+      try {
+        const back = await within(
+          this.clock,
+          left,
+          this.circuits.call(addr, 'zen/ping', ping(), { within: left }),
+          () => new TooLate(addr),
+        );
+        const pong = Pong.parse(back);
+        this.askedFor.delete(addr);
+        pongs.set(pong.from.id, pong);
+        this.learn([pong.from], me);
+        this.learn(pong.known, me);
+        spread();
+      } catch {
+        const misses = (this.askedFor.get(addr) ?? 0) + 1;
+        this.askedFor.set(addr, misses);
+        if (misses > 20) this.learned.delete(addr);
+      }
+    };
+    const spread = (): void => {
+      for (const addr of [...this.seeds, ...this.learned.keys()]) {
+        if (asked.has(addr)) continue;
+        asked.add(addr);
+        void ask(addr);
+      }
+    };
+    spread();
+    await pause(this.clock, this.bounds.pingWait, gone);
+    return { at, pongs: [...pongs.values()] };
+  }
+}
