Simulated world with injected clock, disk and circuits; the never-list under failure

Cause: nothing proved the path under failure. The same code the daemons run now runs on a seeded clock, net and disk.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { flatten, markOf, newer, type Mark, type Mate, type State } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import { MemoryKeep, ZenNode, type ZenBounds } from '@tillerstair/zen';
 
 export interface AgentParts {
@@ -21,7 +21,7 @@
 
 export class Agent {
   private zen: ZenNode | undefined;
-  private readonly gone = new AbortController();
+  private readonly gone = lasting();
   private seen: unknown = [];
   private proxyId = '';
   private fedMark: Mark = markOf(undefined);
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -34,6 +34,10 @@
     });
   }
 
+  get id(): string {
+    return this.p.me.id;
+  }
+
   private lead(m: MasterView): void {
     void this.keeper.run(m);
     void tuneWeights(m, this.keeper, this.p.clock, this.p.bounds);
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -3,7 +3,7 @@
 import {
   CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, Verdict, type Backend, type EmitPiece, type StewardBounds,
 } from '@tillerstair/steward';
-import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 
 export interface FrontParts {
   readonly id: string;
@@ -38,7 +38,7 @@
   readonly steward: Steward;
   private agentTerm = 0;
   private master = '';
-  private readonly gone = new AbortController();
+  private readonly gone = lasting();
   private active = 0;
 
   constructor(readonly p: FrontParts) {
--- /dev/null
+++ b/packages/sim/src/machine.ts
@@ -0,0 +1,130 @@
+import { Agent } from '@tillerstair/agent';
+import { ControlNode } from '@tillerstair/control';
+import { Front } from '@tillerstair/proxy';
+import { Shelf, StoreNode } from '@tillerstair/store';
+import { DiskKeep } from '@tillerstair/zen';
+import { noLog, type Log } from '@tillerstair/wire';
+import { Life } from './sim-clock.js';
+import { SimPlatter } from './sim-disk.js';
+import type { World } from './world.js';
+
+export class Machine {
+  readonly platter: SimPlatter;
+  life = new Life();
+  proxyLife = new Life();
+  control: ControlNode | undefined;
+  store: StoreNode | undefined;
+  shelf: Shelf | undefined;
+  front: Front | undefined;
+  agent: Agent | undefined;
+  up = false;
+  startFailed = '';
+
+  constructor(
+    readonly world: World,
+    readonly kind: 'control' | 'store' | 'front',
+    readonly n: number,
+    readonly seeds: readonly string[],
+  ) {
+    this.platter = new SimPlatter(world.rng);
+  }
+
+  get addr(): string {
+    return `${this.kind}-${this.n}`;
+  }
+
+  private log(part: string): Log {
+    const w = this.world;
+    if (!w.trace) return noLog;
+    const at = (text: string): void => w.trace?.(`${w.clock.now().toFixed(1)} ${this.addr} ${part}: ${text}`);
+    return { debug: at, info: at, warn: at, error: at };
+  }
+
+  start(): void {
+    this.life = new Life();
+    this.proxyLife = new Life();
+    this.up = true;
+    void this.begin(this.life, this.proxyLife).catch((e: unknown) => {
+      this.startFailed = e instanceof Error ? e.message : String(e);
+      this.up = false;
+    });
+  }
+
+  private async begin(life: Life, proxyLife: Life): Promise<void> {
+    const w = this.world;
+    const clock = life.clock(w.clock);
+    const circuits = w.net.circuits(this.addr, life);
+    const common = { seeds: this.seeds, clock, circuits, bounds: w.bounds, log: this.log('zen') };
+    const zone = `zone-${this.n % 3}`;
+    if (this.kind === 'front') {
+      await this.beginProxy(proxyLife);
+      const loop = w.net.circuits(`${this.addr}/loop`, life);
+      const agent = new Agent({ ...common, addr: this.addr, http: '', zone, proxy: `${this.addr}/feed`, loop });
+      await agent.start();
+      this.agent = agent;
+      return;
+    }
+    const disk = this.platter.disk(clock, life);
+    const keep = await DiskKeep.open(disk, () => `${this.kind.charAt(0)}${w.freshId()}`, w.longAt);
+    const me = { id: keep.kept.id, kind: this.kind, addr: this.addr, http: '', zone, data: '' };
+    if (this.kind === 'control') {
+      const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3 });
+      await node.start();
+      this.control = node;
+      return;
+    }
+    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: 3600000, hintsMost: 10000 });
+    const node = new StoreNode({ ...common, me, keep, shelf });
+    await node.start();
+    this.store = node;
+    this.shelf = shelf;
+  }
+
+  private async beginProxy(life: Life): Promise<void> {
+    const w = this.world;
+    const clock = life.clock(w.clock);
+    const { beat, silent, grace } = w.bounds;
+    const front = new Front({
+      id: `f${w.freshId()}`, clock, circuits: w.net.circuits(`${this.addr}/data`, life), backend: w.servers.backend(life),
+      bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: 3600000 }, log: this.log('proxy'), affinity: true,
+    });
+    const feed = w.net.circuits(`${this.addr}/feed`, life);
+    await feed.serve(async (inq) =>
+      inq.kind === 'front/hello' ? { id: front.p.id, addr: `${this.addr}/data`, http: '' } : front.feed(inq.body),
+    );
+    await front.start();
+    this.front = front;
+  }
+
+  kill(how: 'process' | 'power' = 'process'): void {
+    this.life.dead = true;
+    this.proxyLife.dead = true;
+    this.up = false;
+    this.control = undefined;
+    this.store = undefined;
+    this.front = undefined;
+    this.agent = undefined;
+    if (how === 'power') this.platter.powerLoss();
+  }
+
+  killProxy(): void {
+    this.proxyLife.dead = true;
+    this.front = undefined;
+  }
+
+  restartProxy(): void {
+    this.proxyLife.dead = true;
+    this.proxyLife = new Life();
+    void this.beginProxy(this.proxyLife);
+  }
+
+  freeze(): void {
+    this.life.frozen = true;
+    this.proxyLife.frozen = true;
+  }
+
+  wake(): void {
+    this.life.wake();
+    this.proxyLife.wake();
+  }
+}
--- /dev/null
+++ b/packages/sim/src/sim-backend.ts
@@ -0,0 +1,102 @@
+import type { Server } from '@tillerstair/state';
+import type { Act, Backend, Ended, Generate, LoadReport } from '@tillerstair/steward';
+import type { RanRecord } from '@tillerstair/checker';
+import { pause, type Clock } from '@tillerstair/wire';
+import type { Life } from './sim-clock.js';
+
+export interface SimFaults {
+  readonly refuses: boolean;
+  readonly leaving: boolean;
+  readonly loseEvery: number;
+  readonly cutEvery: number;
+  readonly slow: number;
+}
+
+const healthy: SimFaults = { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1 };
+
+export class SimServers {
+  readonly ran: RanRecord[] = [];
+  private readonly faults = new Map<string, SimFaults>();
+  private readonly busy = new Map<string, number>();
+  private served = 0;
+  readonly cutFronts = new Set<string>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly rng: () => number,
+  ) {}
+
+  set(id: string, f: Partial<SimFaults>): void {
+    this.faults.set(id, { ...(this.faults.get(id) ?? healthy), ...f });
+  }
+
+  private of(id: string): SimFaults {
+    return this.faults.get(id) ?? healthy;
+  }
+
+  private enter(s: Server, by: number): void {
+    this.busy.set(s.id, (this.busy.get(s.id) ?? 0) + by);
+  }
+
+  private note(kind: RanRecord['kind'], s: Server, key: string, began: number, said: string, reply: string, complete: boolean, tokens: number): void {
+    this.ran.push({ kind, server: s.id, pool: s.pool, key, began, at: this.clock.now(), said: said.slice(-60), reply, complete, tokens });
+  }
+
+  backend(life: Life): Backend {
+    const clock = this.clock;
+    const frontClock = life.clock(clock);
+    const gate = async <T>(v: T): Promise<T> => {
+      await pause(frontClock, 0.3);
+      return v;
+    };
+    return {
+      generate: async (s: Server, g: Generate, onPiece, gone): Promise<Ended> => {
+        const f = this.of(s.id);
+        await pause(frontClock, 0.5);
+        if (f.refuses) return { kind: 'never-left', text: 'refused' };
+        const nth = ++this.served;
+        const began = clock.now();
+        const said = g.messages.at(-1)?.text ?? '';
+        const total = Math.min(g.maxTokens, 4 + Math.floor(this.rng() * 12));
+        const cutAt = f.cutEvery > 0 && nth % f.cutEvery === 0 ? Math.floor(total / 2) : -1;
+        let reply = '';
+        this.enter(s, 1);
+        for (let n = 0; n < total; n++) {
+          await pause(clock, 5 * f.slow);
+          if (gone.aborted || life.dead || n === cutAt) {
+            this.enter(s, -1);
+            this.note('generate', s, '', began, said, reply, false, n);
+            return gate({ kind: 'lost', text: 'the stream stopped' });
+          }
+          const text = `${s.id}.${nth}.${n} `;
+          reply += text;
+          const at = n;
+          life.do(() => onPiece(at, text));
+        }
+        this.enter(s, -1);
+        this.note('generate', s, '', began, said, reply, true, total);
+        if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the end was lost' });
+        return gate({ kind: 'done', code: 200, body: total });
+      },
+      act: async (s: Server, a: Act): Promise<Ended> => {
+        const f = this.of(s.id);
+        await pause(frontClock, 0.5);
+        if (f.refuses) return { kind: 'never-left', text: 'refused' };
+        const nth = ++this.served;
+        const began = clock.now();
+        this.enter(s, 1);
+        await pause(clock, (10 + this.rng() * 30) * f.slow);
+        this.enter(s, -1);
+        this.note('act', s, a.key, began, a.path, '', true, 0);
+        if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the verdict was lost' });
+        return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
+      },
+      load: async (s: Server): Promise<LoadReport> => {
+        const f = this.of(s.id);
+        await pause(frontClock, 0.5);
+        if (f.refuses) throw new Error('refused');
+        return { busy: this.busy.get(s.id) ?? 0, leaving: f.leaving };
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/sim/src/sim-net.ts
@@ -0,0 +1,131 @@
+import { CircuitLost, CircuitRefused, Mishap, mishapOf, TooLate, type CallBounds, type Circuits, type Clock, type Handler } from '@tillerstair/wire';
+import type { Life } from './sim-clock.js';
+
+interface Host {
+  readonly handler: Handler;
+  readonly life: Life;
+}
+
+export class SimNet {
+  private readonly hosts = new Map<string, Host>();
+  private readonly cuts = new Set<string>();
+  messages = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly rng: () => number,
+  ) {}
+
+  private readonly lastAt = new Map<string, number>();
+
+  private carry(from: string, to: string, run: () => void): void {
+    const pair = `${from}>${to}`;
+    const at = Math.max(this.clock.now() + 0.3 + this.rng() * 0.7, (this.lastAt.get(pair) ?? 0) + 0.001);
+    this.lastAt.set(pair, at);
+    this.clock.after(at - this.clock.now(), run);
+  }
+
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  cutBoth(as: readonly string[], bs: readonly string[]): void {
+    for (const a of as)
+      for (const b of bs) {
+        this.cut(a, b);
+        this.cut(b, a);
+      }
+  }
+
+  mend(): void {
+    this.cuts.clear();
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.cuts.has(`${from}>${to}`);
+  }
+
+  serve(addr: string, handler: Handler, life: Life): void {
+    this.hosts.set(addr, { handler, life });
+  }
+
+  leave(addr: string, life: Life): void {
+    if (this.hosts.get(addr)?.life === life) this.hosts.delete(addr);
+  }
+
+  call(from: string, mine: Life, to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
+    const wire: unknown = JSON.parse(JSON.stringify(body ?? null));
+    this.messages++;
+    return new Promise((done, fail) => {
+      let over = false;
+      const gone = new AbortController();
+      const onGone = (): void => {
+        gone.abort();
+        finish(() => fail(new Mishap('gone', 'the caller is gone', 'unknown')));
+      };
+      const finish = (f: () => void): void => {
+        mine.do(() => {
+          if (over) return;
+          over = true;
+          late.stop();
+          bounds.gone?.removeEventListener('abort', onGone);
+          f();
+        });
+      };
+      const late = this.clock.after(bounds.within, () => {
+        gone.abort();
+        finish(() => fail(new TooLate(to)));
+      });
+      bounds.gone?.addEventListener('abort', onGone, { once: true });
+      const back = (f: () => void, host: Host): void => {
+        if (host.life.dead) return;
+        this.carry(to, from, () => {
+          if (!this.isCut(to, from)) f();
+        });
+      };
+      this.carry(from, to, () => {
+        if (this.isCut(from, to)) return;
+        const host = this.hosts.get(to);
+        if (!host || host.life.dead) {
+          finish(() => fail(new CircuitRefused(to)));
+          return;
+        }
+        const watch = (): void => {
+          if (over) return;
+          if (host.life.dead) finish(() => fail(new CircuitLost(to)));
+          else this.clock.after(20, watch);
+        };
+        this.clock.after(20, watch);
+        host.life.do(() => {
+          const emit = (piece: unknown): void => {
+            const text = JSON.stringify(piece);
+            back(() => {
+              mine.do(() => {
+                if (!over) bounds.onPiece?.(JSON.parse(text));
+              });
+            }, host);
+          };
+          void host.handler({ from, kind, body: wire }, emit, gone.signal).then(
+            (v) => {
+              const text = JSON.stringify(v ?? null);
+              back(() => finish(() => done(JSON.parse(text))), host);
+            },
+            (e: unknown) => {
+              const m = mishapOf(e);
+              back(() => finish(() => fail(new Mishap(m.code, m.message, m.ran))), host);
+            },
+          );
+        });
+      });
+    });
+  }
+
+  circuits(self: string, life: Life): Circuits {
+    return {
+      self,
+      call: (to, kind, body, bounds) => this.call(self, life, to, kind, body, bounds),
+      serve: async (handler) => this.serve(self, handler, life),
+      close: async () => this.leave(self, life),
+    };
+  }
+}
--- /dev/null
+++ b/packages/sim/src/world.ts
@@ -0,0 +1,204 @@
+import type { Outcome } from '@tillerstair/control';
+import type { ToldRecord } from '@tillerstair/checker';
+import { rootOf } from '@tillerstair/state';
+import { opKeyOf, type Verdict } from '@tillerstair/steward';
+import { zenBounds } from '@tillerstair/zen';
+import { z } from 'zod';
+import { Machine } from './machine.js';
+import { SimServers } from './sim-backend.js';
+import { SimClock } from './sim-clock.js';
+import { SimNet } from './sim-net.js';
+
+export const seededRng = (seed: number): (() => number) => {
+  let a = (seed * 2654435761) >>> 0;
+  return () => {
+    a = (a + 0x6d2b79f5) >>> 0;
+    let t = Math.imul(a ^ (a >>> 15), 1 | a);
+    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
+    return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
+  };
+};
+
+const End = z.object({ end: z.object({ turn: z.string(), tokens: z.number() }) });
+const Did = z.object({ by: z.string(), key: z.string() });
+
+export interface WorldSizes {
+  readonly controls: number;
+  readonly stores: number;
+  readonly fronts: number;
+}
+
+export class World {
+  readonly rng;
+  readonly clock = new SimClock();
+  readonly net;
+  readonly servers;
+  readonly bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+  readonly slots = 8;
+  readonly longAt = 1 << 16;
+  readonly machines: Machine[] = [];
+  readonly told: ToldRecord[] = [];
+  trace: ((line: string) => void) | undefined;
+  private ids = 0;
+
+  constructor(
+    readonly seed: number,
+    sizes: WorldSizes,
+  ) {
+    this.rng = seededRng(seed);
+    this.net = new SimNet(this.clock, this.rng);
+    this.servers = new SimServers(this.clock, this.rng);
+    const seeds = [0, 1, 2].map((n) => `control-${n}`);
+    for (let n = 0; n < sizes.controls; n++) this.machines.push(new Machine(this, 'control', n, seeds));
+    for (let n = 0; n < sizes.stores; n++) this.machines.push(new Machine(this, 'store', n, seeds));
+    for (let n = 0; n < sizes.fronts; n++) this.machines.push(new Machine(this, 'front', n, seeds));
+  }
+
+  freshId(): string {
+    return `${Math.floor(this.rng() * 36 ** 4).toString(36).padStart(4, '0')}${++this.ids}`;
+  }
+
+  of(kind: Machine['kind']): readonly Machine[] {
+    return this.machines.filter((m) => m.kind === kind);
+  }
+
+  at(addr: string): Machine {
+    const m = this.machines.find((x) => x.addr === addr);
+    if (!m) throw new Error(`no machine ${addr}`);
+    return m;
+  }
+
+  add(kind: Machine['kind'], seeds?: readonly string[]): Machine {
+    const m = new Machine(this, kind, this.of(kind).length, seeds ?? this.machines[0]?.seeds ?? []);
+    this.machines.push(m);
+    return m;
+  }
+
+  start(ms: readonly Machine[] = this.machines): void {
+    for (const m of ms) m.start();
+  }
+
+  masters(): readonly Machine[] {
+    return this.of('control').filter((m) => m.up && !m.life.frozen && m.control?.zen.leading?.committed !== undefined);
+  }
+
+  get master(): Machine | undefined {
+    return [...this.masters()].sort((a, b) => (b.control?.zen.term ?? 0) - (a.control?.zen.term ?? 0))[0];
+  }
+
+  readyFronts(): readonly Machine[] {
+    return this.of('front').filter((m) => m.up && !m.life.frozen && m.front?.steward.readiness().ready === true);
+  }
+
+  async operate(method: string, path: string, body = '', at?: Machine, within = 20000): Promise<Outcome> {
+    const m = at ?? this.master ?? this.of('control').find((x) => x.up);
+    const node = m?.control;
+    if (!node) return { status: 0, body: null };
+    return this.clock.finish(`${method} ${path}`, node.operate({ method, path, body }), within);
+  }
+
+  async bringUp(configText: (base: number) => string, servers: readonly (readonly [string, string])[]): Promise<void> {
+    this.start();
+    await this.clock.until('a master', () => this.master !== undefined, 12000);
+    const put = await this.operate('PUT', '/v1/config', configText(0));
+    if (put.status !== 200) throw new Error(`config: ${JSON.stringify(put)}`);
+    for (const [id, pool] of servers) {
+      const r = await this.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
+      if (r.status !== 200) throw new Error(`server: ${JSON.stringify(r)}`);
+    }
+    const fronts = this.of('front').length;
+    await this.clock.until('fronts', () => this.readyFronts().length === fronts && this.slotsOpen() && this.knowAll(servers.length), 20000);
+  }
+
+  private knowAll(servers: number): boolean {
+    return this.of('front').every((m) => m.front?.steward.current?.state.servers.size === servers);
+  }
+
+  slotsOpen(): boolean {
+    const s = this.master?.control?.zen.leading?.committed;
+    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.steward) && slot.filling.length === 0);
+  }
+
+  private front(at?: Machine): Machine | undefined {
+    if (at) return at;
+    const up = this.of('front').filter((m) => m.up);
+    return up[Math.floor(this.rng() * up.length)];
+  }
+
+  private async ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onPiece: (n: number, text: string) => void): Promise<Verdict> {
+    const m = this.front(at);
+    const front = m?.front;
+    if (!front) return { verdict: 'refused', status: 0, mishap: 'no-front' };
+    const life = m.proxyLife;
+    const gone = new AbortController();
+    const run = front.deliver({ kind, slotKey, body, within: 120000 }, (n, text) => life.do(() => onPiece(n, text)), gone.signal);
+    return new Promise((done) => {
+      let over = false;
+      const end = (v: Verdict): void => {
+        if (over) return;
+        over = true;
+        done(v);
+      };
+      const lost: Verdict = { verdict: 'unknown', status: 0, mishap: 'front-lost' };
+      const watch = (): void => {
+        if (over) return;
+        if (life.dead) end(lost);
+        else this.clock.after(50, watch);
+      };
+      this.clock.after(50, watch);
+      this.clock.after(20000, () => {
+        gone.abort();
+        end(lost);
+      });
+      run.then((v) => life.do(() => end(v)), () => life.do(() => end(lost)));
+    });
+  }
+
+  private record(t: Partial<ToldRecord> & Pick<ToldRecord, 'kind' | 'from'>, v: Verdict): ToldRecord {
+    const row: ToldRecord = {
+      tenant: 't', program: '', key: '', turn: '', to: this.clock.now(), told: v.verdict, mishap: v.mishap ?? '',
+      pieces: [], text: '', tokens: 0, sent: '', ...t,
+    };
+    this.told.push(row);
+    return row;
+  }
+
+  async program(budget: number, at?: Machine, parent?: string): Promise<ToldRecord> {
+    const from = this.clock.now();
+    const pid = parent === undefined ? `p-${this.freshId()}` : `${rootOf(parent)}~${this.freshId()}`;
+    const ask = { tenant: 't', pid, budget, ...(parent === undefined ? {} : { parent }) };
+    const v = await this.ask('front/program', `p/${rootOf(pid)}`, ask, at, () => undefined);
+    return this.record({ kind: 'program', from, program: pid, sent: String(budget) }, v);
+  }
+
+  async turn(program: string, after: string | null, words: string, key: string, at?: Machine): Promise<ToldRecord> {
+    const from = this.clock.now();
+    const pieces: number[] = [];
+    let text = '';
+    const sent = words.padEnd(60, ' ');
+    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key };
+    const v = await this.ask('front/turn', `p/${rootOf(program)}`, ask, at, (n, t) => {
+      pieces.push(n);
+      text += t;
+    });
+    const end = End.safeParse(v.body);
+    const told = v.verdict === 'done' ? 'done' : pieces.length > 0 ? 'partial' : v.verdict;
+    const more = end.success ? { turn: end.data.end.turn, tokens: end.data.end.tokens } : {};
+    return this.record({ kind: 'turn', from, program, key, sent, pieces: [...pieces], text, told, ...more }, v);
+  }
+
+  async fetch(program: string, turn: string, at?: Machine): Promise<ToldRecord> {
+    const from = this.clock.now();
+    const v = await this.ask('front/history', `p/${rootOf(program)}`, { tenant: 't', pid: program, turn }, at, () => undefined);
+    const got = z.object({ text: z.string() }).safeParse(v.body);
+    return this.record({ kind: 'fetch', from, program, turn, text: got.success ? got.data.text : '' }, v);
+  }
+
+  async call(key: string, path: string, body: unknown, at?: Machine): Promise<ToldRecord> {
+    const from = this.clock.now();
+    const text = JSON.stringify(body);
+    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text }, at, () => undefined);
+    const did = Did.safeParse(v.body);
+    return this.record({ kind: 'call', from, key, sent: text, text: did.success ? `${did.data.by} ${did.data.key}` : '' }, v);
+  }
+}
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,5 +1,5 @@
 import { rootOf, slotOf, type Lane, type Server, type State } from '@tillerstair/state';
-import { Mishap, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import { Mishap, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { Backend } from './backend.js';
 import { Calls } from './calls.js';
 import { Gate } from './gate.js';
@@ -36,7 +36,7 @@
   private table: Table | undefined;
   private freshAt = -Infinity;
   private readonly keepers = new Map<number, SlotKeeper>();
-  private readonly gone = new AbortController();
+  private readonly gone = lasting();
   readonly placement: Placement;
   readonly gate: Gate<Server>;
   readonly turns: Turns;
--- a/packages/steward/src/turns.ts
+++ b/packages/steward/src/turns.ts
@@ -161,9 +161,10 @@
     for (;;) {
       const left = end - this.s.p.clock.now();
       if (left <= 0) return refused(503, 'line-late', 'no server came free in time', 2);
+      if (this.left(job, prefixKey) <= 0) return refused(402, 'budget-spent', 'the budget is spent');
       const server = await this.s.place(lane, prefixes, sticky, skip, left, gone);
       const t0 = this.s.p.clock.now();
-      let ended: Ended & { tokens?: number } = { kind: 'never-left', text: 'not begun' };
+      let ended: (Ended & { tokens?: number }) | undefined;
       try {
         const reserve = this.reserve(job, prefixKey);
         if (reserve <= 0) return refused(402, 'budget-spent', 'the budget is spent');
@@ -184,21 +185,23 @@
         ended = out.ended;
         if (out.verdict) return out.verdict;
         skip.add(server.id);
-        if (!this.s.placement.usable(lane) || skip.size > 2) return refused(503, 'no-server', ended.kind, 1);
+        if (!this.s.placement.usable(lane) || skip.size > 2) return refused(503, 'no-server', out.ended.kind, 1);
       } finally {
         const took = (this.s.p.clock.now() - t0) / 1000;
-        const tokens = ended.kind === 'done' ? ended.tokens : undefined;
-        this.s.finished(server, ended.kind === 'done' || gone.aborted, tokens === undefined ? undefined : tokens / Math.max(0.001, took));
+        const tokens = ended?.kind === 'done' ? ended.tokens : undefined;
+        this.s.finished(server, !ended || ended.kind === 'done' || gone.aborted, tokens === undefined ? undefined : tokens / Math.max(0.001, took));
       }
     }
   }
 
-  private reserve(job: Job, root: string): number {
+  private left(job: Job, root: string): number {
     const program = ProgramValue.parse(job.keeper.get(programKey(root)));
-    const pending = this.reserving.get(root) ?? 0;
-    const left = program.budget - job.keeper.spent(root) - pending;
-    const want = Math.min(job.ask.maxTokens ?? job.config.budgets.turn, job.config.budgets.turn, left);
-    if (want > 0) this.reserving.set(root, pending + want);
+    return program.budget - job.keeper.spent(root) - (this.reserving.get(root) ?? 0);
+  }
+
+  private reserve(job: Job, root: string): number {
+    const want = Math.min(job.ask.maxTokens ?? job.config.budgets.turn, job.config.budgets.turn, this.left(job, root));
+    if (want > 0) this.reserving.set(root, (this.reserving.get(root) ?? 0) + want);
     return want;
   }
 
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,7 +1,7 @@
 import pLimit from 'p-limit';
 import { z } from 'zod';
 import { beliefOf, Hand, Hint, Item, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type Mate, type State } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import { Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import { ZenNode, type Keep, type ZenBounds } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
 
@@ -20,7 +20,7 @@
 
 export class StoreNode {
   readonly zen: ZenNode;
-  private readonly gone = new AbortController();
+  private readonly gone = lasting();
   private readonly few = pLimit(2);
 
   constructor(private readonly p: StoreParts) {
--- a/packages/wire/src/clock.ts
+++ b/packages/wire/src/clock.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 export interface Beat { stop(): void }
 
 export interface Clock {
@@ -41,3 +43,9 @@
       },
     );
   });
+
+export const lasting = (): AbortController => {
+  const ctl = new AbortController();
+  setMaxListeners(0, ctl.signal);
+  return ctl;
+};
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -1,6 +1,6 @@
 import { deflateSync } from 'node:zlib';
 import { diffOf, flatten, markOf, newer, quorum, reduce, sameMark, settleVoters, type Mark, type Mate, type State } from '@tillerstair/state';
-import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import type { Keep } from './keep.js';
 import { Accepted, NodePong, Promised, type Join, type MasterPing, type Payload } from './messages.js';
@@ -48,7 +48,7 @@
 const never: Contact = { ackedAt: -Infinity, applied: { term: -1, version: 0 } };
 
 export class Master implements MasterView {
-  private readonly stop = new AbortController();
+  private readonly stop = lasting();
   private readonly line = new Line('publish');
   private tasks: Task[] = [];
   private base: State;
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,15 +1,15 @@
-import { inflateSync } from 'node:zlib';
-import { flatten, markOf, newer, patch, quorum, sameMark, unflatten, type Mark, type Mate, type State } from '@tillerstair/state';
-import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
+import { flatten, markOf, newer, quorum, unflatten, type Mate, type State } from '@tillerstair/state';
+import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import { elect, type Self } from './elect.js';
 import { Founder } from './found.js';
 import { acceptedMark, type Keep } from './keep.js';
 import { Master, type MasterView } from './master.js';
 import {
-  Commit, Join, MasterPing, MasterPong, NodePing, Payload, Ping, Pong, Promised, Publish, Validate,
+  Commit, Join, MasterPing, MasterPong, NodePing, Ping, Pong, Promised, Validate,
 } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
+import { Receiver } from './receiver.js';
 
 export interface ZenParts {
   readonly me: Mate;
@@ -34,7 +34,7 @@
 }
 
 export class ZenNode {
-  private readonly gone = new AbortController();
+  private readonly gone = lasting();
   private readonly pinger: Pinger;
   private readonly founder: Founder;
   private pending: Map<string, PendingJoin> | undefined;
@@ -42,18 +42,35 @@
   private following: Mate | undefined;
   private wake: () => void = () => undefined;
   private master: Master | undefined;
-  private readonly applying = new Line('apply');
+  private readonly receiver: Receiver;
   private ended: Promise<void> = Promise.resolve();
-  applied: State | undefined;
   freshAt = -Infinity;
 
   constructor(private readonly p: ZenParts) {
     this.pinger = new Pinger(p.clock, p.circuits, p.bounds, p.seeds);
     this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots);
+    this.receiver = new Receiver({
+      keep: p.keep,
+      onApplied: async (s) => {
+        this.pinger.learn([...s.voterMates.values(), ...s.nodes.values()], p.me);
+        await p.onApplied?.(s);
+      },
+      knows: (id) => this.joining?.id === id || this.following?.id === id,
+      onTerm: (term, from) => {
+        if (this.master && term > this.master.term) this.master.stepDown(`${from.addr} publishes in term ${term}`);
+      },
+      onPublished: (from) => {
+        if (this.following && this.following.id !== from.id) this.following = from;
+      },
+    });
     const old = p.keep.kept.accepted;
     if (old) this.pinger.learn([...old.voterMates.values(), ...old.nodes.values()], p.me);
   }
 
+  get applied(): State | undefined {
+    return this.receiver.applied;
+  }
+
   get leading(): MasterView | undefined {
     return this.master?.lost.aborted ? undefined : this.master;
   }
@@ -201,7 +218,7 @@
         bounds,
         log,
         settle: this.p.settle ?? ((s) => s),
-        apply: (s) => this.apply(s),
+        apply: (s) => this.receiver.apply(s),
         onReport: this.p.onReport ?? (() => undefined),
       },
       term,
@@ -293,15 +310,6 @@
     }
   }
 
-  private apply(s: State): Promise<void> {
-    return this.applying.run(async () => {
-      if (this.applied && !newer(markOf(s), markOf(this.applied))) return;
-      this.pinger.learn([...s.voterMates.values(), ...s.nodes.values()], this.p.me);
-      await this.p.onApplied?.(s);
-      this.applied = s;
-    });
-  }
-
   private pong(): Pong {
     const self = this.self();
     return {
@@ -332,9 +340,9 @@
       case 'zen/validate':
         return this.onValidate(inq.body);
       case 'zen/publish':
-        return this.onPublish(inq.body);
+        return this.receiver.onPublish(inq.body);
       case 'zen/commit':
-        return this.onCommit(Commit.parse(inq.body).mark);
+        return this.receiver.onCommit(Commit.parse(inq.body).mark);
       case 'zen/node-ping':
         return this.onNodePing(NodePing.parse(inq.body));
       case 'zen/master-ping': {
@@ -388,48 +396,4 @@
     const ahead = acc && newer(markOf(acc), v.have);
     return { accepted: markOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
   }
-
-  private async onPublish(body: unknown): Promise<{ verdict: 'accepted' | 'need-full' }> {
-    const { from, term, clusterId, packed } = Publish.parse(body);
-    const { keep } = this.p;
-    const mine = this.clusterId;
-    if (mine ? mine !== clusterId : this.joining?.id !== from.id && this.following?.id !== from.id)
-      throw new Mishap('other-cluster', 'this node is not of that cluster');
-    if (term < keep.kept.term || (term === keep.kept.term && keep.kept.promisedTo !== from.id))
-      throw new Mishap('stale-term', `term ${keep.kept.term} is promised`);
-    const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
-    const acc = keep.kept.accepted;
-    let next: State;
-    if ('diff' in payload) {
-      if (acc && sameMark(markOf(acc), payload.diff.to)) return this.held();
-      const patched = acc && patch(acc, payload.diff);
-      if (!patched) return { verdict: 'need-full' };
-      next = patched;
-    } else {
-      next = unflatten(new Map(payload.full));
-      if (acc && sameMark(markOf(acc), markOf(next))) return this.held();
-    }
-    if (next.term !== term || (acc && !newer(markOf(next), markOf(acc)))) throw new Mishap('stale-state', 'a newer state is held');
-    if (this.master && term > this.master.term) this.master.stepDown(`${from.addr} publishes in term ${term}`);
-    if (term > keep.kept.term) await keep.promise(term, from.id);
-    if (keep.kept.term !== term) throw new Mishap('stale-term', `term ${keep.kept.term} is promised`);
-    await keep.accept(next);
-    if (this.following && this.following.id !== from.id) this.following = from;
-    return { verdict: 'accepted' };
-  }
-
-  private async held(): Promise<{ verdict: 'accepted' }> {
-    await this.p.keep.synced();
-    return { verdict: 'accepted' };
-  }
-
-  private async onCommit(mark: Mark): Promise<unknown> {
-    const acc = this.p.keep.kept.accepted;
-    if (!acc) throw new Mishap('not-held', 'that state is not held');
-    const { applied } = this;
-    if (applied && !newer(mark, markOf(applied))) return {};
-    if (!sameMark(markOf(acc), mark)) throw new Mishap('not-held', 'that state is not held');
-    await this.apply(acc);
-    return {};
-  }
 }
--- /dev/null
+++ b/tests/src/never.test.ts
@@ -0,0 +1,229 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { World } from '@tillerstair/sim';
+import { slotOf } from '@tillerstair/state';
+import { opKeyOf } from '@tillerstair/steward';
+import { assertNoBreach, configText, five, recordsOf, small, worldUp } from './util.js';
+
+const never = suite('never-list under failure');
+const seeds = [11, 12, 13, 14];
+
+const stewardOf = (w: World, key: string) => {
+  const s = w.master?.control?.zen.leading?.committed;
+  const slot = s?.slots[slotOf(key, s.slots.length)];
+  return w.of('front').find((m) => m.front?.p.id === slot?.steward);
+};
+const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === key).length;
+
+never('a steward killed between intent and run: the key never runs twice', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const key = `k${seed}`;
+    const steward = stewardOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, steward);
+    const before = w.servers.ran.length;
+    await w.clock.run(1 + (seed % 4));
+    steward?.kill();
+    const told = await w.clock.finish('first', first, 30000);
+    assert.is(told.told, 'unknown');
+    for (let i = 0; i < 6; i++) {
+      await w.clock.run(1000);
+      await w.clock.finish('again', w.call(key, '/hold', { n: 1 }), 30000);
+    }
+    assert.ok(w.servers.ran.length >= before);
+    assert.ok(acts(w, key) <= 1, `${acts(w, key)} runs`);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a steward killed between run and verdict: the retry is told unknown, never run', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const key = `v${seed}`;
+    const steward = stewardOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, steward);
+    await w.clock.until('it ran', () => acts(w, key) === 1, 5000);
+    steward?.kill();
+    await w.clock.finish('first', first, 30000);
+    await w.clock.run(6000);
+    const again = await w.clock.finish('again', w.call(key, '/hold', { n: 1 }), 30000);
+    assert.is(again.told, 'unknown');
+    assert.is(acts(w, key), 1);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a frozen steward woken after its slot moved cannot run what it held', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const key = `z${seed}`;
+    const steward = stewardOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, steward);
+    await w.clock.run(0.5 + (seed % 3));
+    steward?.freeze();
+    await w.clock.run(6000);
+    const other = w.of('front').find((m) => m !== steward);
+    await w.clock.finish('elsewhere', w.call(key, '/hold', { n: 1 }, other), 30000);
+    steward?.wake();
+    await w.clock.finish('first', first, 30000);
+    await w.clock.run(3000);
+    await w.clock.finish('last', w.call(key, '/hold', { n: 1 }, other), 30000);
+    assert.ok(acts(w, key) <= 1, `${acts(w, key)} runs`);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a lost verdict is told unknown and its key is not run again, on any front, after any restart', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    w.servers.set('s1', { loseEvery: 1 });
+    w.servers.set('s2', { loseEvery: 1 });
+    const told = await w.clock.finish('lost', w.call('lost', '/hold', { n: 1 }), 30000);
+    assert.is(told.told, 'unknown');
+    w.servers.set('s1', { loseEvery: 0 });
+    w.servers.set('s2', { loseEvery: 0 });
+    for (const m of w.machines) m.kill('power');
+    w.start();
+    await w.clock.until('serving', () => w.readyFronts().length === 2 && w.slotsOpen(), 12000);
+    await w.clock.run(500);
+    const again = await w.clock.finish('again', w.call('lost', '/hold', { n: 1 }), 30000);
+    assert.is(again.told, 'unknown');
+    assert.is(acts(w, 'lost'), 1);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a turn done is whole at every front after its steward and one store lose power', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const p = await w.clock.finish('program', w.program(200), 10000);
+    const t = await w.clock.finish('turn', w.turn(p.program, null, `hello #${seed}`, 'k'), 30000);
+    assert.is(t.told, 'done');
+    stewardOf(w, `p/${p.program}`)?.kill('power');
+    const store = w.of('store')[seed % 3];
+    store?.kill('power');
+    store?.platter.wipe();
+    await w.clock.run(6000);
+    for (const m of w.of('front').filter((x) => x.up)) {
+      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn, m), 30000);
+      assert.is(f.told, 'done', JSON.stringify(f));
+      assert.is(f.text, t.text);
+    }
+    const next = await w.clock.finish('next', w.turn(p.program, t.turn, `more #${seed}b`, 'k2'), 30000);
+    assert.is(next.told, 'done');
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a budget holds over steward changes, with helpers and many turns at once', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const p = await w.clock.finish('program', w.program(60), 10000);
+    const helper = await w.clock.finish('helper', w.program(60, undefined, p.program), 10000);
+    assert.is(helper.told, 'done');
+    const burst = Array.from({ length: 8 }, (_, i) => w.turn(i % 2 ? p.program : helper.program, null, `x #${seed}-${i}`, `b${i}`));
+    await w.clock.run(15);
+    stewardOf(w, `p/${p.program}`)?.kill();
+    await w.clock.finish('burst', Promise.all(burst), 60000);
+    for (let i = 0; i < 12; i++) await w.clock.finish('more', w.turn(p.program, null, `y #${seed}-${i}`, `c${i}`), 60000);
+    const spent = w.told.filter((t) => t.kind === 'turn').reduce((n, t) => n + t.pieces.length, 0);
+    assert.ok(spent <= 60 + 16, `${spent} tokens`);
+    const last = w.told.at(-1);
+    assert.is(last?.mishap, 'budget-spent');
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a broken stream is partial, its retry is not run, and no stream is stitched', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    w.servers.set('m1', { cutEvery: 2 });
+    w.servers.set('m2', { loseEvery: 2 });
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    for (let i = 0; i < 10; i++) {
+      const t = await w.clock.finish('turn', w.turn(p.program, null, `s #${seed}-${i}`, `k${i}`), 30000);
+      if (t.told === 'done' || t.told === 'refused') continue;
+      const again = await w.clock.finish('again', w.turn(p.program, null, `s #${seed}-${i}`, `k${i}`), 30000);
+      assert.is(again.told, 'unknown');
+      assert.is(w.servers.ran.filter((r) => r.said.trim() === `s #${seed}-${i}`).length, 1);
+    }
+    assert.ok(w.told.some((t) => t.told === 'partial'));
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+never('a leaving server gets nothing new after 3 s, from a cut front and from a woken one', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const [a, b] = w.of('front');
+    const rest = w.machines.filter((m) => m.kind !== 'front').map((m) => m.addr);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    w.net.cutBoth([a?.addr ?? ''], rest);
+    b?.freeze();
+    const at = w.clock.now();
+    const mark = await w.operate('POST', '/v1/servers/m1/leaving');
+    assert.is(mark.status, 200);
+    let woken = false;
+    let i = 0;
+    const going: Promise<unknown>[] = [];
+    while (w.clock.now() < at + 8000) {
+      if (!woken && w.clock.now() > at + 4000) {
+        b?.wake();
+        woken = true;
+      }
+      for (const m of w.of('front')) if (!m.life.frozen) going.push(w.turn(p.program, null, `l #${seed}-${i}`, `l${i++}`, m));
+      await w.clock.run(100);
+    }
+    await w.clock.finish('all', Promise.all(going), 60000);
+    assertNoBreach(recordsOf(w, { leavings: [{ server: 'm1', at, until: Infinity }] }));
+    assert.ok(w.servers.ran.some((r) => r.server === 'm2' && r.began > at + 3300));
+  }
+});
+
+never('an acknowledged configuration is in force, with a front cut off and one frozen', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    await w.operate('PUT', '/v1/servers/n1', JSON.stringify({ pool: 'others', url: 'http://127.0.0.1:1' }));
+    const [a, b] = w.of('front');
+    const rest = w.machines.filter((m) => m.kind !== 'front').map((m) => m.addr);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    w.net.cutBoth([a?.addr ?? ''], rest);
+    b?.freeze();
+    const sentAt = w.clock.now();
+    const put = await w.operate('PUT', '/v1/config', configText(1, 'others'), undefined, 30000);
+    assert.is(put.status, 200);
+    const toldAt = w.clock.now();
+    b?.wake();
+    const going: Promise<unknown>[] = [];
+    for (let i = 0; i < 40; i++) {
+      for (const m of w.of('front')) going.push(w.turn(p.program, null, `c #${seed}-${i}-${m.n}`, `c${i}-${m.n}`, m));
+      await w.clock.run(100);
+    }
+    w.net.mend();
+    await w.clock.finish('all', Promise.all(going), 60000);
+    const base = { text: '', sentAt: 0, told: 'done' as const, toldAt: 0, callPools: ['shop'] };
+    assertNoBreach(
+      recordsOf(w, {
+        readBack: { version: 2, text: '' },
+        configs: [
+          { ...base, version: 1, turnPools: ['models'] },
+          { ...base, version: 2, turnPools: ['others'], sentAt, toldAt },
+        ],
+      }),
+    );
+    assert.ok(w.servers.ran.some((r) => r.pool === 'others'));
+    assert.not.ok(w.servers.ran.some((r) => r.pool === 'models' && r.began > toldAt));
+  }
+});
+
+never('two tries of one key at two fronts at once run once and hear the same', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const both = await w.clock.finish('both', Promise.all(w.of('front').map((m) => w.call('twin', '/hold', { n: 1 }, m))), 30000);
+    assert.equal(both.map((t) => `${t.told} ${t.mishap}`), ['done ', 'done ']);
+    assert.is(both[0]?.text, both[1]?.text);
+    assert.is(acts(w, 'twin'), 1);
+  }
+});
+
+never.run();
--- /dev/null
+++ b/tests/src/util.ts
@@ -0,0 +1,49 @@
+import * as assert from 'uvu/assert';
+import { checkRecords, noRecords, type Records } from '@tillerstair/checker';
+import { World, type WorldSizes } from '@tillerstair/sim';
+
+export const configText = (base: number, turnPool = 'models', callPool = 'shop', extra = 0): string =>
+  JSON.stringify({
+    base,
+    pools: [
+      { name: turnPool, kind: 'model' },
+      { name: callPool, kind: 'service' },
+    ],
+    lanes: [
+      { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: turnPool, share: 1 }] },
+      { name: 'hold', match: { kind: 'call', path: '/hold' }, acting: true, shares: [{ pool: callPool, share: 1 }] },
+      ...Array.from({ length: extra }, (_, i) => ({
+        name: `x${i}`, match: { kind: 'call', path: `/x/${i}` }, shares: [{ pool: callPool, share: 1 }],
+      })),
+    ],
+    budgets: { program: 1000, turn: 16 },
+  });
+
+export const servers: readonly (readonly [string, string])[] = [
+  ['m1', 'models'], ['m2', 'models'], ['s1', 'shop'], ['s2', 'shop'],
+];
+
+export const small: WorldSizes = { controls: 3, stores: 3, fronts: 2 };
+export const five: WorldSizes = { controls: 5, stores: 3, fronts: 3 };
+
+export const worldUp = async (seed: number, sizes: WorldSizes, trace = false): Promise<World> => {
+  const w = new World(seed, sizes);
+  if (trace) w.trace = (line) => console.log(line);
+  await w.bringUp((base) => configText(base), servers);
+  return w;
+};
+
+export const recordsOf = (w: World, more: Partial<Records> = {}): Records => ({
+  ...noRecords,
+  told: w.told,
+  ran: w.servers.ran,
+  perTurn: 16,
+  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: 0, told: 'done', toldAt: 0 }],
+  readBack: { version: 1, text: '' },
+  ...more,
+});
+
+export const assertNoBreach = (r: Records): void => {
+  const breaches = checkRecords(r).flatMap((v) => v.breaches.map((b) => `${v.rule}: ${b}`));
+  assert.equal(breaches, []);
+};
