fleet run SCENARIO with a checker, tillerctl, seeded storms

Cause: failures were caused one at a time only. A storm picks them by seed; fleet causes them among real processes. The delivering front now counts pieces against the end before it says done.

--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './compare.js';
+export * from './patch.js';
+export * from './ask.js';
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -11,6 +11,7 @@
   readonly n: number;
   readonly addr: string;
   readonly http: string;
+  readonly extra: readonly string[];
   readonly procs: readonly Proc[];
 }
 
@@ -96,14 +97,14 @@
     const make = (): Machine => {
       if (kind !== 'front') {
         const env = { ...common, ...via, addr, http: at(p2), seeds: this.seeds, data: join(dir, 'data') };
-        return { kind, n, addr, http: at(p2), procs: [new Proc(name, `${kind}-node`, env, dir)] };
+        return { kind, n, addr, http: at(p2), extra: [], procs: [new Proc(name, `${kind}-node`, env, dir)] };
       }
       const data = at(p3);
       const dataVia = this.spec.cuts ? { listen: at(p6) } : {};
       const proxy = { ...common, ...dataVia, addr: data, feed: at(p4), http: at(p2), affinity: this.spec.affinity };
       const agent = { ...common, ...via, addr, proxy: at(p4), http: at(p5), seeds: this.seeds };
       return {
-        kind, n, addr, http: at(p2),
+        kind, n, addr, http: at(p2), extra: [data],
         procs: [new Proc(`${name}-proxy`, 'front-proxy', proxy, join(dir, 'proxy')), new Proc(`${name}-agent`, 'front-agent', agent, join(dir, 'agent'))],
       };
     };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,3 +5,5 @@
 export * from './operator.js';
 export * from './traffic.js';
 export * from './configs.js';
+export * from './run.js';
+export * from './scenarios.js';
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -1,30 +1,134 @@
 #!/usr/bin/env node
+import { writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { Fleet, until } from './fleet.js';
-import { fullSizes, seoul } from './layout.js';
-import { configFor } from './configs.js';
-import { Traffic } from './traffic.js';
+import cac from 'cac';
+import { closeAsking } from './operator.js';
+import { fullSizes, norway, seoul, smallSizes, type House, type Sizes } from './layout.js';
+import { Run, type RunResult } from './run.js';
+import { scenarios } from './scenarios.js';
 
-const fleet = new Fleet({ dir: join(tmpdir(), `fleet-${process.pid}`), sizes: fullSizes, house: seoul, cuts: false, affinity: true, log: 'info' });
+interface Choices {
+  readonly house: House;
+  readonly sizes: Sizes;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly dir: string;
+  readonly affinity: boolean;
+  readonly rate: number;
+}
+
+class BadChoice extends Error {}
+
+const numberOf = (name: string, v: unknown, def: number, findings: string[]): number => {
+  if (v === undefined) return def;
+  const n = Number(v);
+  if (!Number.isFinite(n) || n < 0) findings.push(`--${name}: must be a number`);
+  return n;
+};
+
+const choicesOf = (o: ReadonlyMap<string, unknown>, seconds: number): Choices => {
+  const findings: string[] = [];
+  const house = new Map([['seoul', seoul], ['norway', norway]]).get(String(o.get('house') ?? 'seoul'));
+  const sizes = new Map([['full', fullSizes], ['small', smallSizes]]).get(String(o.get('sizes') ?? 'full'));
+  if (!house) findings.push('--house: must be seoul or norway');
+  if (!sizes) findings.push('--sizes: must be full or small');
+  const seed = numberOf('seed', o.get('seed'), 1, findings);
+  const long = numberOf('seconds', o.get('seconds'), seconds, findings);
+  const rate = numberOf('rate', o.get('rate'), 12, findings);
+  if (findings.length > 0 || !house || !sizes) throw new BadChoice(findings.join('\n'));
+  const dir = String(o.get('dir') ?? join(tmpdir(), `tillerstair-fleet-${process.pid}`));
+  return { house, sizes, seed, seconds: long, dir, affinity: o.get('affinity') !== false, rate };
+};
+
+const middle = (xs: readonly number[], q: number): number => xs[Math.floor(xs.length * q)] ?? 0;
+
+const print = (r: RunResult): boolean => {
+  for (const n of r.notes) console.log(`  ${n}`);
+  console.log(`  told: ${[...r.counts].sort().map(([k, n]) => `${k} ${n}`).join(', ')}`);
+  console.log(`  prefix hit share ${r.prefixShare.toFixed(3)}, first piece median ${middle(r.firstPieceMs, 0.5)} ms, 99th ${middle(r.firstPieceMs, 0.99)} ms`);
+  for (const v of r.verdicts) {
+    const state = v.breaches.length > 0 ? 'BREACHED' : v.checked === 0 ? 'unproven' : 'kept';
+    console.log(`  ${state.padEnd(9)} ${v.rule} (${v.checked} checked)`);
+    for (const b of v.breaches.slice(0, 10)) console.log(`            ${b}`);
+  }
+  return r.verdicts.every((v) => v.breaches.length === 0);
+};
+
+const runOne = async (name: string, c: Choices, json: unknown): Promise<boolean> => {
+  const s = scenarios.get(name);
+  if (!s) throw new BadChoice(`no scenario ${name}; see fleet list`);
+  const run = new Run({ ...c, cuts: s.cuts, log: 'info', chatsPerSecond: c.rate });
+  console.log(`${name}, ${c.house.name}, seed ${c.seed}: ${s.about}`);
+  const result = await run.go((r) => s.during(r));
+  if (typeof json === 'string') writeFileSync(json, JSON.stringify({ ...result, counts: [...result.counts] }));
+  return print(result);
+};
+
+const cli = cac('fleet');
+const shared = (c: ReturnType<typeof cli.command>): ReturnType<typeof cli.command> =>
+  c
+    .option('--house <name>', 'seoul or norway')
+    .option('--sizes <name>', 'full or small')
+    .option('--seed <n>', 'Seed of callers and failures')
+    .option('--seconds <n>', 'How long callers keep coming')
+    .option('--rate <n>', 'Chats begun a second')
+    .option('--no-affinity', 'Place turns without prefix affinity')
+    .option('--dir <folder>', 'Where settings, logs and data go');
+
+const guarded = async (work: () => Promise<boolean>): Promise<void> => {
+  try {
+    process.exitCode = (await work()) ? 0 : 1;
+  } catch (e) {
+    process.stderr.write(`fleet: ${e instanceof Error ? e.message : String(e)}\n`);
+    process.exitCode = e instanceof BadChoice ? 2 : 1;
+  }
+  await closeAsking();
+  process.exit();
+};
+
+const opts = (o: object): ReadonlyMap<string, unknown> => new Map(Object.entries(o));
+
+cli.command('list', 'Name the scenarios').action(() => {
+  for (const [name, s] of scenarios) console.log(`${name.padEnd(18)} ${s.about}`);
+});
+shared(cli.command('run <scenario>', 'Run a scenario on a whole fleet and check the never-list'))
+  .option('--json <file>', 'Write all records to a file')
+  .action((name: string, o: object) => guarded(() => runOne(name, choicesOf(opts(o), scenarios.get(name)?.seconds ?? 10), opts(o).get('json'))));
+shared(cli.command('all', 'Run every scenario')).action((o: object) =>
+  guarded(async () => {
+    const bad: string[] = [];
+    for (const [name, s] of scenarios)
+      if (!(await runOne(name, choicesOf(opts(o), s.seconds), undefined).catch((e: unknown) => (console.log(`  failed: ${String(e)}`), false)))) bad.push(name);
+    console.log(bad.length === 0 ? 'every scenario kept the never-list' : `breached or failed: ${bad.join(', ')}`);
+    return bad.length === 0;
+  }),
+);
+shared(cli.command('up', 'Start a fleet and keep it until interrupted')).action((o: object) =>
+  guarded(async () => {
+    const c = choicesOf(opts(o), 0);
+    const run = new Run({ ...c, cuts: false, log: 'info', chatsPerSecond: 1 });
+    const ms = await run.bringUp();
+    console.log(`serving after ${ms} ms`);
+    for (const kind of ['control', 'store', 'front'] as const) for (const m of run.fleet.of(kind)) console.log(`${kind}-${m.n} ${m.addr} http ${m.http}`);
+    console.log('ready');
+    await new Promise<void>((done) => {
+      process.once('SIGINT', done);
+      process.once('SIGTERM', done);
+    });
+    await run.fleet.close();
+    return true;
+  }),
+);
+cli.help();
+cli.version('0.1.0');
 try {
-  await fleet.build();
-  const t0 = Date.now();
-  fleet.start();
-  console.log('controls ready', await until('controls', 20000, () => fleet.ready('control')));
-  const put = await fleet.operator.any('PUT', '/v1/config', configFor(seoul, { base: 0, turnPools: [seoul.modelPool], callPools: [seoul.servicePool], extraLanes: 0, note: 'first' }));
-  console.log('config', put.status, Date.now() - t0);
-  await fleet.register();
-  console.log('registered', Date.now() - t0);
-  await until('fronts', 20000, () => fleet.ready('front'));
-  console.log('fronts ready', Date.now() - t0);
-  const traffic = new Traffic({ house: seoul, seed: 1, chatsPerSecond: 10, longChats: 3, fronts: () => fleet.fronts });
-  await traffic.run(5000);
-  await traffic.finish(15000);
-  const counts = new Map<string, number>();
-  for (const t of traffic.told) counts.set(`${t.kind} ${t.told} ${t.mishap}`, (counts.get(`${t.kind} ${t.told} ${t.mishap}`) ?? 0) + 1);
-  console.log(JSON.stringify(traffic.told.filter((t)=>t.told!=="done").slice(0,2)).slice(0,1200)); console.log(counts, fleet.ledger.all().length);
-} finally {
-  await fleet.close();
+  cli.parse();
+  if (!cli.matchedCommand && !cli.options['help'] && !cli.options['version']) {
+    process.stderr.write('fleet: name a command; see fleet --help\n');
+    process.exitCode = 2;
+  }
+} catch (e) {
+  process.stderr.write(`fleet: ${e instanceof Error ? e.message : String(e)}\n`);
+  process.exitCode = 2;
 }
-process.exit(0);
--- /dev/null
+++ b/packages/fleet/src/run.ts
@@ -0,0 +1,131 @@
+import { checkRecords, countTold, noRecords, type ConfigRecord, type LeavingRecord, type Records, type RestartRecord, type RuleVerdict } from '@tillerstair/checker';
+import { z } from 'zod';
+import { configFor } from './configs.js';
+import { Fleet, until, type FleetSpec } from './fleet.js';
+import { seeded } from './layout.js';
+import { ask } from './operator.js';
+import { Traffic } from './traffic.js';
+
+export interface RunSpec extends FleetSpec {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly chatsPerSecond: number;
+}
+
+export interface RunResult {
+  readonly records: Records;
+  readonly verdicts: readonly RuleVerdict[];
+  readonly counts: ReadonlyMap<string, number>;
+  readonly servingAfterMs: number;
+  readonly notes: readonly string[];
+  readonly prefixShare: number;
+  readonly firstPieceMs: readonly number[];
+}
+
+const Current = z.object({ current: z.number() });
+const Versioned = z.object({ version: z.number() });
+
+export class Run {
+  readonly fleet: Fleet;
+  readonly traffic: Traffic;
+  readonly rng;
+  readonly configs: ConfigRecord[] = [];
+  readonly leavings: LeavingRecord[] = [];
+  readonly restarts: RestartRecord[] = [];
+  readonly notes: string[] = [];
+  version = 0;
+  private extra = 0;
+
+  constructor(readonly spec: RunSpec) {
+    this.fleet = new Fleet(spec);
+    this.rng = seeded(spec.seed);
+    this.traffic = new Traffic({
+      house: spec.house, seed: spec.seed, chatsPerSecond: spec.chatsPerSecond, longChats: 5, fronts: () => this.fleet.fronts,
+    });
+  }
+
+  note(text: string): void {
+    this.notes.push(`${new Date().toISOString().slice(11, 23)} ${text}`);
+  }
+
+  pick<T>(from: readonly T[]): T {
+    const got = from[Math.floor(this.rng() * from.length)];
+    if (got === undefined) throw new Error('nothing to pick from');
+    return got;
+  }
+
+  async put(grow: number, at?: string): Promise<number> {
+    const { house } = this.spec;
+    this.extra += grow;
+    const base = this.version;
+    const turnPools = [house.modelPool];
+    const callPools = [house.servicePool];
+    const text = configFor(house, { base, turnPools, callPools, extraLanes: this.extra, note: `version ${base + 1} by ${this.rng()}` });
+    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools, sentAt: Date.now(), told: 'unknown', toldAt: Infinity };
+    const n = this.configs.push(row) - 1;
+    const r = at === undefined ? await this.fleet.operator.any('PUT', '/v1/config', text) : await ask('PUT', `http://${at}/v1/config`, text);
+    const told = r.status === 200 ? 'done' : r.status === 0 || r.status === 504 ? 'unknown' : 'refused';
+    this.configs[n] = { ...row, told, toldAt: Date.now() };
+    const current = Current.safeParse(r.body);
+    if (told === 'done') this.version = Math.max(this.version, base + 1);
+    else if (current.success) this.version = Math.max(this.version, current.data.current);
+    this.note(`configuration ${base + 1}: ${r.status}`);
+    return r.status;
+  }
+
+  async resync(): Promise<void> {
+    const got = Versioned.safeParse(await this.fleet.operator.config());
+    if (got.success) this.version = got.data.version;
+  }
+
+  async serving(within: number): Promise<number> {
+    const { fleet } = this;
+    return until('serving', within, async () => (await fleet.ready('front')) && (await this.probe()));
+  }
+
+  private async probe(): Promise<boolean> {
+    const front = this.fleet.fronts[0] ?? '';
+    const r = await ask('POST', `http://${front}/v1/programs`, '{"budget":1}', 1000);
+    return r.status === 201;
+  }
+
+  async bringUp(): Promise<number> {
+    const t0 = Date.now();
+    await this.fleet.build();
+    this.fleet.start();
+    await until('a master', 30000, async () => (await this.fleet.operator.any('GET', '/v1/status')).status === 200);
+    await until('the first configuration', 20000, async () => (await this.put(0)) === 200);
+    await this.fleet.register();
+    await this.serving(30000);
+    return Date.now() - t0;
+  }
+
+  async go(during: (run: Run) => Promise<void>): Promise<RunResult> {
+    try {
+      const servingAfterMs = await this.bringUp();
+      this.note(`serving after ${servingAfterMs} ms`);
+      const load = this.traffic.run(this.spec.seconds * 1000);
+      await during(this);
+      await load;
+      await this.traffic.finish(30000);
+      let readBack = await this.fleet.operator.config();
+      await until('a read-back', 20000, async () => {
+        readBack = await this.fleet.operator.config();
+        return readBack !== undefined;
+      });
+      const records: Records = {
+        ...noRecords, told: this.traffic.told, ran: this.fleet.ledger.all(), configs: this.configs, leavings: this.leavings,
+        restarts: this.restarts, readBack, perTurn: 64,
+      };
+      const turns = this.fleet.ledger.all().filter((r) => r.kind === 'generate');
+      const prompt = turns.reduce((n, r) => n + r.prompt, 0);
+      return {
+        records, verdicts: checkRecords(records), counts: countTold(this.traffic.told), servingAfterMs, notes: this.notes,
+        prefixShare: prompt === 0 ? 0 : turns.reduce((n, r) => n + r.cached, 0) / prompt,
+        firstPieceMs: this.traffic.told.filter((t) => t.kind === 'turn' && t.told === 'done').map((t) => t.firstMs).sort((a, b) => a - b),
+      };
+    } finally {
+      await this.fleet.close();
+    }
+  }
+}
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { beliefOf, Entries, markOf, newer, unflatten, type Belief, type State } from '@tillerstair/state';
 import {
-  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, Verdict, type Backend, type EmitPiece, type StewardBounds,
+  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, unknown, Verdict, type Backend, type EmitPiece, type StewardBounds,
 } from '@tillerstair/steward';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 
@@ -25,6 +25,7 @@
 export type Feed = z.infer<typeof Feed>;
 export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown() });
 
+const TurnEnd = z.object({ end: z.object({ pieces: z.number() }) });
 const PieceLine = z.object({ n: z.number(), text: z.string() });
 
 interface Delivery {
@@ -109,16 +110,24 @@
     const { clock, bounds, id, circuits } = this.p;
     const end = clock.now() + bounds.beat * 1.5;
     let emitted = 0;
+    let whole = true;
     const counting: EmitPiece = (n, text) => {
+      whole &&= n === emitted;
+      if (!whole) return;
       emitted++;
       emit(n, text);
     };
+    const checked = (v: Verdict): Verdict => {
+      if (d.kind !== 'front/turn' || v.verdict !== 'done') return v;
+      const end = TurnEnd.safeParse(v.body);
+      return whole && end.success && end.data.end.pieces === emitted ? v : unknown('the stream did not arrive whole', 'broken-off');
+    };
     for (;;) {
       let mishap: Mishap;
       try {
         this.steward.requireFresh();
         const steward = this.steward.stewardOf(this.steward.slotFor(d.slotKey));
-        if (steward === id) return await this.local(d.kind, d.body, counting, gone);
+        if (steward === id) return checked(await this.local(d.kind, d.body, counting, gone));
         const mate = this.steward.current?.state.nodes.get(steward);
         if (!mate) throw new Mishap('no-steward', 'no steward is known for this');
         const back = await circuits.call(mate.data, d.kind, d.body, {
@@ -129,7 +138,7 @@
             counting(n, text);
           },
         });
-        return Verdict.parse(back);
+        return checked(Verdict.parse(back));
       } catch (e) {
         mishap = mishapOf(e);
       }
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -4,3 +4,4 @@
 export * from './sim-backend.js';
 export * from './world.js';
 export * from './machine.js';
+export * from './storm.js';
