--- /dev/null
+++ b/packages/store/bin/store-node.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
