Planned moves drain, servers are asked for again before a run, idle programs leave whole

(2) between placing and sending lies a synced write, up to 1.5 s on a slow disk, in which a server could be marked leaving or a configuration change; both are checked again after the write. (3) a store could drop an idle program's older records while a new turn kept the newer; a write to an aged program now rewrites it whole, and a front lets go of it before the stores do. (4) a master's contact times were taken after the promise, not before it was asked for.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -17,12 +17,13 @@
 }
 
 const Hello = z.object({ id: z.string(), addr: z.string(), http: z.string() });
-const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown() });
+const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.array(z.unknown()) });
 
 export class Agent {
   private zen: ZenNode | undefined;
   private readonly gone = lasting();
   private seen: unknown = [];
+  private released: readonly unknown[] = [];
   private proxyId = '';
   private fedMark: Mark = markOf(undefined);
   private lastFed = -Infinity;
@@ -92,7 +93,7 @@
     const zen: ZenNode = new ZenNode({
       me, seeds, clock, circuits, bounds, log, keep: new MemoryKeep(hello.id), slots: 0,
       onApplied: (s) => this.feed(s),
-      report: () => ({ seen: this.seen }),
+      report: () => ({ seen: this.seen, released: this.released }),
     });
     this.zen = zen;
     zen.start();
@@ -114,6 +115,9 @@
     if (fed.id !== this.proxyId) throw new Mishap('other-proxy', 'another proxy replied');
     this.fedMark = fed.applied;
     this.seen = fed.seen;
+    const fresh = fed.released.length > 0 && JSON.stringify(fed.released) !== JSON.stringify(this.released);
+    this.released = fed.released;
+    if (fresh) zen.reportNow();
     this.lastFed = this.p.clock.now();
   }
 }
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -5,6 +5,7 @@
 
 export const FrontReport = z.object({
   seen: z.array(z.object({ id: z.string(), url: z.string(), ok: z.boolean(), pace: z.number().optional() })),
+  released: z.array(z.tuple([z.number(), z.number()])),
 });
 export type FrontReport = z.infer<typeof FrontReport>;
 
@@ -20,6 +21,8 @@
   private silentStores: ReadonlySet<string> = new Set();
   private fronts = new Set<string>();
   private frontJoinedAt = -Infinity;
+  private master: MasterView | undefined;
+  private handingSince = new Map<number, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -42,6 +45,7 @@
     const got = FrontReport.safeParse(report);
     if (!got.success) return;
     const at = this.clock.now();
+    if (got.data.released.length > 0) this.onReleased(got.data.released);
     this.sights.set(front, new Map(got.data.seen.map((x) => [x.id, { url: x.url, ok: x.ok, pace: x.pace, at }])));
   };
 
@@ -58,7 +62,24 @@
     return out;
   }
 
+  private onReleased(released: readonly (readonly [number, number])[]): void {
+    this.master
+      ?.submit((s) => released.reduce((t, [slot, tenure]) => reduce(t, { kind: 'handed', slot, tenure }), s))
+      .catch(() => undefined);
+  }
+
+  private overdue(s: State): readonly (readonly [number, number])[] {
+    const now = this.clock.now();
+    const since = new Map<number, number>();
+    s.slots.forEach((slot, n) => {
+      if (slot.handTo !== '') since.set(n, this.handingSince.get(n) ?? now);
+    });
+    this.handingSince = since;
+    return [...since].flatMap(([n, at]) => (now - at > this.bounds.silent * 4 ? [[n, s.slots[n]?.tenure ?? -1] as const] : []));
+  }
+
   async run(master: MasterView): Promise<void> {
+    this.master = master;
     while (!master.lost.aborted) {
       await pause(this.clock, this.bounds.beat / 2, master.lost);
       const s = master.committed;
@@ -69,10 +90,12 @@
         ),
       );
       const downs = this.downs(s);
+      const overdue = this.overdue(s);
       await master
         .submit((t) => {
           const marked = [...downs].reduce((u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }), t);
-          return this.replaceVoter(marked, master);
+          const handed = overdue.reduce((u, [slot, tenure]) => reduce(u, { kind: 'handed', slot, tenure }), marked);
+          return this.replaceVoter(handed, master);
         })
         .catch(() => undefined);
     }
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -23,7 +23,7 @@
   term: z.number(),
 });
 export type Feed = z.infer<typeof Feed>;
-export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown() });
+export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.unknown() });
 
 const TurnEnd = z.object({ end: z.object({ pieces: z.number() }) });
 const PieceLine = z.object({ n: z.number(), text: z.string() });
@@ -79,7 +79,7 @@
       this.master = f.master;
       if (f.freshAt <= now) this.steward.freshen(f.freshAt);
     }
-    return { id: this.p.id, applied: markOf(this.steward.current?.state), seen: this.steward.placement.report() };
+    return { id: this.p.id, applied: markOf(this.steward.current?.state), seen: this.steward.placement.report(), released: this.steward.releases() };
   }
 
   private async handle(inq: Inquiry, emit: (piece: unknown) => void, gone: AbortSignal): Promise<unknown> {
--- a/packages/sim/src/sim-clock.ts
+++ b/packages/sim/src/sim-clock.ts
@@ -100,7 +100,7 @@
     await this.settle();
     while (!ready()) {
       if (this.time - t0 > within) throw new Error(`${what}: not within ${within} ms of simulated time`);
-      if (!(await this.step(t0 + within + 1))) throw new Error(`${what}: nothing is going on`);
+      if (!(await this.step(t0 + within + 1))) throw new Error(`${what}: not within ${within} ms of simulated time`);
     }
     return this.time - t0;
   }
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -201,7 +201,8 @@
 
   private refilled(): boolean {
     const s = this.w.master?.control?.zen.leading?.committed;
-    return s !== undefined && s.slots.every((slot) => slot.filling.length === 0 && slot.copies.every((id) => s.nodes.has(id)));
+    const ids = this.w.of('store').map((m) => m.store?.id ?? 'none');
+    return s !== undefined && s.slots.every((slot) => slot.filling.length === 0 && ids.every((id) => slot.copies.includes(id)));
   }
 
   private async leave(id: string): Promise<void> {
--- a/packages/state/src/allot.ts
+++ b/packages/state/src/allot.ts
@@ -68,26 +68,36 @@
 };
 
 const allotStewards = (s: State, slots: readonly Slot[], moves: number): readonly Slot[] => {
-  const fronts = [...s.nodes.values()].filter((m) => m.kind === 'front' && !s.retiring.has(m.id)).sort(byId);
+  const live = [...s.nodes.values()].filter((m) => m.kind === 'front').sort(byId);
+  const stay = live.filter((m) => !s.retiring.has(m.id));
+  const fronts = stay.length > 0 ? stay : live;
   if (fronts.length === 0) return slots;
+  const alive = new Set(live.map((f) => f.id));
   const held = new Map<string, number>(fronts.map((f) => [f.id, 0]));
-  for (const slot of slots) if (held.has(slot.steward)) held.set(slot.steward, (held.get(slot.steward) ?? 0) + 1);
-  const least = (): string => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0] ?? '';
-  const give = (slot: Slot, to: string): Slot => {
-    held.set(to, (held.get(to) ?? 0) + 1);
-    return { ...slot, steward: to, tenure: slot.tenure + 1 };
+  const count = (id: string, by: number): void => {
+    if (held.has(id)) held.set(id, (held.get(id) ?? 0) + by);
   };
-  const settled = slots.map((slot) => (slot.copies.length === 0 || held.has(slot.steward) ? slot : give(slot, least())));
+  const toBe = (slot: Slot): string => (alive.has(slot.steward) && held.has(slot.handTo) ? slot.handTo : slot.steward);
+  for (const slot of slots) count(toBe(slot), 1);
+  const least = (): string => [...held].sort((a, b) => a[1] - b[1] || (a[0] < b[0] ? -1 : 1))[0]?.[0] ?? '';
+  const settled = slots.map((slot) => {
+    if (slot.copies.length === 0) return slot;
+    if (alive.has(slot.steward)) return slot.handTo === '' || held.has(slot.handTo) ? slot : { ...slot, handTo: '' };
+    const to = held.has(slot.handTo) ? slot.handTo : least();
+    count(to, 1);
+    return { ...slot, steward: to, tenure: slot.tenure + 1, handTo: '' };
+  });
   const fair = Math.ceil(slots.length / fronts.length);
-  let left = moves;
+  let left = moves - settled.filter((slot) => slot.handTo !== '').length;
   return settled.map((slot) => {
-    const mine = held.get(slot.steward) ?? 0;
+    if (left <= 0 || slot.copies.length === 0 || slot.filling.length > 0 || slot.handTo !== '') return slot;
+    const mine = held.get(slot.steward);
     const to = least();
-    if (left <= 0 || slot.copies.length === 0 || slot.filling.length > 0) return slot;
-    if (mine <= fair || (held.get(to) ?? 0) + 1 >= mine) return slot;
+    if (mine !== undefined && (mine <= fair || (held.get(to) ?? 0) + 1 >= mine)) return slot;
     left--;
-    held.set(slot.steward, mine - 1);
-    return give(slot, to);
+    count(slot.steward, -1);
+    count(to, 1);
+    return { ...slot, handTo: to };
   });
 };
 
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -9,6 +9,7 @@
   | { readonly kind: 'server-mark'; readonly id: string; readonly leaving?: boolean; readonly down?: boolean }
   | { readonly kind: 'voters'; readonly out: string; readonly in: Mate | undefined }
   | { readonly kind: 'filled'; readonly store: string; readonly slot: number; readonly tenure: number }
+  | { readonly kind: 'handed'; readonly slot: number; readonly tenure: number }
   | { readonly kind: 'retire'; readonly id: string; readonly on: boolean }
   | { readonly kind: 'weights'; readonly weights: ReadonlyMap<string, number> };
 
@@ -64,6 +65,12 @@
       const slot = { ...old, filling: old.filling.filter((id) => id !== a.store) };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
+    case 'handed': {
+      const old = s.slots[a.slot];
+      if (!old || old.tenure !== a.tenure || !s.nodes.has(old.handTo)) return s;
+      const slot = { ...old, steward: old.handTo, tenure: old.tenure + 1, handTo: '' };
+      return { ...s, slots: s.slots.with(a.slot, slot) };
+    }
     case 'retire': {
       if (s.retiring.has(a.id) === a.on) return s;
       const retiring = new Set(s.retiring);
--- a/packages/steward/src/calls.ts
+++ b/packages/steward/src/calls.ts
@@ -37,7 +37,11 @@
     }
     const verdict = this.run(ask, lane, config, keeper, new AbortController().signal);
     this.running.set(key, { digest, verdict });
-    return verdict.finally(() => this.running.delete(key));
+    const leave = keeper.enter();
+    return verdict.finally(() => {
+      leave();
+      this.running.delete(key);
+    });
   }
 
   private async run(ask: CallAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
@@ -73,9 +77,11 @@
       try {
         if (!noted) await note('intent', 0, null);
         noted = true;
-        if (!this.s.fresh) {
+        if (!this.s.mayRun(server, 'call', ask.path)) {
           ok = true;
-          return await notRun('the control link is down and its grace ran out');
+          skip.add(server.id);
+          if (!this.s.fresh || skip.size > 2) return await notRun('the control link is down, or every server tried was taken away');
+          continue;
         }
         const act = { id: `call-${++this.made}`, key: ask.key, path: ask.path, body: ask.body };
         const ended = await backend.act(server, act, gone, config.bounds.callMs);
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -1,5 +1,5 @@
 import {
-  Item, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
+  groupOf, Item, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
 } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
@@ -12,6 +12,7 @@
   readonly table: () => Table | undefined;
   readonly putWithin: number;
   readonly beat: number;
+  readonly keepMs: number;
 }
 
 const needed = 2;
@@ -20,9 +21,12 @@
   private slot: Slot | undefined;
   private seq = 0;
   private openTenure = -1;
+  private inside = 0;
+  private released = false;
   private held = new Map<string, Item>();
   private spentBy = new Map<string, number>();
   private turnsBy = new Map<string, string[]>();
+  private touched = new Map<string, number>();
 
   constructor(
     readonly n: number,
@@ -33,6 +37,23 @@
     return this.slot !== undefined && this.openTenure === this.slot.tenure;
   }
 
+  get taking(): boolean {
+    return this.open && !this.released;
+  }
+
+  enter(): () => void {
+    this.inside++;
+    return () => {
+      this.inside--;
+    };
+  }
+
+  tryRelease(): readonly [number, number] | undefined {
+    if (!this.slot || this.slot.handTo === '' || !this.open) return undefined;
+    if (this.inside === 0) this.released = true;
+    return this.released ? [this.n, this.slot.tenure] : undefined;
+  }
+
   get(key: string): unknown {
     return this.held.get(key)?.value;
   }
@@ -48,6 +69,7 @@
   take(slot: Slot): void {
     const old = this.slot;
     this.slot = slot;
+    if (old?.tenure !== slot.tenure || slot.handTo === '') this.released = false;
     if (old?.tenure === slot.tenure) return;
     this.seq = 0;
     void this.unseal(slot.tenure);
@@ -56,9 +78,14 @@
   release(): void {
     this.slot = undefined;
     this.openTenure = -1;
+    this.forget();
+  }
+
+  private forget(): void {
     this.held = new Map();
     this.spentBy = new Map();
     this.turnsBy = new Map();
+    this.touched = new Map();
   }
 
   private counted(slot: Slot): ReadonlySet<string> {
@@ -117,9 +144,7 @@
     for (let i = 0; i < again.length; i += 64) await this.spread(tenure, again.slice(i, i + 64));
     if (this.slot?.tenure !== tenure) return true;
     for (const item of again) merged.set(item.key, item);
-    this.held = new Map();
-    this.spentBy = new Map();
-    this.turnsBy = new Map();
+    this.forget();
     for (const item of merged.values()) this.hold(item);
     this.openTenure = tenure;
     this.p.log.debug(`Slot ${this.n} is open at tenure ${tenure} with ${merged.size} items.`);
@@ -139,6 +164,7 @@
       this.spentBy.set(root, this.spent(root) - (before ? cost(before.value) : 0) + cost(item.value));
     }
     this.held.set(item.key, item);
+    this.touched.set(groupOf(item.key), this.p.clock.now());
   }
 
   private ask(id: string, kind: string, body: unknown): Promise<unknown> {
@@ -196,7 +222,7 @@
     const slot = this.slot;
     if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
     const item: Item = { key, tenure: slot.tenure, seq: ++this.seq, value };
-    await this.spread(slot.tenure, [item]);
+    await this.spread(slot.tenure, [...this.aging(key), item]);
     if (this.openTenure === item.tenure) this.hold(item);
   }
 
@@ -224,8 +250,23 @@
     return good.every((item) => item === null);
   }
 
-  dropGroups(gone: (key: string) => boolean): void {
-    for (const key of [...this.held.keys()]) if (gone(key)) this.held.delete(key);
+  private aging(key: string): readonly Item[] {
+    const group = groupOf(key);
+    const at = this.touched.get(group);
+    if (at === undefined || this.p.clock.now() - at < this.p.keepMs / 2) return [];
+    return [...this.held.values()].filter((i) => groupOf(i.key) === group && i.key !== key);
+  }
+
+  expire(): number {
+    const now = this.p.clock.now();
+    const old = new Set([...this.touched].filter(([, at]) => now - at > this.p.keepMs * 0.9).map(([g]) => g));
+    if (old.size === 0) return 0;
+    const kept = [...this.held.values()].filter((i) => !old.has(groupOf(i.key)));
+    const touched = [...this.touched].filter(([g]) => !old.has(g));
+    this.forget();
+    for (const item of kept) this.hold(item);
+    this.touched = new Map(touched);
+    return old.size;
   }
 
   get size(): number {
--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -67,6 +67,12 @@
     return { inflight: v.inflight, busy: v.busy, leaving: v.leaving, standing };
   }
 
+  allowed(server: Server, lane: Lane): boolean {
+    const now = this.table()?.state.servers.get(server.id);
+    if (!now || now.url !== server.url || now.pool !== server.pool || now.leaving || this.seen(now).leaving) return false;
+    return lane.shares.some((s) => s.pool === now.pool && s.share > 0);
+  }
+
   usable(lane: Lane): boolean {
     const state = this.table()?.state;
     if (!state) return false;
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,4 +1,4 @@
-import { rootOf, slotOf, type Lane, type Server, type State } from '@tillerstair/state';
+import { laneFor, rootOf, slotOf, type Lane, type Server, type State } from '@tillerstair/state';
 import { Mishap, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { Backend } from './backend.js';
 import { Calls } from './calls.js';
@@ -69,6 +69,7 @@
     while (!this.gone.signal.aborted) {
       await this.placement.poll();
       this.gate.pump();
+      for (const k of this.keepers.values()) k.expire();
       await pause(this.p.clock, this.p.bounds.poll, this.gone.signal);
     }
   }
@@ -95,7 +96,7 @@
   private makeKeeper(n: number): SlotKeeper {
     const { clock, circuits, log, bounds } = this.p;
     const keeper = new SlotKeeper(n, {
-      clock, circuits, log, table: () => this.table, putWithin: bounds.putWithin, beat: bounds.beat,
+      clock, circuits, log, table: () => this.table, putWithin: bounds.putWithin, beat: bounds.beat, keepMs: bounds.keepMs,
     });
     this.keepers.set(n, keeper);
     return keeper;
@@ -138,10 +139,17 @@
     const n = this.slotFor(key);
     const keeper = this.keepers.get(n);
     if (!keeper) throw new Mishap('not-steward', `slot ${n} has another steward`);
-    if (!keeper.open) throw new Mishap('taking-over', `slot ${n} is being taken over`);
+    if (!keeper.taking) throw new Mishap('taking-over', `slot ${n} is being taken over`);
     return keeper;
   }
 
+  releases(): readonly (readonly [number, number])[] {
+    return [...this.keepers.values()].flatMap((k) => {
+      const r = k.tryRelease();
+      return r ? [r] : [];
+    });
+  }
+
   programSlotKey(pid: string): string {
     return `p/${rootOf(pid)}`;
   }
@@ -156,6 +164,12 @@
     });
   }
 
+  mayRun(server: Server, kind: 'turn' | 'call', path: string): boolean {
+    const config = this.table?.config;
+    const lane = config && laneFor(config, kind, path);
+    return this.fresh && lane !== undefined && this.placement.allowed(server, lane);
+  }
+
   finished(server: Server, ok: boolean, pace?: number): void {
     this.placement.end(server, ok, pace);
     this.gate.pump();
--- a/packages/steward/src/turns.ts
+++ b/packages/steward/src/turns.ts
@@ -108,7 +108,11 @@
     }
     const going = this.attempt(keeper, config, ask, turn, body, emit, gone).catch((e: unknown) => ofMishap(mishapOf(e)));
     this.running.set(key, going);
-    return going.finally(() => this.running.delete(key));
+    const leave = keeper.enter();
+    return going.finally(() => {
+      leave();
+      this.running.delete(key);
+    });
   }
 
   private async attempt(
@@ -177,9 +181,12 @@
         } finally {
           this.reserving.set(prefixKey, (this.reserving.get(prefixKey) ?? 0) - reserve);
         }
-        if (gone.aborted || !this.s.fresh) {
+        if (gone.aborted || !this.s.mayRun(server, 'turn', job.ask.path)) {
           await this.settle(job, { ...value, status: 'void', cost: 0 });
-          return refused(503, gone.aborted ? 'gone' : 'not-ready', 'nothing was run', 1);
+          if (gone.aborted || !this.s.fresh) return refused(503, gone.aborted ? 'gone' : 'not-ready', 'nothing was run', 1);
+          if (skip.size > 2) return refused(503, 'no-server', 'every server tried was just taken away', 1);
+          skip.add(server.id);
+          continue;
         }
         const out = await this.run(job, server, value, emit, gone);
         ended = out.ended;
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -27,6 +27,10 @@
     this.zen = new ZenNode({ ...p, slots: 0 });
   }
 
+  get id(): string {
+    return this.p.me.id;
+  }
+
   async start(): Promise<void> {
     await this.p.circuits.serve((inq) => this.handle(inq));
     this.zen.start();
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/shelf.ts
@@ -72,6 +72,7 @@
       case 'seal': {
         const s = this.slot(r.slot);
         s.sealed = Math.max(s.sealed, r.tenure);
+        for (const g of s.touched.keys()) s.touched.set(g, this.clock.now());
         return;
       }
       case 'drop': {
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -84,9 +84,9 @@
     this.line.close();
   }
 
-  async begin(joiners: readonly Mate[]): Promise<void> {
-    const { me, clock } = this.p;
-    for (const m of joiners) this.contacts.set(m.id, { ...never, ackedAt: clock.now() });
+  async begin(joiners: readonly Mate[], askedAt: number): Promise<void> {
+    const { me } = this.p;
+    for (const m of joiners) this.contacts.set(m.id, { ...never, ackedAt: askedAt });
     await this.submit((s) => [me, ...joiners].reduce((t, mate) => reduce(t, { kind: 'join', mate }), s));
     void this.watchSelf();
   }
@@ -345,8 +345,9 @@
       this.stepDown(`${join.from.addr} joins with term ${join.term}`);
       throw new Mishap('not-master', 'this control is no longer master');
     }
+    const askedAt = this.p.clock.now();
     Promised.parse(await circuits.call(join.from.addr, 'zen/validate', body, { within: bounds.joinWait }));
-    this.contacts.set(join.from.id, { ...never, ackedAt: this.p.clock.now() });
+    this.contacts.set(join.from.id, { ...never, ackedAt: askedAt });
     this.seen.delete(join.from.id);
     const { state } = await this.submit((s) => reduce(s, { kind: 'join', mate: join.from }));
     await this.catchUp(join.from, state);
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -91,6 +91,10 @@
     return this.p.keep.kept.accepted;
   }
 
+  reportNow(): void {
+    this.wake();
+  }
+
   start(): void {
     this.ended = this.run();
   }
@@ -183,6 +187,7 @@
       await this.nudge(Math.min(bounds.joinWait / 4, end - clock.now()));
     }
     const joins = [...(this.pending?.values() ?? [])];
+    const askedAt = clock.now();
     const term = Math.max(keep.kept.term, ...joins.map((j) => j.join.term)) + 1;
     await keep.promise(term, me.id);
     const promised = new Map<string, PendingJoin>();
@@ -228,7 +233,7 @@
     const early = this.pending;
     this.pending = undefined;
     try {
-      await master.begin([...joiners.values()].map((j) => j.join.from));
+      await master.begin([...joiners.values()].map((j) => j.join.from), askedAt);
       for (const j of joiners.values()) j.done({ term });
       for (const [id, j] of early ?? []) if (!joiners.has(id)) master.onJoin(j.join).then(j.done, j.fail);
       this.p.onLead?.(master);
@@ -243,13 +248,9 @@
   }
 
   private nudge(ms: number): Promise<void> {
-    return new Promise((done) => {
-      const beat = this.p.clock.after(ms, done);
-      this.wake = () => {
-        beat.stop();
-        done();
-      };
-    });
+    const early = new AbortController();
+    this.wake = () => early.abort();
+    return pause(this.p.clock, ms, early.signal);
   }
 
   private async follow(master: Mate): Promise<void> {
