--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -30,7 +30,7 @@
     const feed = new TcpCircuits(env.feed);
     await feed.serve(async (inq) => (inq.kind === 'front/hello' ? { id: front.p.id, addr: env.addr, http: env.http } : front.feed(inq.body)));
     await front.start();
-    const http = await servePages(env.http, () => front.steward.readiness(), callerPages(front, env.bodyMost));
+    const http = await servePages(env.http, () => (front.stopping ? { ready: false, why: 'stopping' } : front.steward.readiness()), callerPages(front, env.bodyMost));
     log.info(`Serving callers at ${env.http}.`);
     return {
       stop: async () => {
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -115,6 +115,7 @@
     if (!this.table.config) return { ready: false, why: 'no configuration yet' };
     if (!this.fresh) return { ready: false, why: 'the control link is down and its grace ran out' };
     if (!this.table.state.nodes.has(this.p.id)) return { ready: false, why: 'not listed in the cluster state' };
+    if (this.table.state.retiring.has(this.p.id)) return { ready: false, why: 'being drained' };
     return { ready: true, why: 'serving' };
   }
 
--- /dev/null
+++ b/tests/src/repair.test.ts
@@ -0,0 +1,177 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { World } from '@tillerstair/sim';
+import { assertNoBreach, five, recordsOf, small, worldUp } from './util.js';
+
+const repair = suite('repair, moves and growth');
+const seeds = [21, 22, 23];
+
+const turns = async (w: World, program: string, from: number, count: number): Promise<void> => {
+  for (let i = from; i < from + count; i++) {
+    const t = await w.clock.finish('turn', w.turn(program, null, `r #${w.seed}-${i}`, `r${i}`), 30000);
+    assert.is(t.told, 'done', t.mishap);
+  }
+};
+
+const committed = (w: World) => w.master?.control?.zen.leading?.committed;
+
+repair('a store that was away gets what it missed from hints, and can then stand in for a lost one', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const [a, b, c] = w.of('store');
+    a?.kill('power');
+    await w.clock.run(4000);
+    await turns(w, p.program, 0, 5);
+    const hints = [b, c].reduce((n, m) => n + (m?.shelf?.counts().hints ?? 0), 0);
+    assert.ok(hints >= 5, `${hints} hints`);
+    a?.start();
+    await w.clock.until('hand-over', () => [b, c].every((m) => m?.shelf?.counts().hints === 0) && (a?.shelf?.counts().items ?? 0) >= 6, 20000);
+    b?.kill('power');
+    b?.platter.wipe();
+    for (const m of w.of('front')) m.kill();
+    w.start(w.of('front'));
+    await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+    for (const t of w.told.filter((x) => x.kind === 'turn')) {
+      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000);
+      assert.is(f.text, t.text);
+    }
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+repair('an empty store counts in no quorum until it is refilled', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    await turns(w, p.program, 0, 4);
+    const [a, b] = w.of('store');
+    a?.kill('power');
+    a?.platter.wipe();
+    a?.start();
+    const id = () => a?.store?.id ?? 'none';
+    await w.clock.until('taken in', () => committed(w)?.slots.some((s) => s.filling.includes(id())) ?? false, 30000);
+    const slots = committed(w)?.slots ?? [];
+    assert.ok(slots.filter((s) => s.filling.length > 0).length <= Math.max(1, Math.ceil(slots.length / 16)), 'throttled');
+    await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
+    b?.kill('power');
+    b?.platter.wipe();
+    for (const m of w.of('front')) m.kill();
+    w.start(w.of('front'));
+    await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+    for (const t of w.told.filter((x) => x.kind === 'turn')) {
+      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000);
+      assert.is(f.text, t.text);
+    }
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+repair('with two disks lost at once history is unavailable, never missing', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    await turns(w, p.program, 0, 2);
+    for (const m of w.of('store').slice(0, 2)) {
+      m.kill('power');
+      m.platter.wipe();
+      m.start();
+    }
+    for (const m of w.of('front')) m.kill();
+    w.start(w.of('front'));
+    await w.clock.until('fronts', () => w.readyFronts().length === 2, 20000);
+    await w.clock.run(5000);
+    for (const t of w.told.filter((x) => x.kind === 'turn')) {
+      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000);
+      assert.is(f.told, 'refused');
+      assert.is.not(f.mishap, 'missing');
+    }
+  }
+});
+
+repair('emptying is refused with the reason when too few copies would stay, else ends with nothing held', async () => {
+  const w = await worldUp(seeds[0] ?? 1, small);
+  const p = await w.clock.finish('program', w.program(900), 10000);
+  await turns(w, p.program, 0, 3);
+  const refused = await w.operate('POST', '/v1/stores/store-0/empty');
+  assert.is(refused.status, 409);
+  assert.match(JSON.stringify(refused.body), 'only 2 other stores would stay');
+  w.add('store').start();
+  await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+  assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
+  const old = w.at('store-0').store?.id ?? '';
+  await w.clock.until('half way', () => (committed(w)?.slots.filter((s) => s.copies.includes(old)).length ?? 9) <= 4, 60000);
+  w.master?.kill('power');
+  await w.clock.until('emptied', () => (committed(w)?.slots.every((s) => !s.copies.includes(old) && s.filling.length === 0)) ?? false, 60000);
+  const status = await w.operate('GET', '/v1/status');
+  assert.match(JSON.stringify(status.body), '"slotsHeld":0');
+  w.at('store-0').kill();
+  await turns(w, p.program, 3, 2);
+  for (const t of w.told.filter((x) => x.kind === 'turn')) assert.is((await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000)).text, t.text);
+  assertNoBreach(recordsOf(w));
+});
+
+repair('a planned move of stewards refuses nothing and breaks nothing off', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 6 }, () => w.program(900, w.of('front')[0]))), 20000);
+    const before = committed(w)?.slots.map((s) => s.steward).join();
+    const going: Promise<unknown>[] = [];
+    w.add('front').start();
+    let i = 0;
+    const end = w.clock.now() + 14000;
+    let drained = false;
+    while (w.clock.now() < end) {
+      const at = w.of('front')[0];
+      for (const p of ps) going.push(w.turn(p.program, null, `m #${seed}-${i}`, `m${i++}`, at));
+      if (!drained && w.clock.now() > end - 7000) {
+        drained = true;
+        assert.is((await w.operate('POST', '/v1/fronts/front-1/drain')).status, 200);
+      }
+      await w.clock.run(170);
+    }
+    await w.clock.finish('all', Promise.all(going), 60000);
+    assert.is.not(committed(w)?.slots.map((s) => s.steward).join(), before);
+    const drainedId = w.at('front-1').front?.p.id;
+    assert.ok(committed(w)?.slots.every((s) => s.steward !== drainedId));
+    const bad = w.told.filter((t) => t.told !== 'done' && t.mishap !== 'budget-spent').map((t) => `${t.kind} ${t.told} ${t.mishap}`);
+    assert.equal(bad, []);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+repair('a slow disk on one store delays nothing for long and loses nothing', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const slow = w.of('store')[seed % 3];
+    if (slow) slow.platter.delay = 2500;
+    const t0 = w.clock.now();
+    await turns(w, p.program, 0, 6);
+    assert.ok(w.clock.now() - t0 < 6000, `${w.clock.now() - t0} ms for six turns`);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+repair('stores and fronts drop what was idle longer than its keeping time, whole', async () => {
+  const w = await worldUp(31, small);
+  const p = await w.clock.finish('program', w.program(900), 10000);
+  const [t] = await w.clock.finish('turn', Promise.all([w.turn(p.program, null, 'x #31', 'k')]), 10000);
+  const q = await w.clock.finish('program', w.program(900), 10000);
+  const items = () => w.of('store').map((m) => m.shelf?.counts().items ?? 0);
+  assert.ok(items().every((n) => n >= 3), items().join());
+  for (let n = 0; n < 3; n++) {
+    await w.clock.run(1200000);
+    await turns(w, q.program, 100 + n, 1);
+  }
+  await w.clock.run(900000);
+  const gone = await w.clock.finish('fetch', w.fetch(p.program, t?.turn ?? ''), 10000);
+  assert.is(gone.mishap, 'missing');
+  const kept = w.told.filter((x) => x.kind === 'turn' && x.program === q.program);
+  for (const m of w.of('front')) m.kill();
+  w.start(w.of('front'));
+  await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+  for (const x of kept) assert.is((await w.clock.finish('fetch', w.fetch(q.program, x.turn), 10000)).text, x.text);
+});
+
+repair.run();
