--- a/packages/checker/src/rules.ts
+++ b/packages/checker/src/rules.ts
@@ -213,3 +213,9 @@
   for (const t of told) out.set(`${t.kind} ${t.told}`, (out.get(`${t.kind} ${t.told}`) ?? 0) + 1);
   return out;
 };
+
+export const countRefusals = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
+  const out = new Map<string, number>();
+  for (const t of told) if (t.told !== 'done') out.set(`${t.told} ${t.mishap || 'no word'}`, (out.get(`${t.told} ${t.mishap || 'no word'}`) ?? 0) + 1);
+  return out;
+};
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -107,8 +107,12 @@
       const o = optionsOf(x);
       if (verb === 'get') {
         const held = await current(o);
-        say(o, held, () => (o.raw.get('version') === true ? String(held.version) : held.text));
-        return held.version > 0 ? 0 : 1;
+        if (held.version === 0) {
+          process.stderr.write('tillerctl: no configuration has been handed in\n');
+          return 1;
+        }
+        process.stdout.write(o.json ? `${JSON.stringify(held)}\n` : held.text);
+        return 0;
       }
       if (!['check', 'put', 'patch'].includes(verb)) throw new BadInput(`config ${verb}: must be get, check, put or patch`);
       if (file === undefined) throw new BadInput(`config ${verb}: name a file`);
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import cac from 'cac';
+import { countRefusals } from '@tillerstair/checker';
 import { closeAsking } from './operator.js';
 import { fullSizes, norway, seoul, smallSizes, type House, type Sizes } from './layout.js';
 import { Run, type RunResult } from './run.js';
@@ -46,6 +47,8 @@
 const print = (r: RunResult): boolean => {
   for (const n of r.notes) console.log(`  ${n}`);
   console.log(`  told: ${[...r.counts].sort().map(([k, n]) => `${k} ${n}`).join(', ')}`);
+  const why = [...countRefusals(r.records.told)].sort().map(([k, n]) => `${k} ${n}`);
+  if (why.length > 0) console.log(`  not done: ${why.join(', ')}`);
   console.log(`  prefix hit share ${r.prefixShare.toFixed(3)}, first piece median ${middle(r.firstPieceMs, 0.5)} ms, 99th ${middle(r.firstPieceMs, 0.99)} ms`);
   for (const v of r.verdicts) {
     const state = v.breaches.length > 0 ? 'BREACHED' : v.checked === 0 ? 'unproven' : 'kept';
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -158,7 +158,7 @@
       };
       keep.accept(next).then(() => count(me.id), fail);
       for (const mate of targets)
-        void this.send(mate, next, diff, fullOf)
+        void this.sendUntil(mate, next, diff, fullOf, clock.now() + bounds.publishWait)
           .then((ok) => {
             if (!ok) return;
             if (this.committed && !newer(mark, markOf(this.committed))) void this.commit(mate, mark);
@@ -179,6 +179,17 @@
     return deflateSync(JSON.stringify(payload)).toString('base64');
   }
 
+  private async sendUntil(mate: Mate, next: State, diff: string, fullOf: () => string, end: number): Promise<boolean> {
+    const { clock, bounds } = this.p;
+    const voter = next.voterMates.has(mate.id);
+    while (!this.lost.aborted) {
+      if (await this.send(mate, next, diff, fullOf)) return true;
+      if (!voter || (this.committed && !newer(markOf(next), markOf(this.committed))) || clock.now() >= end) return false;
+      await pause(clock, bounds.beat / 20, this.lost);
+    }
+    return false;
+  }
+
   private async send(mate: Mate, next: State, diff: string, fullOf: () => string): Promise<boolean> {
     const { circuits, me, bounds, log } = this.p;
     const head = { from: me, term: this.term, clusterId: next.clusterId };
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,6 +1,7 @@
-import { flatten, markOf, newer, quorum, unflatten, type Mate, type State } from '@tillerstair/state';
+import { flatten, markOf, newer, quorum, type Mate, type State } from '@tillerstair/state';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
+import { gatherPromises } from './candidate.js';
 import { elect, type Self } from './elect.js';
 import { Founder } from './found.js';
 import { acceptedMark, type Keep } from './keep.js';
@@ -97,6 +98,7 @@
 
   start(): void {
     this.ended = this.run();
+    if (this.p.me.kind === 'front') void this.keepFresh();
   }
 
   async stop(): Promise<void> {
@@ -141,8 +143,7 @@
   private async findMaster(): Promise<Mate | undefined> {
     const { me, keep, log } = this.p;
     if (me.kind === 'control') this.pending ??= new Map();
-    const ping = (): Ping => ({ from: me, known: [...this.knownControls()], clusterId: this.clusterId });
-    const round = await this.pinger.round(ping, this.gone.signal);
+    const round = await this.pinger.round(() => this.ping(), this.gone.signal);
     if (this.gone.signal.aborted) return undefined;
     this.freshen(round);
     const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
@@ -159,6 +160,19 @@
     return choice.mate;
   }
 
+  private ping(): Ping {
+    return { from: this.p.me, known: [...this.knownControls()], clusterId: this.clusterId };
+  }
+
+  private async keepFresh(): Promise<void> {
+    const { clock, bounds } = this.p;
+    while (!this.gone.signal.aborted) {
+      await pause(clock, bounds.beat / 4, this.gone.signal);
+      if (this.following && clock.now() - this.freshAt > bounds.grace / 2)
+        this.freshen(await this.pinger.round(() => this.ping(), this.gone.signal));
+    }
+  }
+
   private knownControls(): readonly Mate[] {
     return this.pinger.heardOf().filter((m) => m.kind === 'control');
   }
@@ -190,30 +204,15 @@
     const askedAt = clock.now();
     const term = Math.max(keep.kept.term, ...joins.map((j) => j.join.term)) + 1;
     await keep.promise(term, me.id);
-    const promised = new Map<string, PendingJoin>();
-    let newest: State = acc;
-    const promises = joins.map(async (j) => {
-      const body = { from: me, term, clusterId: acc.clusterId, have: markOf(acc) };
-      const back = await this.p.circuits.call(j.join.from.addr, 'zen/validate', body, { within: bounds.joinWait });
-      const got = Promised.parse(back);
-      const theirs = got.state ? unflatten(new Map(got.state)) : undefined;
-      if (theirs && newer(markOf(theirs), markOf(newest))) newest = theirs;
-      promised.set(j.join.from.id, j);
-    });
-    let open = true;
-    void Promise.allSettled(promises).then(() => {
-      open = false;
-    });
-    const late = clock.now() + bounds.joinWait;
-    while (open && clock.now() < late && !quorum(acc.voters, new Set([me.id, ...promised.keys()]))) await pause(clock, bounds.beat / 50);
-    if (open) await pause(clock, bounds.beat / 20);
-    const yes = new Set([me.id, ...promised.keys()]);
+    const asking = { me, clock, circuits: this.p.circuits, bounds };
+    const { promised, newest } = await gatherPromises(asking, acc, term, joins.map((j) => j.join.from));
+    const yes = new Set([me.id, ...promised]);
     if (keep.kept.term !== term || !quorum(acc.voters, yes) || !quorum(newest.voters, yes)) {
       log.info(`Won no majority in term ${term}.`);
       return this.dropPending();
     }
     log.info(`Master in term ${term} with ${yes.size} promises.`);
-    const joiners = new Map(promised);
+    const joiners = new Map(joins.flatMap((j) => (promised.has(j.join.from.id) ? [[j.join.from.id, j] as const] : [])));
     const master = new Master(
       {
         me,
