--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -2,12 +2,12 @@
 import { Agent, errors, request } from 'undici';
 import { z } from 'zod';
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, LoadReport } from '@tillerstair/steward';
+import type { Act, Backend, Ended, Generate, BusyReport } from '@tillerstair/steward';
 
 const Piece = z.object({ id: z.string(), n: z.number(), text: z.string() });
 const End = z.object({ id: z.string(), end: z.literal(true), pieces: z.number() });
 const Line = z.union([End, Piece]);
-const Load = z.object({ busy: z.number(), leaving: z.boolean() });
+const BusyPage = z.object({ busy: z.number(), leaving: z.boolean() });
 const Declined = z.object({ ran: z.literal('no') });
 const Acted = z.object({ id: z.string(), result: z.unknown() });
 
@@ -91,8 +91,8 @@
     }
   }
 
-  async load(server: Server, within: number): Promise<LoadReport> {
+  async busyness(server: Server, within: number): Promise<BusyReport> {
     const res = await request(`${server.url}/load`, { dispatcher: this.agent, signal: AbortSignal.timeout(within) });
-    return Load.parse(await res.body.json());
+    return BusyPage.parse(await res.body.json());
   }
 }
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -1,5 +1,5 @@
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, LoadReport } from '@tillerstair/steward';
+import type { Act, Backend, Ended, Generate, BusyReport } from '@tillerstair/steward';
 import type { RanRecord } from '@tillerstair/checker';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
@@ -91,7 +91,7 @@
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the verdict was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
-      load: async (s: Server): Promise<LoadReport> => {
+      busyness: async (s: Server): Promise<BusyReport> => {
         const f = this.of(s.id);
         await pause(frontClock, 0.5);
         if (f.refuses) throw new Error('refused');
--- a/packages/steward/src/backend.ts
+++ b/packages/steward/src/backend.ts
@@ -24,7 +24,7 @@
   readonly body: string;
 }
 
-export interface LoadReport {
+export interface BusyReport {
   readonly busy: number;
   readonly leaving: boolean;
 }
@@ -32,5 +32,5 @@
 export interface Backend {
   generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number): Promise<Ended>;
   act(server: Server, a: Act, gone: AbortSignal, within: number): Promise<Ended>;
-  load(server: Server, within: number): Promise<LoadReport>;
+  busyness(server: Server, within: number): Promise<BusyReport>;
 }
--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -160,8 +160,8 @@
     await Promise.all(
       [...state.servers.values()].map(async (s) => {
         try {
-          const load = await this.backend.load(s, this.bounds.pollWithin);
-          this.set(s, { busy: load.busy, leaving: load.leaving, failures: 0 });
+          const got = await this.backend.busyness(s, this.bounds.pollWithin);
+          this.set(s, { busy: got.busy, leaving: got.leaving, failures: 0 });
         } catch {
           this.set(s, { failures: this.sight(s).failures + 1, badSince: this.clock.now() });
         }
--- a/packages/zen/src/elect.ts
+++ b/packages/zen/src/elect.ts
@@ -48,6 +48,6 @@
   const former = [...able.filter((p) => p.joinedBefore).map((p) => p.from), ...(self.joinedBefore ? mine : [])];
   const old = first(former);
   if (old) return { kind: 'master', mate: old, by: 'former' };
-  const any = first([...able.map((p) => p.from), ...mine]);
-  return any ? { kind: 'master', mate: any, by: 'active' } : { kind: 'none', why: 'no mate can win' };
+  const best = first([...able.map((p) => p.from), ...mine]);
+  return best ? { kind: 'master', mate: best, by: 'active' } : { kind: 'none', why: 'no mate can win' };
 };
--- /dev/null
+++ b/tests/src/house.test.ts
@@ -0,0 +1,51 @@
+import { readdir, readFile } from 'node:fs/promises';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+const house = suite('house rules');
+const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+const daemons = ['wire', 'journal', 'zen', 'state', 'control', 'store', 'steward', 'proxy', 'agent', 'env'];
+
+const sources = async (): Promise<ReadonlyMap<string, string>> => {
+  const out = new Map<string, string>();
+  const dirs = (await readdir(join(root, 'packages'))).map((p) => join('packages', p, 'src'));
+  for (const dir of [...dirs, join('tests', 'src')])
+    for (const f of await readdir(join(root, dir))) if (f.endsWith('.ts')) out.set(join(dir, f), await readFile(join(root, dir, f), 'utf8'));
+  return out;
+};
+
+const hits = (all: ReadonlyMap<string, string>, wrong: RegExp): readonly string[] =>
+  [...all].flatMap(([f, text]) => text.split('\n').flatMap((line, i) => (wrong.test(line) ? [`${f}:${i + 1}: ${line.trim()}`] : [])));
+
+house('no file is over 400 lines', async () => {
+  const long = [...(await sources())].filter(([, t]) => t.trimEnd().split('\n').length > 400).map(([f]) => f);
+  assert.equal(long, []);
+});
+
+house('no any, no casts', async () => {
+  const all = await sources();
+  assert.ok(all.size > 50);
+  const others = new Map([...all].filter(([f]) => !f.endsWith('house.test.ts')));
+  assert.equal(hits(others, /[:<(]\s*any\b[\s,;)>[\]=]|<any>/), []);
+  assert.equal(hits(others, /[)\]}\w] as (?!const\b)[A-Z{\w]+(<|;|\)|,|\.|\[)/), []);
+});
+
+house('no daemon reads the wall clock, so a jump of it changes nothing', async () => {
+  const own = new Map([...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))));
+  assert.ok(own.size > 30);
+  assert.equal(hits(own, /Date\.now|new Date|toISOString/), []);
+});
+
+house('no daemon starts a process', async () => {
+  const own = new Map([...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))));
+  assert.equal(hits(own, /child_process|worker_threads|node:cluster/), []);
+});
+
+house('no test waits for time to pass', async () => {
+  const tests = new Map([...(await sources())].filter(([f]) => f.startsWith('tests') && !f.endsWith('house.test.ts')));
+  assert.equal(hits(tests, /setTimeout|sleep/), []);
+});
+
+house.run();
