--- a/packages/control/src/weights.ts
+++ b/packages/control/src/weights.ts
@@ -11,6 +11,7 @@
   const config = s.config ? checkConfig(s.config.text).config : undefined;
   const out = new Map<string, number>();
   if (!config) return s.weights;
+  if (!config.tuning) return new Map();
   for (const lane of config.lanes)
     for (const { pool } of lane.shares) {
       const servers = [...s.servers.values()].filter((v) => v.pool === pool);
--- a/packages/state/src/config.ts
+++ b/packages/state/src/config.ts
@@ -21,6 +21,7 @@
   base: whole(0, Number.MAX_SAFE_INTEGER).required(),
   pools: array().of(Pool.required()).min(1).required(),
   lanes: array().of(Lane.required()).min(1).max(10000).required(),
+  tuning: boolean().strict().default(true),
   budgets: object({
     program: whole(1, 1e9).default(100000),
     turn: whole(1, 1e6).default(2000),
