--- a/packages/zen/src/index.ts
+++ b/packages/zen/src/index.ts
@@ -4,3 +4,5 @@
 export * from './elect.js';
 export * from './node.js';
 export type { MasterView } from './master.js';
+export * from './receiver.js';
+export * from './found.js';
--- a/tests/src/journal.test.ts
+++ b/tests/src/journal.test.ts
@@ -114,7 +114,8 @@
   await clock.finish('seal', shelf.seal(4, 7), 1000);
   platter.powerLoss();
   const again = await clock.finish('reopen', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  const low = await again.write(4, 6, [{ key: 'o/t/x', tenure: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
+  const writing = again.write(4, 6, [{ key: 'o/t/x', tenure: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
+  const low = await clock.finish('write', writing, 1000);
   assert.match(low, 'sealed at tenure 7');
 });
 
