Stopping fronts finish what they deliver; scenarios hand live seeds to newcomers

The refill checks of the wipe and replace scenarios were true before the refill had begun; they now look at every store.

--- a/packages/fleet/src/configs.ts
+++ b/packages/fleet/src/configs.ts
@@ -6,6 +6,7 @@
   readonly callPools: readonly string[];
   readonly extraLanes: number;
   readonly note: string;
+  readonly tuning?: boolean;
 }
 
 export const configFor = (house: House, shape: ConfigShape): string => {
@@ -22,6 +23,6 @@
       name: `extra-${i}`, match: { kind: 'call', path: `/extra/${i}` }, shares: shape.callPools.map((pool) => ({ pool, share: 1 })),
     })),
   ];
-  const file = { base: shape.base, pools, lanes, budgets: { program: 100000, turn: 64 } };
+  const file = { base: shape.base, pools, lanes, tuning: shape.tuning ?? true, budgets: { program: 100000, turn: 64 } };
   return `# ${shape.note}\n${JSON.stringify(file, null, 1)}\n`;
 };
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -21,6 +21,7 @@
   readonly house: House;
   readonly cuts: boolean;
   readonly affinity: boolean;
+  readonly tuning?: boolean;
   readonly log: 'debug' | 'info' | 'warn' | 'error';
   readonly more?: object;
 }
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -17,6 +17,7 @@
   readonly dir: string;
   readonly affinity: boolean;
   readonly rate: number;
+  readonly tuning: boolean;
 }
 
 class BadChoice extends Error {}
@@ -39,7 +40,7 @@
   const rate = numberOf('rate', o.get('rate'), 12, findings);
   if (findings.length > 0 || !house || !sizes) throw new BadChoice(findings.join('\n'));
   const dir = String(o.get('dir') ?? join(tmpdir(), `tillerstair-fleet-${process.pid}`));
-  return { house, sizes, seed, seconds: long, dir, affinity: o.get('affinity') !== false, rate };
+  return { house, sizes, seed, seconds: long, dir, affinity: o.get('affinity') !== false, rate, tuning: o.get('tuning') !== false };
 };
 
 const middle = (xs: readonly number[], q: number): number => xs[Math.floor(xs.length * q)] ?? 0;
@@ -77,6 +78,7 @@
     .option('--seconds <n>', 'How long callers keep coming')
     .option('--rate <n>', 'Chats begun a second')
     .option('--no-affinity', 'Place turns without prefix affinity')
+    .option('--no-tuning', 'Keep all weights alike')
     .option('--dir <folder>', 'Where settings, logs and data go');
 
 const guarded = async (work: () => Promise<boolean>): Promise<void> => {
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -60,7 +60,7 @@
     const base = this.version;
     const turnPools = [house.modelPool];
     const callPools = [house.servicePool];
-    const text = configFor(house, { base, turnPools, callPools, extraLanes: this.extra, note: `version ${base + 1} by ${this.rng()}` });
+    const text = configFor(house, { base, turnPools, callPools, extraLanes: this.extra, note: `version ${base + 1} by ${this.rng()}`, tuning: this.spec.tuning ?? true });
     const row: ConfigRecord = { version: base + 1, text, turnPools, callPools, sentAt: Date.now(), told: 'unknown', toldAt: Infinity };
     const n = this.configs.push(row) - 1;
     const r = at === undefined ? await this.fleet.operator.any('PUT', '/v1/config', text) : await ask('PUT', `http://${at}/v1/config`, text);
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -1,3 +1,4 @@
+import { z } from 'zod';
 import { until, type Machine } from './fleet.js';
 import { ask } from './operator.js';
 import type { Run } from './run.js';
@@ -51,10 +52,16 @@
   return fresh;
 };
 
+const Filling = z.object({
+  stores: z.array(z.object({ slotsHeld: z.number() })),
+  slots: z.object({ count: z.number(), filling: z.number() }),
+});
+
 const filled = async (run: Run): Promise<boolean> => {
-  const r = await run.fleet.operator.any('GET', '/v1/status');
-  const text = JSON.stringify(r.body);
-  return r.status === 200 && text.includes('"filling":0') && run.fleet.of('store').every((m) => text.includes(m.addr));
+  const got = Filling.safeParse((await run.fleet.operator.any('GET', '/v1/status')).body);
+  if (!got.success) return false;
+  const { stores, slots } = got.data;
+  return slots.filling === 0 && stores.length === run.fleet.of('store').length && stores.every((s) => s.slotsHeld === slots.count);
 };
 
 const restartAll = async (run: Run): Promise<void> => {
@@ -214,6 +221,7 @@
     about: 'All three seed machines are exchanged one after another, then everything restarts', cuts: false, seconds: 75,
     during: async (run) => {
       for (const m of run.fleet.of('control').slice(0, 3)) {
+        run.fleet.useSeeds(run.fleet.of('control').filter((x) => x !== m).slice(-3));
         const fresh = await replace(run, m);
         const took = await until('the newcomer to vote', 40000, async () => {
           const r = await ask('GET', `http://${fresh.http}/v1/belief`, '', 500);
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -107,6 +107,13 @@
   }
 
   async deliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
+    this.active++;
+    return this.tryDeliver(d, emit, gone).finally(() => {
+      this.active--;
+    });
+  }
+
+  private async tryDeliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
     const { clock, bounds, id, circuits } = this.p;
     const end = clock.now() + bounds.beat * 1.5;
     let emitted = 0;
--- a/tests/src/fence.test.ts
+++ b/tests/src/fence.test.ts
@@ -2,7 +2,8 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { diffOf, flatten, foundingState, patch, reduce, unflatten, type Mate, type State } from '@tillerstair/state';
-import { closureOf, elect, MemoryKeep, Receiver, type Pong } from '@tillerstair/zen';
+import { Life, seededRng, SimClock, SimPlatter } from '@tillerstair/sim';
+import { closureOf, DiskKeep, elect, MemoryKeep, Receiver, type Pong } from '@tillerstair/zen';
 
 const fence = suite('election, fence and founding, piece by piece');
 
@@ -48,6 +49,25 @@
   assert.is(await code(r.onCommit({ term: 3, version: 9 })), 'not-held');
 });
 
+fence('promises, votes and states a node spoke of stand after power loss at once', async () => {
+  const clock = new SimClock();
+  const platter = new SimPlatter(seededRng(5));
+  const open = () => clock.finish('open', DiskKeep.open(platter.disk(clock, new Life()), () => 'me', 1 << 20), 1000);
+  const lose = async <T>(work: Promise<T>): Promise<void> => {
+    await clock.finish('work', work, 1000);
+    platter.powerLoss();
+  };
+  await lose((await open()).vote([a, b]));
+  await lose((await open()).promise(4, 'b'));
+  const { kept } = await open();
+  assert.equal([kept.id, kept.vote.length, kept.term, kept.promisedTo], ['me', 2, 4, 'b']);
+  const keep = await open();
+  const r = new Receiver({ keep, onApplied: async () => undefined, knows: () => true, onTerm: () => undefined, onPublished: () => undefined });
+  await lose(r.onPublish(publish(b, at(4, 6, 'b'))));
+  const after = (await open()).kept.accepted;
+  assert.equal([after?.term, after?.version], [4, 6]);
+});
+
 fence('another cluster\'s state is refused', async () => {
   const { r } = receiver();
   await r.onPublish(publish(a, at(1, 2)));
