--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,4 @@
 export * from './operate.js';
 export * from './keeper.js';
 export * from './node.js';
+export * from './weights.js';
--- /dev/null
+++ b/tests/src/placement.test.ts
@@ -0,0 +1,149 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { tuned } from '@tillerstair/control';
+import { Life, seededRng, SimClock, SimServers } from '@tillerstair/sim';
+import { checkConfig, foundingState, reduce, weightKey, type State } from '@tillerstair/state';
+import { chainOf, Gate, Placement, prefixesOf, tableOf } from '@tillerstair/steward';
+import { lasting, Mishap } from '@tillerstair/wire';
+
+const place = suite('placement, lines and weights');
+
+const text = JSON.stringify({
+  base: 0,
+  pools: [{ name: 'new', kind: 'model' }, { name: 'old', kind: 'model' }],
+  lanes: [{ name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'new', share: 7 }, { pool: 'old', share: 3 }] }],
+});
+const lane = checkConfig(text).config?.lanes[0];
+if (!lane) throw new Error('no lane');
+
+const stateWith = (ids: readonly (readonly [string, string])[]): State =>
+  ids.reduce<State>(
+    (s, [id, pool]) => reduce(s, { kind: 'server', server: { id, pool, url: `http://127.0.0.1:1/${id}`, leaving: false, down: false } }),
+    { ...foundingState('x', [], 8), config: { version: 1, text, digest: 'd' } },
+  );
+
+const six = [['n1', 'new'], ['n2', 'new'], ['n3', 'new'], ['o1', 'old'], ['o2', 'old'], ['o3', 'old']] as const;
+
+const placing = (s: State, affinity = true) => {
+  const clock = new SimClock();
+  const table = tableOf(s, undefined);
+  const servers = new SimServers(clock, seededRng(1));
+  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000 };
+  return { clock, placement: new Placement(clock, servers.backend(new Life()), chainOf(affinity), bounds, () => table, () => 16) };
+};
+
+place('shares are kept to within rounding, whatever the weights say', () => {
+  const weights = new Map(six.map(([id]) => [weightKey('chat', id), id === 'n1' ? 0.1 : 1]));
+  const { placement } = placing(reduce(stateWith(six), { kind: 'weights', weights }));
+  const count = new Map<string, number>();
+  for (let i = 0; i < 1000; i++) {
+    const s = placement.pick(lane, [], '', new Set());
+    if (!s) throw new Error('nothing picked');
+    placement.begin(s, []);
+    placement.end(s, true);
+    count.set(s.pool, (count.get(s.pool) ?? 0) + 1);
+  }
+  assert.ok(Math.abs((count.get('new') ?? 0) - 700) <= 1, `${count.get('new') ?? 0} of 1000`);
+});
+
+place('turns that follow stay in their pool and the shares still come out', () => {
+  const { placement } = placing(stateWith(six));
+  let inNew = 0;
+  const sticky: string[] = [];
+  for (let i = 0; i < 2000; i++) {
+    const stay = i % 2 ? (sticky[i - 1] ?? '') : '';
+    const s = placement.pick(lane, [], stay, new Set());
+    if (!s) throw new Error('nothing picked');
+    if (stay) assert.is(s.pool, stay);
+    sticky.push(s.pool);
+    if (s.pool === 'new') inNew++;
+  }
+  assert.ok(Math.abs(inNew - 1400) <= 20, `${inNew} of 2000`);
+});
+
+place('a slow server gets less, a busy warm one loses to an idle cold one', () => {
+  const s = stateWith([['n1', 'new'], ['n2', 'new'], ['n3', 'new']]);
+  const slow = reduce(s, { kind: 'weights', weights: new Map([[weightKey('chat', 'n1'), 0.25]]) });
+  const { placement } = placing(slow);
+  const count = new Map<string, number>();
+  for (let i = 0; i < 30; i++) {
+    const got = placement.pick(lane, [], '', new Set());
+    if (!got) throw new Error('nothing picked');
+    placement.begin(got, []);
+    count.set(got.id, (count.get(got.id) ?? 0) + 1);
+  }
+  assert.ok((count.get('n1') ?? 0) < (count.get('n2') ?? 0) / 2, JSON.stringify([...count]));
+  const warm = placing(s).placement;
+  const prefix = prefixesOf([{ role: 'user', text: 'x'.repeat(2000) }]);
+  const first = warm.pick(lane, prefix, '', new Set());
+  if (!first) throw new Error('nothing picked');
+  warm.begin(first, prefix);
+  assert.is(warm.pick(lane, prefix, '', new Set())?.id, first.id);
+  for (let i = 0; i < 8; i++) warm.begin(first, prefix);
+  assert.is.not(warm.pick(lane, prefix, '', new Set())?.id, first.id);
+});
+
+place('leaving, removed and moved servers are not allowed any more after a pick', () => {
+  const s = stateWith(six);
+  const before = s.servers.get('n1');
+  if (!before) throw new Error('no server');
+  assert.is(placing(s).placement.allowed(before, lane), true);
+  assert.is(placing(reduce(s, { kind: 'server-mark', id: 'n1', leaving: true })).placement.allowed(before, lane), false);
+  assert.is(placing(reduce(s, { kind: 'server-gone', id: 'n1' })).placement.allowed(before, lane), false);
+  assert.is(placing(reduce(s, { kind: 'server', server: { ...before, pool: 'other' } })).placement.allowed(before, lane), false);
+});
+
+place('weights move by steps towards what servers do, and stay put when nothing changes', () => {
+  let s = stateWith(six);
+  const paces = new Map(six.map(([id]) => [id, id === 'n1' ? 50 : 200]));
+  let steps = 0;
+  for (; steps < 60; steps++) {
+    const next = tuned(s, paces);
+    const old = s.weights.get(weightKey('chat', 'n1')) ?? 1;
+    assert.ok(Math.abs((next.get(weightKey('chat', 'n1')) ?? 1) - old) <= 0.3);
+    if ([...next].every(([k, w]) => s.weights.get(k) === w)) break;
+    s = reduce(s, { kind: 'weights', weights: next });
+  }
+  assert.ok(steps < 60, 'never settles');
+  assert.ok(Math.abs((s.weights.get(weightKey('chat', 'n1')) ?? 1) - 0.25) <= 0.06);
+  assert.is(s.weights.get(weightKey('chat', 'n2')), 1);
+  assert.equal(tuned(s, new Map()), s.weights);
+});
+
+place('urgent goes first, ordinary is not starved, the line is bounded, the late and the gone leave', async () => {
+  const clock = new SimClock();
+  const gate = new Gate<string>(clock, () => 12);
+  let free = 0;
+  const pick = (): string | undefined => (free > 0 ? (free--, 'server') : undefined);
+  const order: string[] = [];
+  const never = lasting().signal;
+  const enter = (name: string, urgent: boolean, within = 1000, gone = never) =>
+    gate.enter(urgent, within, gone, pick).then(
+      () => order.push(name),
+      (e: unknown) => order.push(`${name} ${e instanceof Mishap ? e.code : 'other'}`),
+    );
+  for (let i = 0; i < 10; i++) {
+    void enter('o', false);
+    void enter('u', true);
+  }
+  await clock.settle();
+  for (let i = 0; i < 10; i++) {
+    free = 1;
+    gate.pump();
+    await clock.settle();
+  }
+  assert.equal(order.join(''), 'uuuuouuuuo');
+  const gone = new AbortController();
+  void enter('g', false, 1000, gone.signal);
+  for (let i = 0; i < 10; i++) void enter('f', false);
+  await clock.settle();
+  assert.ok(order.some((x) => x === 'f line-full'));
+  gone.abort();
+  await clock.settle();
+  assert.ok(order.includes('g gone'));
+  await clock.run(1100);
+  assert.ok(order.includes('f line-late'));
+  assert.is(gate.waiting, 0);
+});
+
+place.run();
