--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -1,20 +1,12 @@
 import { z } from 'zod';
-import { beliefOf, checkConfig, reduce, type Mate } from '@tillerstair/state';
-import { Mishap, mishapOf, type Circuits, type Clock, type Inquiry, type Log } from '@tillerstair/wire';
-import { ZenNode, type Keep, type MasterView, type ZenBounds } from '@tillerstair/zen';
+import { beliefOf, checkConfig, reduce } from '@tillerstair/state';
+import { Mishap, mishapOf, type Inquiry } from '@tillerstair/wire';
+import { ZenNode, type MasterView, type ZenParts } from '@tillerstair/zen';
 import { Keeper } from './keeper.js';
 import { operate, Operation, Outcome } from './operate.js';
 import { tuneWeights } from './weights.js';
 
-export interface ControlParts {
-  readonly me: Mate;
-  readonly seeds: readonly string[];
-  readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly keep: Keep;
-  readonly bounds: ZenBounds;
-  readonly log: Log;
-  readonly slots: number;
+export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'> {
   readonly copies: number;
 }
 
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -1,19 +1,11 @@
 import { z } from 'zod';
 import { beliefOf, Entries, markOf, newer, unflatten, type Belief, type State } from '@tillerstair/state';
 import {
-  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, unknown, Verdict, type Backend, type EmitPiece, type StewardBounds,
+  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, unknown, Verdict, type EmitPiece, type StewardParts,
 } from '@tillerstair/steward';
-import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
+import { CircuitRefused, lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 
-export interface FrontParts {
-  readonly id: string;
-  readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly backend: Backend;
-  readonly bounds: StewardBounds;
-  readonly log: Log;
-  readonly affinity: boolean;
-}
+export type FrontParts = StewardParts;
 
 export const Feed = z.object({
   state: Entries.optional(),
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -1,23 +1,11 @@
 import split2 from 'split2';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import type { ToldRecord } from '@tillerstair/checker';
 
-export interface Told {
-  readonly kind: 'program' | 'turn' | 'fetch' | 'call';
-  readonly tenant: string;
-  readonly program: string;
-  readonly key: string;
-  readonly turn: string;
+export interface Told extends ToldRecord {
   readonly front: string;
-  readonly from: number;
-  readonly to: number;
   readonly status: number;
-  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
-  readonly mishap: string;
-  readonly pieces: readonly number[];
-  readonly text: string;
-  readonly tokens: number;
-  readonly sent: string;
   readonly firstMs: number;
   readonly retryAfter: number;
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './faults.js';
 export * from './model.js';
 export * from './service.js';
 export * from './ledger.js';
--- a/packages/stand-ins/src/ledger.ts
+++ b/packages/stand-ins/src/ledger.ts
@@ -1,17 +1,8 @@
 import { appendFileSync } from 'node:fs';
+import type { RanRecord } from '@tillerstair/checker';
 
-export interface Ran {
-  readonly kind: 'generate' | 'act';
-  readonly server: string;
-  readonly pool: string;
+export interface Ran extends RanRecord {
   readonly id: string;
-  readonly key: string;
-  readonly began: number;
-  readonly at: number;
-  readonly said: string;
-  readonly reply: string;
-  readonly complete: boolean;
-  readonly tokens: number;
   readonly cached: number;
   readonly prompt: number;
 }
--- a/packages/stand-ins/src/model.ts
+++ b/packages/stand-ins/src/model.ts
@@ -1,7 +1,8 @@
 import { createHash } from 'node:crypto';
-import type { Server } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { hostClock, pause, readBody, sendJson, serveHttp } from '@tillerstair/wire';
+import { hostClock, pause, readBody, sendJson } from '@tillerstair/wire';
+import { FaultyServer } from './faults.js';
 import { saidOf, type Ledger } from './ledger.js';
 
 export interface ModelSpec {
@@ -19,14 +20,6 @@
   messages: z.array(z.object({ role: z.string(), text: z.string() })),
   maxTokens: z.number(),
 });
-export const Faults = z.object({
-  leaving: z.boolean().optional(),
-  cutAfter: z.number().optional(),
-  loseEnd: z.number().optional(),
-  slow: z.number().optional(),
-});
-export type Faults = z.infer<typeof Faults>;
-
 const block = 256;
 
 export const blocksOf = (messages: readonly { role: string; text: string }[]): readonly string[] => {
@@ -46,73 +39,59 @@
   return Array.from({ length: count }, (_, i) => `w${(h[i % 32] ?? 0).toString(36)}${i} `);
 };
 
-export class ModelServer {
-  private faults: Faults = {};
-  private busy = 0;
-  private served = 0;
+export class ModelServer extends FaultyServer {
   private readonly cache = new Map<string, true>();
-  private http: Server | undefined;
 
   constructor(
     readonly spec: ModelSpec,
     private readonly ledger: Ledger,
-  ) {}
-
-  set(f: Faults): void {
-    this.faults = { ...this.faults, ...f };
+  ) {
+    super(spec.addr, '/v1/generate');
   }
 
-  async start(): Promise<void> {
-    this.http = await serveHttp(this.spec.addr, async (req, res, url) => {
-      if (url.pathname === '/load') return sendJson(res, 200, { busy: this.busy, leaving: this.faults.leaving ?? false });
-      if (url.pathname === '/faults') {
-        this.set(Faults.parse(JSON.parse(await readBody(req, 4096))));
-        return sendJson(res, 200, this.faults);
-      }
-      if (url.pathname !== '/v1/generate') return sendJson(res, 404, { ran: 'no' });
-      const g = Generate.parse(JSON.parse(await readBody(req, 16 << 20)));
-      if (this.busy >= this.spec.slots * 4) return sendJson(res, 503, { ran: 'no' });
-      const gone = new AbortController();
-      res.on('close', () => gone.abort());
-      this.busy++;
-      this.served++;
-      const nth = this.served;
-      const began = Date.now();
-      let tokens = 0;
-      let reply = '';
-      let complete = false;
-      const blocks = blocksOf(g.messages);
-      const cached = this.warm(blocks);
-      try {
-        const slow = this.faults.slow ?? 1;
-        const crowd = Math.max(1, this.busy / this.spec.slots);
-        await pause(hostClock, ((blocks.length - cached) * block * this.spec.prefillMsPerKb * slow) / 1024, gone.signal);
-        res.writeHead(200, { 'content-type': 'application/x-ndjson' });
-        for (const text of replyTo(g.messages, g.maxTokens)) {
-          if (gone.signal.aborted) return;
-          if (this.faults.cutAfter && nth % this.faults.cutAfter === 0 && tokens >= 3) {
-            res.destroy();
-            return;
-          }
-          res.write(`${JSON.stringify({ id: g.id, n: tokens, text })}\n`);
-          tokens++;
-          reply += text;
-          await pause(hostClock, this.spec.msPerToken * slow * crowd, gone.signal);
-        }
-        complete = true;
-        if (this.faults.loseEnd && nth % this.faults.loseEnd === 0) {
+  protected async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const g = Generate.parse(JSON.parse(await readBody(req, 16 << 20)));
+    if (this.busy >= this.spec.slots * 4) return sendJson(res, 503, { ran: 'no' });
+    const gone = new AbortController();
+    res.on('close', () => gone.abort());
+    this.busy++;
+    this.served++;
+    const nth = this.served;
+    const began = Date.now();
+    let tokens = 0;
+    let reply = '';
+    let complete = false;
+    const blocks = blocksOf(g.messages);
+    const cached = this.warm(blocks);
+    try {
+      const slow = this.faults.slow ?? 1;
+      const crowd = Math.max(1, this.busy / this.spec.slots);
+      await pause(hostClock, ((blocks.length - cached) * block * this.spec.prefillMsPerKb * slow) / 1024, gone.signal);
+      res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+      for (const text of replyTo(g.messages, g.maxTokens)) {
+        if (gone.signal.aborted) return;
+        if (tokens >= 3 && this.loses(this.faults.cutAfter, nth)) {
           res.destroy();
           return;
         }
-        res.end(`${JSON.stringify({ id: g.id, end: true, pieces: tokens })}\n`);
-      } finally {
-        this.busy--;
-        this.ledger.add({
-          kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
-          said: saidOf(g.messages.at(-1)?.text ?? ''), reply, complete,
-        });
+        res.write(`${JSON.stringify({ id: g.id, n: tokens, text })}\n`);
+        tokens++;
+        reply += text;
+        await pause(hostClock, this.spec.msPerToken * slow * crowd, gone.signal);
       }
-    });
+      complete = true;
+      if (this.loses(this.faults.loseEnd, nth)) {
+        res.destroy();
+        return;
+      }
+      res.end(`${JSON.stringify({ id: g.id, end: true, pieces: tokens })}\n`);
+    } finally {
+      this.busy--;
+      this.ledger.add({
+        kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
+        said: saidOf(g.messages.at(-1)?.text ?? ''), reply, complete,
+      });
+    }
   }
 
   private warm(blocks: readonly string[]): number {
@@ -129,9 +108,4 @@
     }
     return hit;
   }
-
-  async stop(): Promise<void> {
-    this.http?.closeAllConnections();
-    await new Promise<void>((done) => (this.http ? this.http.close(() => done()) : done()));
-  }
 }
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,19 +1,12 @@
 import pLimit from 'p-limit';
 import { z } from 'zod';
-import { beliefOf, Hand, Hint, Item, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type Mate, type State } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
-import { ZenNode, type Keep, type ZenBounds } from '@tillerstair/zen';
+import { beliefOf, Hand, Hint, Item, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type State } from '@tillerstair/state';
+import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
+import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
 
-export interface StoreParts {
-  readonly me: Mate;
-  readonly seeds: readonly string[];
-  readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly keep: Keep;
+export interface StoreParts extends Omit<ZenParts, 'slots' | 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'> {
   readonly shelf: Shelf;
-  readonly bounds: ZenBounds;
-  readonly log: Log;
 }
 
 const Pulled = z.object({ items: z.array(Item) });
