--- a/tests/src/product.test.ts
+++ b/tests/src/product.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { patchConfig } from '@tillerstair/ctl';
+import { compare, patchConfig } from '@tillerstair/ctl';
 import { freePorts, programs, until, ask } from '@tillerstair/fleet';
 import { checkConfig } from '@tillerstair/state';
 
@@ -97,4 +97,16 @@
   assert.is(config?.budgets.program, 100000);
 });
 
+product('compare names only what differs, and which is newer', () => {
+  const belief = (version: number, facts: [string, string][]) => ({
+    id: 'x', kind: 'front', term: 3, master: 'm', applied: { term: 3, version }, facts,
+  });
+  const old = belief(4, [['slot 1', 'a'], ['config', '1'], ['own hints', '3']]);
+  const now = belief(5, [['slot 1', 'a'], ['config', '2'], ['server s', 'pool']]);
+  const c = compare(old, now);
+  assert.is(c.newer, 'b');
+  assert.equal(c.differences.map((d) => d.fact), ['applied', 'config', 'server s']);
+  assert.equal(compare(old, { ...old, id: 'y', facts: old.facts.slice(0, 2) }).differences, []);
+});
+
 product.run();
