A server that closes early ends its turn at once

A piped splitter does not hear that its source broke, so a broken stream was waited for without end; the simulated backend could not show it. Ruled out: the stand-in (it closes) and the abort (it ends the source, not the reader). Test: a broken stream is lost at once; it hung before the change.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,3 +1,4 @@
+import { pipeline } from 'node:stream';
 import split2 from 'split2';
 import { Agent, errors, request } from 'undici';
 import { z } from 'zod';
@@ -51,7 +52,9 @@
           : { kind: 'lost', text: `server failed with ${res.statusCode}` };
       }
       let seen = 0;
-      for await (const text of res.body.pipe(split2())) {
+      const lines = split2();
+      pipeline(res.body, lines, () => undefined);
+      for await (const text of lines) {
         const line = Line.parse(JSON.parse(String(text)));
         if (line.id !== g.id) return { kind: 'lost', text: 'the server spoke of another inquiry' };
         if ('end' in line)
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -1,3 +1,4 @@
+import { pipeline } from 'node:stream';
 import split2 from 'split2';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
@@ -89,7 +90,9 @@
         const retryAfter = Number(res.headers['retry-after'] ?? 0);
         return this.done({ ...base, status: res.statusCode, retryAfter, ...this.refusal(res.statusCode, raw) });
       }
-      for await (const row of res.body.pipe(split2())) {
+      const rows = split2();
+      pipeline(res.body, rows, () => undefined);
+      for await (const row of rows) {
         const line = Line.parse(JSON.parse(String(row)));
         if ('end' in line)
           return this.done({ ...base, status: 200, told: 'done', turn: line.end.turn, tokens: line.end.tokens, pieces, text, firstMs });
--- /dev/null
+++ b/tests/src/backend.test.ts
@@ -0,0 +1,74 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { freePorts } from '@tillerstair/fleet';
+import { HttpBackend } from '@tillerstair/proxy';
+import { Ledger, ModelServer, ServiceServer } from '@tillerstair/stand-ins';
+import { serveHttp } from '@tillerstair/wire';
+
+const backend = suite('what servers do to the client of them');
+const never = new AbortController().signal;
+const say = { id: 'i', messages: [{ role: 'user' as const, text: 'hello' }], maxTokens: 64 };
+const act = { id: 'i', key: 'k', path: '/hold', body: '{}' };
+
+const at = (port: number) => ({ id: 's', pool: 'p', url: `http://127.0.0.1:${port}`, leaving: false, down: false });
+
+const raw = async (lines: readonly string[]): Promise<{ port: number; close: () => void }> => {
+  const [port = 0] = await freePorts(1);
+  const http = await serveHttp(`127.0.0.1:${port}`, async (_req, res) => {
+    res.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    res.end(lines.map((l) => `${l}\n`).join(''));
+  });
+  return { port, close: () => http.closeAllConnections() ?? http.close() };
+};
+
+backend('a server that closes early or loses its end is "lost", at once', async () => {
+  const client = new HttpBackend(500);
+  for (const faults of [{ cutAfter: 1 }, { loseEnd: 1 }]) {
+    const [port = 0] = await freePorts(1);
+    const model = new ModelServer(
+      { id: 'm', pool: 'p', addr: `127.0.0.1:${port}`, prefillMsPerKb: 0, msPerToken: 1, slots: 8, cacheKb: 64 }, new Ledger(),
+    );
+    model.set(faults);
+    await model.start();
+    const pieces: string[] = [];
+    const ended = await client.generate(at(port), say, (_n, text) => pieces.push(text), never, 5000);
+    assert.is(ended.kind, 'lost');
+    assert.ok(pieces.length >= 3);
+    model.set({ cutAfter: 0, loseEnd: 0 });
+    const whole = await client.generate(at(port), say, () => undefined, never, 5000);
+    assert.is(whole.kind, 'done');
+    await model.stop();
+    assert.is((await client.generate(at(port), say, () => undefined, never, 5000)).kind, 'never-left');
+  }
+  const [port = 0] = await freePorts(1);
+  const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, new Ledger());
+  service.set({ loseEnd: 1 });
+  await service.start();
+  assert.is((await client.act(at(port), act, never, 5000)).kind, 'lost');
+  service.set({ loseEnd: 0 });
+  assert.is((await client.act(at(port), act, never, 5000)).kind, 'done');
+  await service.stop();
+  assert.is((await client.act(at(port), act, never, 5000)).kind, 'never-left');
+  await client.close();
+});
+
+backend('foreign ids, gaps, repeats, false counts and missing ends are never a success', async () => {
+  const client = new HttpBackend(500);
+  const piece = (n: number, id = 'i') => JSON.stringify({ id, n, text: 'x' });
+  const end = (pieces: number, id = 'i') => JSON.stringify({ id, end: true, pieces });
+  const wrong = [
+    [piece(0, 'other'), end(1)], [piece(0), piece(2), end(2)], [piece(0), piece(0), end(2)],
+    [piece(0), end(2)], [piece(0), end(1, 'other')], [piece(0)], ['nonsense'], [],
+  ];
+  for (const lines of wrong) {
+    const server = await raw(lines);
+    assert.is((await client.generate(at(server.port), say, () => undefined, never, 3000)).kind, 'lost', lines.join());
+    server.close();
+  }
+  const good = await raw([piece(0), piece(1), end(2)]);
+  assert.is((await client.generate(at(good.port), say, () => undefined, never, 3000)).kind, 'done');
+  good.close();
+  await client.close();
+});
+
+backend.run();
