--- a/tests/src/zen.test.ts
+++ b/tests/src/zen.test.ts
@@ -88,6 +88,23 @@
   }
 });
 
+zen('a winner that missed the newest state takes it from a joiner before it leads', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const old = w.master;
+    const [behind, ahead] = w.of('control').filter((m) => m !== old).sort((a, b) => ((a.control?.id ?? '') < (b.control?.id ?? '') ? -1 : 1));
+    if (!old || !behind || !ahead) throw new Error('three controls are needed');
+    w.net.cutBoth([behind.addr], w.machines.map((m) => m.addr).filter((a) => a !== behind.addr));
+    assert.is((await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 4), old)).status, 200);
+    assert.is(behind.control?.zen.accepted?.config?.version, 1);
+    old.kill('power');
+    w.net.mend();
+    await w.clock.until('the one behind to lead', () => w.master === behind, 15000);
+    const got = await w.operate('GET', '/v1/config');
+    assert.match(JSON.stringify(got.body), '"version":2');
+  }
+});
+
 zen('two operators at once: one wins, the other is told the current version', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
