--- a/tests/src/path.test.ts
+++ b/tests/src/path.test.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { configFor, Fleet, seoul, smallSizes, until } from '@tillerstair/fleet';
+import { ask, configFor, Fleet, seoul, smallSizes, until } from '@tillerstair/fleet';
 import { Caller, type Told } from '@tillerstair/stand-ins';
 
 const whole = suite('whole path through processes');
@@ -51,4 +51,28 @@
   assert.equal((await fleet.operator.config())?.text, text);
 });
 
+whole('what cannot be served is refused at once, with a word on whether it ran', async () => {
+  const [a = ''] = fleet.fronts;
+  const made = await caller.program(a, 500);
+  const post = (path: string, body: string) => ask('POST', `http://${a}${path}`, body);
+  const cases: readonly (readonly [string, string, number, string])[] = [
+    ['/v1/programs', '{nonsense', 400, 'bad-json'],
+    ['/v1/programs', '{"budget":0}', 400, 'findings'],
+    ['/v1/programs', `{"budget":1,"x":"${'y'.repeat(1 << 20)}"}`, 413, 'body-too-large'],
+    ['/v1/programs/p-none/turns', '{"words":"hi"}', 404, 'missing'],
+    [`/v1/programs/${made.program}/turns`, '{"words":"hi"}', 404, 'missing'],
+    ['/v1/calls/nowhere', '{}', 404, 'no-lane'],
+    ['/v1/calls/shop/stock/hold', '{}', 400, 'no-key'],
+    ['/v1/elsewhere', '{}', 404, 'no-such-page'],
+  ];
+  for (const [path, body, status, mishap] of cases) {
+    const r = await post(path, body);
+    assert.is(r.status, status, path);
+    assert.match(JSON.stringify(r.body), `"mishap":"${mishap}"`);
+    assert.match(JSON.stringify(r.body), '"ran":"no"');
+  }
+  const stranger = await new Caller('other', () => undefined).fetch(a, made.program, 't-x');
+  assert.is(stranger.mishap, 'missing');
+});
+
 whole.run();
--- a/tests/src/repair.test.ts
+++ b/tests/src/repair.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { World } from '@tillerstair/sim';
+import type { Machine, World } from '@tillerstair/sim';
 import { assertNoBreach, five, recordsOf, small, worldUp } from './util.js';
 
 const repair = suite('repair, moves and growth');
@@ -13,6 +13,17 @@
   }
 };
 
+const loseAndReadAll = async (w: World, store: Machine | undefined, program: string): Promise<void> => {
+  store?.kill('power');
+  store?.platter.wipe();
+  for (const m of w.of('front')) m.kill();
+  w.start(w.of('front'));
+  await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+  for (const t of w.told.filter((x) => x.kind === 'turn'))
+    assert.is((await w.clock.finish('fetch', w.fetch(program, t.turn), 30000)).text, t.text);
+  assertNoBreach(recordsOf(w));
+};
+
 const committed = (w: World) => w.master?.control?.zen.leading?.committed;
 
 repair('a store that was away gets what it missed from hints, and can then stand in for a lost one', async () => {
@@ -27,16 +38,7 @@
     assert.ok(hints >= 5, `${hints} hints`);
     a?.start();
     await w.clock.until('hand-over', () => [b, c].every((m) => m?.shelf?.counts().hints === 0) && (a?.shelf?.counts().items ?? 0) >= 6, 20000);
-    b?.kill('power');
-    b?.platter.wipe();
-    for (const m of w.of('front')) m.kill();
-    w.start(w.of('front'));
-    await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
-    for (const t of w.told.filter((x) => x.kind === 'turn')) {
-      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000);
-      assert.is(f.text, t.text);
-    }
-    assertNoBreach(recordsOf(w));
+    await loseAndReadAll(w, b, p.program);
   }
 });
 
@@ -54,16 +56,7 @@
     const slots = committed(w)?.slots ?? [];
     assert.ok(slots.filter((s) => s.filling.length > 0).length <= Math.max(1, Math.ceil(slots.length / 16)), 'throttled');
     await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
-    b?.kill('power');
-    b?.platter.wipe();
-    for (const m of w.of('front')) m.kill();
-    w.start(w.of('front'));
-    await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
-    for (const t of w.told.filter((x) => x.kind === 'turn')) {
-      const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn), 30000);
-      assert.is(f.text, t.text);
-    }
-    assertNoBreach(recordsOf(w));
+    await loseAndReadAll(w, b, p.program);
   }
 });
 
