--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -53,15 +53,20 @@
 };
 
 const Filling = z.object({
-  stores: z.array(z.object({ slotsHeld: z.number() })),
+  nodes: z.array(z.object({ id: z.string(), addr: z.string() })),
+  stores: z.array(z.object({ store: z.string(), slotsHeld: z.number() })),
   slots: z.object({ count: z.number(), filling: z.number() }),
 });
 
 const filled = async (run: Run): Promise<boolean> => {
   const got = Filling.safeParse((await run.fleet.operator.any('GET', '/v1/status')).body);
   if (!got.success) return false;
-  const { stores, slots } = got.data;
-  return slots.filling === 0 && stores.length === run.fleet.of('store').length && stores.every((s) => s.slotsHeld === slots.count);
+  const { nodes, stores, slots } = got.data;
+  const holds = (addr: string): boolean => {
+    const id = nodes.find((n) => n.addr === addr)?.id;
+    return stores.find((s) => s.store === id)?.slotsHeld === slots.count;
+  };
+  return slots.filling === 0 && run.fleet.of('store').every((m) => holds(m.addr));
 };
 
 const restartAll = async (run: Run): Promise<void> => {
