A store out of reach is not held against the server that was picked; dead code goes

The server is judged by its own reply only. Its test fails without the change. Also gone: a digest of beliefs, a type, three fields that nobody read.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -107,7 +107,6 @@
     const body = {
       ...(send ? { state: [...flatten(s)] } : {}),
       freshAt: Number.isFinite(zen.freshAt) ? zen.freshAt : -1,
-      agent: this.p.addr,
       master: zen.masterSeen?.id ?? '',
       term: zen.term,
     };
--- a/packages/env/src/env.ts
+++ b/packages/env/src/env.ts
@@ -79,8 +79,6 @@
 });
 export type ProxyEnv = z.infer<typeof ProxyEnv>;
 
-export type BoundsEnv = z.infer<typeof Bounds>;
-
 const flagValue = (path: string, v: unknown): unknown => {
   if (path === 'seeds') return String(v).split(',');
   if (v === 'true' || v === 'false') return v === 'true';
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -10,7 +10,6 @@
 export const Feed = z.object({
   state: Entries.optional(),
   freshAt: z.number(),
-  agent: z.string(),
   master: z.string(),
   term: z.number(),
 });
--- a/packages/state/src/belief.ts
+++ b/packages/state/src/belief.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { markOf, type Mark, type State } from './state.js';
 
 export interface Belief {
@@ -25,6 +24,3 @@
   }
   return { id, kind, term, master, applied: markOf(s), facts };
 };
-
-export const digestOfFacts = (b: Belief): string =>
-  createHash('sha256').update(JSON.stringify(b.facts)).digest('hex').slice(0, 12);
--- a/packages/steward/src/calls.ts
+++ b/packages/steward/src/calls.ts
@@ -73,20 +73,19 @@
         const v = await notRun(server.message);
         return { ...v, mishap: server.code };
       }
-      let ok = false;
+      let ok = true;
       try {
         if (!noted) await note('intent', 0, null);
         noted = true;
         if (!this.s.mayRun(server, 'call', ask.path)) {
-          ok = true;
           skip.add(server.id);
           if (!this.s.fresh || skip.size > 2) return await notRun('the control link is down, or every server tried was taken away');
           continue;
         }
         const act = { id: `call-${++this.made}`, key: ask.key, path: ask.path, body: ask.body };
         const ended = await backend.act(server, act, gone, config.bounds.callMs);
+        ok = ended.kind === 'done' || ended.kind === 'declined';
         if (ended.kind === 'done') {
-          ok = true;
           try {
             await note('done', ended.code, ended.body);
           } catch (e) {
@@ -98,7 +97,6 @@
           await note('unknown', 0, null).catch(() => undefined);
           return unknown(ended.text);
         }
-        ok = ended.kind === 'declined';
         skip.add(server.id);
         if (skip.size > 2) return await notRun(ended.text);
       } finally {
--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -92,8 +92,6 @@
     });
     const ctx: PlaceContext = {
       lane,
-      now: this.clock.now(),
-      prefixes,
       seen: (s) => this.seen(s),
       warmth: (s) => (prefixes.length === 0 ? 0 : (depth.get(s.id) ?? 0) / prefixes.length),
       weight: (s) => state.weights.get(weightKey(lane.name, s.id)) ?? 1,
@@ -145,6 +143,10 @@
     } else this.set(s, { inflight, failures: v.failures + 1, badSince: this.clock.now() });
   }
 
+  failuresOf(id: string): number {
+    return this.sights.get(id)?.failures ?? 0;
+  }
+
   report(): readonly { id: string; url: string; ok: boolean; pace?: number }[] {
     const state = this.table()?.state;
     return [...(state?.servers.values() ?? [])].map((s) => {
--- a/packages/steward/src/policies.ts
+++ b/packages/steward/src/policies.ts
@@ -9,8 +9,6 @@
 
 export interface PlaceContext {
   readonly lane: Lane;
-  readonly now: number;
-  readonly prefixes: readonly string[];
   seen(server: Server): Seen;
   warmth(server: Server): number;
   weight(server: Server): number;
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -169,6 +169,19 @@
   }
 });
 
+never('stores that cannot be reached are not held against the servers', async () => {
+  const w = await worldUp(52, small);
+  const steward = stewardOf(w, opKeyOf('t', 'cut'));
+  w.net.cutBoth([`${steward?.addr ?? ''}/data`], w.of('store').map((m) => m.addr));
+  const told = await w.clock.finish('call', w.call('cut', '/hold', { n: 1 }, steward), 30000);
+  assert.is(told.told, 'refused');
+  const placement = steward?.front?.steward.placement;
+  const server = steward?.front?.steward.current?.state.servers.get('s1');
+  assert.ok(placement && server);
+  assert.equal(placement?.failuresOf('s1') ?? -1, 0);
+  assert.equal(placement?.failuresOf('s2') ?? -1, 0);
+});
+
 never('a budget holds over steward changes, with helpers and many turns at once', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, five);
