A front that missed the loss of its slot looks again before it runs

Cause: SlotKeeper was kept as long as the newest state named this front, so one that was steward at t, missed t+1 (another ran the key) and learnt t+2 went on with what it had looked up at t; its put at t+2 covered the other's verdict and the key ran twice. Ruled out: planned moves (they wait until nothing is inside); puts at t (refused by the seal). Change: a slot says since which tenure its steward has held it unbroken; another since is another keeper, and puts through the old one fail. Test files also run four at a time now, each in a process of its own. Conclusion: a job's writes belong to the unbroken stewardship under which it looked.

--- a/packages/state/src/allot.ts
+++ b/packages/state/src/allot.ts
@@ -85,7 +85,7 @@
     if (alive.has(slot.steward)) return slot.handTo === '' || held.has(slot.handTo) ? slot : { ...slot, handTo: '' };
     const to = held.has(slot.handTo) ? slot.handTo : least();
     count(to, 1);
-    return { ...slot, steward: to, tenure: slot.tenure + 1, handTo: '' };
+    return { ...slot, steward: to, tenure: slot.tenure + 1, since: slot.tenure + 1, handTo: '' };
   });
   const fair = Math.ceil(slots.length / fronts.length);
   let left = moves - settled.filter((slot) => slot.handTo !== '').length;
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -68,7 +68,7 @@
     case 'handed': {
       const old = s.slots[a.slot];
       if (!old || old.tenure !== a.tenure || !s.nodes.has(old.handTo)) return s;
-      const slot = { ...old, steward: old.handTo, tenure: old.tenure + 1, handTo: '' };
+      const slot = { ...old, steward: old.handTo, tenure: old.tenure + 1, since: old.tenure + 1, handTo: '' };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
     case 'retire': {
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -13,6 +13,7 @@
 export const Slot = z.object({
   steward: z.string(),
   tenure: z.number(),
+  since: z.number(),
   handTo: z.string(),
   copies: z.array(z.string()).readonly(),
   filling: z.array(z.string()).readonly(),
@@ -64,7 +65,7 @@
 }
 
 export const emptySlots = (count: number): readonly Slot[] =>
-  Array.from({ length: count }, () => ({ steward: '', tenure: 0, handTo: '', copies: [], filling: [] }));
+  Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [] }));
 
 export const foundingState = (clusterId: string, members: readonly Mate[], slots: number): State => ({
   clusterId,
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -30,6 +30,7 @@
 
   constructor(
     readonly n: number,
+    readonly since: number,
     private readonly p: KeeperParts,
   ) {}
 
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -83,8 +83,9 @@
     state.slots.forEach((slot, n) => {
       const old = this.keepers.get(n);
       if (slot.steward === this.p.id) {
-        const keeper = old ?? this.makeKeeper(n);
-        keeper.take(slot);
+        const same = old?.since === slot.since ? old : undefined;
+        if (old && !same) old.release();
+        (same ?? this.makeKeeper(n, slot.since)).take(slot);
       } else if (old) {
         old.release();
         this.keepers.delete(n);
@@ -93,9 +94,9 @@
     this.gate.pump();
   }
 
-  private makeKeeper(n: number): SlotKeeper {
+  private makeKeeper(n: number, since: number): SlotKeeper {
     const { clock, circuits, log, bounds } = this.p;
-    const keeper = new SlotKeeper(n, {
+    const keeper = new SlotKeeper(n, since, {
       clock, circuits, log, table: () => this.table, putWithin: bounds.putWithin, beat: bounds.beat, keepMs: bounds.keepMs,
     });
     this.keepers.set(n, keeper);
--- a/tests/run.js
+++ b/tests/run.js
@@ -1,25 +1,45 @@
 import { spawn } from 'node:child_process';
+import { readdirSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import pLimit from 'p-limit';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const uvu = join(dirname(createRequire(import.meta.url).resolve('uvu')), '..', 'bin.js');
-const pattern = process.argv[2] ?? '\\.test\\.js$';
-const child = spawn(process.execPath, [uvu, join(here, 'dist'), pattern], { stdio: ['ignore', 'pipe', 'inherit'] });
-const hard = setTimeout(() => child.kill('SIGKILL'), 8 * 60 * 1000);
-let out = '';
-child.stdout.setEncoding('utf8');
-child.stdout.on('data', (part) => {
-  out += part;
-  process.stdout.write(part);
-});
-child.on('close', (code) => {
-  clearTimeout(hard);
-  const plain = out.replace(/\u001b\[[0-9;]*m/g, '');
-  const total = Number(/Total:\s+(\d+)/.exec(plain)?.[1] ?? 0);
-  const passed = Number(/Passed:\s+(\d+)/.exec(plain)?.[1] ?? 0);
-  const failed = Math.max(total - passed, code === 0 ? 0 : 1);
-  process.stdout.write(`${passed} passed, ${failed} failed\n`);
-  process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
-});
+const wanted = new RegExp(process.argv[2] ?? '');
+const alone = new Set(['docs.test.js', 'path.test.js', 'product.test.js']);
+const files = readdirSync(join(here, 'dist')).filter((f) => f.endsWith('.test.js') && wanted.test(f));
+const running = new Set();
+const hard = setTimeout(() => running.forEach((c) => c.kill('SIGKILL')), 9 * 60 * 1000);
+
+const run = (file) =>
+  new Promise((done) => {
+    const child = spawn(process.execPath, [uvu, join(here, 'dist'), `^${file.replaceAll('.', '\\.')}$`], { stdio: ['ignore', 'pipe', 'pipe'] });
+    running.add(child);
+    let out = '';
+    for (const s of [child.stdout, child.stderr]) {
+      s.setEncoding('utf8');
+      s.on('data', (part) => {
+        out += part;
+      });
+    }
+    child.on('close', (code) => {
+      running.delete(child);
+      const plain = out.replace(/\u001b\[[0-9;]*m/g, '');
+      const total = Number(/Total:\s+(\d+)/.exec(plain)?.[1] ?? 0);
+      const passed = Number(/Passed:\s+(\d+)/.exec(plain)?.[1] ?? 0);
+      const failed = Math.max(total - passed, code === 0 && total > 0 ? 0 : 1);
+      process.stdout.write(failed === 0 ? `${file}: ${passed}\n` : `${file}: ${failed} failed\n${plain}\n`);
+      done({ passed, failed });
+    });
+  });
+
+const many = pLimit(4);
+const one = pLimit(1);
+const ends = await Promise.all(files.map((f) => (alone.has(f) ? one(() => many(() => run(f))) : many(() => run(f)))));
+clearTimeout(hard);
+const passed = ends.reduce((n, e) => n + e.passed, 0);
+const failed = ends.reduce((n, e) => n + e.failed, 0);
+process.stdout.write(`${passed} passed, ${failed} failed\n`);
+process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
--- /dev/null
+++ b/tests/src/steward.test.ts
@@ -0,0 +1,64 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Machine, World } from '@tillerstair/sim';
+import { slotOf } from '@tillerstair/state';
+import { opKeyOf } from '@tillerstair/steward';
+import { assertNoBreach, configText, recordsOf, small, worldUp } from './util.js';
+
+const stewards = suite('stewardships that break and come back');
+
+const slotAt = (w: World, key: string) => {
+  const s = w.master?.control?.zen.leading?.committed;
+  return s?.slots[slotOf(key, s.slots.length)];
+};
+const stewardOf = (w: World, key: string) => w.of('front').find((m) => m.front?.p.id === slotAt(w, key)?.steward);
+const stewardAs = (m: Machine, key: string): string => m.front?.steward.stewardOf(m.front.steward.slotFor(key)) ?? '';
+const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === key).length;
+
+const oneAtATime = async (w: World): Promise<void> => {
+  await w.operate('DELETE', '/v1/servers/s2');
+  const text = JSON.stringify({ ...JSON.parse(configText(1)), bounds: { turnMs: 240000, callMs: 120000, perServer: 1 } });
+  assert.is((await w.operate('PUT', '/v1/config', text)).status, 200);
+  await w.clock.run(1500);
+};
+
+stewards('a front that missed the loss of its slot looks again before it runs what waited in line', async () => {
+  for (const seed of [61, 62, 63]) {
+    const w = await worldUp(seed, small, process.env['TRACE'] !== undefined);
+    await oneAtATime(w);
+    const key = `line${seed}`;
+    const a = stewardOf(w, opKeyOf('t', key));
+    const b = w.of('front').find((m) => m !== a);
+    if (!a || !b) throw new Error('no steward');
+    w.servers.set('s1', { slow: 400 });
+    const filler = ['x', 'y', 'z'].map((n) => `f${seed}${n}`).find((k) => stewardOf(w, opKeyOf('t', k)) === a);
+    const busy = w.call(filler ?? `f${seed}`, '/hold', { n: 0 }, a);
+    await w.clock.run(50);
+    const first = w.call(key, '/hold', { n: 1 }, a);
+    await w.clock.run(200);
+    assert.ok((a.front?.steward.gate.waiting ?? 0) > 0, 'it waits in line');
+    const tenure = slotAt(w, opKeyOf('t', key))?.tenure ?? 0;
+    a.proxyLife.frozen = true;
+    await w.clock.until('taken over', () => stewardAs(b, opKeyOf('t', key)) === b.front?.p.id, 20000);
+    w.servers.set('s1', { slow: 1 });
+    const elsewhere = await w.clock.finish('elsewhere', w.call(key, '/hold', { n: 1 }, b), 60000);
+    assert.is(elsewhere.told, 'done', elsewhere.mishap);
+    assert.is(acts(w, key), 1);
+    b.kill();
+    await w.clock.until('dismissed', () => a.agent?.node === undefined, 10000);
+    a.proxyLife.wake();
+    await w.clock.until('adopted again', () => a.agent?.node !== undefined, 10000);
+    w.net.cut(`${a.addr}/loop`, `${a.addr}/feed`);
+    await w.clock.until('steward again', () => stewardOf(w, opKeyOf('t', key)) === a, 20000);
+    assert.ok((slotAt(w, opKeyOf('t', key))?.tenure ?? 0) >= tenure + 2);
+    await w.clock.run(1200);
+    w.net.mend();
+    await w.clock.run(40000);
+    await w.clock.finish('busy', busy, 60000);
+    await w.clock.finish('first', first, 60000);
+    assert.is(acts(w, key), 1, `${acts(w, key)} runs`);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+stewards.run();
