A living old copy counts until its stand-in is full; the switch is one step

Cause: allot dropped the old copy of a slot as soon as the new one began to fill, so a slot being emptied stood on two full copies and shut when one more machine died, though the old disk lived. Change: a slot names whom the stand-in replaces; reads count among the old three, writes need two of the old and two of the new three; 'filled' switches and raises the tenure.

--- a/packages/state/src/allot.ts
+++ b/packages/state/src/allot.ts
@@ -37,36 +37,24 @@
       for (const id of copies) held.set(id, (held.get(id) ?? 0) + 1);
       return { ...slot, copies, tenure: slot.tenure + 1 };
     }
-    if (slot.filling.length > 0) {
-      const lost = slot.filling.find((id) => gone(id));
-      if (lost === undefined) return slot;
-      const spare = usable.filter((m) => !slot.copies.includes(m.id))[0];
-      if (!spare) return slot;
-      return swap(slot, lost, spare.id, held);
-    }
-    if (moving >= bounds.moves) return slot;
-    const out = slot.copies.find((id) => gone(id)) ?? slot.copies.find((id) => s.retiring.has(id));
+    const lost = slot.filling.find((id) => gone(id) || s.retiring.has(id));
+    if (slot.filling.length > 0 && lost === undefined) return slot;
+    if (slot.filling.length === 0 && moving >= bounds.moves) return slot;
+    const out = slot.filling.length > 0 ? slot.instead : (slot.copies.find(gone) ?? slot.copies.find((id) => s.retiring.has(id)));
     if (out === undefined) return slot;
     const stay = live.filter((m) => slot.copies.includes(m.id) && m.id !== out);
-    if (stay.length < bounds.copies - 1) return slot;
-    const spare = spread(usable.filter((m) => !slot.copies.includes(m.id)), stay, stay.length + 1, held)[stay.length];
-    if (!spare) return slot;
-    moving++;
-    return swap(slot, out, spare.id, held);
+    const spare =
+      stay.length < bounds.copies - 1
+        ? undefined
+        : spread(usable.filter((m) => !slot.copies.includes(m.id) && !gone(m.id)), stay, stay.length + 1, held)[stay.length];
+    if (!spare) return lost === undefined ? slot : { ...slot, filling: [], instead: '', tenure: slot.tenure + 1 };
+    if (lost === undefined) moving++;
+    held.set(spare.id, (held.get(spare.id) ?? 0) + 1);
+    held.set(out, (held.get(out) ?? 0) - 1);
+    return { ...slot, filling: [spare.id], instead: out, tenure: slot.tenure + 1 };
   });
 };
 
-const swap = (slot: Slot, out: string, into: string, held: Map<string, number>): Slot => {
-  held.set(into, (held.get(into) ?? 0) + 1);
-  held.set(out, (held.get(out) ?? 0) - 1);
-  return {
-    ...slot,
-    copies: [...slot.copies.filter((id) => id !== out), into].sort(),
-    filling: [...slot.filling.filter((id) => id !== out), into],
-    tenure: slot.tenure + 1,
-  };
-};
-
 const allotStewards = (s: State, slots: readonly Slot[], moves: number): readonly Slot[] => {
   const live = [...s.nodes.values()].filter((m) => m.kind === 'front').sort(byId);
   const stay = live.filter((m) => !s.retiring.has(m.id));
--- a/packages/state/src/belief.ts
+++ b/packages/state/src/belief.ts
@@ -16,7 +16,7 @@
     facts.push(['config', s.config ? `${s.config.version} ${s.config.digest}` : 'none']);
     for (const [k, m] of s.nodes) facts.push([`node ${k}`, `${m.kind} ${m.addr}`]);
     s.slots.forEach((slot, i) => {
-      facts.push([`slot ${i}`, `steward ${slot.steward} tenure ${slot.tenure} copies ${slot.copies.join(' ')} filling ${slot.filling.join(' ')}${slot.handTo ? ` handing to ${slot.handTo}` : ''}`]);
+      facts.push([`slot ${i}`, `steward ${slot.steward} tenure ${slot.tenure} copies ${slot.copies.join(' ')} filling ${slot.filling.join(' ')}${slot.instead ? ` instead of ${slot.instead}` : ''}${slot.handTo ? ` handing to ${slot.handTo}` : ''}`]);
     });
     for (const [k, v] of s.servers) facts.push([`server ${k}`, `${v.pool} ${v.url}${v.leaving ? ' leaving' : ''}${v.down ? ' down' : ''}`]);
     for (const [k, w] of s.weights) facts.push([`weight ${k}`, String(w)]);
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,4 +1,4 @@
-import type { ConfigRecord, Mate, Server, State } from './state.js';
+import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
 
 export type Action =
   | { readonly kind: 'join'; readonly mate: Mate }
@@ -62,7 +62,7 @@
     case 'filled': {
       const old = s.slots[a.slot];
       if (!old || old.tenure !== a.tenure || !old.filling.includes(a.store)) return s;
-      const slot = { ...old, filling: old.filling.filter((id) => id !== a.store) };
+      const slot = { ...old, copies: copiesAfter(old), filling: [], instead: '', tenure: old.tenure + 1 };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
     case 'handed': {
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -17,6 +17,7 @@
   handTo: z.string(),
   copies: z.array(z.string()).readonly(),
   filling: z.array(z.string()).readonly(),
+  instead: z.string(),
 }).readonly();
 export type Slot = z.infer<typeof Slot>;
 
@@ -65,7 +66,7 @@
 }
 
 export const emptySlots = (count: number): readonly Slot[] =>
-  Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [] }));
+  Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [], instead: '' }));
 
 export const foundingState = (clusterId: string, members: readonly Mate[], slots: number): State => ({
   clusterId,
@@ -99,4 +100,9 @@
   return ((h ^ (h >>> 13)) >>> 0) % count;
 };
 
+export const keptOn = (slot: Slot): readonly string[] => [...slot.copies, ...slot.filling];
+
+export const copiesAfter = (slot: Slot): readonly string[] =>
+  slot.filling.length === 0 ? slot.copies : [...slot.copies.filter((id) => id !== slot.instead), ...slot.filling].sort();
+
 export const weightKey = (lane: string, server: string): string => `${lane}|${server}`;
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -1,5 +1,5 @@
 import {
-  groupOf, Item, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
+  copiesAfter, groupOf, Item, keptOn, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
 } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
@@ -89,10 +89,6 @@
     this.touched = new Map();
   }
 
-  private counted(slot: Slot): ReadonlySet<string> {
-    return new Set(slot.copies.filter((id) => !slot.filling.includes(id)));
-  }
-
   private async unseal(tenure: number): Promise<void> {
     const { clock, log, beat } = this.p;
     while (this.slot?.tenure === tenure) {
@@ -108,7 +104,7 @@
   private async sealOnce(tenure: number): Promise<boolean> {
     const slot = this.slot;
     if (!slot) return true;
-    const counted = this.counted(slot);
+    const counted = new Set(slot.copies);
     const seen = new Map<string, Map<string, Item>>();
     await new Promise<void>((done) => {
       let left = counted.size;
@@ -177,24 +173,24 @@
   private spread(tenure: number, items: readonly Item[]): Promise<void> {
     const slot = this.slot;
     if (slot?.tenure !== tenure) return Promise.reject(new Mishap('not-steward', 'the slot has moved on'));
-    const counted = this.counted(slot);
+    const targets = keptOn(slot);
+    const groups = [slot.copies, copiesAfter(slot)];
     const missed: string[] = [];
     const good: string[] = [];
-    let acks = 0;
-    let left = slot.copies.length;
+    const acks = (): number => Math.min(...groups.map((g) => g.filter((id) => good.includes(id)).length));
+    let left = targets.length;
     return new Promise((done, fail) => {
       const settle = () => {
-        if (acks >= needed) done();
+        if (acks() >= needed) done();
         if (left > 0) return;
-        if (acks < needed) fail(new Mishap('unavailable', `${acks} of ${counted.size} copies synced`));
+        if (acks() < needed) fail(new Mishap('unavailable', `${good.length} of ${targets.length} copies synced`));
         if (good.length > 0) for (const id of missed) void this.hint(good, id, items);
       };
-      for (const id of slot.copies)
+      for (const id of targets)
         this.ask(id, 'store/put', { slot: this.n, tenure, items })
           .then(
             () => {
               good.push(id);
-              if (counted.has(id)) acks++;
             },
             (e: unknown) => {
               if (mishapOf(e).code !== 'lower-tenure') missed.push(id);
@@ -241,7 +237,7 @@
   async confirmMissing(key: string): Promise<boolean> {
     const slot = this.slot;
     if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
-    const counted = [...this.counted(slot)];
+    const counted = slot.copies;
     const reads = await Promise.allSettled(
       counted.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
     );
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,6 +1,6 @@
 import pLimit from 'p-limit';
 import { z } from 'zod';
-import { beliefOf, Hand, Hint, Item, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type State } from '@tillerstair/state';
+import { beliefOf, Hand, Hint, Item, keptOn, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type State } from '@tillerstair/state';
 import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
@@ -90,7 +90,7 @@
         await this.p.shelf.dropOld();
         await this.p.shelf.forgetSlots((n) => {
           const slot = s.slots[n];
-          return slot && slot.copies.length > 0 && !slot.copies.includes(this.p.me.id) ? slot.tenure : -1;
+          return slot && slot.copies.length > 0 && !keptOn(slot).includes(this.p.me.id) ? slot.tenure : -1;
         });
       } catch (e) {
         log.warn(`Repair stopped: ${mishapOf(e).message}.`);
@@ -102,11 +102,12 @@
     const { shelf, circuits, bounds, log } = this.p;
     for (const to of shelf.hintTargets()) {
       const mate = s.nodes.get(to);
-      const holds = s.slots.some((x) => x.copies.includes(to));
+      const holds = s.slots.some((x) => keptOn(x).includes(to));
       if (!mate && holds) continue;
       let count = 0;
       for (const h of shelf.hintsFor(to)) {
-        const wanted = s.slots[h.slot]?.copies.includes(to) ?? false;
+        const slot = s.slots[h.slot];
+        const wanted = slot !== undefined && keptOn(slot).includes(to);
         if (wanted && mate) {
           try {
             await circuits.call(mate.addr, 'store/hand', { slot: h.slot, items: h.items }, { within: bounds.silent });
@@ -128,9 +129,8 @@
     await Promise.all(
       todo.map(({ slot, n }) =>
         this.few(async () => {
-          const sources = slot.copies.filter((id) => !slot.filling.includes(id));
           try {
-            await this.refillOne(s, n, slot.tenure, sources);
+            await this.refillOne(s, n, slot.tenure, slot.copies);
           } catch (e) {
             this.p.log.debug(`Refill of slot ${n} waits: ${mishapOf(e).message}.`);
           }
@@ -140,18 +140,24 @@
   }
 
   private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
-    const { circuits, shelf, bounds, me } = this.p;
-    if (sources.length < 2) throw new Mishap('unavailable', 'fewer than two full copies');
+    const { circuits, shelf, bounds, me, log } = this.p;
     const best = new Map<string, ItemT>();
+    let pulled = 0;
     for (const id of sources) {
       const mate = s.nodes.get(id);
-      if (!mate) throw new Mishap('unavailable', `copy ${id} is away`);
-      const back = await circuits.call(mate.addr, 'store/pull', { slot, tenure }, { within: bounds.silent * 2 });
-      for (const item of Pulled.parse(back).items) {
-        const old = best.get(item.key);
-        if (!old || newerItem(item, old)) best.set(item.key, item);
+      if (!mate || pulled === 2) continue;
+      try {
+        const back = await circuits.call(mate.addr, 'store/pull', { slot, tenure }, { within: bounds.silent * 2 });
+        for (const item of Pulled.parse(back).items) {
+          const old = best.get(item.key);
+          if (!old || newerItem(item, old)) best.set(item.key, item);
+        }
+        pulled++;
+      } catch (e) {
+        log.debug(`Pulling slot ${slot} from ${mate.addr} failed: ${mishapOf(e).message}.`);
       }
     }
+    if (pulled < 2) throw new Mishap('unavailable', 'fewer than two full copies reply');
     await shelf.hand(slot, [...best.values()]);
     const master = this.zen.masterSeen;
     if (!master) throw new Mishap('unavailable', 'no master is known');
--- a/tests/src/repair.test.ts
+++ b/tests/src/repair.test.ts
@@ -197,4 +197,76 @@
   for (const x of kept) assert.is((await w.clock.finish('fetch', w.fetch(q.program, x.turn), 10000)).text, x.text);
 });
 
+repair('a store being emptied counts until its stand-in is full: another may die in the middle', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 24 }, () => w.program(900))), 20000);
+    const round = async (n: number): Promise<void> => {
+      const ts = await w.clock.finish('turns', Promise.all(ps.map((p, i) => w.turn(p.program, null, `e${n} #${seed}-${i}`, `e${n}`))), 60000);
+      assert.equal(ts.filter((t) => t.told !== 'done').map((t) => t.mishap), []);
+    };
+    await round(0);
+    const fresh = w.add('store');
+    fresh.start();
+    await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+    for (const m of ['store-0', 'store-1', 'store-2']) w.net.cut(fresh.addr, m);
+    assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
+    await w.clock.until('filling', () => committed(w)?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
+    await w.clock.run(1000);
+    w.at('store-1').kill('power');
+    await w.clock.run(2000);
+    await round(1);
+    const half = w.told.filter((t) => t.kind === 'turn');
+    for (const t of half) assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
+    w.net.mend();
+    await w.clock.until('emptied', () => committed(w)?.slots.every((s) => s.copies.length === 3 && s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000).catch(() => -1);
+    w.at('store-1').start();
+    await w.clock.until('settled', () => committed(w)?.slots.every((s) => s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000);
+    w.at('store-0').kill('power');
+    for (const m of w.of('front')) m.kill();
+    w.start(w.of('front'));
+    await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+    await w.clock.run(1000);
+    for (const t of half) assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
+    await round(2);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
+repair('while a stand-in is filled a write needs both the copies of now and the copies of then', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 12 }, () => w.program(900))), 20000);
+    const fresh = w.add('store');
+    fresh.start();
+    await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+    fresh.platter.delay = 2500;
+    assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
+    await w.clock.until('filling', () => committed(w)?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
+    for (const m of w.of('front')) for (const to of ['store-2', fresh.addr]) w.net.cut(`${m.addr}/data`, to);
+    const freshId = fresh.store?.id ?? 'none';
+    const going: Promise<unknown>[] = [];
+    for (let i = 0; !committed(w)?.slots.some((s) => s.copies.includes(freshId)); i++) {
+      assert.ok(i < 200, 'no copy was switched');
+      for (const p of ps) going.push(w.turn(p.program, null, `j${i} #${seed}-${p.program}`, `j${i}`));
+      await w.clock.run(350);
+    }
+    for (const m of ['store-0', 'store-1']) w.at(m).kill('power');
+    w.net.mend();
+    fresh.platter.delay = 0.2;
+    await w.clock.finish('all', Promise.all(going), 60000);
+    for (const m of w.of('front')) m.kill();
+    w.start(w.of('front'));
+    await w.clock.until('fronts', () => w.readyFronts().length === 2, 20000);
+    await w.clock.run(3000);
+    const done = w.told.filter((t) => t.kind === 'turn' && t.told === 'done');
+    assert.ok(done.length > 0);
+    const back = await w.clock.finish('fetches', Promise.all(done.map((t) => w.fetch(t.program, t.turn))), 60000);
+    assert.equal(back.filter((f) => f.mishap === 'missing').length, 0);
+    const open = await w.clock.finish('none', Promise.all(ps.map((p) => w.fetch(p.program, 't-none'))), 60000);
+    assert.ok(open.some((f) => f.mishap === 'missing'), 'the switched slot is open');
+    assertNoBreach(recordsOf(w));
+  }
+});
+
 repair.run();
