The checker judges each try, tenant, program and share; leaving counts from sending

Cause: the proof was lenient. Refusals were excused by any other try of the key; keys and turns were not told apart by tenant and program; budgets counted only what callers got; 'in force' and 'leaving' counted as checked though nothing could have gone wrong; leaving counted from the operator's reply. A broken turn gave back what its server may have made. Change: tries carry X-Request-Id, which stand-ins record; Idempotency-Key holds the tenant; a broken turn costs its reservation; 32 doctored records (18 before) must be caught and 9 near the bound must pass.

--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -3,7 +3,9 @@
   readonly tenant: string;
   readonly program: string;
   readonly key: string;
+  readonly attempt: string;
   readonly turn: string;
+  readonly after: string;
   readonly from: number;
   readonly to: number;
   readonly told: 'done' | 'refused' | 'unknown' | 'partial';
@@ -19,6 +21,8 @@
   readonly server: string;
   readonly pool: string;
   readonly key: string;
+  readonly attempt: string;
+  readonly program: string;
   readonly began: number;
   readonly at: number;
   readonly said: string;
@@ -43,6 +47,14 @@
   readonly until: number;
 }
 
+export interface SharesRecord {
+  readonly kind: RanRecord['kind'];
+  readonly from: number;
+  readonly to: number;
+  readonly shares: readonly (readonly [string, number])[];
+  readonly rounding: number;
+}
+
 export interface RestartRecord {
   readonly stoppedAt: number;
   readonly startedAt: number;
@@ -56,11 +68,12 @@
   readonly ran: readonly RanRecord[];
   readonly configs: readonly ConfigRecord[];
   readonly leavings: readonly LeavingRecord[];
+  readonly shares: readonly SharesRecord[];
   readonly restarts: readonly RestartRecord[];
   readonly readBack: { readonly version: number; readonly text: string } | undefined;
   readonly perTurn: number;
 }
 
 export const noRecords: Records = {
-  told: [], ran: [], configs: [], leavings: [], restarts: [], readBack: undefined, perTurn: 0,
+  told: [], ran: [], configs: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
 };
--- a/packages/checker/src/rules.ts
+++ b/packages/checker/src/rules.ts
@@ -27,23 +27,24 @@
   return out;
 };
 
-const opOf = (t: { tenant?: string; key: string }): string => t.key;
+export const operationOf = (tenant: string, key: string): string => `${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
+const opOf = (t: ToldRecord): string => operationOf(t.tenant, t.key);
+const actsOf = (r: Records): ReadonlyMap<string, readonly RanRecord[]> => group(r.ran.filter((x) => x.kind === 'act' && x.key !== ''), (x) => x.key);
 
 const once = (r: Records): RuleVerdict => {
-  const acts = group(r.ran.filter((x) => x.kind === 'act' && x.key !== ''), opOf);
+  const acts = actsOf(r);
   const breaches = [...acts].filter(([, rows]) => rows.length > 1).map(([k, rows]) => `operation ${k} ran ${rows.length} times`);
   return { rule: 'no acting operation runs twice', checked: acts.size, breaches };
 };
 
 const sameKey = (r: Records, s: Slack): RuleVerdict => {
-  const tries = group(r.told.filter((t) => t.kind === 'call' && t.key !== ''), opOf);
-  const acts = group(r.ran.filter((x) => x.kind === 'act'), opOf);
+  const acts = actsOf(r);
   let checked = 0;
   const breaches: string[] = [];
-  for (const [key, rows] of tries) {
+  for (const [key, rows] of group(r.told.filter((t) => t.kind === 'call' && t.key !== ''), opOf)) {
     if (rows.length < 2) continue;
-    checked++;
     const ran = [...(acts.get(key) ?? [])].sort((a, b) => a.at - b.at);
+    if (ran.length > 0) checked++;
     for (let i = 1; i < ran.length; i++)
       if ((ran[i]?.at ?? 0) - (ran[i - 1]?.at ?? 0) <= s.keyMs) breaches.push(`two tries of ${key} both ran`);
   }
@@ -51,42 +52,29 @@
 };
 
 const endsWith = (said: string, sent: string): boolean => said !== '' && sent.endsWith(said);
+const runKey = (program: string, said: string): string => `${program}\n${said.slice(-60)}`;
 
-const turnRuns = (r: Records): ReadonlyMap<string, readonly RanRecord[]> => group(r.ran.filter((x) => x.kind === 'generate'), (x) => x.said);
+const turnRuns = (r: Records): ReadonlyMap<string, readonly RanRecord[]> =>
+  group(r.ran.filter((x) => x.kind === 'generate'), (x) => runKey(x.program, x.said));
 
 const refusedRan = (r: Records): RuleVerdict => {
-  const breaches: string[] = [];
-  let checked = 0;
-  const acts = group(r.ran.filter((x) => x.kind === 'act' && x.key !== ''), opOf);
-  for (const [key, tries] of group(r.told.filter((t) => t.kind === 'call' && t.key !== ''), opOf)) {
-    if (!tries.some((t) => t.told === 'refused')) continue;
-    checked++;
-    for (const run of acts.get(key) ?? [])
-      if (!tries.some((t) => t.told !== 'refused' && t.from <= run.at)) breaches.push(`call ${key} was told refused and ran`);
-  }
-  const runs = turnRuns(r);
-  for (const [key, tries] of group(r.told.filter((t) => t.kind === 'turn'), (t) => `${t.program} ${t.key}`)) {
-    if (!tries.some((t) => t.told === 'refused')) continue;
-    checked++;
-    const said = (tries[0]?.sent ?? '').slice(-60);
-    for (const run of runs.get(said) ?? [])
-      if (!tries.some((t) => t.told !== 'refused' && t.from <= run.at)) breaches.push(`turn ${key} was told refused and ran`);
-  }
-  return { rule: 'what was told refused has not run', checked, breaches };
+  const refused = new Set(r.told.filter((t) => t.told === 'refused' && t.attempt !== '').map((t) => t.attempt));
+  const breaches = r.ran.filter((x) => refused.has(x.attempt)).map((x) => `${x.kind} of try ${x.attempt} was told refused and ran`);
+  return { rule: 'what was told refused has not run', checked: refused.size, breaches };
 };
 
 const trueAnswers = (r: Records): RuleVerdict => {
   const breaches: string[] = [];
   const runs = turnRuns(r);
-  const acts = group(r.ran.filter((x) => x.kind === 'act'), opOf);
-  const done = r.told.filter((t) => t.told === 'done' && (t.kind === 'turn' || t.kind === 'call'));
+  const acts = actsOf(r);
+  const done = r.told.filter((t) => t.told === 'done' && (t.kind === 'turn' || (t.kind === 'call' && t.key !== '')));
   for (const t of done) {
     if (t.kind === 'turn') {
-      const mine = (runs.get(t.sent.slice(-60)) ?? []).filter((x) => endsWith(x.said, t.sent));
+      const mine = (runs.get(runKey(t.program, t.sent)) ?? []).filter((x) => endsWith(x.said, t.sent));
       if (!mine.some((x) => x.complete && x.reply === t.text)) breaches.push(`turn ${t.program} ${t.key} got an answer no server gave it`);
-    } else if (t.key !== '') {
+    } else {
       const [by = '', key = ''] = t.text.split(' ');
-      if (key !== t.key || !(acts.get(t.key) ?? []).some((x) => x.server === by)) breaches.push(`call ${t.key} got an answer no server gave it`);
+      if (key !== opOf(t) || !(acts.get(key) ?? []).some((x) => x.server === by)) breaches.push(`call ${opOf(t)} got an answer no server gave it`);
     }
   }
   const texts = new Map(r.told.filter((t) => t.kind === 'turn' && t.told === 'done').map((t) => [`${t.program} ${t.turn}`, t.text]));
@@ -110,28 +98,40 @@
     of.set(key, Math.max(of.get(key) ?? 0, t.pieces.length));
     handed.set(root(t.program), of);
   }
+  const made = new Map<string, number>();
+  for (const x of r.ran.filter((y) => y.kind === 'generate')) made.set(root(x.program), (made.get(root(x.program)) ?? 0) + x.tokens);
   for (const [program, budget] of granted) {
     const sum = [...(handed.get(program)?.values() ?? [])].reduce((a, b) => a + b, 0);
     if (sum > budget + r.perTurn) breaches.push(`program ${program} handed out ${sum} of ${budget}`);
+    if ((made.get(program) ?? 0) > budget + r.perTurn) breaches.push(`servers made ${made.get(program) ?? 0} tokens for program ${program} of ${budget}`);
   }
-  return { rule: 'no program hands out more than its budget and one turn', checked: granted.size, breaches };
+  const checked = [...granted].filter(([p, budget]) => (made.get(p) ?? 0) > budget / 2).length;
+  return { rule: 'no program hands out more than its budget and one turn', checked, breaches };
 };
 
 const history = (r: Records, s: Slack): RuleVerdict => {
   const breaches: string[] = [];
-  const ended = new Map<string, number>();
-  for (const t of r.told) if (t.kind === 'turn' && t.told === 'done') ended.set(`${t.program} ${t.turn}`, t.to);
+  const seen = new Map<string, number>();
+  const touch = (id: string, at: number): void => {
+    seen.set(id, Math.max(seen.get(id) ?? -Infinity, at));
+  };
+  const sorted = [...r.told].sort((a, b) => a.to - b.to);
   let checked = 0;
-  for (const t of r.told.filter((x) => x.kind === 'fetch')) {
-    const end = ended.get(`${t.program} ${t.turn}`);
-    if (end === undefined || t.from < end || t.to - end > s.historyMs) continue;
+  const judge = (t: ToldRecord, id: string, words: readonly string[], what: string): void => {
+    const at = seen.get(id);
+    if (at === undefined || t.from < at || t.to - at > s.historyMs) return;
     checked++;
-    if (t.mishap === 'missing') breaches.push(`turn ${t.program} ${t.turn} was reported missing`);
+    if (words.includes(t.mishap)) breaches.push(`${what} was reported missing ${t.to - at} ms after it ended`);
+  };
+  for (const t of sorted) {
+    if (t.kind === 'fetch' && t.turn !== '') judge(t, `${t.program} ${t.turn}`, ['missing'], `turn ${t.program} ${t.turn}`);
+    if (t.kind === 'turn') judge(t, t.program, ['missing'], `program ${t.program}`);
+    if (t.kind === 'turn' && t.after !== '') judge(t, `${t.program} ${t.after}`, ['missing', 'missing-turn'], `turn ${t.program} ${t.after}, followed by another,`);
+    if (t.told !== 'done') continue;
+    if (t.kind === 'program') touch(t.program, t.to);
+    if (t.kind === 'turn') touch(t.program, t.to);
+    if (t.kind === 'turn' && !seen.has(`${t.program} ${t.turn}`)) touch(`${t.program} ${t.turn}`, t.to);
   }
-  const programs = new Set(ended.keys());
-  for (const t of r.told)
-    if (t.kind === 'turn' && t.mishap === 'missing-turn' && [...programs].some((k) => k.startsWith(`${t.program} `)))
-      breaches.push(`a turn of ${t.program} did not find the turn it follows`);
   return { rule: 'finished history is not reported missing', checked, breaches };
 };
 
@@ -141,19 +141,39 @@
   const runs = turnRuns(r);
   for (const t of turns) {
     if (t.pieces.some((n, i) => n !== i)) breaches.push(`turn ${t.program} ${t.key} has pieces ${t.pieces.join(',')}`);
-    const mine = runs.get(t.sent.slice(-60)) ?? [];
-    if (mine.length > 0 && !mine.some((x) => x.reply.startsWith(t.text))) breaches.push(`turn ${t.program} ${t.key} is stitched`);
+    const mine = runs.get(runKey(t.program, t.sent)) ?? [];
+    if (!mine.some((x) => x.reply.startsWith(t.text))) breaches.push(`turn ${t.program} ${t.key} is stitched`);
   }
   return { rule: 'no stream skips, repeats or stitches', checked: turns.length, breaches };
 };
 
 const leaving = (r: Records, s: Slack): RuleVerdict => {
   const breaches: string[] = [];
+  let checked = 0;
+  const poolOf = new Map(r.ran.map((x) => [x.server, x.pool]));
   for (const l of r.leavings)
-    for (const x of r.ran)
-      if (x.server === l.server && x.began > l.at + s.leavingMs && x.began < l.until)
-        breaches.push(`server ${l.server} got work ${x.began - l.at} ms after its mark`);
-  return { rule: 'a leaving server gets nothing new after 3 s', checked: r.leavings.length, breaches };
+    for (const x of r.ran) {
+      if (x.began <= l.at + s.leavingMs || x.began >= l.until) continue;
+      if (x.server === l.server) breaches.push(`server ${l.server} got work ${x.began - l.at} ms after its mark`);
+      else if (x.pool === poolOf.get(l.server)) checked++;
+    }
+  return { rule: 'a leaving server gets nothing new after 3 s', checked, breaches };
+};
+
+const shares = (r: Records): RuleVerdict => {
+  const breaches: string[] = [];
+  let checked = 0;
+  for (const w of r.shares) {
+    const total = w.shares.reduce((n, [, share]) => n + share, 0);
+    const mine = r.ran.filter((x) => x.kind === w.kind && x.began >= w.from && x.began < w.to);
+    for (const [pool, share] of w.shares) {
+      const got = mine.filter((x) => x.pool === pool).length;
+      const want = (mine.length * share) / total;
+      if (mine.length > w.rounding * 4) checked++;
+      if (Math.abs(got - want) > (share === 0 ? 0 : w.rounding)) breaches.push(`pool ${pool} got ${got} of ${mine.length}, its share is ${share} of ${total}`);
+    }
+  }
+  return { rule: 'work is split by the shares the operator gave', checked, breaches };
 };
 
 const poolsOf = (c: ConfigRecord, kind: RanRecord['kind']): readonly string[] => (kind === 'generate' ? c.turnPools : c.callPools);
@@ -165,19 +185,19 @@
   for (const x of r.ran) {
     const floor = acked.filter((c) => c.toldAt + s.inForceMs < x.began).at(-1);
     if (!floor) continue;
-    checked++;
-    const may = r.configs.filter((c) => c.told !== 'refused' && c.version >= floor.version && c.sentAt <= x.at);
-    if (![floor, ...may].some((c) => poolsOf(c, x.kind).includes(x.pool)))
-      breaches.push(`${x.kind} ran in pool ${x.pool} though version ${floor.version} was in force`);
+    const older = r.configs.filter((c) => c.version < floor.version && c.told !== 'refused');
+    if (older.some((c) => poolsOf(c, x.kind).some((p) => !poolsOf(floor, x.kind).includes(p)))) checked++;
+    const may = r.configs.filter((c) => c.told !== 'refused' && c.version >= floor.version && c.sentAt <= x.began);
+    if (!may.some((c) => poolsOf(c, x.kind).includes(x.pool))) breaches.push(`${x.kind} ran in pool ${x.pool} though version ${floor.version} was in force`);
   }
-  return { rule: 'an acknowledged configuration is in force and stays', checked: acked.length > 0 ? checked : 0, breaches };
+  return { rule: 'an acknowledged configuration is in force and stays', checked, breaches };
 };
 
 const allowed = (r: Records): RuleVerdict => {
-  const ever = (kind: RanRecord['kind']): ReadonlySet<string> => new Set(r.configs.filter((c) => c.told !== 'refused').flatMap((c) => poolsOf(c, kind)));
-  const turn = ever('generate');
-  const call = ever('act');
-  const breaches = r.ran.filter((x) => !(x.kind === 'generate' ? turn : call).has(x.pool)).map((x) => `work ran in pool ${x.pool}`);
+  const real = r.configs.filter((c) => c.told !== 'refused');
+  const breaches = r.ran
+    .filter((x) => !real.some((c) => c.sentAt <= x.began && poolsOf(c, x.kind).includes(x.pool)))
+    .map((x) => `work ran in pool ${x.pool}`);
   return { rule: 'no work reaches a pool never allowed', checked: r.ran.length, breaches };
 };
 
@@ -205,7 +225,7 @@
 
 export const checkRecords = (r: Records, s: Slack = slack): readonly RuleVerdict[] => [
   once(r), sameKey(r, s), refusedRan(r), trueAnswers(r), budgets(r), history(r, s),
-  streams(r), leaving(r, s), inForce(r, s), allowed(r), readBack(r), restart(r, s),
+  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), restart(r, s),
 ];
 
 export const countTold = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -39,8 +39,8 @@
       const res = await request(`${server.url}/v1/generate`, {
         method: 'POST',
         dispatcher: this.agent,
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(g),
+        headers: { 'content-type': 'application/json', 'x-request-id': g.inquiry },
+        body: JSON.stringify({ id: g.id, messages: g.messages, maxTokens: g.maxTokens }),
         signal: stop,
         headersTimeout: within,
         bodyTimeout: within,
@@ -75,7 +75,7 @@
       const res = await request(`${server.url}/v1/act`, {
         method: 'POST',
         dispatcher: this.agent,
-        headers: { 'content-type': 'application/json', ...(a.key ? { 'idempotency-key': a.key } : {}) },
+        headers: { 'content-type': 'application/json', 'x-request-id': a.inquiry, ...(a.key ? { 'idempotency-key': a.key } : {}) },
         body: JSON.stringify({ id: a.id, path: a.path, body: a.body }),
         signal: stop,
         headersTimeout: within,
--- a/packages/proxy/src/pages.ts
+++ b/packages/proxy/src/pages.ts
@@ -21,6 +21,8 @@
   return typeof v === 'string' ? v : '';
 };
 
+const inquiryOf = (req: IncomingMessage): string => header(req, 'x-request-id').slice(0, 100) || `i-${randomBytes(9).toString('hex')}`;
+
 const sendVerdict = (res: ServerResponse, v: Verdict): void => {
   if (v.verdict === 'done') return sendJson(res, v.status, v.body ?? null);
   const headers = new Map<string, string>();
@@ -78,7 +80,7 @@
     const body = parsed(NewTurn, await readBody(req, bodyMost), res);
     if (!body) return;
     const key = header(req, 'operation-key') || header(req, 'idempotency-key') || `k-${randomBytes(9).toString('hex')}`;
-    const ask = { tenant, pid, ...body, after: body.after ?? null, key };
+    const ask = { tenant, pid, ...body, after: body.after ?? null, key, inquiry: inquiryOf(req) };
     const begin = (): void => {
       if (!res.headersSent) res.writeHead(200, { 'content-type': 'application/x-ndjson' });
     };
@@ -101,7 +103,7 @@
     if (parsed(z.unknown(), body, res) === undefined && res.headersSent) return;
     const key = header(req, 'operation-key') || header(req, 'idempotency-key');
     if (key.length > 200) return bad(res, 400, 'bad-key', 'an Operation-Key has at most 200 characters');
-    const ask = { tenant, path, key, body };
+    const ask = { tenant, path, key, body, inquiry: inquiryOf(req) };
     const slotKey = opKeyOf(tenant, key);
     if (key === '') {
       front.steward.requireFresh();
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -38,8 +38,8 @@
     this.busy.set(s.id, (this.busy.get(s.id) ?? 0) + by);
   }
 
-  private note(kind: RanRecord['kind'], s: Server, key: string, began: number, said: string, reply: string, complete: boolean, tokens: number): void {
-    this.ran.push({ kind, server: s.id, pool: s.pool, key, began, at: this.clock.now(), said: said.slice(-60), reply, complete, tokens });
+  private note(kind: RanRecord['kind'], s: Server, key: string, attempt: string, program: string, began: number, said: string, reply: string, complete: boolean, tokens: number): void {
+    this.ran.push({ kind, server: s.id, pool: s.pool, key, attempt, program, began, at: this.clock.now(), said: said.slice(-60), reply, complete, tokens });
   }
 
   backend(life: Life): Backend {
@@ -56,6 +56,7 @@
         if (f.refuses) return { kind: 'never-left', text: 'refused' };
         const nth = ++this.served;
         const began = clock.now();
+        const program = g.id.split('/')[0] ?? '';
         const said = g.messages.at(-1)?.text ?? '';
         const total = Math.min(g.maxTokens, 4 + Math.floor(this.rng() * 12));
         const cutAt = f.cutEvery > 0 && nth % f.cutEvery === 0 ? Math.floor(total / 2) : -1;
@@ -65,7 +66,7 @@
           await pause(clock, 5 * f.slow);
           if (gone.aborted || life.dead || n === cutAt) {
             this.enter(s, -1);
-            this.note('generate', s, '', began, said, reply, false, n);
+            this.note('generate', s, '', g.inquiry, program, began, said, reply, false, n);
             return gate({ kind: 'lost', text: 'the stream stopped' });
           }
           const text = `${s.id}.${nth}.${n} `;
@@ -74,7 +75,7 @@
           life.do(() => onPiece(at, text));
         }
         this.enter(s, -1);
-        this.note('generate', s, '', began, said, reply, true, total);
+        this.note('generate', s, '', g.inquiry, program, began, said, reply, true, total);
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the end was lost' });
         return gate({ kind: 'done', code: 200, body: total });
       },
@@ -87,7 +88,7 @@
         this.enter(s, 1);
         await pause(clock, (10 + this.rng() * 30) * f.slow);
         this.enter(s, -1);
-        this.note('act', s, a.key, began, a.path, '', true, 0);
+        this.note('act', s, a.key, a.inquiry, '', began, a.path, '', true, 0);
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the verdict was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -51,7 +51,7 @@
       ['m1', 'models'], ['m2', 'models'], ['n1', 'others'], ['s1', 'shop'], ['s2', 'shop'],
     ]);
     this.configs.push({
-      version: 1, text: this.spec.config(0, 'models', 0), turnPools: ['models'], callPools: ['shop'], sentAt: 0, told: 'done', toldAt: w.clock.now(),
+      version: 1, text: this.spec.config(0, 'models', 0), turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: w.clock.now(),
     });
     const end = w.clock.now() + this.spec.ms;
     let nextFault = w.clock.now() + 500;
@@ -89,7 +89,7 @@
 
   private async chat(n: number): Promise<void> {
     const { w } = this;
-    const p = await w.program(120);
+    const p = await w.program(n % 3 === 0 ? 30 : 120);
     if (p.told !== 'done') return;
     let after: string | null = null;
     for (let i = 0; i < 3; i++) {
@@ -116,7 +116,7 @@
   }
 
   private async later(program: string, turn: string): Promise<void> {
-    await this.wait(this.w.rng() * 20000);
+    await this.wait(this.w.rng() * (this.w.rng() < 0.5 ? 5000 : 59000));
     await this.w.fetch(program, turn);
   }
 
@@ -209,9 +209,10 @@
     const { w } = this;
     if (this.leavings.some((l) => l.server === id && l.until === Infinity)) return;
     const m = w.master;
+    const at = w.clock.now();
     const r = await m?.control?.operate({ method: 'POST', path: `/v1/servers/${id}/leaving`, body: '' });
     if (r?.status !== 200) return;
-    const record = { server: id, at: w.clock.now(), until: Infinity };
+    const record = { server: id, at, until: Infinity };
     this.leavings.push(record);
     await this.wait(6000);
     const n = this.leavings.indexOf(record);
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -156,7 +156,7 @@
 
   private record(t: Partial<ToldRecord> & Pick<ToldRecord, 'kind' | 'from'>, v: Verdict): ToldRecord {
     const row: ToldRecord = {
-      tenant: 't', program: '', key: '', turn: '', to: this.clock.now(), told: v.verdict, mishap: v.mishap ?? '',
+      tenant: 't', program: '', key: '', attempt: '', turn: '', after: '', to: this.clock.now(), told: v.verdict, mishap: v.mishap ?? '',
       pieces: [], text: '', tokens: 0, sent: '', ...t,
     };
     this.told.push(row);
@@ -175,8 +175,9 @@
     const from = this.clock.now();
     const pieces: number[] = [];
     let text = '';
+    const attempt = `i${++this.ids}`;
     const sent = words.padEnd(60, ' ');
-    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key };
+    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key, inquiry: attempt };
     const v = await this.ask('front/turn', `p/${rootOf(program)}`, ask, at, (n, t) => {
       pieces.push(n);
       text += t;
@@ -184,7 +185,7 @@
     const end = End.safeParse(v.body);
     const told = v.verdict === 'done' ? 'done' : pieces.length > 0 ? 'partial' : v.verdict;
     const more = end.success ? { turn: end.data.end.turn, tokens: end.data.end.tokens } : {};
-    return this.record({ kind: 'turn', from, program, key, sent, pieces: [...pieces], text, told, ...more }, v);
+    return this.record({ kind: 'turn', from, program, key, attempt, after: after ?? '', sent, pieces: [...pieces], text, told, ...more }, v);
   }
 
   async fetch(program: string, turn: string, at?: Machine): Promise<ToldRecord> {
@@ -197,8 +198,9 @@
   async call(key: string, path: string, body: unknown, at?: Machine): Promise<ToldRecord> {
     const from = this.clock.now();
     const text = JSON.stringify(body);
-    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text }, at, () => undefined);
+    const attempt = `i${++this.ids}`;
+    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text, inquiry: attempt }, at, () => undefined);
     const did = Did.safeParse(v.body);
-    return this.record({ kind: 'call', from, key, sent: text, text: did.success ? `${did.data.by} ${did.data.key}` : '' }, v);
+    return this.record({ kind: 'call', from, key, attempt, sent: text, text: did.success ? `${did.data.by} ${did.data.key}` : '' }, v);
   }
 }
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { pipeline } from 'node:stream';
 import split2 from 'split2';
 import { Agent, request } from 'undici';
@@ -19,7 +20,7 @@
 const Fetched = z.object({ turn: z.string(), text: z.string(), tokens: z.number() });
 const Did = z.object({ did: z.string(), key: z.string().nullable(), by: z.string() });
 
-const blank = { program: '', key: '', turn: '', mishap: '', pieces: [], text: '', tokens: 0, sent: '', firstMs: 0, retryAfter: 0 };
+const blank = { program: '', key: '', attempt: '', turn: '', after: '', mishap: '', pieces: [], text: '', tokens: 0, sent: '', firstMs: 0, retryAfter: 0 };
 
 export class Caller {
   private static readonly agent = new Agent({ connections: 256, pipelining: 1, connect: { timeout: 1000 } });
@@ -40,11 +41,11 @@
     return t;
   }
 
-  private async post(front: string, path: string, body: unknown, key: string) {
+  private async post(front: string, path: string, body: unknown, key: string, attempt = '') {
     return request(`http://${front}${path}`, {
       method: 'POST',
       dispatcher: Caller.agent,
-      headers: { 'content-type': 'application/json', 'x-tenant': this.tenant, ...(key ? { 'operation-key': key } : {}) },
+      headers: { 'content-type': 'application/json', 'x-tenant': this.tenant, ...(key ? { 'operation-key': key } : {}), ...(attempt ? { 'x-request-id': attempt } : {}) },
       body: JSON.stringify(body),
       headersTimeout: this.within,
       bodyTimeout: this.within,
@@ -78,13 +79,14 @@
 
   async turn(front: string, program: string, after: string | null, words: string, key: string, maxTokens?: number): Promise<Told> {
     const from = Date.now();
-    const base = { kind: 'turn' as const, front, from, program, key, sent: words };
+    const attempt = randomUUID();
+    const base = { kind: 'turn' as const, front, from, program, key, attempt, after: after ?? '', sent: words };
     const pieces: number[] = [];
     let text = '';
     let firstMs = 0;
     try {
       const body = { after, words, ...(maxTokens === undefined ? {} : { maxTokens }) };
-      const res = await this.post(front, `/v1/programs/${program}/turns`, body, key);
+      const res = await this.post(front, `/v1/programs/${program}/turns`, body, key, attempt);
       if (res.statusCode !== 200) {
         const raw: unknown = await res.body.json().catch(() => null);
         const retryAfter = Number(res.headers['retry-after'] ?? 0);
@@ -126,9 +128,10 @@
 
   async call(front: string, path: string, body: unknown, key: string): Promise<Told> {
     const from = Date.now();
-    const base = { kind: 'call' as const, front, from, key, sent: JSON.stringify(body) };
+    const attempt = randomUUID();
+    const base = { kind: 'call' as const, front, from, key, attempt, sent: JSON.stringify(body) };
     try {
-      const res = await this.post(front, `/v1/calls${path}`, body, key);
+      const res = await this.post(front, `/v1/calls${path}`, body, key, attempt);
       const raw: unknown = await res.body.json();
       const did = Did.safeParse(raw);
       const retryAfter = Number(res.headers['retry-after'] ?? 0);
--- a/packages/stand-ins/src/ledger.ts
+++ b/packages/stand-ins/src/ledger.ts
@@ -1,4 +1,5 @@
 import { appendFileSync } from 'node:fs';
+import type { IncomingMessage } from 'node:http';
 import type { RanRecord } from '@tillerstair/checker';
 
 export interface Ran extends RanRecord {
@@ -7,6 +8,11 @@
   readonly prompt: number;
 }
 
+export const attemptOf = (req: IncomingMessage): string => {
+  const v = req.headers['x-request-id'];
+  return typeof v === 'string' ? v : '';
+};
+
 export const saidOf = (text: string): string => text.slice(-60);
 
 export class Ledger {
--- a/packages/stand-ins/src/model.ts
+++ b/packages/stand-ins/src/model.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import { hostClock, pause, readBody, sendJson } from '@tillerstair/wire';
 import { FaultyServer } from './faults.js';
-import { saidOf, type Ledger } from './ledger.js';
+import { attemptOf, saidOf, type Ledger } from './ledger.js';
 
 export interface ModelSpec {
   readonly id: string;
@@ -88,7 +88,7 @@
     } finally {
       this.busy--;
       this.ledger.add({
-        kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
+        kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', attempt: attemptOf(req), program: g.id.split('/')[0] ?? '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
         said: saidOf(g.messages.at(-1)?.text ?? ''), reply, complete,
       });
     }
--- a/packages/stand-ins/src/service.ts
+++ b/packages/stand-ins/src/service.ts
@@ -2,8 +2,7 @@
 import { z } from 'zod';
 import { hostClock, pause, readBody, sendJson } from '@tillerstair/wire';
 import { FaultyServer } from './faults.js';
-import type { Ledger } from './ledger.js';
-
+import { attemptOf, type Ledger } from './ledger.js';
 
 export interface ServiceSpec {
   readonly id: string;
@@ -33,7 +32,7 @@
       const span = this.spec.mostMs - this.spec.leastMs;
       await pause(hostClock, this.spec.leastMs + ((nth * 7919) % 100) / 100 * span);
       this.ledger.add({
-        kind: 'act', server: this.spec.id, pool: this.spec.pool, id: act.id, key: typeof key === 'string' ? key : '', began, at: Date.now(), tokens: 0, cached: 0, prompt: 0,
+        kind: 'act', server: this.spec.id, pool: this.spec.pool, id: act.id, key: typeof key === 'string' ? key : '', attempt: attemptOf(req), program: '', began, at: Date.now(), tokens: 0, cached: 0, prompt: 0,
         said: act.path, reply: '', complete: true,
       });
       if (this.loses(this.faults.loseEnd, nth)) {
--- a/packages/steward/src/backend.ts
+++ b/packages/steward/src/backend.ts
@@ -15,6 +15,7 @@
   readonly id: string;
   readonly messages: readonly Message[];
   readonly maxTokens: number;
+  readonly inquiry: string;
 }
 
 export interface Act {
@@ -22,6 +23,7 @@
   readonly key: string;
   readonly path: string;
   readonly body: string;
+  readonly inquiry: string;
 }
 
 export interface BusyReport {
--- a/packages/steward/src/calls.ts
+++ b/packages/steward/src/calls.ts
@@ -5,7 +5,8 @@
 import type { Steward } from './steward.js';
 import { done, ofMishap, OpValue, refused, unknown, type CallAsk, type Verdict } from './verdict.js';
 
-export const opKeyOf = (tenant: string, key: string): string => `o/${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
+export const operationOf = (tenant: string, key: string): string => `${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
+export const opKeyOf = (tenant: string, key: string): string => `o/${operationOf(tenant, key)}`;
 
 const digestOf = (ask: CallAsk): string => createHash('sha256').update(`${ask.path}\n${ask.body}`).digest('hex').slice(0, 16);
 
@@ -82,7 +83,8 @@
           if (!this.s.fresh || skip.size > 2) return await notRun('the control link is down, or every server tried was taken away');
           continue;
         }
-        const act = { id: `call-${++this.made}`, key: ask.key, path: ask.path, body: ask.body };
+        const key = ask.key === '' ? '' : operationOf(ask.tenant, ask.key);
+        const act = { id: `call-${++this.made}`, key, path: ask.path, body: ask.body, inquiry: ask.inquiry };
         const ended = await backend.act(server, act, gone, config.bounds.callMs);
         ok = ended.kind === 'done' || ended.kind === 'declined';
         if (ended.kind === 'done') {
--- a/packages/steward/src/turns.ts
+++ b/packages/steward/src/turns.ts
@@ -226,7 +226,7 @@
     const ended = await this.s.p.backend
       .generate(
         server,
-        { id: `${job.ask.pid}/${job.turn}`, messages: job.messages, maxTokens: value.cost },
+        { id: `${job.ask.pid}/${job.turn}`, messages: job.messages, maxTokens: value.cost, inquiry: job.ask.inquiry },
         (n, text) => {
           if (n !== pieces.length || pieces.length >= value.cost) {
             stop.abort();
@@ -245,7 +245,7 @@
     }
     if (ended.kind === 'lost' || stop.signal.aborted || ended.body !== pieces.length) {
       const text = ended.kind === 'lost' ? ended.text : 'the stream did not hold together';
-      await this.settle(job, { ...value, status: 'failed', cost: pieces.length, pieces }).catch(() => undefined);
+      await this.settle(job, { ...value, status: 'failed', pieces }).catch(() => undefined);
       return { ended: { kind: 'lost', text }, verdict: unknown(text, 'broken-off') };
     }
     const whole: TurnValue = { ...value, status: 'done', cost: pieces.length, pieces };
--- a/packages/steward/src/verdict.ts
+++ b/packages/steward/src/verdict.ts
@@ -42,13 +42,14 @@
   words: z.string(),
   maxTokens: z.number().int().min(1).optional(),
   key: z.string(),
+  inquiry: z.string().default(''),
 });
 export type TurnAsk = z.infer<typeof TurnAsk>;
 
 export const HistoryAsk = z.object({ tenant: z.string(), pid: z.string(), turn: z.string().optional() });
 export type HistoryAsk = z.infer<typeof HistoryAsk>;
 
-export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string() });
+export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string(), inquiry: z.string().default('') });
 export type CallAsk = z.infer<typeof CallAsk>;
 
 export const ProgramValue = z.object({
--- a/tests/src/backend.test.ts
+++ b/tests/src/backend.test.ts
@@ -7,8 +7,8 @@
 
 const backend = suite('what servers do to the client of them');
 const never = new AbortController().signal;
-const say = { id: 'i', messages: [{ role: 'user' as const, text: 'hello' }], maxTokens: 64 };
-const act = { id: 'i', key: 'k', path: '/hold', body: '{}' };
+const say = { id: 'i', messages: [{ role: 'user' as const, text: 'hello' }], maxTokens: 64, inquiry: 'i' };
+const act = { id: 'i', key: 'k', path: '/hold', body: '{}', inquiry: 'i' };
 
 const at = (port: number) => ({ id: 's', pool: 'p', url: `http://127.0.0.1:${port}`, leaving: false, down: false });
 
--- a/tests/src/checker.test.ts
+++ b/tests/src/checker.test.ts
@@ -5,21 +5,29 @@
 const bites = suite('the checker bites');
 
 const told: ToldRecord = {
-  kind: 'call', tenant: 't', program: '', key: 'k', turn: '', from: 100, to: 200, told: 'done', mishap: '', pieces: [], text: 's1 k', tokens: 0, sent: '{}',
+  kind: 'call', tenant: 't', program: '', key: 'k', attempt: 'i1', turn: '', after: '', from: 100, to: 200, told: 'done', mishap: '', pieces: [],
+  text: 's1 t/k', tokens: 0, sent: '{}',
 };
 const ran: RanRecord = {
-  kind: 'act', server: 's1', pool: 'shop', key: 'k', began: 120, at: 150, said: '/hold', reply: '', complete: true, tokens: 0,
+  kind: 'act', server: 's1', pool: 'shop', key: 't/k', attempt: 'i1', program: '', began: 120, at: 150, said: '/hold', reply: '', complete: true, tokens: 0,
 };
 const said = 'what is in stock? #1'.padEnd(60, ' ');
-const turn: ToldRecord = { ...told, kind: 'turn', program: 'p', key: 't1', turn: 'x', text: 'a b ', pieces: [0, 1], tokens: 2, sent: said };
-const gen: RanRecord = { ...ran, kind: 'generate', pool: 'models', key: '', said, reply: 'a b ', tokens: 2 };
-const config = { version: 1, text: 'c1', turnPools: ['models'], callPools: ['shop'], sentAt: -20000, told: 'done' as const, toldAt: -10000 };
-const program: ToldRecord = { ...told, kind: 'program', program: 'p', key: '', sent: '10', text: '' };
-const fetched: ToldRecord = { ...turn, kind: 'fetch', key: '', from: 300, to: 400, pieces: [] };
+const turn: ToldRecord = { ...told, kind: 'turn', program: 'p', key: 't1', attempt: 'i2', turn: 'x', text: 'a b ', pieces: [0, 1], tokens: 2, sent: said };
+const gen: RanRecord = { ...ran, kind: 'generate', pool: 'models', key: '', attempt: 'i2', program: 'p', said, reply: 'a b ', tokens: 2 };
+const first = { version: 1, text: 'c0', turnPools: ['early'], callPools: ['shop', 'early'], sentAt: -40000, told: 'done' as const, toldAt: -30000 };
+const config = { version: 2, text: 'c1', turnPools: ['models'], callPools: ['shop'], sentAt: -20000, told: 'done' as const, toldAt: -10000 };
+const program: ToldRecord = { ...told, kind: 'program', program: 'p', key: '', attempt: '', sent: '3', text: '', from: 10, to: 20 };
+const fetched: ToldRecord = { ...turn, kind: 'fetch', key: '', attempt: '', from: 300, to: 400, pieces: [] };
+const refused: ToldRecord = { ...told, key: 'r', attempt: 'i9', told: 'refused', text: '' };
+const away = { server: 's9', at: -10000, until: 1e9 };
+const late: RanRecord = { ...ran, server: 's9', key: 't/l', attempt: 'i7', began: -7000, at: -6990 };
+const split = Array.from({ length: 30 }, (_, i): RanRecord => ({ ...ran, key: `t/w${i}`, attempt: `w${i}`, began: 2000 + i, at: 2001 + i, pool: i % 3 === 0 ? 'shop' : 'more' }));
+const wide = { version: 3, text: 'c2', turnPools: ['models'], callPools: ['shop', 'more'], sentAt: 1000, told: 'unknown' as const, toldAt: 1100 };
 const good: Records = {
-  ...noRecords, told: [program, turn, fetched, told, { ...told, from: 300, to: 350 }, { ...told, key: 'r', told: 'refused', text: '' }], ran: [ran, gen], configs: [config],
-  leavings: [{ server: 's9', at: 0, until: 1e9 }], restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 5000, configBefore: 1, configAfter: 1 }],
-  readBack: { version: 1, text: 'c1' }, perTurn: 4,
+  ...noRecords, told: [program, turn, fetched, told, { ...told, attempt: 'i3', from: 300, to: 350 }, refused], ran: [ran, gen, late, ...split], configs: [first, config, wide],
+  leavings: [away], restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 5000, configBefore: 2, configAfter: 2 }],
+  shares: [{ kind: 'act', from: 1999, to: 3000, shares: [['shop', 1], ['more', 2]], rounding: 2 }],
+  readBack: { version: 2, text: 'c1' }, perTurn: 4,
 };
 
 bites('sound records breach nothing and prove every rule', () => {
@@ -32,24 +40,56 @@
 const doctored: readonly (readonly [string, Records])[] = [
   ['runs twice', { ...good, ran: [...good.ran, { ...ran, at: 90000 }] }],
   ['both run within a minute', { ...good, ran: [...good.ran, { ...ran, at: 5000 }] }],
-  ['told refused has not run', { ...good, told: [{ ...told, told: 'refused', text: '' }] }],
-  ['foreign, cut or invented', { ...good, told: [...good.told, { ...told, key: 'other', text: 's1 k' }] }],
+  ['told refused has not run', { ...good, told: [...good.told, { ...told, told: 'refused', text: '' }] }],
+  ['told refused has not run', { ...good, told: [program, { ...turn, told: 'refused', pieces: [], text: '' }, { ...turn, attempt: 'i4', told: 'unknown' }] }],
+  ['foreign, cut or invented', { ...good, told: [...good.told, { ...told, key: 'other', text: 's1 t/k' }] }],
+  ['foreign, cut or invented', { ...good, told: [...good.told, { ...told, tenant: 'u' }] }],
   ['foreign, cut or invented', { ...good, told: [program, { ...turn, text: 'a ', pieces: [0] }] }],
+  ['foreign, cut or invented', { ...good, told: [program, { ...turn, program: 'q' }] }],
   ['foreign, cut or invented', { ...good, ran: [ran, { ...gen, complete: false }] }],
-  ['its budget and one turn', { ...good, told: [program, ...Array.from({ length: 8 }, (_, i) => ({ ...turn, key: `t${i}` }))] }],
+  ['foreign, cut or invented', { ...good, told: [...good.told, { ...fetched, text: 'a c ' }] }],
+  ['its budget and one turn', { ...good, told: [program, ...Array.from({ length: 4 }, (_, i) => ({ ...turn, key: `t${i}` }))] }],
+  ['its budget and one turn', { ...good, ran: [ran, gen, gen, gen, { ...gen, program: 'p~h' }] }],
   ['reported missing', { ...good, told: [program, turn, { ...fetched, told: 'refused', mishap: 'missing', text: '' }] }],
-  ['reported missing', { ...good, told: [program, turn, { ...turn, key: 't2', told: 'refused', mishap: 'missing-turn', pieces: [], text: '' }] }],
+  ['reported missing', { ...good, told: [program, turn, { ...fetched, from: 60000, to: 60190, told: 'refused', mishap: 'missing', text: '' }] }],
+  ['reported missing', { ...good, told: [program, turn, { ...turn, key: 't2', after: 'x', from: 300, to: 301, told: 'refused', mishap: 'missing-turn', pieces: [], text: '' }] }],
+  ['reported missing', { ...good, told: [program, { ...turn, told: 'refused', mishap: 'missing', pieces: [], text: '' }] }],
   ['skips, repeats or stitches', { ...good, told: [program, { ...turn, pieces: [0, 2] }] }],
   ['skips, repeats or stitches', { ...good, told: [program, { ...turn, told: 'partial', text: 'a c ' }] }],
+  ['skips, repeats or stitches', { ...good, ran: [ran] }],
   ['leaving server', { ...good, leavings: [{ server: 's1', at: -4000, until: 1e9 }] }],
-  ['in force', { ...good, configs: [config, { ...config, version: 2, turnPools: ['new'], sentAt: -9000, toldAt: -8000 }], readBack: { version: 2, text: 'c1' } }],
+  ['leaving server', { ...good, ran: [...good.ran, { ...late, began: away.at + 3301 }] }],
+  ['shares the operator gave', { ...good, ran: [...good.ran, ...split.slice(0, 12).map((x) => ({ ...x, pool: 'shop', key: `${x.key}b` }))] }],
+  ['shares the operator gave', { ...good, shares: [{ kind: 'act', from: 1999, to: 3000, shares: [['shop', 0], ['more', 1]], rounding: 40 }] }],
+  ['in force', { ...good, ran: [...good.ran, { ...gen, pool: 'early' }] }],
+  ['in force', { ...good, ran: [...good.ran, { ...ran, key: 't/e', pool: 'more', began: 999 }] }],
   ['never allowed', { ...good, ran: [{ ...ran, pool: 'secret' }, gen] }],
-  ['read-back', { ...good, readBack: { version: 1, text: 'other' } }],
+  ['never allowed', { ...good, ran: [{ ...ran, pool: 'more' }, gen] }],
+  ['read-back', { ...good, readBack: { version: 2, text: 'other' } }],
+  ['read-back', { ...good, readBack: { version: 1, text: 'c0' } }],
   ['read-back', { ...good, readBack: undefined }],
-  ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 14000, configBefore: 1, configAfter: 1 }] }],
+  ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 12501, configBefore: 1, configAfter: 1 }] }],
   ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 4000, configBefore: 2, configAfter: 1 }] }],
 ];
 
+const sound: readonly (readonly [string, Records])[] = [
+  ['a key run again after more than a minute under another tenant', { ...good, ran: [...good.ran, { ...ran, key: 'u/k' }] }],
+  ['a try told unknown that ran, and another try of its key told refused', { ...good, told: [...good.told, { ...told, attempt: 'i8', told: 'refused', text: '' }] }],
+  ['a budget overrun by less than one turn', { ...good, ran: [...good.ran, { ...gen, tokens: 4 }] }],
+  ['a turn missing after more than a minute', { ...good, told: [program, turn, { ...fetched, from: 60300, to: 60301, told: 'refused', mishap: 'missing', text: '' }] }],
+  ['work just inside the leaving bound', { ...good, ran: [...good.ran, { ...late, key: 't/m', began: away.at + 3300 }] }],
+  ['work of an older version just inside the bound', { ...good, configs: [first, { ...config, toldAt: -2000 }, wide], ran: [...good.ran, { ...gen, attempt: 'n', program: 'n', pool: 'early', began: 200 }] }],
+  ['a split within rounding', { ...good, ran: [...good.ran, { ...ran, key: 't/z', pool: 'more', began: 2500 }] }],
+  ['serving back just in time', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 12500, configBefore: 2, configAfter: 3 }] }],
+  ['a version of unknown fate read back', { ...good, readBack: { version: 3, text: 'c2' } }],
+];
+
+sound.forEach(([what, records]) => {
+  bites(`near the bound but sound: ${what}`, () => {
+    assert.equal(checkRecords(records).flatMap((v) => v.breaches), []);
+  });
+});
+
 doctored.forEach(([rule, records], i) => {
   bites(`doctored record ${i + 1} is caught: ${rule}`, () => {
     const hit = checkRecords(records).filter((v) => v.breaches.length > 0).map((v) => v.rule);
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -13,7 +13,7 @@
   const slot = s?.slots[slotOf(key, s.slots.length)];
   return w.of('front').find((m) => m.front?.p.id === slot?.steward);
 };
-const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === key).length;
+const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
 
 never('a steward killed between intent and run: the key never runs twice', async () => {
   for (const seed of seeds) {
--- a/tests/src/path.test.ts
+++ b/tests/src/path.test.ts
@@ -45,7 +45,7 @@
   const again = await caller.call(b, '/shop/stock/hold', { item: 3 }, 'op-1');
   assert.is(call.told, 'done');
   assert.is(again.text, call.text);
-  assert.is(fleet.ledger.all().filter((r) => r.key === 'op-1').length, 1);
+  assert.is(fleet.ledger.all().filter((r) => r.key === 'shop/op-1').length, 1);
   const other = await caller.call(b, '/shop/stock/hold', { item: 4 }, 'op-1');
   assert.is(other.status, 422);
   assert.equal((await fleet.operator.config())?.text, text);
--- a/tests/src/steward.test.ts
+++ b/tests/src/steward.test.ts
@@ -13,7 +13,7 @@
 };
 const stewardOf = (w: World, key: string) => w.of('front').find((m) => m.front?.p.id === slotAt(w, key)?.steward);
 const stewardAs = (m: Machine, key: string): string => m.front?.steward.stewardOf(m.front.steward.slotFor(key)) ?? '';
-const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === key).length;
+const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
 
 const oneAtATime = async (w: World): Promise<void> => {
   await w.operate('DELETE', '/v1/servers/s2');
--- a/tests/src/util.ts
+++ b/tests/src/util.ts
@@ -38,7 +38,7 @@
   told: w.told,
   ran: w.servers.ran,
   perTurn: 16,
-  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: 0, told: 'done', toldAt: 0 }],
+  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: 0 }],
   readBack: { version: 1, text: '' },
   ...more,
 });
