A wiped control at its old address no longer votes for who it was

Cause: publishes, commits, pings and validations named an address, not a node. A control that had lost its disk came back under a new id, was asked as its old self too, accepted, and was counted as the old voter: with one more control down the master committed with one real vote of three. For the same reason it never counted as silent and was never replaced. Ruled out: promises (joins carry the joiner's own id). Change: those four inquiries name the node they are for; another node refuses them, but still learns who asked. After: refused, and the newcomer votes within 30 s. Conclusion: an address is not a voter.

--- a/packages/zen/src/candidate.ts
+++ b/packages/zen/src/candidate.ts
@@ -21,7 +21,7 @@
   let newest: State = acc;
   const body = { from: me, term, clusterId: acc.clusterId, have: markOf(acc) };
   const each = joiners.map(async (mate) => {
-    const got = Promised.parse(await circuits.call(mate.addr, 'zen/validate', body, { within: bounds.joinWait }));
+    const got = Promised.parse(await circuits.call(mate.addr, 'zen/validate', { ...body, to: mate.id }, { within: bounds.joinWait }));
     const theirs = got.state ? unflatten(new Map(got.state)) : undefined;
     if (theirs && newer(markOf(theirs), markOf(newest))) newest = theirs;
     promised.add(mate.id);
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -195,7 +195,7 @@
     const { circuits, me, bounds, log } = this.p;
     const head = { from: me, term: this.term, clusterId: next.clusterId };
     const ask = async (packed: string) =>
-      Accepted.parse(await circuits.call(mate.addr, 'zen/publish', { ...head, packed }, { within: bounds.publishWait }));
+      Accepted.parse(await circuits.call(mate.addr, 'zen/publish', { ...head, to: mate.id, packed }, { within: bounds.publishWait }));
     try {
       const has = this.seen.get(mate.id);
       const first = has && sameMark(has, markOf(this.base)) && this.base !== next ? await ask(diff) : await ask(fullOf());
@@ -215,7 +215,7 @@
   private async commit(mate: Mate, mark: Mark): Promise<void> {
     const { circuits, me, bounds } = this.p;
     try {
-      await circuits.call(mate.addr, 'zen/commit', { from: me, mark }, { within: bounds.silent });
+      await circuits.call(mate.addr, 'zen/commit', { from: me, to: mate.id, mark }, { within: bounds.silent });
       this.noteApplied(mate.id, mark);
     } catch {
       this.seen.delete(mate.id);
@@ -272,7 +272,7 @@
         .filter((m) => m.id !== me.id)
         .map(async (m) => {
           try {
-            const pong = NodePong.parse(await circuits.call(m.addr, 'zen/node-ping', body, { within: bounds.beat }));
+            const pong = NodePong.parse(await circuits.call(m.addr, 'zen/node-ping', { ...body, to: m.id }, { within: bounds.beat }));
             if (pong.term === this.term) yes.add(m.id);
           } catch {
             return;
@@ -321,7 +321,7 @@
       if (!mate) break;
       const sent = clock.now();
       try {
-        const body = { from: me, term: this.term, clusterId: this.base.clusterId };
+        const body = { from: me, to: id, term: this.term, clusterId: this.base.clusterId };
         const pong = NodePong.parse(await circuits.call(mate.addr, 'zen/node-ping', body, { within: bounds.silent }));
         if (pong.term > this.term) return this.stepDown(`${mate.addr} is in term ${pong.term}`);
         good = clock.now();
@@ -331,7 +331,7 @@
         this.p.onReport(id, pong.report);
         if (this.committed && newer(markOf(this.committed), pong.applied)) void this.catchUp(mate, this.committed);
       } catch (e) {
-        if (e instanceof CircuitRefused) refused++;
+        if (e instanceof CircuitRefused || mishapOf(e).code === 'other-node') refused++;
       }
       const listed = this.base.nodes.has(id);
       const heard = Math.max(good, this.contacts.get(id)?.ackedAt ?? -Infinity);
@@ -362,7 +362,7 @@
 
   async onJoin(join: Join): Promise<{ term: number }> {
     const { circuits, me, bounds, log } = this.p;
-    const body = { from: me, term: this.term, clusterId: this.base.clusterId, have: markOf(this.base) };
+    const body = { from: me, term: this.term, clusterId: this.base.clusterId, have: markOf(this.base), to: join.from.id };
     if (join.term > this.term) {
       this.stepDown(`${join.from.addr} joins with term ${join.term}`);
       throw new Mishap('not-master', 'this control is no longer master');
--- a/packages/zen/src/messages.ts
+++ b/packages/zen/src/messages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { Mishap, type Inquiry } from '@tillerstair/wire';
 import { Diff, Entries, Mark, Mate, Voters } from '@tillerstair/state';
 
 export const Ping = z.object({ from: Mate, known: z.array(Mate), clusterId: z.string() });
@@ -21,6 +22,16 @@
 export const Join = z.object({ from: Mate, term: z.number(), accepted: Mark, clusterId: z.string() });
 export type Join = z.infer<typeof Join>;
 
+const Addressed = z.object({ from: Mate, to: z.string() });
+const addressed: ReadonlySet<string> = new Set(['zen/validate', 'zen/publish', 'zen/commit', 'zen/node-ping']);
+
+export const mustBeFor = (me: Mate, inq: Inquiry, learn: (from: Mate) => void): void => {
+  if (!addressed.has(inq.kind)) return;
+  const { from, to } = Addressed.parse(inq.body);
+  learn(from);
+  if (to !== me.id) throw new Mishap('other-node', `${to} is another node, this is ${me.id}`);
+};
+
 export const Validate = z.object({ from: Mate, term: z.number(), clusterId: z.string(), have: Mark });
 export const Promised = z.object({ accepted: Mark, state: Entries.optional() });
 export type Promised = z.infer<typeof Promised>;
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -7,7 +7,7 @@
 import { acceptedMark, type Keep } from './keep.js';
 import { Master, type MasterView } from './master.js';
 import {
-  Commit, Join, MasterPing, MasterPong, NodePing, Ping, Pong, Promised, Validate,
+  Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate,
 } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
 import { Receiver } from './receiver.js';
@@ -326,6 +326,7 @@
   }
 
   async handle(inq: Inquiry): Promise<unknown> {
+    mustBeFor(this.p.me, inq, (from) => this.pinger.learn([from], this.p.me));
     switch (inq.kind) {
       case 'zen/ping': {
         const ping = Ping.parse(inq.body);
@@ -362,7 +363,6 @@
   }
 
   private onNodePing(ping: NodePing): unknown {
-    this.pinger.learn([ping.from], this.p.me);
     if (ping.clusterId === this.clusterId) this.master?.onAnotherMaster(ping.term, ping.from.addr);
     return { term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null };
   }
--- a/tests/src/zen.test.ts
+++ b/tests/src/zen.test.ts
@@ -155,4 +155,29 @@
   }
 });
 
+zen('a control that lost its disk and came back at the same address does not vote for who it was', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const master = w.master;
+    const [c, d] = w.of('control').filter((m) => m !== master);
+    if (!c || !d) throw new Error('no controls');
+    const before = c.control?.id ?? '';
+    c.kill('power');
+    c.platter.wipe();
+    c.start();
+    await w.clock.until('back as another', () => {
+      const id = c.control?.id;
+      return id !== undefined && id !== before && (master?.control?.zen.leading?.committed?.nodes.has(id) ?? false);
+    }, 8000);
+    d.kill();
+    const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 1), master, 30000);
+    assert.is.not(put.status, 200, 'one of three voters is no majority');
+    d.start();
+    const voters = () => w.master?.control?.zen.leading?.committed?.voters.now ?? [];
+    await w.clock.until('it votes as who it is now', () => voters().includes(c.control?.id ?? 'none'), 30000);
+    assert.not.ok(voters().includes(before));
+    assert.is((await w.operate('GET', '/v1/config')).status, 200);
+  }
+});
+
 zen.run();
