Work that waited is looked at once more before a byte leaves; no refusal while one is free

Cause: (1) between the last look and the wire lay undici's pool of 64 circuits, a connect, or a frozen process; (2) a job kept the lane it was admitted under, so work waiting in line for a dropped pool was placed there, refused three times and given up; (3) work was refused after three servers tried though others were free; (4) what a server last said of itself had no age. Change: the last look is made when the request is about to be written, and takes it back as 'not run'; the lane is looked up at every pick, in a table compiled once a version; servers are tried while any is left; a server not heard of for 4/5 of the grace is not placed on. Broken on purpose: (1) in the HTTP client and in the simulated one: one test each fails; (3) one test fails; (4) none fails: a woken front polls before it can place, the guard is for slow /load. What remains: a process frozen inside the very write. Conclusion: the window is now one call.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,6 +1,6 @@
 import { pipeline } from 'node:stream';
 import split2 from 'split2';
-import { Agent, errors, request } from 'undici';
+import { Agent, DecoratorHandler, errors, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { Server } from '@tillerstair/state';
 import type { Act, Backend, Ended, Generate, BusyReport } from '@tillerstair/steward';
@@ -17,28 +17,55 @@
   return typeof e.code === 'string' ? e.code : '';
 };
 
+class TakenBack extends Error {}
+
+class LastLook extends DecoratorHandler {
+  constructor(
+    private readonly inner: Dispatcher.DispatchHandler,
+    private readonly still: () => boolean,
+  ) {
+    super(inner);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
+    if (!this.still()) controller.abort(new TakenBack('taken back before it left'));
+    else this.inner.onRequestStart?.(controller, context);
+  }
+}
+
+const lookLast =
+  (still: () => boolean): Dispatcher.DispatcherComposeInterceptor =>
+  (dispatch) =>
+  (opts, handler) =>
+    dispatch(opts, new LastLook(handler, still));
+
 const neverLeft = (e: unknown): boolean =>
   e instanceof errors.ConnectTimeoutError || ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'].includes(codeOf(e));
 
 const textOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
 
+const failed = (e: unknown): Ended => {
+  if (e instanceof TakenBack) return { kind: 'declined', text: e.message };
+  return { kind: neverLeft(e) ? 'never-left' : 'lost', text: textOf(e) };
+};
+
 export class HttpBackend implements Backend {
   private readonly agent: Agent;
 
   constructor(connectWithin: number) {
-    this.agent = new Agent({ connect: { timeout: connectWithin }, connections: 64, pipelining: 1, keepAliveTimeout: 4000 });
+    this.agent = new Agent({ connect: { timeout: connectWithin }, pipelining: 1, keepAliveTimeout: 4000 });
   }
 
   close(): Promise<void> {
     return this.agent.destroy();
   }
 
-  async generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number): Promise<Ended> {
+  async generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
     const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
     try {
       const res = await request(`${server.url}/v1/generate`, {
         method: 'POST',
-        dispatcher: this.agent,
+        dispatcher: this.agent.compose(lookLast(still)),
         headers: { 'content-type': 'application/json', 'x-request-id': g.inquiry },
         body: JSON.stringify({ id: g.id, messages: g.messages, maxTokens: g.maxTokens }),
         signal: stop,
@@ -65,16 +92,16 @@
       }
       return { kind: 'lost', text: 'the stream stopped without an end' };
     } catch (e) {
-      return neverLeft(e) ? { kind: 'never-left', text: textOf(e) } : { kind: 'lost', text: textOf(e) };
+      return failed(e);
     }
   }
 
-  async act(server: Server, a: Act, gone: AbortSignal, within: number): Promise<Ended> {
+  async act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
     const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
     try {
       const res = await request(`${server.url}/v1/act`, {
         method: 'POST',
-        dispatcher: this.agent,
+        dispatcher: this.agent.compose(lookLast(still)),
         headers: { 'content-type': 'application/json', 'x-request-id': a.inquiry, ...(a.key ? { 'idempotency-key': a.key } : {}) },
         body: JSON.stringify({ id: a.id, path: a.path, body: a.body }),
         signal: stop,
@@ -90,7 +117,7 @@
       if (!got.success || got.data.id !== a.id) return { kind: 'lost', text: 'the server spoke of another inquiry' };
       return { kind: 'done', code: res.statusCode, body: got.data.result };
     } catch (e) {
-      return neverLeft(e) ? { kind: 'never-left', text: textOf(e) } : { kind: 'lost', text: textOf(e) };
+      return failed(e);
     }
   }
 
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -18,6 +18,7 @@
   readonly ran: RanRecord[] = [];
   private readonly faults = new Map<string, SimFaults>();
   private readonly busy = new Map<string, number>();
+  asked = 0;
   private served = 0;
   readonly cutFronts = new Set<string>();
 
@@ -50,9 +51,11 @@
       return v;
     };
     return {
-      generate: async (s: Server, g: Generate, onPiece, gone): Promise<Ended> => {
+      generate: async (s: Server, g: Generate, onPiece, gone, _within, still): Promise<Ended> => {
         const f = this.of(s.id);
+        this.asked++;
         await pause(frontClock, 0.5);
+        if (!still()) return { kind: 'declined', text: 'taken back' };
         if (f.refuses) return { kind: 'never-left', text: 'refused' };
         const nth = ++this.served;
         const began = clock.now();
@@ -79,9 +82,11 @@
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the end was lost' });
         return gate({ kind: 'done', code: 200, body: total });
       },
-      act: async (s: Server, a: Act): Promise<Ended> => {
+      act: async (s: Server, a: Act, _gone, _within, still): Promise<Ended> => {
         const f = this.of(s.id);
+        this.asked++;
         await pause(frontClock, 0.5);
+        if (!still()) return { kind: 'declined', text: 'taken back' };
         if (f.refuses) return { kind: 'never-left', text: 'refused' };
         const nth = ++this.served;
         const began = clock.now();
--- a/packages/state/src/config.ts
+++ b/packages/state/src/config.ts
@@ -100,7 +100,17 @@
 
 export const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32);
 
-export const laneFor = (config: Config, kind: 'turn' | 'call', path: string): Lane | undefined =>
-  config.lanes
-    .filter((l) => l.match.kind === kind && (path === l.match.path || path.startsWith(l.match.path.endsWith('/') ? l.match.path : `${l.match.path}/`)))
-    .sort((a, b) => b.match.path.length - a.match.path.length)[0];
+export type LaneKind = 'turn' | 'call';
+export type Lanes = ReadonlyMap<string, Lane>;
+
+export const lanesOf = (config: Config): Lanes => new Map(config.lanes.map((l) => [`${l.match.kind} ${l.match.path}`, l]));
+
+export const laneFor = (table: Lanes, kind: LaneKind, path: string): Lane | undefined => {
+  const exact = table.get(`${kind} ${path}`);
+  if (exact) return exact;
+  for (let at = path.lastIndexOf('/'); at >= 0; at = at === 0 ? -1 : path.lastIndexOf('/', at - 1)) {
+    const lane = table.get(`${kind} ${path.slice(0, at + 1)}`) ?? (at > 0 ? table.get(`${kind} ${path.slice(0, at)}`) : undefined);
+    if (lane) return lane;
+  }
+  return undefined;
+};
--- a/packages/steward/src/backend.ts
+++ b/packages/steward/src/backend.ts
@@ -32,7 +32,7 @@
 }
 
 export interface Backend {
-  generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number): Promise<Ended>;
-  act(server: Server, a: Act, gone: AbortSignal, within: number): Promise<Ended>;
+  generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
+  act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
   busyness(server: Server, within: number): Promise<BusyReport>;
 }
--- a/packages/steward/src/calls.ts
+++ b/packages/steward/src/calls.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { laneFor, type Config, type Lane } from '@tillerstair/state';
+import type { Config } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { SlotKeeper } from './keeper.js';
 import type { Steward } from './steward.js';
@@ -19,11 +19,11 @@
   async call(ask: CallAsk, gone: AbortSignal): Promise<Verdict> {
     const { config } = this.s.requireFresh();
     if (!config) return refused(503, 'not-ready', 'no configuration yet', 1);
-    const lane = laneFor(config, 'call', ask.path);
+    const lane = this.s.findLane('call', ask.path);
     if (!lane) return refused(404, 'no-lane', `no lane takes calls at ${ask.path}`);
     if (ask.key === '') {
       if (lane.acting) return refused(400, 'no-key', 'this lane needs an Operation-Key');
-      return this.run(ask, lane, config, undefined, gone);
+      return this.run(ask, config, undefined, gone);
     }
     const key = opKeyOf(ask.tenant, ask.key);
     const keeper = this.s.keeper(key);
@@ -36,7 +36,7 @@
       if (old.data.status === 'done') return done(old.data.body, old.data.code);
       return unknown('this operation may have run; it is not run again');
     }
-    const verdict = this.run(ask, lane, config, keeper, new AbortController().signal);
+    const verdict = this.run(ask, config, keeper, new AbortController().signal);
     this.running.set(key, { digest, verdict });
     const leave = keeper.enter();
     return verdict.finally(() => {
@@ -45,15 +45,15 @@
     });
   }
 
-  private async run(ask: CallAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
+  private async run(ask: CallAsk, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
     try {
-      return await this.tryServers(ask, lane, config, keeper, gone);
+      return await this.tryServers(ask, config, keeper, gone);
     } catch (e) {
       return ofMishap(mishapOf(e));
     }
   }
 
-  private async tryServers(ask: CallAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
+  private async tryServers(ask: CallAsk, config: Config, keeper: SlotKeeper | undefined, gone: AbortSignal): Promise<Verdict> {
     const { clock, backend } = this.s.p;
     const key = opKeyOf(ask.tenant, ask.key);
     const digest = digestOf(ask);
@@ -69,10 +69,10 @@
     for (;;) {
       const left = end - clock.now();
       if (left <= 0) return notRun('no server came free in time');
-      const server = await this.s.place(lane, [], '', skip, left, gone).catch((e: unknown) => mishapOf(e));
+      const server = await this.s.place('call', ask.path, [], '', skip, left, gone).catch((e: unknown) => mishapOf(e));
       if (server instanceof Mishap) {
         const v = await notRun(server.message);
-        return { ...v, mishap: server.code };
+        return { ...v, ...ofMishap(server) };
       }
       let ok = true;
       try {
@@ -80,12 +80,12 @@
         noted = true;
         if (!this.s.mayRun(server, 'call', ask.path)) {
           skip.add(server.id);
-          if (!this.s.fresh || skip.size > 2) return await notRun('the control link is down, or every server tried was taken away');
+          if (!this.s.fresh) return await notRun('the control link is down');
           continue;
         }
         const key = ask.key === '' ? '' : operationOf(ask.tenant, ask.key);
         const act = { id: `call-${++this.made}`, key, path: ask.path, body: ask.body, inquiry: ask.inquiry };
-        const ended = await backend.act(server, act, gone, config.bounds.callMs);
+        const ended = await backend.act(server, act, gone, config.bounds.callMs, () => this.s.mayRun(server, 'call', ask.path));
         ok = ended.kind === 'done' || ended.kind === 'declined';
         if (ended.kind === 'done') {
           try {
@@ -100,7 +100,6 @@
           return unknown(ended.text);
         }
         skip.add(server.id);
-        if (skip.size > 2) return await notRun(ended.text);
       } finally {
         this.s.finished(server, ok);
       }
--- a/packages/steward/src/gate.ts
+++ b/packages/steward/src/gate.ts
@@ -1,4 +1,4 @@
-import { Mishap, type Clock } from '@tillerstair/wire';
+import { Mishap, mishapOf, type Clock } from '@tillerstair/wire';
 
 interface Waiter<T> {
   readonly pick: () => T | undefined;
@@ -24,8 +24,12 @@
 
   enter(urgent: boolean, within: number, gone: AbortSignal, pick: () => T | undefined): Promise<T> {
     if (this.waiting === 0) {
-      const now = pick();
-      if (now !== undefined) return Promise.resolve(now);
+      try {
+        const now = pick();
+        if (now !== undefined) return Promise.resolve(now);
+      } catch (e) {
+        return Promise.reject(mishapOf(e));
+      }
     }
     const line = urgent ? this.urgent : this.ordinary;
     if (line.size >= this.most()) return Promise.reject(new Mishap('line-full', 'the line is full'));
@@ -54,13 +58,22 @@
     });
   }
 
+  private tryPick(w: Waiter<T>): T | undefined {
+    try {
+      return w.pick();
+    } catch (e) {
+      w.fail(mishapOf(e));
+      return undefined;
+    }
+  }
+
   pump(): void {
     for (;;) {
       const first = this.run < urgentsPerOrdinary ? [this.urgent, this.ordinary] : [this.ordinary, this.urgent];
       let moved = false;
       for (const line of first) {
         for (const w of line) {
-          const v = w.pick();
+          const v = this.tryPick(w);
           if (v === undefined) continue;
           this.run = line === this.urgent ? this.run + 1 : 0;
           w.done(v);
--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -13,10 +13,11 @@
   readonly badSince: number;
   readonly failures: number;
   readonly pace: number | undefined;
+  readonly polledAt: number;
 }
 
 const fresh = (url: string): Sight => ({
-  url, inflight: 0, busy: 0, leaving: false, badSince: -Infinity, failures: 0, pace: undefined,
+  url, inflight: 0, busy: 0, leaving: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
 });
 
 export const prefixesOf = (messages: readonly Message[]): readonly string[] => {
@@ -35,6 +36,7 @@
   readonly poll: number;
   readonly pollWithin: number;
   readonly retryBad: number;
+  readonly sightWithin: number;
 }
 
 export class Placement {
@@ -64,7 +66,8 @@
     const v = this.sight(s);
     const since = this.clock.now() - v.badSince;
     const standing = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
-    return { inflight: v.inflight, busy: v.busy, leaving: v.leaving, standing };
+    const stale = this.clock.now() - v.polledAt > this.bounds.sightWithin;
+    return { inflight: v.inflight, busy: v.busy, leaving: v.leaving || stale, standing };
   }
 
   allowed(server: Server, lane: Lane): boolean {
@@ -73,11 +76,11 @@
     return lane.shares.some((s) => s.pool === now.pool && s.share > 0);
   }
 
-  usable(lane: Lane): boolean {
+  usable(lane: Lane, skip: ReadonlySet<string>): boolean {
     const state = this.table()?.state;
     if (!state) return false;
     const pools = new Set(lane.shares.filter((s) => s.share > 0).map((s) => s.pool));
-    return [...state.servers.values()].some((s) => pools.has(s.pool) && !s.leaving && !this.seen(s).leaving && this.seen(s).standing !== 'bad');
+    return [...state.servers.values()].some((s) => pools.has(s.pool) && !skip.has(s.id) && !s.leaving && !this.seen(s).leaving && this.seen(s).standing !== 'bad');
   }
 
   pick(lane: Lane, prefixes: readonly string[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
@@ -155,15 +158,17 @@
     });
   }
 
-  async poll(): Promise<void> {
+  async poll(onlyNew = false): Promise<void> {
     const state = this.table()?.state;
     if (!state) return;
     for (const id of [...this.sights.keys()]) if (!state.servers.has(id)) this.sights.delete(id);
     await Promise.all(
       [...state.servers.values()].map(async (s) => {
+        if (onlyNew && this.sight(s).polledAt > -Infinity) return;
+        const polledAt = this.clock.now();
         try {
           const got = await this.backend.busyness(s, this.bounds.pollWithin);
-          this.set(s, { busy: got.busy, leaving: got.leaving, failures: 0 });
+          this.set(s, { busy: got.busy, leaving: got.leaving, failures: 0, polledAt });
         } catch {
           this.set(s, { failures: this.sight(s).failures + 1, badSince: this.clock.now() });
         }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,4 +1,4 @@
-import { laneFor, rootOf, slotOf, type Lane, type Server, type State } from '@tillerstair/state';
+import { laneFor, rootOf, slotOf, type Lane, type LaneKind, type Server, type State } from '@tillerstair/state';
 import { Mishap, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { Backend } from './backend.js';
 import { Calls } from './calls.js';
@@ -48,7 +48,7 @@
       p.clock,
       p.backend,
       chainOf(p.affinity),
-      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.beat },
+      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.beat, sightWithin: (p.bounds.grace * 4) / 5 },
       table,
       () => this.table?.config?.bounds.perServer ?? 16,
     );
@@ -80,6 +80,7 @@
 
   take(state: State): void {
     this.table = tableOf(state, this.table);
+    void this.placement.poll(true);
     state.slots.forEach((slot, n) => {
       const old = this.keepers.get(n);
       if (slot.steward === this.p.id) {
@@ -156,19 +157,32 @@
     return `p/${rootOf(pid)}`;
   }
 
-  async place(lane: Lane, prefixes: readonly string[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
-    if (!this.placement.usable(lane)) throw new Mishap('no-server', `no server of lane ${lane.name} is usable`);
-    return this.gate.enter(lane.urgent, within, gone, () => {
+  findLane(kind: LaneKind, path: string): Lane | undefined {
+    return this.table && laneFor(this.table.lanes, kind, path);
+  }
+
+  laneOf(kind: LaneKind, path: string): Lane {
+    const lane = this.findLane(kind, path);
+    if (!lane) throw new Mishap('no-lane', `no lane takes ${kind}s at ${path}`);
+    return lane;
+  }
+
+  async place(kind: LaneKind, path: string, prefixes: readonly string[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
+    const usable = (): Lane => {
+      const lane = this.laneOf(kind, path);
+      if (!this.placement.usable(lane, skip)) throw new Mishap('no-server', `no server of lane ${lane.name} is usable`);
+      return lane;
+    };
+    return this.gate.enter(usable().urgent, within, gone, () => {
       if (!this.fresh) return undefined;
-      const server = this.placement.pick(lane, prefixes, sticky, skip);
+      const server = this.placement.pick(usable(), prefixes, sticky, skip);
       if (server) this.placement.begin(server, prefixes);
       return server;
     });
   }
 
-  mayRun(server: Server, kind: 'turn' | 'call', path: string): boolean {
-    const config = this.table?.config;
-    const lane = config && laneFor(config, kind, path);
+  mayRun(server: Server, kind: LaneKind, path: string): boolean {
+    const lane = this.findLane(kind, path);
     return this.fresh && lane !== undefined && this.placement.allowed(server, lane);
   }
 
--- a/packages/steward/src/table.ts
+++ b/packages/steward/src/table.ts
@@ -1,16 +1,15 @@
-import { checkConfig, type Config, type State } from '@tillerstair/state';
+import { checkConfig, lanesOf, type Config, type Lanes, type State } from '@tillerstair/state';
 
 export interface Table {
   readonly state: State;
   readonly config: Config | undefined;
+  readonly lanes: Lanes;
 }
 
-export const tableOf = (state: State, old: Table | undefined): Table => ({
-  state,
-  config:
-    old && old.state.config?.digest === state.config?.digest
-      ? old.config
-      : state.config
-        ? checkConfig(state.config.text).config
-        : undefined,
-});
+const noLanes: Lanes = new Map();
+
+export const tableOf = (state: State, old: Table | undefined): Table => {
+  if (old && old.state.config?.digest === state.config?.digest) return { ...old, state };
+  const config = state.config ? checkConfig(state.config.text).config : undefined;
+  return { state, config, lanes: config ? lanesOf(config) : noLanes };
+};
--- a/packages/steward/src/turns.ts
+++ b/packages/steward/src/turns.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { laneFor, rootOf, type Config, type Lane, type Server } from '@tillerstair/state';
+import { rootOf, type Config, type Server } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { Ended, Message } from './backend.js';
 import type { SlotKeeper } from './keeper.js';
@@ -31,7 +31,6 @@
   readonly ask: TurnAsk;
   readonly turn: string;
   readonly body: string;
-  readonly lane: Lane;
   readonly config: Config;
   readonly messages: readonly Message[];
   readonly sticky: string;
@@ -122,11 +121,10 @@
     if (!program) return verdict;
     const old = TurnValue.safeParse(keeper.get(turnKey(ask.pid, turn)));
     if (old.success && old.data.status !== 'void') return this.replay(keeper, turnKey(ask.pid, turn), turn, body, emit);
-    const lane = laneFor(config, 'turn', ask.path);
-    if (!lane) return refused(404, 'no-lane', `no lane takes turns at ${ask.path}`);
+    if (!this.s.findLane('turn', ask.path)) return refused(404, 'no-lane', `no lane takes turns at ${ask.path}`);
     const chain = await this.conversation(keeper, ask);
     if ('verdict' in chain) return chain.verdict;
-    return this.place({ keeper, ask, turn, body, lane, config, ...chain }, emit, gone);
+    return this.place({ keeper, ask, turn, body, config, ...chain }, emit, gone);
   }
 
   private replay(keeper: SlotKeeper, key: string, turn: string, body: string, emit: EmitPiece): Verdict {
@@ -157,7 +155,7 @@
   }
 
   private async place(job: Job, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
-    const { lane, config, messages, sticky } = job;
+    const { config, messages, sticky } = job;
     const prefixes = prefixesOf(messages);
     const skip = new Set<string>();
     const end = this.s.p.clock.now() + config.bounds.turnMs / 4;
@@ -166,7 +164,7 @@
       const left = end - this.s.p.clock.now();
       if (left <= 0) return refused(503, 'line-late', 'no server came free in time', 2);
       if (this.left(job, prefixKey) <= 0) return refused(402, 'budget-spent', 'the budget is spent');
-      const server = await this.s.place(lane, prefixes, sticky, skip, left, gone);
+      const server = await this.s.place('turn', job.ask.path, prefixes, sticky, skip, left, gone);
       const t0 = this.s.p.clock.now();
       let ended: (Ended & { tokens?: number }) | undefined;
       try {
@@ -184,7 +182,6 @@
         if (gone.aborted || !this.s.mayRun(server, 'turn', job.ask.path)) {
           await this.settle(job, { ...value, status: 'void', cost: 0 });
           if (gone.aborted || !this.s.fresh) return refused(503, gone.aborted ? 'gone' : 'not-ready', 'nothing was run', 1);
-          if (skip.size > 2) return refused(503, 'no-server', 'every server tried was just taken away', 1);
           skip.add(server.id);
           continue;
         }
@@ -192,11 +189,10 @@
         ended = out.ended;
         if (out.verdict) return out.verdict;
         skip.add(server.id);
-        if (!this.s.placement.usable(lane) || skip.size > 2) return refused(503, 'no-server', out.ended.kind, 1);
       } finally {
         const took = (this.s.p.clock.now() - t0) / 1000;
         const tokens = ended?.kind === 'done' ? ended.tokens : undefined;
-        this.s.finished(server, !ended || ended.kind === 'done' || gone.aborted, tokens === undefined ? undefined : tokens / Math.max(0.001, took));
+        this.s.finished(server, !ended || ended.kind === 'done' || ended.kind === 'declined' || gone.aborted, tokens === undefined ? undefined : tokens / Math.max(0.001, took));
       }
     }
   }
@@ -237,6 +233,7 @@
         },
         stop.signal,
         job.config.bounds.turnMs,
+        () => this.s.mayRun(server, 'turn', job.ask.path),
       )
       .finally(() => gone.removeEventListener('abort', onGone));
     if (ended.kind === 'never-left' || ended.kind === 'declined') {
--- a/packages/steward/src/verdict.ts
+++ b/packages/steward/src/verdict.ts
@@ -24,7 +24,7 @@
 export const unknown = (text: string, mishap = 'unknown'): Verdict => ({ verdict: 'unknown', status: 504, mishap, text });
 
 export const ofMishap = (m: Mishap): Verdict =>
-  m.ran === 'no' ? refused(m.code === 'line-full' ? 429 : 503, m.code, m.message, 1) : unknown(m.message, m.code);
+  m.ran === 'no' ? refused(m.code === 'line-full' ? 429 : 503, m.code, m.message, Math.max(1, Math.ceil(m.comeBack / 1000))) : unknown(m.message, m.code);
 
 export const ProgramAsk = z.object({
   tenant: z.string(),
--- a/packages/wire/src/mishap.ts
+++ b/packages/wire/src/mishap.ts
@@ -5,6 +5,7 @@
     readonly code: string,
     message: string,
     readonly ran: Ran = 'no',
+    readonly comeBack = 1000,
   ) {
     super(message);
     this.name = 'Mishap';
--- a/tests/src/backend.test.ts
+++ b/tests/src/backend.test.ts
@@ -31,24 +31,24 @@
     model.set(faults);
     await model.start();
     const pieces: string[] = [];
-    const ended = await client.generate(at(port), say, (_n, text) => pieces.push(text), never, 5000);
+    const ended = await client.generate(at(port), say, (_n, text) => pieces.push(text), never, 5000, () => true);
     assert.is(ended.kind, 'lost');
     assert.ok(pieces.length >= 3);
     model.set({ cutAfter: 0, loseEnd: 0 });
-    const whole = await client.generate(at(port), say, () => undefined, never, 5000);
+    const whole = await client.generate(at(port), say, () => undefined, never, 5000, () => true);
     assert.is(whole.kind, 'done');
     await model.stop();
-    assert.is((await client.generate(at(port), say, () => undefined, never, 5000)).kind, 'never-left');
+    assert.is((await client.generate(at(port), say, () => undefined, never, 5000, () => true)).kind, 'never-left');
   }
   const [port = 0] = await freePorts(1);
   const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, new Ledger());
   service.set({ loseEnd: 1 });
   await service.start();
-  assert.is((await client.act(at(port), act, never, 5000)).kind, 'lost');
+  assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'lost');
   service.set({ loseEnd: 0 });
-  assert.is((await client.act(at(port), act, never, 5000)).kind, 'done');
+  assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'done');
   await service.stop();
-  assert.is((await client.act(at(port), act, never, 5000)).kind, 'never-left');
+  assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'never-left');
   await client.close();
 });
 
@@ -62,13 +62,34 @@
   ];
   for (const lines of wrong) {
     const server = await raw(lines);
-    assert.is((await client.generate(at(server.port), say, () => undefined, never, 3000)).kind, 'lost', lines.join());
+    assert.is((await client.generate(at(server.port), say, () => undefined, never, 3000, () => true)).kind, 'lost', lines.join());
     server.close();
   }
   const good = await raw([piece(0), piece(1), end(2)]);
-  assert.is((await client.generate(at(good.port), say, () => undefined, never, 3000)).kind, 'done');
+  assert.is((await client.generate(at(good.port), say, () => undefined, never, 3000, () => true)).kind, 'done');
   good.close();
   await client.close();
 });
 
+backend('work that had to wait for its circuit is looked at once more before a byte leaves', async () => {
+  const client = new HttpBackend(500);
+  const [port = 0] = await freePorts(1);
+  const ledger = new Ledger();
+  const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, ledger);
+  await service.start();
+  let looks = 0;
+  const ended = await client.act(at(port), act, never, 5000, () => {
+    looks++;
+    return false;
+  });
+  assert.is(ended.kind, 'declined');
+  assert.is(looks, 1);
+  assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'done');
+  assert.is(ledger.all().length, 1);
+  const taken = await client.generate(at(port), say, () => undefined, never, 5000, () => false);
+  assert.is(taken.kind, 'declined');
+  await service.stop();
+  await client.close();
+});
+
 backend.run();
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -293,4 +293,87 @@
   }
 });
 
+never('a front frozen between its last look and the wire sends nothing to a server that left meanwhile', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const front = stewardOf(w, `p/${p.program}`);
+    const asked = w.servers.asked;
+    const going = w.turn(p.program, null, `w #${seed}`, 'k', front);
+    await w.clock.until('about to leave', () => w.servers.asked > asked, 5000);
+    front?.freeze();
+    const at = w.clock.now();
+    for (const id of ['m1', 'm2']) assert.is((await w.operate('POST', `/v1/servers/${id}/leaving`)).status, 200);
+    await w.clock.run(4000);
+    const before = w.servers.ran.length;
+    front?.wake();
+    await w.clock.run(3000);
+    const told = await w.clock.finish('turn', going, 30000);
+    assert.is.not(told.told, 'done');
+    assert.is(w.servers.ran.slice(before).filter((r) => r.began > at + 3300).length, 0);
+  }
+});
+
+never('a front woken does not go by what servers said of themselves before it froze', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, five);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const front = stewardOf(w, `p/${p.program}`);
+    if (!front) throw new Error('no steward');
+    w.net.cut('none', 'none');
+    front.proxyLife.frozen = true;
+    const at = w.clock.now();
+    w.servers.set('m1', { leaving: true });
+    await w.clock.run(2900);
+    front.proxyLife.wake();
+    const going: Promise<unknown>[] = [];
+    for (let i = 0; i < 60; i++) {
+      going.push(w.turn(p.program, null, `o #${seed}-${i}`, `o${i}`, front));
+      await w.clock.run(i < 20 ? 3 : 40);
+    }
+    await w.clock.finish('all', Promise.all(going), 60000);
+    assertNoBreach(recordsOf(w, { leavings: [{ server: 'm1', at: at - 400, until: Infinity }] }));
+    assert.ok(w.servers.ran.some((r) => r.server === 'm2' && r.began > at + 2900));
+  }
+});
+
+never('turns that wait in line for a pool that is dropped run where the new configuration sends them', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    await w.operate('PUT', '/v1/servers/n1', JSON.stringify({ pool: 'others', url: 'http://127.0.0.1:1' }));
+    const narrow = (base: number, pool: string): string => JSON.stringify({ ...JSON.parse(configText(base, pool)), bounds: { perServer: 1 } });
+    assert.is((await w.operate('PUT', '/v1/config', narrow(1, 'models'))).status, 200);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const front = stewardOf(w, `p/${p.program}`);
+    for (const id of ['m1', 'm2']) w.servers.set(id, { slow: 40 });
+    const going = Array.from({ length: 12 }, (_, i) => w.turn(p.program, null, `d #${seed}-${i}`, `d${i}`, front));
+    await w.clock.run(100);
+    assert.ok((front?.front?.steward.gate.waiting ?? 0) >= 8);
+    const sentAt = w.clock.now();
+    assert.is((await w.operate('PUT', '/v1/config', narrow(2, 'others'))).status, 200);
+    const toldAt = w.clock.now();
+    const told = await w.clock.finish('all', Promise.all(going), 60000);
+    assert.equal(told.filter((t) => t.told !== 'done').map((t) => t.mishap), []);
+    assert.ok(w.servers.ran.filter((r) => r.pool === 'others').length >= 8);
+    assert.not.ok(w.servers.ran.some((r) => r.pool === 'models' && r.began > toldAt));
+    const base = { text: '', told: 'done' as const, callPools: ['shop'] };
+    const configs = [{ ...base, version: 1, turnPools: ['models'], sentAt: -1e9, toldAt: 0 }, { ...base, version: 3, turnPools: ['others'], sentAt, toldAt }];
+    assertNoBreach(recordsOf(w, { configs, readBack: { version: 3, text: '' } }));
+  }
+});
+
+never('work is not refused while any server of its lane is free, however many have just gone', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    for (const id of ['s3', 's4', 's5', 's6']) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool: 'shop', url: 'http://127.0.0.1:1' }));
+    for (const id of ['m3', 'm4', 'm5', 'm6']) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool: 'models', url: 'http://127.0.0.1:1' }));
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    await w.clock.run(600);
+    const free = 1 + (seed % 6);
+    for (let n = 1; n <= 6; n++) if (n !== free) for (const kind of ['m', 's']) w.servers.set(`${kind}${n}`, { refuses: true });
+    const told = await w.clock.finish('both', Promise.all([w.call(`g${seed}`, '/hold', { n: 1 }), w.turn(p.program, null, `g #${seed}`, 'g')]), 30000);
+    assert.equal(told.map((t) => `${t.kind} ${t.told} ${t.mishap}`), ['call done ', 'turn done ']);
+  }
+});
+
 never.run();
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -28,7 +28,7 @@
   const clock = new SimClock();
   const table = tableOf(s, undefined);
   const servers = new SimServers(clock, seededRng(1));
-  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000 };
+  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000, sightWithin: Infinity };
   return { clock, placement: new Placement(clock, servers.backend(new Life()), chainOf(affinity), bounds, () => table, () => 16) };
 };
 
