Work that cannot be served in its time is refused at once, with when to come back

Cause: a place in line was held until its time ran out and refused then, with Retry-After 1. Change: each line knows the pace at which it moves; who would wait longer than 0.8 of his time is refused on arrival with the estimated wait; the line is looked through four times a beat and who will not make it leaves then.

--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -14,6 +14,7 @@
   readonly text: string;
   readonly tokens: number;
   readonly sent: string;
+  readonly retryAfter: number;
 }
 
 export interface RanRecord {
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -177,7 +177,7 @@
   private record(t: Partial<ToldRecord> & Pick<ToldRecord, 'kind' | 'from'>, v: Verdict): ToldRecord {
     const row: ToldRecord = {
       tenant: 't', program: '', key: '', attempt: '', turn: '', after: '', to: this.clock.now(), told: v.verdict, mishap: v.mishap ?? '',
-      pieces: [], text: '', tokens: 0, sent: '', ...t,
+      pieces: [], text: '', tokens: 0, sent: '', retryAfter: v.retryAfter ?? 0, ...t,
     };
     this.told.push(row);
     return row;
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -32,10 +32,16 @@
   readonly lane: Lane;
 }
 
+interface Watch {
+  readonly front: string;
+  readonly lost: AbortController;
+}
+
 export class Steward {
   private table: Table | undefined;
   private freshAt = -Infinity;
   private readonly keepers = new Map<number, SlotKeeper>();
+  private readonly watches = new Set<Watch>();
   private readonly gone = lasting();
   readonly placement: Placement;
   readonly gate: Gate<Server>;
@@ -69,6 +75,7 @@
     while (!this.gone.signal.aborted) {
       await this.placement.poll();
       this.gate.pump();
+      this.gate.review();
       for (const k of this.keepers.values()) k.expire();
       await pause(this.p.clock, this.p.bounds.poll, this.gone.signal);
     }
@@ -81,6 +88,7 @@
   take(state: State): void {
     this.table = tableOf(state, this.table);
     void this.placement.poll(true);
+    for (const w of [...this.watches]) if (!state.nodes.has(w.front)) w.lost.abort();
     state.slots.forEach((slot, n) => {
       const old = this.keepers.get(n);
       if (slot.steward === this.p.id) {
@@ -146,6 +154,12 @@
     return keeper;
   }
 
+  watch(front: string): { lost: AbortSignal; end: () => void } {
+    const w: Watch = { front, lost: new AbortController() };
+    this.watches.add(w);
+    return { lost: w.lost.signal, end: () => this.watches.delete(w) };
+  }
+
   releases(): readonly (readonly [number, number])[] {
     return [...this.keepers.values()].flatMap((k) => {
       const r = k.tryRelease();
--- a/tests/src/checker.test.ts
+++ b/tests/src/checker.test.ts
@@ -6,7 +6,7 @@
 
 const told: ToldRecord = {
   kind: 'call', tenant: 't', program: '', key: 'k', attempt: 'i1', turn: '', after: '', from: 100, to: 200, told: 'done', mishap: '', pieces: [],
-  text: 's1 t/k', tokens: 0, sent: '{}',
+  text: 's1 t/k', tokens: 0, sent: '{}', retryAfter: 0,
 };
 const ran: RanRecord = {
   kind: 'act', server: 's1', pool: 'shop', key: 't/k', attempt: 'i1', program: '', began: 120, at: 150, said: '/hold', reply: '', complete: true, tokens: 0,
