A delivery to a steward that left the cluster goes to the next one at once

Cause: a front that delivered to a frozen steward waited for its verdict for up to two minutes, though the slot had another steward after three seconds. Found while writing the test of a broken stewardship: the caller heard nothing for 20 s. Ruled out: trying again while the old steward is still listed (it may yet answer). Change: deliveries watch whether their steward is a node of the newest state; when it is not and no piece has come, the same inquiry goes to the next steward. All of them are idempotent there. After: done in under 7 s, one run of the key.

--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -106,7 +106,7 @@
 
   private async tryDeliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
     const { clock, bounds, id, circuits } = this.p;
-    const end = clock.now() + bounds.beat * 1.5;
+    let end = clock.now() + bounds.beat * 1.5;
     let emitted = 0;
     let whole = true;
     const counting: EmitPiece = (n, text) => {
@@ -128,15 +128,24 @@
         if (steward === id) return checked(await this.local(d.kind, d.body, counting, gone));
         const mate = this.steward.current?.state.nodes.get(steward);
         if (!mate) throw new Mishap('no-steward', 'no steward is known for this');
-        const back = await circuits.call(mate.data, d.kind, d.body, {
+        const watch = this.steward.watch(steward);
+        const asked = circuits.call(mate.data, d.kind, d.body, {
           within: d.within,
-          gone,
+          gone: AbortSignal.any([gone, watch.lost]),
           onPiece: (piece) => {
             const { n, text } = PieceLine.parse(piece);
             counting(n, text);
           },
         });
-        return checked(Verdict.parse(back));
+        try {
+          return checked(Verdict.parse(await asked));
+        } catch (e) {
+          if (!watch.lost.aborted || gone.aborted || emitted > 0) throw e;
+          end = clock.now() + bounds.beat * 1.5;
+          throw new Mishap('not-steward', 'the steward left the cluster');
+        } finally {
+          watch.end();
+        }
       } catch (e) {
         mishap = mishapOf(e);
       }
--- a/tests/src/steward.test.ts
+++ b/tests/src/steward.test.ts
@@ -61,4 +61,29 @@
   }
 });
 
+stewards('who asked a steward that froze hears from the next one as soon as there is one', async () => {
+  for (const seed of [71, 72, 73]) {
+    const w = await worldUp(seed, small);
+    const p = await w.clock.finish('program', w.program(200), 10000);
+    const key = `q${seed}`;
+    for (const [slotKey, ask] of [
+      [opKeyOf('t', key), (m: Machine) => w.call(key, '/hold', { n: 1 }, m)],
+      [`p/${p.program}`, (m: Machine) => w.turn(p.program, null, `q #${seed}`, 'k', m)],
+    ] as const) {
+      const a = stewardOf(w, slotKey);
+      const b = w.of('front').find((m) => m !== a);
+      if (!a || !b) throw new Error('no steward');
+      a.freeze();
+      const from = w.clock.now();
+      const told = await w.clock.finish('told', ask(b), 30000);
+      assert.is(told.told, 'done', told.mishap);
+      assert.ok(w.clock.now() - from < 7000, `${w.clock.now() - from} ms`);
+      a.wake();
+      await w.clock.until('all back', () => w.readyFronts().length === 2, 20000);
+    }
+    assert.is(acts(w, key), 1);
+    assertNoBreach(recordsOf(w));
+  }
+});
+
 stewards.run();
