Test: a server failing for one front stays; one silent to all is down within 3 s

Cause: the design's rule that servers' liveness comes from those who stream from them, and is reported in pings, was built but not proved. Change: the simulated servers can refuse one front; the test cuts one, then all. Figures: with one of three fronts cut the others went on using it and no turn was refused in 6 s; silent to all it was down in under 3 s and up again in under 3 s. Conclusion: proved.

--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -97,7 +97,7 @@
     const clock = life.clock(w.clock);
     const { beat, silent, grace } = w.bounds;
     const front = new Front({
-      id: `f${w.freshId()}`, clock, circuits: w.net.circuits(`${this.addr}/data`, life), backend: w.servers.backend(life),
+      id: `f${w.freshId()}`, clock, circuits: w.net.circuits(`${this.addr}/data`, life), backend: w.servers.backend(life, this.addr),
       bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: 3600000 }, log: this.log('proxy'), affinity: true,
     });
     const feed = w.net.circuits(`${this.addr}/feed`, life);
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -43,9 +43,10 @@
     this.ran.push({ kind, server: s.id, pool: s.pool, key, attempt, program, began, at: this.clock.now(), said: said.slice(-60), reply, complete, tokens });
   }
 
-  backend(life: Life): Backend {
+  backend(life: Life, front = ''): Backend {
     const clock = this.clock;
     const frontClock = life.clock(clock);
+    const refuses = (s: Server): boolean => this.of(s.id).refuses || this.cutFronts.has(`${front}>${s.id}`);
     const gate = async <T>(v: T): Promise<T> => {
       await pause(frontClock, 0.3);
       return v;
@@ -56,7 +57,7 @@
         this.asked++;
         await pause(frontClock, 0.5);
         if (!still()) return { kind: 'declined', text: 'taken back' };
-        if (f.refuses) return { kind: 'never-left', text: 'refused' };
+        if (refuses(s)) return { kind: 'never-left', text: 'refused' };
         const nth = ++this.served;
         const began = clock.now();
         const program = g.id.split('/')[0] ?? '';
@@ -87,7 +88,7 @@
         this.asked++;
         await pause(frontClock, 0.5);
         if (!still()) return { kind: 'declined', text: 'taken back' };
-        if (f.refuses) return { kind: 'never-left', text: 'refused' };
+        if (refuses(s)) return { kind: 'never-left', text: 'refused' };
         const nth = ++this.served;
         const began = clock.now();
         this.enter(s, 1);
@@ -100,7 +101,7 @@
       busyness: async (s: Server): Promise<BusyReport> => {
         const f = this.of(s.id);
         await pause(frontClock, 0.5);
-        if (f.refuses) throw new Error('refused');
+        if (refuses(s)) throw new Error('refused');
         return { busy: this.busy.get(s.id) ?? 0, leaving: f.leaving };
       },
     };
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -5,6 +5,7 @@
 import { checkConfig, digestOf, foundingState, reduce, weightKey, type State } from '@tillerstair/state';
 import { chainOf, Gate, Placement, prefixesOf, tableOf } from '@tillerstair/steward';
 import { lasting, Mishap } from '@tillerstair/wire';
+import { five, worldUp } from './util.js';
 
 const place = suite('placement, lines and weights');
 
@@ -146,4 +147,31 @@
   assert.is(gate.waiting, 0);
 });
 
+place('a server that fails for one front only stays in use by the others; one silent to all is soon down for all', async () => {
+  const w = await worldUp(91, five);
+  const ps = await w.clock.finish('programs', Promise.all(w.of('front').map((m) => w.program(900, m))), 20000);
+  const down = (): boolean => w.master?.control?.zen.leading?.committed?.servers.get('m1')?.down ?? false;
+  w.servers.cutFronts.add('front-0>m1');
+  const from = w.clock.now();
+  let i = 0;
+  const offer = async (ms: number): Promise<void> => {
+    const going: Promise<unknown>[] = [];
+    for (const end = w.clock.now() + ms; w.clock.now() < end; ) {
+      ps.forEach((p, n) => going.push(w.turn(p.program, null, `s #${i++}`, `s${i}`, w.of('front')[n])));
+      await w.clock.run(150);
+      assert.ok(w.clock.now() < from + 1500 || !down(), 'one front alone takes no server from all');
+    }
+    await w.clock.finish('turns', Promise.all(going), 60000);
+  };
+  await offer(6000);
+  assert.ok(w.servers.ran.filter((r) => r.server === 'm1' && r.began > from + 1500).length > 10);
+  assert.equal(w.told.filter((t) => t.told !== 'done').map((t) => t.mishap), []);
+  w.servers.set('m1', { refuses: true });
+  const took = await w.clock.until('down', down, 10000);
+  assert.ok(took < 3000, `${took} ms`);
+  w.servers.set('m1', { refuses: false });
+  w.servers.cutFronts.clear();
+  assert.ok((await w.clock.until('up', () => !down(), 10000)) < 3000);
+});
+
 place.run();
