Slots are sealed, refilled and rewritten in pages; refill is throttled by bytes

Cause: a store answered a seal or a pull with the whole slot in one line, and a new steward wrote uneven items again 64 at a time whatever their size: with sessions of megabytes one line held up every other on that circuit. Ruled out: pages by position (aged groups leave holes) and by sorted key (a sort per page). Change: pages of about 128 KiB in the order of arrival, asked for by the key they come after; items that come meanwhile stand behind it; a key that aged away makes the asker begin anew. Conclusion: long sessions move; what a steward holds in memory is still bounded by time only.

--- a/packages/sim/src/sim-net.ts
+++ b/packages/sim/src/sim-net.ts
@@ -10,6 +10,11 @@
   private readonly hosts = new Map<string, Host>();
   private readonly cuts = new Set<string>();
   messages = 0;
+  readonly largest = new Map<string, number>();
+
+  private weigh(kind: string, text: string): void {
+    if (text.length > (this.largest.get(kind) ?? 0)) this.largest.set(kind, text.length);
+  }
 
   constructor(
     private readonly clock: Clock,
@@ -62,7 +67,9 @@
   }
 
   call(from: string, mine: Life, to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
-    const wire: unknown = JSON.parse(JSON.stringify(body ?? null));
+    const sent = JSON.stringify(body ?? null);
+    this.weigh(kind, sent);
+    const wire: unknown = JSON.parse(sent);
     this.messages++;
     return new Promise((done, fail) => {
       let over = false;
@@ -116,6 +123,7 @@
           void host.handler({ from, kind, body: wire }, emit, gone.signal).then(
             (v) => {
               const text = JSON.stringify(v ?? null);
+              this.weigh(kind, text);
               back(() => finish(() => done(JSON.parse(text))), host);
             },
             (e: unknown) => {
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -12,8 +12,26 @@
 export const sameItem = (a: Item, b: Item): boolean => a.tenure === b.tenure && a.seq === b.seq;
 
 export const Put = z.object({ slot: z.number(), tenure: z.number(), items: z.array(Item) });
-export const Seal = z.object({ slot: z.number(), tenure: z.number() });
-export const Sealed = z.object({ items: z.array(Item) });
+export const Seal = z.object({ slot: z.number(), tenure: z.number(), after: z.string().default('') });
+export const Paged = z.object({ items: z.array(Item), next: z.string() });
+export type Paged = z.infer<typeof Paged>;
+
+export const pageBytes = 1 << 18;
+
+export const pagesOf = (items: readonly Item[]): readonly (readonly Item[])[] => {
+  const out: Item[][] = [];
+  let room = 0;
+  for (const item of items) {
+    const size = JSON.stringify(item).length;
+    if (room < size) {
+      out.push([]);
+      room = pageBytes;
+    }
+    out.at(-1)?.push(item);
+    room -= size;
+  }
+  return out;
+};
 export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
 export const ReadBack = z.object({ item: Item.nullable() });
 export const Hint = z.object({ to: z.string(), slot: z.number(), items: z.array(Item) });
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -1,5 +1,5 @@
 import {
-  copiesAfter, groupOf, Item, keptOn, newerItem, ReadBack, rootOf, sameItem, Sealed, type Slot,
+  copiesAfter, groupOf, Item, keptOn, newerItem, Paged, pagesOf, ReadBack, rootOf, sameItem, type Slot,
 } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
@@ -114,9 +114,9 @@
       };
       if (left === 0) done();
       for (const id of counted)
-        void this.ask(id, 'store/seal', { slot: this.n, tenure })
-          .then((back) => {
-            seen.set(id, new Map(Sealed.parse(back).items.map((i) => [i.key, i])));
+        void this.sealed(id, tenure)
+          .then((items) => {
+            seen.set(id, items);
           })
           .catch(() => undefined)
           .finally(one);
@@ -138,7 +138,7 @@
     });
     if (this.slot?.tenure !== tenure) return true;
     const again = uneven.map((item) => ({ key: item.key, tenure, seq: ++this.seq, value: item.value }));
-    for (let i = 0; i < again.length; i += 64) await this.spread(tenure, again.slice(i, i + 64));
+    for (const page of pagesOf(again)) await this.spread(tenure, page);
     if (this.slot?.tenure !== tenure) return true;
     for (const item of again) merged.set(item.key, item);
     this.forget();
@@ -148,6 +148,16 @@
     return true;
   }
 
+  private async sealed(id: string, tenure: number): Promise<Map<string, Item>> {
+    const items = new Map<string, Item>();
+    for (let after = ''; ; ) {
+      const page = Paged.parse(await this.ask(id, 'store/seal', { slot: this.n, tenure, after }));
+      for (const item of page.items) items.set(item.key, item);
+      if (page.next === '') return items;
+      after = page.next;
+    }
+  }
+
   private hold(item: Item): void {
     const [kind, pid = '', t] = item.key.split('/');
     if (kind === 'p' && t === 't') {
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,6 +1,5 @@
 import pLimit from 'p-limit';
-import { z } from 'zod';
-import { beliefOf, Hand, Hint, Item, keptOn, newerItem, Put, Read, Seal, type Belief, type Item as ItemT, type State } from '@tillerstair/state';
+import { beliefOf, Hand, Hint, keptOn, Paged, Put, Read, Seal, type Belief, type State } from '@tillerstair/state';
 import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
@@ -9,7 +8,7 @@
   readonly shelf: Shelf;
 }
 
-const Pulled = z.object({ items: z.array(Item) });
+const pagesPerBeat = 16;
 
 export class StoreNode {
   readonly zen: ZenNode;
@@ -51,16 +50,16 @@
         return {};
       }
       case 'store/seal': {
-        const { slot, tenure } = Seal.parse(inq.body);
-        return { items: await shelf.seal(slot, tenure) };
+        const { slot, tenure, after } = Seal.parse(inq.body);
+        return shelf.seal(slot, tenure, after);
       }
       case 'store/read': {
         const { slot, tenure, key } = Read.parse(inq.body);
         return { item: await shelf.read(slot, tenure, key) };
       }
       case 'store/pull': {
-        const { slot, tenure } = Seal.parse(inq.body);
-        return { items: shelf.pull(slot, tenure) };
+        const { slot, tenure, after } = Seal.parse(inq.body);
+        return shelf.pull(slot, tenure, after);
       }
       case 'store/hint': {
         const { to, slot, items } = Hint.parse(inq.body);
@@ -141,16 +140,17 @@
 
   private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
     const { circuits, shelf, bounds, me, log } = this.p;
-    const best = new Map<string, ItemT>();
     let pulled = 0;
     for (const id of sources) {
       const mate = s.nodes.get(id);
       if (!mate || pulled === 2) continue;
       try {
-        const back = await circuits.call(mate.addr, 'store/pull', { slot, tenure }, { within: bounds.silent * 2 });
-        for (const item of Pulled.parse(back).items) {
-          const old = best.get(item.key);
-          if (!old || newerItem(item, old)) best.set(item.key, item);
+        for (let after = ''; ; ) {
+          const page = Paged.parse(await circuits.call(mate.addr, 'store/pull', { slot, tenure, after }, { within: bounds.silent }));
+          await shelf.hand(slot, page.items);
+          if (page.next === '') break;
+          after = page.next;
+          await pause(this.p.clock, bounds.beat / pagesPerBeat, this.gone.signal);
         }
         pulled++;
       } catch (e) {
@@ -158,7 +158,6 @@
       }
     }
     if (pulled < 2) throw new Mishap('unavailable', 'fewer than two full copies reply');
-    await shelf.hand(slot, [...best.values()]);
     const master = this.zen.masterSeen;
     if (!master) throw new Mishap('unavailable', 'no master is known');
     await circuits.call(master.addr, 'control/filled', { store: me.id, slot, tenure }, { within: bounds.silent });
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/shelf.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { groupOf, Item, newerItem, type Item as ItemT } from '@tillerstair/state';
+import { groupOf, Item, newerItem, pageBytes, type Item as ItemT, type Paged } from '@tillerstair/state';
 import { Journal, type Disk } from '@tillerstair/journal';
 import { Mishap, type Clock } from '@tillerstair/wire';
 
@@ -123,11 +123,30 @@
     await this.put({ t: 'put', slot, tenure, items: [...items] });
   }
 
-  async seal(slot: number, tenure: number): Promise<readonly ItemT[]> {
+  async seal(slot: number, tenure: number, after: string): Promise<Paged> {
     const s = this.fence(slot, tenure);
-    if (s.sealed < tenure) await this.put({ t: 'seal', slot, tenure });
-    else await this.synced();
-    return [...s.items.values()];
+    if (after === '') {
+      if (s.sealed < tenure) await this.put({ t: 'seal', slot, tenure });
+      else await this.synced();
+    }
+    return this.page(s, after);
+  }
+
+  private page(s: SlotShelf, after: string): Paged {
+    if (after !== '' && !s.items.has(after)) throw new Mishap('page-gone', 'the page asked for has aged away; begin anew');
+    const items: ItemT[] = [];
+    let bytes = 0;
+    let found = after === '';
+    for (const item of s.items.values()) {
+      if (!found) {
+        found = item.key === after;
+        continue;
+      }
+      if (items.length > 0 && bytes > pageBytes / 2) return { items, next: items.at(-1)?.key ?? '' };
+      items.push(item);
+      bytes += JSON.stringify(item).length;
+    }
+    return { items, next: '' };
   }
 
   private synced(): Promise<void> {
@@ -138,10 +157,10 @@
     return this.fence(slot, tenure).items.get(key) ?? null;
   }
 
-  pull(slot: number, tenure: number): readonly ItemT[] {
+  pull(slot: number, tenure: number, after: string): Paged {
     const s = this.slot(slot);
     if (s.sealed < tenure) throw new Mishap('not-sealed', `slot ${slot} is not sealed at tenure ${tenure} yet`);
-    return [...s.items.values()];
+    return this.page(s, after);
   }
 
   async hand(slot: number, items: readonly ItemT[]): Promise<void> {
--- a/tests/src/journal.test.ts
+++ b/tests/src/journal.test.ts
@@ -97,7 +97,7 @@
     platter.powerLoss();
     platter.crashAtStep = -1;
     const again = await clock.finish('reopen', Shelf.open(platter.disk(clock, new Life()), clock, { journalLongAt: 600, keepMs: 1e9, hintsMost: 10 }), 1000);
-    const held = new Map(again.pull(1, 0).map((i) => [i.key, i.seq]));
+    const held = new Map(again.pull(1, 0, '').items.map((i) => [i.key, i.seq]));
     for (const a of acked) {
       const at = a.lastIndexOf(' ');
       assert.ok((held.get(a.slice(0, at)) ?? 0) >= Number(a.slice(at + 1)), `step ${step}: ${a} was acknowledged, held ${held.get(a.slice(0, at)) ?? 'nothing'}`);
@@ -111,7 +111,7 @@
   const platter = new SimPlatter(seededRng(3));
   const bounds = { journalLongAt: 1 << 20, keepMs: 1e9, hintsMost: 10 };
   const shelf = await clock.finish('open', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  await clock.finish('seal', shelf.seal(4, 7), 1000);
+  await clock.finish('seal', shelf.seal(4, 7, ''), 1000);
   platter.powerLoss();
   const again = await clock.finish('reopen', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
   const writing = again.write(4, 6, [{ key: 'o/t/x', tenure: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -145,7 +145,7 @@
   assert.is(none.mishap, 'missing');
   const slot = slotOf(`p/${p.program}`, w.slots);
   const tenure = w.master?.control?.zen.leading?.committed?.slots[slot]?.tenure ?? 0;
-  await w.clock.finish('seals', Promise.all(w.of('store').map((m) => m.shelf?.seal(slot, tenure + 1))), 1000);
+  await w.clock.finish('seals', Promise.all(w.of('store').map((m) => m.shelf?.seal(slot, tenure + 1, ''))), 1000);
   const told = await w.clock.finish('fetch', w.fetch(p.program, 't-elsewhere'), 10000);
   assert.is(told.told, 'refused');
   assert.is.not(told.mishap, 'missing');
--- a/tests/src/repair.test.ts
+++ b/tests/src/repair.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { ToldRecord } from '@tillerstair/checker';
 import type { Machine, World } from '@tillerstair/sim';
 import { assertNoBreach, five, recordsOf, small, worldUp } from './util.js';
 
@@ -19,7 +20,7 @@
   for (const m of w.of('front')) m.kill();
   w.start(w.of('front'));
   await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
-  for (const t of w.told.filter((x) => x.kind === 'turn'))
+  for (const t of w.told.filter((x) => x.kind === 'turn' && x.program === program))
     assert.is((await w.clock.finish('fetch', w.fetch(program, t.turn), 30000)).text, t.text);
   assertNoBreach(recordsOf(w));
 };
@@ -269,4 +270,33 @@
   }
 });
 
+repair('sessions of megabytes move in pages: takeover, refill and rewriting stay small and lose nothing', async () => {
+  const w = await worldUp(29, small);
+  const p = await w.clock.finish('program', w.program(1000), 10000);
+  const q = await w.clock.finish('program', w.program(900), 10000);
+  let after: string | null = null;
+  for (let i = 0; i < 60; i++) {
+    const words = `${'long history '.repeat(3000)} #29-${i}`;
+    const parent: string | null = i % 20 === 0 ? null : after;
+    const t: ToldRecord = await w.clock.finish('turn', w.turn(p.program, parent, words, `b${i}`), 30000);
+    assert.is(t.told, 'done', t.mishap);
+    after = t.turn;
+  }
+  w.net.largest.clear();
+  const store = w.of('store')[0];
+  store?.kill('power');
+  store?.platter.wipe();
+  for (const m of w.of('front')) m.kill();
+  w.start(w.of('front'));
+  await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
+  const other = await w.clock.finish('other slot', w.turn(q.program, null, 'short #29', 'q'), 5000);
+  assert.is(other.told, 'done');
+  store?.start();
+  const id = () => store?.store?.id ?? 'none';
+  await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 90000);
+  for (const kind of ['store/seal', 'store/pull', 'store/put', 'store/hand']) assert.ok((w.net.largest.get(kind) ?? 0) < 1 << 19, `${kind} ${w.net.largest.get(kind) ?? 0}`);
+  assert.ok((w.net.largest.get('store/pull') ?? 0) > 1 << 16);
+  await loseAndReadAll(w, w.of('store')[1], p.program);
+});
+
 repair.run();
