Paths and inner lines nobody can read are refused; no crash, no line without bound

Cause: a request for '//' made the URL parser throw outside any handler, which ends a daemon; a path with a broken escape was answered 500 'ran: unknown'; an inner or a server's line had no greatest length. Found by the new test, tried as a hostile caller. Ruled out: garbage on the inner wire (it ended its own circuit already). Change: paths are read in one place, 400 bad-path, ran no; inner lines end their circuit past 64 MiB, a server's past 1 MiB. Before: ERR_INVALID_URL uncaught for '//'; the test of the wire did not end within 60 s.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -79,7 +79,7 @@
           : { kind: 'lost', text: `server failed with ${res.statusCode}` };
       }
       let seen = 0;
-      const lines = split2();
+      const lines = split2({ maxLength: 1 << 20 });
       pipeline(res.body, lines, () => undefined);
       for await (const text of lines) {
         const line = Line.parse(JSON.parse(String(text)));
--- a/packages/wire/src/http.ts
+++ b/packages/wire/src/http.ts
@@ -31,9 +31,20 @@
   return Buffer.concat(parts).toString('utf8');
 };
 
+const urlOf = (path: string): URL | undefined => {
+  try {
+    const url = new URL(`http://x${path.startsWith('/') ? '' : '/'}${path}`);
+    decodeURIComponent(url.pathname);
+    return url;
+  } catch {
+    return undefined;
+  }
+};
+
 export const serveHttp = (addr: string, page: Page): Promise<Server> => {
   const server = createServer((req, res) => {
-    const url = new URL(req.url ?? '/', 'http://x');
+    const url = urlOf(req.url ?? '/');
+    if (!url) return sendJson(res, 400, { ran: 'no', mishap: 'bad-path', text: 'the path cannot be read' });
     page(req, res, url).catch((e: unknown) => {
       if (e instanceof BodyTooLarge) {
         sendJson(res, 413, { ran: 'no', mishap: 'body-too-large', text: e.message });
--- a/packages/wire/src/tcp.ts
+++ b/packages/wire/src/tcp.ts
@@ -43,6 +43,7 @@
     readonly self: string,
     private readonly listen = self,
     private readonly openWithin = 1000,
+    private readonly lineMost = 64 << 20,
   ) {}
 
   onLost(heard: (to: string) => void): void {
@@ -71,7 +72,7 @@
       if (!s.destroyed) s.write(`${JSON.stringify(v)}\n`);
     };
     let from = '';
-    const lines = s.pipe(split2());
+    const lines = s.pipe(split2({ maxLength: this.lineMost }));
     s.on('close', () => {
       for (const c of running.values()) c.abort();
       lines.destroy();
@@ -139,7 +140,8 @@
   }
 
   private async listenBack({ socket, waiting }: Outgoing): Promise<void> {
-    const lines = socket.pipe(split2());
+    const lines = socket.pipe(split2({ maxLength: this.lineMost }));
+    lines.on('error', () => socket.destroy());
     socket.on('close', () => lines.destroy());
     try {
       for await (const text of lines) {
--- a/tests/src/path.test.ts
+++ b/tests/src/path.test.ts
@@ -64,6 +64,7 @@
     ['/v1/calls/nowhere', '{}', 404, 'no-lane'],
     ['/v1/calls/shop/stock/hold', '{}', 400, 'no-key'],
     ['/v1/elsewhere', '{}', 404, 'no-such-page'],
+    ['/v1/programs/%zz/turns', '{}', 400, 'bad-path'],
   ];
   for (const [path, body, status, mishap] of cases) {
     const r = await post(path, body);
