Test: hints that could not be kept, then both other disks lost one after the other

Figures: no hint kept, 5 turns on two copies, one of those lost and refilled, then the other lost: all read back, 3 seeds. Conclusion: two copies and the rewriting at a seal carry it; hints only hasten.

--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -75,7 +75,7 @@
       this.control = node;
       return;
     }
-    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: 3600000, hintsMost: 10000 });
+    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: 3600000, hintsMost: w.hintsMost });
     const node = new StoreNode({ ...common, me, keep, shelf });
     await node.start();
     this.store = node;
--- a/packages/sim/src/storm-faults.ts
+++ b/packages/sim/src/storm-faults.ts
@@ -199,7 +199,7 @@
         if (!old) return;
         w.add('store').start();
         for (let n = 0; n < 120; n++) {
-          const r = await w.master?.control?.operate({ method: 'POST', path: `/v1/stores/${old.addr}/empty`, body: '' });
+          const r = await this.s.operate(w.master, 'POST', `/v1/stores/${old.addr}/empty`);
           if (r?.status === 200) break;
           await this.s.wait(500);
         }
@@ -231,7 +231,7 @@
       this.after(span, () => {
         void (async () => {
           for (let n = 0; n < 60; n++) {
-            const r = await w.master?.control?.operate({ method: 'DELETE', path, body: '' });
+            const r = await this.s.operate(w.master, 'DELETE', path);
             if (r?.status === 200 || r?.status === 404) return;
             await this.s.wait(1000);
           }
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -197,7 +197,7 @@
     this.w.servers.set(record.server, { leaving: false });
   }
 
-  private async operate(at: Machine | undefined, method: string, path: string, body = ''): Promise<Outcome | undefined> {
+  async operate(at: Machine | undefined, method: string, path: string, body = ''): Promise<Outcome | undefined> {
     const lost = this.wait(25000).then(() => undefined);
     return Promise.race([at?.control?.operate({ method, path, body }), lost]);
   }
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -36,6 +36,7 @@
   readonly bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
   readonly slots = 8;
   readonly longAt = 1 << 16;
+  hintsMost = 10000;
   readonly machines: Machine[] = [];
   readonly told: ToldRecord[] = [];
   trace: ((line: string) => void) | undefined;
--- a/tests/src/repair.test.ts
+++ b/tests/src/repair.test.ts
@@ -1,8 +1,8 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { ToldRecord } from '@tillerstair/checker';
-import type { Machine, World } from '@tillerstair/sim';
-import { assertNoBreach, five, recordsOf, small, worldUp } from './util.js';
+import { World, type Machine } from '@tillerstair/sim';
+import { assertNoBreach, configText, five, recordsOf, servers, small, worldUp } from './util.js';
 
 const repair = suite('repair, moves and growth');
 const seeds = [21, 22, 23];
@@ -299,4 +299,27 @@
   await loseAndReadAll(w, w.of('store')[1], p.program);
 });
 
+repair('hints that could not be kept cost nothing when the disks of both others go one after the other', async () => {
+  for (const seed of seeds) {
+    const w = new World(seed, small);
+    w.hintsMost = 0;
+    await w.bringUp((base) => configText(base), servers);
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const [a, b, c] = w.of('store');
+    a?.kill('power');
+    await w.clock.run(1500);
+    await turns(w, p.program, 0, 5);
+    assert.equal([b, c].map((m) => m?.shelf?.counts().hints), [0, 0]);
+    a?.start();
+    await w.clock.run(2000);
+    b?.kill('power');
+    b?.platter.wipe();
+    b?.start();
+    const id = () => b?.store?.id ?? 'none';
+    await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
+    await w.clock.run(1000);
+    await loseAndReadAll(w, c, p.program);
+  }
+});
+
 repair.run();
