Test: shares hold in a whole fleet with tuning on and the master killed in the middle

Figures: 900 turns, 3 to 1, one server four times slower (its weight fell below 0.6), the master killed half way: both pools within 12 of their share.

--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -1,11 +1,12 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { tuned } from '@tillerstair/control';
-import { Life, seededRng, SimClock, SimServers } from '@tillerstair/sim';
+import { checkRecords } from '@tillerstair/checker';
+import { Life, seededRng, SimClock, SimServers, stormConfig } from '@tillerstair/sim';
 import { checkConfig, digestOf, foundingState, reduce, weightKey, type State } from '@tillerstair/state';
 import { chainOf, Gate, Placement, prefixesOf, tableOf } from '@tillerstair/steward';
 import { lasting, Mishap } from '@tillerstair/wire';
-import { five, worldUp } from './util.js';
+import { five, recordsOf, worldUp } from './util.js';
 
 const place = suite('placement, lines and weights');
 
@@ -174,4 +175,33 @@
   assert.ok((await w.clock.until('up', () => !down(), 10000)) < 3000);
 });
 
+place('work is split by the operator\'s shares while weights are tuned and the master changes', async () => {
+  const w = await worldUp(92, five);
+  for (const [id, pool] of [['m3', 'models'], ['n1', 'others'], ['n2', 'others']]) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
+  const { config } = checkConfig(stormConfig({ base: 1, turnPools: ['models', 'others'], callPool: 'shop', extra: 0 }));
+  const shares = [{ pool: 'models', share: 3 }, { pool: 'others', share: 1 }];
+  const lanes = config?.lanes.map((l) => (l.name === 'chat' ? { ...l, shares } : l));
+  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...config, lanes }))).status, 200);
+  w.servers.set('m1', { slow: 4 });
+  await w.clock.run(1000);
+  const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 60 }, () => w.program(900))), 20000);
+  const from = w.clock.now();
+  const going: Promise<unknown>[] = [];
+  const tuned = (): number => w.master?.control?.zen.leading?.committed?.weights.get(weightKey('models', 'm1')) ?? 1;
+  let least = 1;
+  for (let i = 0; i < 900; i++) {
+    const p = ps[i % ps.length];
+    if (p) going.push(w.turn(p.program, null, `w #${i}`, `w${i}`));
+    if (i === 450) w.master?.kill();
+    least = Math.min(least, tuned());
+    await w.clock.run(20);
+  }
+  await w.clock.finish('turns', Promise.all(going), 60000);
+  assert.ok(least < 0.6, `weight ${least}`);
+  const row = { kind: 'generate' as const, from, to: w.clock.now(), shares: [['models', 3], ['others', 1]] as const, rounding: 12 };
+  const verdict = checkRecords(recordsOf(w, { shares: [row] })).find((v) => v.rule.includes('shares'));
+  assert.equal(verdict?.breaches, []);
+  assert.ok((verdict?.checked ?? 0) >= 2);
+});
+
 place.run();
