--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -85,6 +85,11 @@
   run.note(`serving again after ${servedAt - startedAt} ms`);
 };
 
+const inUse = (run: Run): Run['fleet']['models'] => {
+  const used = new Set(run.fleet.ledger.all().map((r) => r.server));
+  return run.fleet.models.filter((m) => used.has(m.spec.id));
+};
+
 const markLeaving = async (run: Run, id: string): Promise<number> => {
   for (let n = 0; n < 5; n++) {
     const at = Date.now();
@@ -110,7 +115,7 @@
 
 const ownLeaving = async (run: Run): Promise<void> => {
   await wait(2000);
-  const s = run.pick(run.fleet.models);
+  const s = run.pick(inUse(run));
   s.set({ leaving: true });
   const at = Date.now();
   await wait(6000);
@@ -211,7 +216,7 @@
     about: 'A single front is isolated, servers are marked leaving meanwhile', cuts: true, seconds: 16, aims: ['leaving', 'in force'],
     during: async (run) => {
       await wait(1500);
-      const s = run.pick(run.fleet.models);
+      const s = run.pick(inUse(run));
       const cut = cutOff(run, [run.pick(run.fleet.of('front'))], 7000);
       await wait(300);
       const at = await markLeaving(run, s.spec.id);
