Clean-up: one paged read, one place for findings, and for the committed state in the simulator

Cause: read once more as a whole, the change had written things twice: the loop over pages in the steward and in the store; YAML's and yup's findings in the manifests and in the configuration; the way to work leaving for a simulated server, for turns and calls; starting a machine again, the committed state and the configuration read back, in the storms and tests. A row from a child of 'fleet storms' was typed but not checked; an interface and a line of a test did nothing. Change: pagesFrom, yamlFindings, yupFindings, SimServers' leave, World.committed, Storm.held, Faults.restart, one acts and one stewardOf for the tests; rows checked by zod. Ruled out: one operationOf for steward and checker (the checker knows nothing of the inside). Conclusion: behaviour as it was.

--- a/packages/ctl/src/manifests.ts
+++ b/packages/ctl/src/manifests.ts
@@ -1,6 +1,6 @@
 import { LineCounter, parseAllDocuments, stringify } from 'yaml';
-import { array, number, object, string, ValidationError } from 'yup';
-import { checkConfig, type Finding } from '@tillerstair/state';
+import { array, number, object, string } from 'yup';
+import { checkConfig, yamlFindings, yupFindings, type Finding } from '@tillerstair/state';
 
 const groupVersion = /^gateway\.networking\.k8s\.io\/v1(beta1)?$/;
 const text = () => string().strict();
@@ -81,11 +81,8 @@
   readonly findings: readonly Finding[];
 }
 
-const problems = (place: string, e: unknown): readonly Finding[] => {
-  if (!(e instanceof ValidationError)) throw e;
-  const each = e.inner.length > 0 ? e.inner : [e];
-  return each.map((x) => ({ place: x.path ? `${place} ${x.path}` : place, text: x.errors.join('; ') }));
-};
+const problems = (place: string, e: unknown): readonly Finding[] =>
+  yupFindings(e).map((f) => ({ ...f, place: f.place ? `${place} ${f.place}` : place }));
 
 export const fromManifests = (files: readonly (readonly [string, string])[], base: number): Translated => {
   const findings: Finding[] = [];
@@ -134,10 +131,7 @@
     const counter = new LineCounter();
     const docs = parseAllDocuments(body, { lineCounter: counter, uniqueKeys: true });
     [...docs].forEach((doc, i) => {
-      for (const e of doc.errors) {
-        const { line, col } = counter.linePos(e.pos[0]);
-        findings.push({ place: `${file} line ${line}, column ${col}`, text: e.message.split('\n')[0] ?? e.message });
-      }
+      findings.push(...yamlFindings(doc.errors, counter).map((f) => ({ ...f, place: `${file} ${f.place}` })));
       const raw: unknown = doc.errors.length > 0 ? null : doc.toJS();
       if (raw !== null) one(`${file} document ${i + 1}`, raw);
     });
--- a/packages/fleet/src/storms.ts
+++ b/packages/fleet/src/storms.ts
@@ -3,6 +3,7 @@
 import { checkRecords } from '@tillerstair/checker';
 import { faultKinds, planOf, Storm, type Planned } from '@tillerstair/sim';
 import split2 from 'split2';
+import { z } from 'zod';
 
 export interface StormChoice {
   readonly from: number;
@@ -20,6 +21,10 @@
   readonly struck: readonly string[];
 }
 
+const Row = z.object({
+  seed: z.number(), breach: z.string(), log: z.array(z.string()), few: z.array(z.string()), struck: z.array(z.string()), checked: z.array(z.tuple([z.string(), z.number()])),
+});
+
 const sizesOf = (seed: number): { controls: number; stores: number; fronts: number } => ({ controls: 5, stores: 3, fronts: seed % 10 === 0 ? 8 : 3 });
 
 export const stormOnce = async (seed: number, ms: number, plan: readonly Planned[]): Promise<StormVerdict> => {
@@ -69,7 +74,7 @@
       const args = [main, 'storms', '--from', String(c.from + k), '--count', String(c.count - k), '--ms', String(c.ms), '--faults', c.kinds.join(','), '--every', String(jobs)];
       const child = spawn(process.execPath, [...args, ...(c.cut ? ['--cut'] : [])], { stdio: ['ignore', 'pipe', 'inherit'] });
       child.stdout.pipe(split2()).on('data', (line: string) => {
-        const v: { seed: number; breach: string; log: string[]; few: string[]; struck: string[]; checked: [string, number][] } = JSON.parse(line);
+        const v = Row.parse(JSON.parse(line));
         for (const [r, n] of v.checked) checked.set(r, (checked.get(r) ?? 0) + n);
         for (const f of v.struck) struck.set(f, (struck.get(f) ?? 0) + 1);
         if (v.breach === '') {
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -39,8 +39,8 @@
     this.busy.set(s.id, (this.busy.get(s.id) ?? 0) + by);
   }
 
-  private note(kind: RanRecord['kind'], s: Server, key: string, attempt: string, program: string, began: number, said: string, reply: string, complete: boolean, tokens: number): void {
-    this.ran.push({ kind, server: s.id, pool: s.pool, key, attempt, program, began, at: this.clock.now(), said: said.slice(-60), reply, complete, tokens });
+  private note(s: Server, ran: Omit<RanRecord, 'server' | 'pool' | 'at'>): void {
+    this.ran.push({ ...ran, server: s.id, pool: s.pool, at: this.clock.now(), said: ran.said.slice(-60) });
   }
 
   backend(life: Life, front = ''): Backend {
@@ -51,17 +51,20 @@
       await pause(frontClock, 0.3);
       return v;
     };
+    const leave = async (s: Server, still: () => boolean): Promise<Ended | undefined> => {
+      this.asked++;
+      await pause(frontClock, 0.5);
+      if (!still()) return { kind: 'declined', text: 'taken back' };
+      return refuses(s) ? { kind: 'never-left', text: 'refused' } : undefined;
+    };
     return {
       generate: async (s: Server, g: Generate, onPiece, gone, _within, still): Promise<Ended> => {
         const f = this.of(s.id);
-        this.asked++;
-        await pause(frontClock, 0.5);
-        if (!still()) return { kind: 'declined', text: 'taken back' };
-        if (refuses(s)) return { kind: 'never-left', text: 'refused' };
+        const back = await leave(s, still);
+        if (back) return back;
         const nth = ++this.served;
         const began = clock.now();
-        const program = g.id.split('/')[0] ?? '';
-        const said = g.messages.at(-1)?.text ?? '';
+        const ran = { kind: 'generate' as const, key: '', attempt: g.inquiry, program: g.id.split('/')[0] ?? '', began, said: g.messages.at(-1)?.text ?? '' };
         const total = Math.min(g.maxTokens, 4 + Math.floor(this.rng() * 12));
         const cutAt = f.cutEvery > 0 && nth % f.cutEvery === 0 ? Math.floor(total / 2) : -1;
         let reply = '';
@@ -70,7 +73,7 @@
           await pause(clock, 5 * f.slow);
           if (gone.aborted || life.dead || n === cutAt) {
             this.enter(s, -1);
-            this.note('generate', s, '', g.inquiry, program, began, said, reply, false, n);
+            this.note(s, { ...ran, reply, complete: false, tokens: n });
             return gate({ kind: 'lost', text: 'the stream stopped' });
           }
           const text = `${s.id}.${nth}.${n} `;
@@ -79,22 +82,20 @@
           life.do(() => onPiece(at, text));
         }
         this.enter(s, -1);
-        this.note('generate', s, '', g.inquiry, program, began, said, reply, true, total);
+        this.note(s, { ...ran, reply, complete: true, tokens: total });
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the end was lost' });
         return gate({ kind: 'done', code: 200, body: total });
       },
       act: async (s: Server, a: Act, _gone, _within, still): Promise<Ended> => {
         const f = this.of(s.id);
-        this.asked++;
-        await pause(frontClock, 0.5);
-        if (!still()) return { kind: 'declined', text: 'taken back' };
-        if (refuses(s)) return { kind: 'never-left', text: 'refused' };
+        const back = await leave(s, still);
+        if (back) return back;
         const nth = ++this.served;
         const began = clock.now();
         this.enter(s, 1);
         await pause(clock, (10 + this.rng() * 30) * f.slow);
         this.enter(s, -1);
-        this.note('act', s, a.key, a.inquiry, '', began, a.path, '', true, 0);
+        this.note(s, { kind: 'act', key: a.key, attempt: a.inquiry, program: '', began, said: a.path, reply: '', complete: true, tokens: 0 });
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the verdict was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
--- a/packages/sim/src/storm-faults.ts
+++ b/packages/sim/src/storm-faults.ts
@@ -91,7 +91,7 @@
     const { w } = this.s;
     for (let n = 0; n < 600; n++) {
       await this.s.wait(200);
-      const s = w.master?.control?.zen.leading?.committed;
+      const s = w.committed;
       if (!s) continue;
       const ids = w.of(kind).map((m) => (kind === 'store' ? m.store?.id : m.control?.id) ?? 'none');
       if (kind === 'store' && s.slots.every((x) => x.filling.length === 0 && x.copies.every((id) => ids.includes(id)))) return;
@@ -108,18 +108,22 @@
     await this.whole(m.kind);
   }
 
+  private restart(m: Machine): void {
+    if (!m.up && this.s.w.machines.includes(m)) m.start();
+  }
+
   private trap(): void {
     this.s.onDone = (t: ToldRecord) => {
       this.s.onDone = undefined;
       this.armed = false;
       const { w } = this.s;
-      const s = w.master?.control?.zen.leading?.committed;
+      const s = w.committed;
       const key = t.kind === 'call' ? opKeyOf(t.tenant, t.key) : `p/${rootOf(t.program)}`;
       const slot = s?.slots[slotOf(key, s.slots.length)];
       const hit = w.machines.filter((m) => m.up && (m.front?.p.id === slot?.steward || m.store?.id === slot?.copies[Math.floor(this.rng() * 3)]));
       for (const m of hit) m.kill('power');
       this.after(500 + this.rng() * 3000, () => {
-        for (const m of hit) if (!m.up && w.machines.includes(m)) m.start();
+        for (const m of hit) this.restart(m);
       });
     };
   }
@@ -163,7 +167,7 @@
         return 'cut';
       }
       case 'leave':
-        return (await s.leave(server)) ? server : '';
+        return s.leave(server) ? server : '';
       case 'own-leave':
         return s.ownLeave(server) ? server : '';
       case 'lose-verdicts':
@@ -206,10 +210,10 @@
         const id = old.store?.id ?? 'none';
         for (let n = 0; n < 300; n++) {
           await this.s.wait(200);
-          const s = w.master?.control?.zen.leading?.committed;
+          const s = w.committed;
           if (s?.retiring.has(id) && s.slots.every((x) => x.filling.length === 0 && !x.copies.includes(id))) break;
         }
-        const s = w.master?.control?.zen.leading?.committed;
+        const s = w.committed;
         if (!s?.slots.every((x) => !x.copies.includes(id))) throw new Error('a store was not emptied in time');
         old.kill('power');
         w.remove(old);
@@ -220,8 +224,7 @@
       w.add('front').start();
       return 'added';
     }
-    const steadily = this.up(group);
-    const target = kind === 'control' && this.rng() < 0.6 ? w.master : this.pick(steadily);
+    const target = kind === 'control' && this.rng() < 0.6 ? w.master : this.pick(this.up(group));
     if (!target) return '';
     if (p.fault === 'drain-front') {
       const m = w.master;
@@ -245,16 +248,13 @@
         target.kill('power');
         target.platter.wipe();
         await this.s.wait(span);
-        if (!target.up && w.machines.includes(target)) target.start();
+        this.restart(target);
         await this.s.wait(500);
         return this.whole(group);
       });
       return got && target.addr;
     }
     if (kind === 'store' && this.diskBusy && what !== 'oneway') return '';
-    const again = (): void => {
-      if (!target.up && w.machines.includes(target)) target.start();
-    };
     if (kind === 'proxy' || kind === 'agent') {
       if (what === 'freeze') {
         target.proxyLife.frozen = true;
@@ -274,7 +274,7 @@
     }
     if (what === 'kill' || what === 'power') {
       target.kill(what === 'power' ? 'power' : 'process');
-      this.after(span, again);
+      this.after(span, () => this.restart(target));
     } else if (what === 'freeze') {
       target.freeze();
       this.after(span, () => {
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -1,5 +1,6 @@
 import { noRecords, type ConfigRecord, type LeavingRecord, type Records, type RestartRecord, type ToldRecord } from '@tillerstair/checker';
 import type { Outcome } from '@tillerstair/control';
+import { z } from 'zod';
 import type { Machine } from './machine.js';
 import { Faults, faultKinds } from './storm-faults.js';
 import { stormConfig } from './storm-config.js';
@@ -30,6 +31,8 @@
   return out;
 };
 
+const Held = z.object({ version: z.number(), text: z.string() });
+const Current = z.object({ current: z.number() });
 const stormServers = [['m1', 'models'], ['m2', 'models'], ['n1', 'others'], ['s1', 'shop'], ['s2', 'shop']] as const;
 
 export class Storm {
@@ -93,15 +96,16 @@
     for (const [id] of stormServers) w.servers.set(id, { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1 });
     await w.clock.until('calm', () => w.readyFronts().length >= w.of('front').filter((m) => m.up).length - w.drained.size && w.slotsOpen(), 60000);
     await w.clock.until('callers', () => this.going.size === 0, 240000);
-    const back = await w.operate('GET', '/v1/config');
-    const b = back.body;
-    const readBack =
-      b !== null && typeof b === 'object' && 'version' in b && 'text' in b ? { version: Number(b.version), text: String(b.text) } : undefined;
+    const readBack = await this.held();
     return {
       ...noRecords, told: w.told, ran: w.servers.ran, configs: this.configs, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
     };
   }
 
+  private async held(): Promise<z.infer<typeof Held> | undefined> {
+    return Held.safeParse((await this.w.operate('GET', '/v1/config')).body).data;
+  }
+
   beginChat(): void {
     this.track(this.chat(this.n++));
   }
@@ -157,7 +161,7 @@
     await this.w.fetch(program, turn);
   }
 
-  async leave(id: string): Promise<boolean> {
+  leave(id: string): boolean {
     const { w } = this;
     if (this.leavings.some((l) => l.server === id && l.until === Infinity)) return false;
     const at = w.clock.now();
@@ -214,9 +218,8 @@
     const r = await this.operate(at, 'PUT', '/v1/config', text);
     const told = r?.status === 200 ? 'done' : r === undefined || r.status === 504 || r.status === 0 ? 'unknown' : 'refused';
     this.configs[n] = { ...row, told, toldAt: w.clock.now() };
-    const body = r?.body;
     if (told === 'done') this.version = Math.max(this.version, base + 1);
-    else if (r?.status === 409 && body !== null && typeof body === 'object' && 'current' in body) this.version = Math.max(this.version, Number(body.current));
+    else if (r?.status === 409) this.version = Math.max(this.version, Current.safeParse(r.body).data?.current ?? 0);
   }
 
   async allDown(): Promise<void> {
@@ -230,9 +233,7 @@
     for (const m of w.machines) m.start();
     await w.clock.until('back', () => w.readyFronts().length >= w.of('front').length - w.drained.size && w.slotsServed(), 20000);
     const servedAt = w.clock.now();
-    const back = await w.operate('GET', '/v1/config');
-    const b = back.body;
-    const after = b !== null && typeof b === 'object' && 'version' in b ? Number(b.version) : 0;
-    this.restarts.push({ stoppedAt, startedAt, servedAt, configBefore: before, configAfter: after });
+    const after = await this.held();
+    this.restarts.push({ stoppedAt, startedAt, servedAt, configBefore: before, configAfter: after?.version ?? 0 });
   }
 }
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -1,6 +1,6 @@
 import type { Outcome } from '@tillerstair/control';
 import type { ToldRecord } from '@tillerstair/checker';
-import { rootOf } from '@tillerstair/state';
+import { rootOf, type State } from '@tillerstair/state';
 import { opKeyOf, type Verdict } from '@tillerstair/steward';
 import { zenBounds } from '@tillerstair/zen';
 import { z } from 'zod';
@@ -86,8 +86,12 @@
     return this.of('control').slice(0, 3).map((m) => m.addr);
   }
 
+  get committed(): State | undefined {
+    return this.master?.control?.zen.leading?.committed;
+  }
+
   get drained(): ReadonlySet<string> {
-    return this.master?.control?.zen.leading?.committed?.retiring ?? new Set();
+    return this.committed?.retiring ?? new Set();
   }
 
   start(ms: readonly Machine[] = this.machines): void {
@@ -131,12 +135,12 @@
   }
 
   slotsOpen(): boolean {
-    const s = this.master?.control?.zen.leading?.committed;
+    const s = this.committed;
     return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.steward) && slot.filling.length === 0);
   }
 
   slotsServed(): boolean {
-    const s = this.master?.control?.zen.leading?.committed;
+    const s = this.committed;
     return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.steward));
   }
 
--- a/packages/state/src/config.ts
+++ b/packages/state/src/config.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { array, boolean, number, object, string, ValidationError, type InferType } from 'yup';
-import { LineCounter, parseDocument } from 'yaml';
+import { LineCounter, parseDocument, type YAMLParseError } from 'yaml';
 
 const name = () => string().strict().matches(/^[a-z0-9][a-z0-9-]{0,62}$/, { message: '${path} must be a lower-case name' }).required();
 const whole = (least: number, most: number) => number().strict().integer().min(least).max(most);
@@ -76,25 +76,27 @@
   return out;
 };
 
+export const yamlFindings = (errors: readonly YAMLParseError[], counter: LineCounter): readonly Finding[] =>
+  errors.map((e) => {
+    const { line, col } = counter.linePos(e.pos[0]);
+    return { place: `line ${line}, column ${col}`, text: e.message.split('\n')[0] ?? e.message };
+  });
+
+export const yupFindings = (e: unknown): readonly Finding[] => {
+  if (!(e instanceof ValidationError)) throw e;
+  return (e.inner.length > 0 ? e.inner : [e]).map((x) => ({ place: x.path ?? '', text: x.errors.join('; ') }));
+};
+
 export const checkConfig = (text: string): Checked => {
   const counter = new LineCounter();
   const doc = parseDocument(text, { lineCounter: counter, uniqueKeys: true });
-  if (doc.errors.length > 0)
-    return {
-      config: undefined,
-      findings: doc.errors.map((e) => {
-        const { line, col } = counter.linePos(e.pos[0]);
-        return { place: `line ${line}, column ${col}`, text: e.message.split('\n')[0] ?? e.message };
-      }),
-    };
+  if (doc.errors.length > 0) return { config: undefined, findings: yamlFindings(doc.errors, counter) };
   try {
     const config = File.cast(File.validateSync(doc.toJS(), { abortEarly: false, strict: true }));
     const findings = lanes(config);
     return { config: findings.length === 0 ? config : undefined, findings };
   } catch (e) {
-    if (!(e instanceof ValidationError)) throw e;
-    const each = e.inner.length > 0 ? e.inner : [e];
-    return { config: undefined, findings: each.map((x) => ({ place: x.path || 'file', text: x.errors.join('; ') })) };
+    return { config: undefined, findings: yupFindings(e).map((f) => ({ ...f, place: f.place || 'file' })) };
   }
 };
 
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -16,6 +16,15 @@
 export const Paged = z.object({ items: z.array(Item), next: z.string() });
 export type Paged = z.infer<typeof Paged>;
 
+export async function* pagesFrom(ask: (after: string) => Promise<unknown>): AsyncGenerator<readonly Item[]> {
+  for (let after = ''; ; ) {
+    const page = Paged.parse(await ask(after));
+    yield page.items;
+    if (page.next === '') return;
+    after = page.next;
+  }
+}
+
 export const pageBytes = 1 << 18;
 
 export const pagesOf = (items: readonly Item[]): readonly (readonly Item[])[] => {
@@ -32,6 +41,7 @@
   }
   return out;
 };
+
 export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
 export const ReadBack = z.object({ item: Item.nullable() });
 export const Hint = z.object({ to: z.string(), slot: z.number(), items: z.array(Item) });
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -1,5 +1,5 @@
 import {
-  copiesAfter, groupOf, Item, keptOn, newerItem, Paged, pagesOf, ReadBack, rootOf, sameItem, type Slot,
+  copiesAfter, groupOf, Item, keptOn, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, type Slot,
 } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
@@ -104,16 +104,15 @@
   private async sealOnce(tenure: number): Promise<boolean> {
     const slot = this.slot;
     if (!slot) return true;
-    const counted = new Set(slot.copies);
     const seen = new Map<string, Map<string, Item>>();
     await new Promise<void>((done) => {
-      let left = counted.size;
+      let left = slot.copies.length;
       const one = () => {
         left--;
         if (left <= 0 || seen.size >= needed) done();
       };
       if (left === 0) done();
-      for (const id of counted)
+      for (const id of slot.copies)
         void this.sealed(id, tenure)
           .then((items) => {
             seen.set(id, items);
@@ -121,7 +120,7 @@
           .catch(() => undefined)
           .finally(one);
     });
-    if (seen.size < needed) throw new Mishap('unavailable', `${seen.size} of ${counted.size} copies sealed`);
+    if (seen.size < needed) throw new Mishap('unavailable', `${seen.size} of ${slot.copies.length} copies sealed`);
     const views = [...seen.values()];
     const merged = new Map<string, Item>(this.openTenure >= 0 ? this.held : []);
     for (const view of views)
@@ -150,12 +149,9 @@
 
   private async sealed(id: string, tenure: number): Promise<Map<string, Item>> {
     const items = new Map<string, Item>();
-    for (let after = ''; ; ) {
-      const page = Paged.parse(await this.ask(id, 'store/seal', { slot: this.n, tenure, after }));
-      for (const item of page.items) items.set(item.key, item);
-      if (page.next === '') return items;
-      after = page.next;
-    }
+    for await (const page of pagesFrom((after) => this.ask(id, 'store/seal', { slot: this.n, tenure, after })))
+      for (const item of page) items.set(item.key, item);
+    return items;
   }
 
   private hold(item: Item): void {
@@ -247,9 +243,8 @@
   async confirmMissing(key: string): Promise<boolean> {
     const slot = this.slot;
     if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
-    const counted = slot.copies;
     const reads = await Promise.allSettled(
-      counted.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
+      slot.copies.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
     );
     const good = reads.flatMap((r) => (r.status === 'fulfilled' ? [r.value.item] : []));
     if (good.length < needed) throw new Mishap('unavailable', 'too few copies confirm');
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -27,11 +27,6 @@
   readonly affinity: boolean;
 }
 
-export interface Held {
-  readonly server: Server;
-  readonly lane: Lane;
-}
-
 interface Watch {
   readonly front: string;
   readonly lost: AbortController;
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,5 +1,5 @@
 import pLimit from 'p-limit';
-import { beliefOf, Hand, Hint, keptOn, Paged, Put, Read, Seal, type Belief, type State } from '@tillerstair/state';
+import { beliefOf, Hand, Hint, keptOn, pagesFrom, Put, Read, Seal, type Belief, type State } from '@tillerstair/state';
 import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
@@ -145,13 +145,11 @@
       const mate = s.nodes.get(id);
       if (!mate || pulled === 2) continue;
       try {
-        for (let after = ''; ; ) {
-          const page = Paged.parse(await circuits.call(mate.addr, 'store/pull', { slot, tenure, after }, { within: bounds.silent }));
-          await shelf.hand(slot, page.items);
-          if (page.next === '') break;
-          after = page.next;
-          await pause(this.p.clock, bounds.beat / pagesPerBeat, this.gone.signal);
-        }
+        const ask = async (after: string): Promise<unknown> => {
+          if (after !== '') await pause(this.p.clock, bounds.beat / pagesPerBeat, this.gone.signal);
+          return circuits.call(mate.addr, 'store/pull', { slot, tenure, after }, { within: bounds.silent });
+        };
+        for await (const page of pagesFrom(ask)) await shelf.hand(slot, page);
         pulled++;
       } catch (e) {
         log.debug(`Pulling slot ${slot} from ${mate.addr} failed: ${mishapOf(e).message}.`);
--- a/tests/src/leaving.test.ts
+++ b/tests/src/leaving.test.ts
@@ -33,7 +33,6 @@
     const p = await w.clock.finish('program', w.program(900), 10000);
     const front = stewardOf(w, `p/${p.program}`);
     if (!front) throw new Error('no steward');
-    w.net.cut('none', 'none');
     front.proxyLife.frozen = true;
     const at = w.clock.now();
     w.servers.set('m1', { leaving: true });
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -1,14 +1,12 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { World } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
 import { opKeyOf } from '@tillerstair/steward';
-import { assertNoBreach, configText, five, recordsOf, small, stewardOf, worldUp } from './util.js';
+import { acts, assertNoBreach, configText, five, recordsOf, small, stewardOf, worldUp } from './util.js';
 
 const never = suite('never-list under failure');
 const seeds = [11, 12, 13, 14];
 
-const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
 
 never('a steward killed between intent and run: the key never runs twice', async () => {
   for (const seed of seeds) {
@@ -139,7 +137,7 @@
   const none = await w.clock.finish('fetch', w.fetch(p.program, 't-none'), 10000);
   assert.is(none.mishap, 'missing');
   const slot = slotOf(`p/${p.program}`, w.slots);
-  const tenure = w.master?.control?.zen.leading?.committed?.slots[slot]?.tenure ?? 0;
+  const tenure = w.committed?.slots[slot]?.tenure ?? 0;
   await w.clock.finish('seals', Promise.all(w.of('store').map((m) => m.shelf?.seal(slot, tenure + 1, ''))), 1000);
   const told = await w.clock.finish('fetch', w.fetch(p.program, 't-elsewhere'), 10000);
   assert.is(told.told, 'refused');
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -151,7 +151,7 @@
 place('a server that fails for one front only stays in use by the others; one silent to all is soon down for all', async () => {
   const w = await worldUp(91, five);
   const ps = await w.clock.finish('programs', Promise.all(w.of('front').map((m) => w.program(900, m))), 20000);
-  const down = (): boolean => w.master?.control?.zen.leading?.committed?.servers.get('m1')?.down ?? false;
+  const down = (): boolean => w.committed?.servers.get('m1')?.down ?? false;
   w.servers.cutFronts.add('front-0>m1');
   const from = w.clock.now();
   let i = 0;
@@ -187,7 +187,7 @@
   const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 60 }, () => w.program(900))), 20000);
   const from = w.clock.now();
   const going: Promise<unknown>[] = [];
-  const tuned = (): number => w.master?.control?.zen.leading?.committed?.weights.get(weightKey('models', 'm1')) ?? 1;
+  const tuned = (): number => w.committed?.weights.get(weightKey('models', 'm1')) ?? 1;
   let least = 1;
   for (let i = 0; i < 900; i++) {
     const p = ps[i % ps.length];
--- a/tests/src/repair.test.ts
+++ b/tests/src/repair.test.ts
@@ -25,8 +25,6 @@
   assertNoBreach(recordsOf(w));
 };
 
-const committed = (w: World) => w.master?.control?.zen.leading?.committed;
-
 repair('a store that was away gets what it missed from hints, and can then stand in for a lost one', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
@@ -53,10 +51,10 @@
     a?.platter.wipe();
     a?.start();
     const id = () => a?.store?.id ?? 'none';
-    await w.clock.until('taken in', () => committed(w)?.slots.some((s) => s.filling.includes(id())) ?? false, 30000);
-    const slots = committed(w)?.slots ?? [];
+    await w.clock.until('taken in', () => w.committed?.slots.some((s) => s.filling.includes(id())) ?? false, 30000);
+    const slots = w.committed?.slots ?? [];
     assert.ok(slots.filter((s) => s.filling.length > 0).length <= Math.max(1, Math.ceil(slots.length / 16)), 'throttled');
-    await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
+    await w.clock.until('refilled', () => w.committed?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
     await loseAndReadAll(w, b, p.program);
   }
 });
@@ -77,7 +75,7 @@
     w.net.cutBoth(['store-2'], [...data, 'store-0', 'store-1']);
     a.start();
     w.start(w.of('front'));
-    await w.clock.until('filling', () => committed(w)?.slots.some((s) => s.filling.length > 0) ?? false, 30000);
+    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.filling.length > 0) ?? false, 30000);
     await w.clock.until('fronts', () => w.readyFronts().length === 2, 20000);
     await w.clock.run(4000);
     for (const t of ts) {
@@ -85,7 +83,7 @@
       assert.is.not(f.mishap, 'missing');
     }
     w.net.mend();
-    await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.filling.length === 0 && s.copies.includes(a.store?.id ?? '')) ?? false, 60000);
+    await w.clock.until('refilled', () => w.committed?.slots.every((s) => s.filling.length === 0 && s.copies.includes(a.store?.id ?? '')) ?? false, 60000);
     await w.clock.run(2000);
     for (const t of ts) assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
   }
@@ -121,12 +119,12 @@
   assert.is(refused.status, 409);
   assert.match(JSON.stringify(refused.body), 'only 2 other stores would stay');
   w.add('store').start();
-  await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+  await w.clock.until('the new store', () => [...(w.committed?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
   assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
   const old = w.at('store-0').store?.id ?? '';
-  await w.clock.until('half way', () => (committed(w)?.slots.filter((s) => s.copies.includes(old)).length ?? 9) <= 4, 60000);
+  await w.clock.until('half way', () => (w.committed?.slots.filter((s) => s.copies.includes(old)).length ?? 9) <= 4, 60000);
   w.master?.kill('power');
-  await w.clock.until('emptied', () => (committed(w)?.slots.every((s) => !s.copies.includes(old) && s.filling.length === 0)) ?? false, 60000);
+  await w.clock.until('emptied', () => (w.committed?.slots.every((s) => !s.copies.includes(old) && s.filling.length === 0)) ?? false, 60000);
   const status = await w.operate('GET', '/v1/status');
   assert.match(JSON.stringify(status.body), '"slotsHeld":0');
   w.at('store-0').kill();
@@ -139,7 +137,7 @@
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 6 }, () => w.program(900, w.of('front')[0]))), 20000);
-    const before = committed(w)?.slots.map((s) => s.steward).join();
+    const before = w.committed?.slots.map((s) => s.steward).join();
     const going: Promise<unknown>[] = [];
     w.add('front').start();
     let i = 0;
@@ -155,9 +153,9 @@
       await w.clock.run(170);
     }
     await w.clock.finish('all', Promise.all(going), 60000);
-    assert.is.not(committed(w)?.slots.map((s) => s.steward).join(), before);
+    assert.is.not(w.committed?.slots.map((s) => s.steward).join(), before);
     const drainedId = w.at('front-1').front?.p.id;
-    assert.ok(committed(w)?.slots.every((s) => s.steward !== drainedId));
+    assert.ok(w.committed?.slots.every((s) => s.steward !== drainedId));
     const bad = w.told.filter((t) => t.told !== 'done' && t.mishap !== 'budget-spent').map((t) => `${t.kind} ${t.told} ${t.mishap}`);
     assert.equal(bad, []);
     assertNoBreach(recordsOf(w));
@@ -209,10 +207,10 @@
     await round(0);
     const fresh = w.add('store');
     fresh.start();
-    await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+    await w.clock.until('the new store', () => [...(w.committed?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
     for (const m of ['store-0', 'store-1', 'store-2']) w.net.cut(fresh.addr, m);
     assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
-    await w.clock.until('filling', () => committed(w)?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
+    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
     await w.clock.run(1000);
     w.at('store-1').kill('power');
     await w.clock.run(2000);
@@ -220,9 +218,9 @@
     const half = w.told.filter((t) => t.kind === 'turn');
     for (const t of half) assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
     w.net.mend();
-    await w.clock.until('emptied', () => committed(w)?.slots.every((s) => s.copies.length === 3 && s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000).catch(() => -1);
+    await w.clock.until('emptied', () => w.committed?.slots.every((s) => s.copies.length === 3 && s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000).catch(() => -1);
     w.at('store-1').start();
-    await w.clock.until('settled', () => committed(w)?.slots.every((s) => s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000);
+    await w.clock.until('settled', () => w.committed?.slots.every((s) => s.filling.length === 0 && !s.copies.includes(w.at('store-0').store?.id ?? '')) ?? false, 90000);
     w.at('store-0').kill('power');
     for (const m of w.of('front')) m.kill();
     w.start(w.of('front'));
@@ -240,14 +238,14 @@
     const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 12 }, () => w.program(900))), 20000);
     const fresh = w.add('store');
     fresh.start();
-    await w.clock.until('the new store', () => [...(committed(w)?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
+    await w.clock.until('the new store', () => [...(w.committed?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 20000);
     fresh.platter.delay = 2500;
     assert.is((await w.operate('POST', '/v1/stores/store-0/empty')).status, 200);
-    await w.clock.until('filling', () => committed(w)?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
+    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.filling.length > 0) ?? false, 20000);
     for (const m of w.of('front')) for (const to of ['store-2', fresh.addr]) w.net.cut(`${m.addr}/data`, to);
     const freshId = fresh.store?.id ?? 'none';
     const going: Promise<unknown>[] = [];
-    for (let i = 0; !committed(w)?.slots.some((s) => s.copies.includes(freshId)); i++) {
+    for (let i = 0; !w.committed?.slots.some((s) => s.copies.includes(freshId)); i++) {
       assert.ok(i < 200, 'no copy was switched');
       for (const p of ps) going.push(w.turn(p.program, null, `j${i} #${seed}-${p.program}`, `j${i}`));
       await w.clock.run(350);
@@ -293,7 +291,7 @@
   assert.is(other.told, 'done');
   store?.start();
   const id = () => store?.store?.id ?? 'none';
-  await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 90000);
+  await w.clock.until('refilled', () => w.committed?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 90000);
   for (const kind of ['store/seal', 'store/pull', 'store/put', 'store/hand']) assert.ok((w.net.largest.get(kind) ?? 0) < 1 << 19, `${kind} ${w.net.largest.get(kind) ?? 0}`);
   assert.ok((w.net.largest.get('store/pull') ?? 0) > 1 << 16);
   await loseAndReadAll(w, w.of('store')[1], p.program);
@@ -316,7 +314,7 @@
     b?.platter.wipe();
     b?.start();
     const id = () => b?.store?.id ?? 'none';
-    await w.clock.until('refilled', () => committed(w)?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
+    await w.clock.until('refilled', () => w.committed?.slots.every((s) => s.copies.includes(id()) && s.filling.length === 0) ?? false, 60000);
     await w.clock.run(1000);
     await loseAndReadAll(w, c, p.program);
   }
--- a/tests/src/steward.test.ts
+++ b/tests/src/steward.test.ts
@@ -3,17 +3,15 @@
 import type { Machine, World } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
 import { opKeyOf } from '@tillerstair/steward';
-import { assertNoBreach, configText, recordsOf, small, worldUp } from './util.js';
+import { acts, assertNoBreach, configText, recordsOf, small, stewardOf, worldUp } from './util.js';
 
 const stewards = suite('stewardships that break and come back');
 
 const slotAt = (w: World, key: string) => {
-  const s = w.master?.control?.zen.leading?.committed;
+  const s = w.committed;
   return s?.slots[slotOf(key, s.slots.length)];
 };
-const stewardOf = (w: World, key: string) => w.of('front').find((m) => m.front?.p.id === slotAt(w, key)?.steward);
 const stewardAs = (m: Machine, key: string): string => m.front?.steward.stewardOf(m.front.steward.slotFor(key)) ?? '';
-const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
 
 const oneAtATime = async (w: World): Promise<void> => {
   await w.operate('DELETE', '/v1/servers/s2');
@@ -24,7 +22,7 @@
 
 stewards('a front that missed the loss of its slot looks again before it runs what waited in line', async () => {
   for (const seed of [61, 62, 63]) {
-    const w = await worldUp(seed, small, process.env['TRACE'] !== undefined);
+    const w = await worldUp(seed, small);
     await oneAtATime(w);
     const key = `line${seed}`;
     const a = stewardOf(w, opKeyOf('t', key));
--- a/tests/src/util.ts
+++ b/tests/src/util.ts
@@ -50,7 +50,9 @@
 };
 
 export const stewardOf = (w: World, key: string) => {
-  const s = w.master?.control?.zen.leading?.committed;
+  const s = w.committed;
   const slot = s?.slots[slotOf(key, s.slots.length)];
   return w.of('front').find((m) => m.front?.p.id === slot?.steward);
 };
+
+export const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
--- a/tests/src/zen.test.ts
+++ b/tests/src/zen.test.ts
@@ -173,7 +173,7 @@
     const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 1), master, 30000);
     assert.is.not(put.status, 200, 'one of three voters is no majority');
     d.start();
-    const voters = () => w.master?.control?.zen.leading?.committed?.voters.now ?? [];
+    const voters = () => w.committed?.voters.now ?? [];
     await w.clock.until('it votes as who it is now', () => voters().includes(c.control?.id ?? 'none'), 30000);
     assert.not.ok(voters().includes(before));
     assert.is((await w.operate('GET', '/v1/config')).status, 200);
