--- /dev/null
+++ b/packages/fleet/src/capacity-cost.ts
@@ -0,0 +1,206 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { deflateSync, inflateSync } from 'node:zlib';
+import { Keeper } from '@tillerstair/control';
+import { FolderDisk } from '@tillerstair/journal';
+import { checkConfig, compiledOf, diffOf, flatten, lanesOf, patch, reduce, unflatten, type State } from '@tillerstair/state';
+import { prefixesOf, SlotKeeper, type TurnValue } from '@tillerstair/steward';
+import { Shelf } from '@tillerstair/store';
+import { hostClock, noLog, type Circuits } from '@tillerstair/wire';
+import { zenBounds } from '@tillerstair/zen';
+import type { Sweep, Values } from './capacity.js';
+import { closing, cpuMs, cpuMsOf, keptMb } from './capacity-meter.js';
+import { configOf, serversOf } from './capacity-rig.js';
+import { configured, grownState, plainState, stateOf, type StateSizes } from './capacity-state.js';
+
+const bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+const next = (s: State): State => ({ ...s, version: s.version + 1 });
+const packed = (v: unknown): string => deflateSync(JSON.stringify(v)).toString('base64');
+
+const oneMark = (s: State): State => {
+  const first = [...s.servers.keys()][0];
+  return next(first === undefined ? s : reduce(s, { kind: 'server-mark', id: first, leaving: true }));
+};
+
+/** What one change of one key costs each role, in the code that `Master`, `Receiver`, `Agent` and `Front` run for it. */
+const applyCost = async (z: StateSizes): Promise<Values> => {
+  const [s, mb] = await keptMb(() => stateOf(z));
+  const t = oneMark(s);
+  const diff = diffOf(s, t);
+  const full = [...flatten(s)];
+  const text = JSON.stringify(full);
+  const wire = packed({ full });
+  return new Map([
+    ['state bytes', text.length],
+    ['state packed, bytes', wire.length],
+    ['diff packed, bytes', packed({ diff }).length],
+    ['state kept, MB', mb],
+    ['master: diff and pack, ms', cpuMs(() => packed({ diff: diffOf(s, t) }))],
+    ['master: pack whole, ms', cpuMs(() => packed({ full: [...flatten(s)] }))],
+    ['node: take a diff, ms', cpuMs(() => patch(s, diff))],
+    ['node: take whole, ms', cpuMs(() => JSON.parse(inflateSync(Buffer.from(wire, 'base64')).toString())) + cpuMs(() => unflatten(new Map(full)))],
+    ['front: agent feeds its proxy, ms', cpuMs(() => JSON.parse(JSON.stringify([...flatten(t)]))) + cpuMs(() => unflatten(new Map(full)))],
+  ]);
+};
+
+const part = (percent: number): StateSizes => {
+  const of = (n: number): number => Math.max(1, Math.round((n * percent) / 100));
+  return { fronts: of(grownState.fronts), servers: of(grownState.servers), slots: of(grownState.slots), lanes: of(grownState.lanes) };
+};
+
+const reportOf = (servers: number): unknown => ({
+  seen: serversOf(servers).map((v) => ({ id: v.id, url: v.url, ok: true, pace: 12.345678 })), released: [],
+});
+
+const fronts = 40;
+
+const reportCost = async (servers: number): Promise<Values> => {
+  const s = stateOf({ ...plainState, servers });
+  const report = reportOf(servers);
+  const text = JSON.stringify(report);
+  const [keeper, mb] = await keptMb(() => {
+    const k = new Keeper(hostClock, bounds, noLog, 3);
+    for (let n = 0; n < fronts; n++) k.onReport(`f-${n}`, JSON.parse(text));
+    return k;
+  });
+  return new Map([
+    ['report bytes', text.length],
+    ['agent: make and send a report, ms', cpuMs(() => JSON.stringify(reportOf(servers)))],
+    ['master: take a report, ms', cpuMs(() => keeper.onReport('f-0', JSON.parse(text)))],
+    ['master: standing kept a front, MB', mb / fronts],
+    ['master: a tuning round a front, ms', cpuMs(() => keeper.paces(s)) / fronts],
+  ]);
+};
+
+const laneCost = async (lanes: number): Promise<Values> => {
+  const text = configOf(1, lanes);
+  const s = stateOf({ ...plainState, lanes });
+  const t = next(configured(s, lanes + 1));
+  const diff = diffOf(s, t);
+  const u = patch(s, diff);
+  const take = (): void => {
+    const taken = patch(s, diff);
+    const config = compiledOf(taken?.config);
+    if (config) lanesOf(config);
+  };
+  if (!u) throw new Error('the diff does not fit');
+  return new Map([
+    ['file bytes', text.length],
+    ['diff of one lane, bytes', JSON.stringify(diff).length],
+    ['diff of one lane packed, bytes', packed({ diff }).length],
+    ['control: check the file, ms', cpuMs(() => checkConfig(text))],
+    ['front: take the version, ms', cpuMs(take)],
+  ]);
+};
+
+/** One program at its last turn: its history as one conversation of so many thousand characters. */
+const historyCost = async (thousands: number): Promise<Values> => {
+  const turns = 81;
+  const each = (thousands * 1000) / turns / 2;
+  const words = 'x y '.repeat(each / 4);
+  const [kept, mb] = await keptMb(() =>
+    Array.from({ length: turns }, (_, n) => {
+      const v: TurnValue = {
+        t: 'turn', status: 'done', after: n === 0 ? null : `t${n - 1}`, digest: '', words: `${n} ${words}`, pool: 'models', server: 's', cost: 0,
+        pieces: Array.from({ length: Math.ceil(each / 4) }, (_, i) => `${n}.${i} `.slice(0, 4)),
+      };
+      return JSON.stringify({ key: `p/p/t/t${n}`, tenure: 1, seq: n, value: v });
+    }).map((text): unknown => JSON.parse(text)),
+  );
+  const messages = Array.from({ length: turns }, (_, n) => [
+    { role: 'user' as const, text: `${n} ${words}` }, { role: 'assistant' as const, text: `${n} ${words}` },
+  ]).flat();
+  return new Map([
+    ['history kept, bytes', JSON.stringify(kept).length],
+    ['history held by a steward, MB', mb],
+    ['bytes to the server for the last turn', JSON.stringify(messages).length],
+    ['steward: prefixes of the last turn, ms', cpuMs(() => prefixesOf(messages))],
+    ['steward: the last turn written out, ms', cpuMs(() => JSON.stringify(messages))],
+  ]);
+};
+
+const stub = (): Circuits => ({
+  self: 'steward', call: async (_to, kind) => (kind === 'store/seal' ? { items: [], next: '' } : {}),
+  serve: async () => undefined, onLost: () => undefined, close: async () => undefined,
+});
+
+const keeperOf = async (): Promise<SlotKeeper> => {
+  const state = stateOf(plainState);
+  const config = compiledOf(state.config);
+  const table = { state, config, lanes: config ? lanesOf(config) : new Map() };
+  const k = new SlotKeeper(0, 0, { clock: hostClock, circuits: stub(), log: noLog, table: () => table, putWithin: 1500, beat: 1000, keepMs: 3600000 });
+  const slot = state.slots[0];
+  if (!slot) throw new Error('no slot');
+  k.take(slot);
+  while (!k.open) await new Promise((done) => setImmediate(done));
+  return k;
+};
+
+const pieces = Array.from({ length: 64 }, (_, n) => `w${n} `);
+
+const stewardCost = async (programs: number): Promise<Values> => {
+  const k = await keeperOf();
+  let put = 0;
+  const [, mb] = await keptMb(async () => {
+    put = await cpuMsOf(async () => {
+      for (let n = 0; n < programs; n++) {
+        await k.put(`p/p${n}`, { t: 'program', tenant: `tenant-${n % 2100}`, budget: 1000, parent: null });
+        await k.put(`p/p${n}/t/t0`, {
+          t: 'turn', status: 'done', after: null, digest: `d${n}`, words: `words of ${n}`.padEnd(256), pool: 'models', server: 's', cost: 64, pieces: pieces.map((p) => `${p}${n}`.slice(0, 4)),
+        });
+      }
+    });
+  });
+  return new Map([
+    ['items held', k.size],
+    ['held by the steward, MB', mb],
+    ['a put, ms', put / programs / 2],
+    ['a round of ageing, ms', cpuMs(() => k.expire())],
+  ]);
+};
+
+const shelfCost = async (count: number): Promise<Values> => {
+  const dir = mkdtempSync(join(tmpdir(), 'capacity-'));
+  const disk = await FolderDisk.take(dir);
+  const watched = closing(disk);
+  try {
+    const open = (): Promise<Shelf> => Shelf.open(watched.disk, hostClock, { journalLongAt: 1 << 30, keepMs: 3600000, hintsMost: 1000 });
+    const fill = async (made: Shelf): Promise<void> => {
+      for (let n = 0; n < count; n += 500)
+        await Promise.all(Array.from({ length: Math.min(500, count - n) }, (_, i) =>
+          made.write((n + i) % 64, 1, [{ key: `o/tenant-${(n + i) % 2100}/key-${n + i}`, tenure: 1, seq: n + i, value: { t: 'op', status: 'done', digest: 'd'.repeat(32), code: 200, body: { did: 'hold', n } } }])));
+    };
+    let put = 0;
+    const [shelf, mb] = await keptMb(async () => {
+      const made = await open();
+      put = await cpuMsOf(() => fill(made));
+      return made;
+    });
+    let ms = 0;
+    for (let n = 0; n < 5; n++) ms += await cpuMsOf(() => shelf.dropOld());
+    const { bytes } = shelf.counts();
+    return new Map([
+      ['held by the store, MB', mb],
+      ['journal bytes', bytes],
+      ['a put of 500 at once, ms', put / count],
+      ['a round of ageing, ms', ms / 5],
+    ]);
+  } finally {
+    await watched.close();
+    await disk.free();
+    rmSync(dir, { recursive: true, force: true });
+  }
+};
+
+export const costSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
+  ['apply-nodes', { about: 'one changed key; 100 servers, 64 slots, 20 lanes', by: 'front', how: 'processor', sizes: [50, 100, 200, 400], small: [4, 8, 12, 16], grown: 410, run: (n) => applyCost({ ...plainState, fronts: n }) }],
+  ['apply-servers', { about: 'one changed key; 40 fronts, 64 slots, 20 lanes', by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: (n) => applyCost({ ...plainState, servers: n }) }],
+  ['apply-slots', { about: 'one changed key; 40 fronts, 100 servers, 20 lanes', by: 'slot', how: 'processor', sizes: [64, 512, 2048, 4096], small: [8, 16, 32, 64], grown: 8200, run: (n) => applyCost({ ...plainState, slots: n }) }],
+  ['apply-all', { about: 'one changed key; so much of 410 fronts, 3,400 servers, 4,096 slots, 8,400 lanes', by: 'percent', how: 'processor', sizes: [12, 25, 50, 100], small: [1, 2, 3, 4], grown: 100, run: (n) => applyCost(part(n)) }],
+  ['reports', { about: `servers in each report; ${fronts} fronts`, by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: reportCost }],
+  ['lane-cost', { about: 'lanes in the file; one is added', by: 'lane', how: 'processor', sizes: [625, 1250, 2500, 5000], small: [8, 16, 24, 32], grown: 8400, run: laneCost }],
+  ['history-cost', { about: 'thousand characters in one program of 81 turns', by: 'thousand characters', how: 'processor', sizes: [500, 1000, 2000, 4000], small: [8, 16, 24, 32], grown: 4000, run: historyCost }],
+  ['steward-cost', { about: 'programs of one turn of 64 pieces in one slot', by: 'program', how: 'processor', sizes: [1000, 2000, 4000, 8000], small: [8, 16, 24, 32], grown: 1050, run: stewardCost }],
+  ['store-cost', { about: 'operation keys in one store', by: 'key', how: 'processor', sizes: [5000, 10000, 20000, 40000], small: [8, 16, 24, 32], grown: 3000000, run: shelfCost }],
+]);
--- /dev/null
+++ b/packages/fleet/src/capacity-rig.ts
@@ -0,0 +1,105 @@
+import { reduce, Server } from '@tillerstair/state';
+import { stormConfig, World, type Heard, type WorldSizes } from '@tillerstair/sim';
+
+export type Role = 'master' | 'control' | 'store' | 'agent' | 'proxy' | 'loop';
+
+export interface Tally {
+  readonly messages: ReadonlyMap<string, number>;
+  readonly bytes: ReadonlyMap<string, number>;
+}
+
+const add = (m: Map<string, number>, k: string, by: number): void => {
+  m.set(k, (m.get(k) ?? 0) + by);
+};
+
+export const serversOf = (count: number): readonly Server[] =>
+  Array.from({ length: count }, (_, n) =>
+    Server.parse({
+      id: `server-${String(n).padStart(4, '0')}`, pool: n % 8 === 7 ? 'shop' : 'models', url: `http://10.0.${n >> 8}.${n & 255}:8000`, leaving: false, down: false,
+    }));
+
+export const configOf = (base: number, lanes: number): string => stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: lanes });
+
+export const rigSizes: WorldSizes = { controls: 5, stores: 3, fronts: 6, slots: 64 };
+
+/** A whole hollow fleet on the simulator's clock: real membership, publish, feed and sync code, no traffic of its own. */
+export class Rig {
+  private version = 1;
+
+  private constructor(
+    readonly w: World,
+    private lanes: number,
+  ) {}
+
+  static async raise(sizes: WorldSizes, servers: number, lanes = 3): Promise<Rig> {
+    const w = new World(1, sizes);
+    await w.bringUp((base) => configOf(base, lanes), []);
+    const rig = new Rig(w, lanes);
+    const lead = w.master?.control?.zen.leading;
+    if (!lead) throw new Error('no master');
+    const c = await w.clock.finish('servers', lead.submit((s) => serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s)), 20000);
+    await w.clock.finish('servers in force', lead.inForce(c), 20000);
+    await rig.quiet();
+    return rig;
+  }
+
+  /** Runs until no state was committed for five seconds. */
+  async quiet(): Promise<void> {
+    for (let was = -1; was !== this.w.committed?.version; ) {
+      was = this.w.committed?.version ?? 0;
+      await this.w.clock.run(5000);
+    }
+  }
+
+  roleOf(addr: string): Role {
+    if (addr.endsWith('/loop') || addr.endsWith('/feed')) return 'loop';
+    if (addr.endsWith('/data')) return 'proxy';
+    if (addr.startsWith('store')) return 'store';
+    if (addr.startsWith('front')) return 'agent';
+    return addr === this.w.master?.addr ? 'master' : 'control';
+  }
+
+  /** What each role sent and received, under `role` and `role kind`, while `work` ran. */
+  async tally(work: () => Promise<unknown>): Promise<Tally> {
+    const messages = new Map<string, number>();
+    const bytes = new Map<string, number>();
+    const count = (role: Role, m: Heard): void => {
+      for (const k of [role, `${role} ${m.kind}`]) {
+        add(messages, k, 1);
+        add(bytes, k, m.bytes);
+      }
+    };
+    this.w.net.heard = (m) => {
+      const from = this.roleOf(m.from);
+      const to = this.roleOf(m.to);
+      count(from, m);
+      if (to !== from || from !== 'loop') count(to, m);
+      add(messages, `kind ${m.kind}`, 1);
+      add(bytes, `kind ${m.kind}`, m.bytes);
+    };
+    await work();
+    this.w.net.heard = undefined;
+    return { messages, bytes };
+  }
+
+  rest(ms: number): Promise<Tally> {
+    return this.tally(() => this.w.clock.run(ms));
+  }
+
+  /** Hands in a configuration with one lane more; the time until it is told in force, in ms. */
+  async reconfigure(): Promise<number> {
+    const { w } = this;
+    const t0 = w.clock.now();
+    const put = await w.operate('PUT', '/v1/config', configOf(this.version, ++this.lanes), w.master);
+    if (put.status !== 200) throw new Error(`config: ${JSON.stringify(put)}`);
+    this.version++;
+    return w.clock.now() - t0;
+  }
+
+  async mark(n: number): Promise<void> {
+    const r = await this.w.operate('POST', `/v1/servers/server-${String(n).padStart(4, '0')}/leaving`, '', this.w.master);
+    if (r.status !== 200) throw new Error(`leaving: ${JSON.stringify(r)}`);
+  }
+}
+
+export const of = (m: ReadonlyMap<string, number>, k: string): number => m.get(k) ?? 0;
--- /dev/null
+++ b/packages/fleet/src/capacity-run.ts
@@ -0,0 +1,29 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { jsonOf, sweepThrough, tableOfFits, type Sweep } from './capacity.js';
+import { costSweeps } from './capacity-cost.js';
+import { svgOf } from './capacity-plot.js';
+import { socketSweeps } from './capacity-sockets.js';
+import { workSweeps } from './capacity-work.js';
+import { worldSweeps } from './capacity-world.js';
+
+export const sweeps: ReadonlyMap<string, Sweep> = new Map([...worldSweeps, ...workSweeps, ...costSweeps, ...socketSweeps]);
+
+export interface CapacityAsk {
+  readonly name: string;
+  readonly sizes: readonly number[];
+  readonly out: string;
+}
+
+export const runSweep = async ({ name, sizes, out }: CapacityAsk, say: (line: string) => void): Promise<void> => {
+  const s = sweeps.get(name);
+  if (!s) throw new Error(`no sweep ${name}; see fleet capacity list`);
+  const swept = await sweepThrough(name, s, sizes.length > 0 ? sizes : s.sizes, say);
+  for (const line of tableOfFits(swept)) say(line);
+  if (out === '') return;
+  mkdirSync(out, { recursive: true });
+  writeFileSync(join(out, `${name}.json`), jsonOf(swept));
+  writeFileSync(join(out, `${name}.svg`), await svgOf(swept));
+};
+
+export const listSweeps = (): readonly string[] => [...sweeps].map(([name, s]) => `${name.padEnd(16)} ${s.how.padEnd(10)} ${s.about}`);
--- /dev/null
+++ b/packages/fleet/src/capacity-sockets.ts
@@ -0,0 +1,135 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { spawn } from 'node:child_process';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Agent } from '@tillerstair/agent';
+import { ControlNode } from '@tillerstair/control';
+import { FolderDisk } from '@tillerstair/journal';
+import { Front } from '@tillerstair/proxy';
+import type { Backend } from '@tillerstair/steward';
+import { hostClock, noLog, pause, TcpCircuits, type CallBounds } from '@tillerstair/wire';
+import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import { reduce } from '@tillerstair/state';
+import { z } from 'zod';
+import type { Sweep, Values } from './capacity.js';
+import { closing, heapMb } from './capacity-meter.js';
+import { configOf, serversOf } from './capacity-rig.js';
+import { freePorts } from './layout.js';
+
+const bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+const measureMs = 8000;
+const Told = z.object({ cpuMs: z.number(), heapMb: z.number(), rssMb: z.number(), asked: z.number(), rounds: z.number() });
+
+class Counted extends TcpCircuits {
+  static asked = 0;
+  static rounds = 0;
+
+  override call(to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
+    Counted.asked++;
+    if (kind === 'zen/ping') Counted.rounds++;
+    return super.call(to, kind, body, bounds);
+  }
+}
+
+const never = { kind: 'never-left', text: 'hollow' } as const;
+
+const idle = (): Backend => ({
+  generate: async () => never,
+  act: async () => never,
+  pass: async () => never,
+  busyness: async () => ({ busy: 0, leaving: false }),
+});
+
+const hollow = async (seed: string, [addr = 0, loop = 0, feed = 0, data = 0]: readonly number[], n: number): Promise<void> => {
+  const at = (p: number): string => `127.0.0.1:${p}`;
+  const { beat, silent, grace } = bounds;
+  const front = new Front({
+    id: `f-${process.pid}-${n}`, clock: hostClock, circuits: new TcpCircuits(at(data)), backend: idle(),
+    bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: 3600000, stopWithin: silent }, log: noLog, affinity: true,
+  });
+  const fed = new TcpCircuits(at(feed));
+  await fed.serve(async (inq) => (inq.kind === 'front/hello' ? { id: front.p.id, addr: at(data), http: '' } : front.feed(inq.body)));
+  await front.start();
+  const agent = new Agent({
+    seeds: [seed, seed, seed], clock: hostClock, circuits: new Counted(at(addr)), bounds, log: noLog, addr: at(addr), http: '', zone: `zone-${n % 3}`,
+    name: `hollow-${n}`, stopWithin: silent, proxy: at(feed), loop: new TcpCircuits(at(loop)),
+  });
+  await agent.start();
+};
+
+/** Hollow fronts, all in this process, on real sockets; measured when told to on stdin, ended with it. */
+export const hollowFronts = async (count: number, seed: string): Promise<void> => {
+  const ports = await freePorts(count * 4);
+  for (let n = 0; n < count; n++) await hollow(seed, ports.slice(n * 4, n * 4 + 4), n);
+  process.stdout.write('up\n');
+  process.stdin.setEncoding('utf8');
+  for await (const _ of process.stdin) {
+    const t0 = process.cpuUsage();
+    const { asked, rounds } = Counted;
+    await pause(hostClock, measureMs);
+    const { user, system } = process.cpuUsage(t0);
+    const sent = { asked: Counted.asked - asked, rounds: Counted.rounds - rounds };
+    process.stdout.write(`${JSON.stringify({ ...sent, cpuMs: (user + system) / 1000, heapMb: heapMb(), rssMb: process.memoryUsage().rss / 1e6 })}\n`);
+  }
+};
+
+const until = async (what: string, ready: () => boolean): Promise<void> => {
+  const t0 = hostClock.now();
+  while (!ready()) {
+    if (hostClock.now() - t0 > 60000) throw new Error(`${what}: not within a minute`);
+    await pause(hostClock, 50);
+  }
+};
+
+const sockets = (servers: number) => async (count: number): Promise<Values> => {
+  const dir = mkdtempSync(join(tmpdir(), 'capacity-'));
+  const disk = await FolderDisk.take(dir);
+  const watched = closing(disk);
+  const [port = 0] = await freePorts(1);
+  const addr = `127.0.0.1:${port}`;
+  const keep = await DiskKeep.open(watched.disk, () => 'c-0', 4 << 20);
+  const me = { id: keep.kept.id, kind: 'control' as const, addr, http: '', zone: 'zone-0', data: '', name: 'control-0' };
+  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, circuits: new TcpCircuits(addr), keep, bounds, log: noLog, slots: 64, copies: 3 });
+  await node.start();
+  const child = spawn(process.execPath, [process.argv[1] ?? '', 'hollow', String(count), '--seed', addr], { stdio: ['pipe', 'pipe', 'inherit'] });
+  let said = '';
+  child.stdout.setEncoding('utf8').on('data', (part) => {
+    said += part;
+  });
+  try {
+    await until('a master', () => node.zen.leading?.committed !== undefined);
+    const put = await node.operate({ method: 'PUT', path: '/v1/config', body: configOf(0, 20) });
+    if (put.status !== 200) throw new Error(JSON.stringify(put));
+    await node.zen.leading?.submit((s) => serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s));
+    await until('all fronts', () => node.zen.leading?.committed?.nodes.size === count + 1);
+    await pause(hostClock, 4000);
+    child.stdin.write('measure\n');
+    const lines = said.split('\n').length;
+    const t0 = process.cpuUsage();
+    await pause(hostClock, measureMs);
+    const { user, system } = process.cpuUsage(t0);
+    await until('the hollow fronts\' figures', () => said.split('\n').length > lines);
+    const told = Told.parse(JSON.parse(said.trimEnd().split('\n').at(-1) ?? ''));
+    const share = (ms: number): number => (ms / measureMs) * 100;
+    return new Map([
+      ['master at rest, % of a core', share((user + system) / 1000)],
+      ['fronts at rest, % of a core, all', share(told.cpuMs)],
+      ['asked by an agent a second', told.asked / (measureMs / 1000) / count],
+      ['asked in rounds by an agent a second', told.rounds / (measureMs / 1000) / count],
+      ['fronts, MB resident, all', told.rssMb],
+      ['fronts, MB of heap, all', told.heapMb],
+      ['master, MB of heap', heapMb()],
+    ]);
+  } finally {
+    child.kill();
+    await node.stop();
+    await watched.close();
+    await disk.free();
+    rmSync(dir, { recursive: true, force: true });
+  }
+};
+
+export const socketSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
+  ['sockets', { about: 'hollow fronts in one process, one control in another, 16 servers, at rest', by: 'front', how: 'sockets', sizes: [10, 20, 40, 80], small: [], grown: 410, run: sockets(16) }],
+  ['sockets-servers', { about: 'servers before 10 hollow fronts, one control, at rest', by: 'server', how: 'sockets', sizes: [16, 64, 128, 256], small: [], grown: 3400, run: (n) => sockets(n)(10) }],
+]);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,3 +7,6 @@
 export * from './configs.js';
 export * from './run.js';
 export * from './scenarios.js';
+export * from './capacity.js';
+export * from './capacity-state.js';
+export * from './capacity-run.js';
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -8,6 +8,8 @@
 import { fullSizes, norway, seoul, smallSizes, type House, type Sizes } from './layout.js';
 import { Run, type RunResult } from './run.js';
 import { scenarios } from './scenarios.js';
+import { listSweeps, runSweep, sweeps } from './capacity-run.js';
+import { hollowFronts } from './capacity-sockets.js';
 import { faultKinds } from '@tillerstair/sim';
 import { stormSeeds, stormsInParallel } from './storms.js';
 
@@ -143,6 +145,34 @@
       return stormsInParallel(c, jobs, (line) => console.log(line));
     }),
   );
+cli
+  .command('capacity <sweep>', 'Sweep one count and fit what it costs; `list` names the sweeps, `all` runs each')
+  .option('--sizes <n,n,…>', 'Other sizes than the sweep\'s own')
+  .option('--out <folder>', 'Write <sweep>.json and <sweep>.svg there')
+  .action((name: string, o: object) =>
+    guarded(async () => {
+      const m = opts(o);
+      const say = (line: string): void => console.log(line);
+      if (name === 'list') listSweeps().forEach(say);
+      const names = name === 'list' ? [] : name === 'all' ? [...sweeps.keys()] : [name];
+      const findings: string[] = [];
+      const text = m.get('sizes');
+      const sizes = text === undefined ? [] : String(text).split(',').map((v) => numberOf('sizes', v, 0, findings));
+      if (!names.every((n) => sweeps.has(n))) findings.push(`no sweep ${name}; see fleet capacity list`);
+      if (findings.length > 0) throw new BadChoice(findings.join('\n'));
+      for (const n of names) await runSweep({ name: n, sizes, out: String(m.get('out') ?? '') }, say);
+      return true;
+    }),
+  );
+cli
+  .command('hollow <count>', 'Keep hollow fronts in this process, for the sweeps on real sockets')
+  .option('--seed <addr>', 'Address of the control they join')
+  .action((count: string, o: object) =>
+    guarded(async () => {
+      await hollowFronts(Number(count), String(opts(o).get('seed') ?? ''));
+      return true;
+    }),
+  );
 shared(cli.command('up', 'Start a fleet and keep it until interrupted')).action((o: object) =>
   guarded(async () => {
     const c = choicesOf(opts(o), 0);
