Servers known from a list: the master reads it, others stand in, fronts bar what left

Cause: on the users' platform servers are listed, not handed in, and a mark shown just before the master loses power must still be kept by every front within its bound. Change: ServerList, ListReader and ListPoll in control; the age of the newest reading rides on the master's replies; agents ask other controls when it is late; fronts bar what is not listed. Ruled out: every front reading the list itself (its rate is shared by all nodes); a bare age (a front needs the last try and the last success apart).

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,29 +2,36 @@
 import { flatten, markOf, newer, type Mark, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import { MemoryKeep, ZenNode, type ZenBounds } from '@tillerstair/zen';
+import { ListWatch } from './list-watch.js';
 
 export interface AgentParts {
   readonly addr: string;
   readonly http: string;
   readonly zone: string;
+  readonly name: string;
   readonly proxy: string;
   readonly seeds: readonly string[];
   readonly clock: Clock;
   readonly circuits: Circuits;
   readonly loop: Circuits;
   readonly bounds: ZenBounds;
+  /** How long an agent that is told to stop may wait for a proxy that stops too, in ms. */
+  readonly stopWithin: number;
   readonly log: Log;
 }
 
 const Hello = z.object({ id: z.string(), addr: z.string(), http: z.string() });
-const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.array(z.unknown()) });
+const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.array(z.unknown()), stopping: z.boolean().default(false) });
 
 export class Agent {
   private zen: ZenNode | undefined;
+  private list: ListWatch | undefined;
   private readonly gone = lasting();
   private seen: unknown = [];
   private released: readonly unknown[] = [];
   private proxyId = '';
+  private proxyStops = false;
+  private strange = true;
   private fedMark: Mark = markOf(undefined);
   private fedConfig = '';
   private lastFed = -Infinity;
@@ -40,8 +47,20 @@
     void this.run();
   }
 
+  /** If the proxy is stopping too, its slots are handed over and it is fed until it has ended; else leaves at once. */
   async stop(): Promise<void> {
+    const { clock, bounds, circuits, stopWithin } = this.p;
+    const end = clock.now() + stopWithin;
+    const learnBy = clock.now() + bounds.beat / 2;
+    while (this.zen && !this.proxyStops && clock.now() < learnBy) await pause(clock, bounds.beat / 20);
+    while (this.zen && this.proxyStops && clock.now() < end && clock.now() - this.lastFed < bounds.beat) {
+      const master = this.zen.masterSeen;
+      if (master && !this.zen.applied?.retiring.has(this.proxyId))
+        await circuits.call(master.addr, 'control/depart', { id: this.proxyId }, { within: bounds.beat }).catch(() => undefined);
+      await pause(clock, bounds.beat / 8);
+    }
     this.gone.abort();
+    this.list?.stop();
     await this.zen?.stop();
     await this.p.circuits.close();
     await this.p.loop.close();
@@ -62,15 +81,19 @@
     const { clock, bounds, log } = this.p;
     while (!this.gone.signal.aborted) {
       try {
-        const hello = Hello.parse(await this.p.loop.call(this.p.proxy, 'front/hello', {}, { within: bounds.beat }));
-        if (hello.id !== this.proxyId) await this.adopt(hello);
-        const zen = this.zen;
+        if (!this.zen || this.strange) {
+          const hello = Hello.parse(await this.p.loop.call(this.p.proxy, 'front/hello', {}, { within: bounds.beat }));
+          if (hello.id !== this.proxyId) await this.adopt(hello);
+          this.strange = false;
+        }
+        const zen: ZenNode | undefined = this.zen;
         if (zen) await this.feed(zen.applied);
       } catch (e) {
+        this.strange = true;
         log.debug(`The proxy does not reply: ${mishapOf(e).message}.`);
         if (this.zen && clock.now() - this.lastFed > bounds.silent) await this.dismiss();
       }
-      await pause(clock, bounds.beat / 8, this.gone.signal);
+      await pause(clock, bounds.beat / 4, this.gone.signal);
     }
   }
 
@@ -78,27 +101,34 @@
     const old = this.zen;
     this.zen = undefined;
     this.proxyId = '';
+    this.list?.stop();
     await old?.stop();
     this.p.log.warn('The proxy is gone, left the cluster.');
   }
 
   private async adopt(hello: z.infer<typeof Hello>): Promise<void> {
-    const { addr, zone, seeds, clock, circuits, bounds, log } = this.p;
+    const { addr, zone, name, seeds, clock, circuits, bounds, log } = this.p;
     const old = this.zen;
     this.zen = undefined;
+    this.list?.stop();
     await old?.stop();
-    const me: Mate = { id: hello.id, kind: 'front', addr, http: hello.http, zone, data: hello.addr };
+    const me: Mate = { id: hello.id, kind: 'front', addr, http: hello.http, zone, data: hello.addr, name };
     this.proxyId = hello.id;
+    this.proxyStops = false;
     this.fedMark = markOf(undefined);
     this.fedConfig = '';
     this.lastFed = clock.now();
+    const list = new ListWatch(clock, circuits, bounds, log, hello.id);
     const zen: ZenNode = new ZenNode({
       me, seeds, clock, circuits, bounds, log, keep: new MemoryKeep(hello.id), slots: 0,
       onApplied: (s) => this.feed(s),
       report: () => ({ seen: this.seen, released: this.released }),
+      onTold: (told, askedAt) => list.onTold(told, askedAt),
     });
     this.zen = zen;
+    this.list = list;
     zen.start();
+    void list.run(zen);
     log.info(`Adopted proxy ${hello.id}.`);
   }
 
@@ -108,10 +138,13 @@
     const send = s && newer(markOf(s), this.fedMark);
     const digest = s?.config?.digest ?? '';
     const known = digest !== '' && digest === this.fedConfig;
+    const freshAt = Math.min(zen.freshAt, this.list?.freshAt ?? -Infinity);
+    const barred = this.list?.barred(s);
     const body = {
       ...(send ? { state: [...flatten(s)].filter(([k]) => !known || k !== 'config') } : {}),
       ...(send && known ? { config: digest } : {}),
-      freshAt: Number.isFinite(zen.freshAt) ? zen.freshAt : -1,
+      freshAt: Number.isFinite(freshAt) ? freshAt : -1,
+      ...(barred ? { barred } : {}),
       master: zen.masterSeen?.id ?? '',
       term: zen.term,
     };
@@ -120,6 +153,7 @@
     if (send) this.fedConfig = digest;
     if (fed.id !== this.proxyId) throw new Mishap('other-proxy', 'another proxy replied');
     this.fedMark = fed.applied;
+    this.proxyStops = fed.stopping;
     this.seen = fed.seen;
     const fresh = fed.released.length > 0 && JSON.stringify(fed.released) !== JSON.stringify(this.released);
     this.released = fed.released;
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,1 +1,3 @@
 export * from './agent.js';
+export * from './start.js';
+export * from './list-watch.js';
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,4 +1,6 @@
 export * from './operate.js';
 export * from './keeper.js';
+export * from './list.js';
 export * from './node.js';
 export * from './weights.js';
+export * from './start.js';
--- /dev/null
+++ b/packages/control/src/list.ts
@@ -0,0 +1,96 @@
+import { listInto, type Listed, type ListReply, type ListTold } from '@tillerstair/state';
+import { mishapOf, pause, TooLate, within, type Clock, type Log } from '@tillerstair/wire';
+import type { MasterView } from '@tillerstair/zen';
+
+export type { Listed } from '@tillerstair/state';
+
+export interface ServerList {
+  read(within: number): Promise<readonly Listed[]>;
+}
+
+export interface Reading {
+  readonly triedAt: number;
+  readonly readAt: number;
+  readonly servers: readonly Listed[];
+}
+
+const ageOf = (at: number, now: number): number | null => (at === -Infinity ? null : now - at);
+
+const toldOf = (r: Omit<Reading, 'servers'>, now: number): ListTold => ({ age: ageOf(r.triedAt, now), readAge: ageOf(r.readAt, now) });
+
+export class ListReader {
+  private last: Reading = { triedAt: -Infinity, readAt: -Infinity, servers: [] };
+  private going: Promise<Reading> | undefined;
+  private askedAt = -Infinity;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly list: ServerList,
+    readonly every: number,
+    private readonly log: Log,
+  ) {}
+
+  async read(): Promise<Reading> {
+    if (this.going) return this.going;
+    if (this.clock.now() - this.last.triedAt < this.every) return this.last;
+    this.going = this.attempt().finally(() => {
+      this.going = undefined;
+    });
+    return this.going;
+  }
+
+  private async attempt(): Promise<Reading> {
+    const triedAt = this.clock.now();
+    this.askedAt = triedAt;
+    try {
+      const servers = await within(this.clock, this.every, this.list.read(this.every), () => new TooLate('the server list'));
+      this.last = { triedAt, readAt: triedAt, servers };
+    } catch (e) {
+      this.log.warn(`The server list cannot be read: ${mishapOf(e).message}.`);
+      this.last = { ...this.last, triedAt };
+    }
+    return this.last;
+  }
+
+  async reply(): Promise<ListReply> {
+    const late = pause(this.clock, this.every / 4).then(() => ({ ...this.last, triedAt: this.askedAt }));
+    const r = await Promise.race([this.read(), late]);
+    const ids = (leaving: boolean): readonly string[] => r.servers.filter((v) => v.leaving === leaving).map((v) => v.id);
+    return { told: toldOf(r, this.clock.now()), open: ids(false), leaving: ids(true) };
+  }
+}
+
+export class ListPoll {
+  private term = -1;
+  private held: Omit<Reading, 'servers'> = { triedAt: -Infinity, readAt: -Infinity };
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly reader: ListReader,
+  ) {}
+
+  async run(master: MasterView): Promise<void> {
+    const since = this.clock.now();
+    this.term = master.term;
+    this.held = { triedAt: -Infinity, readAt: -Infinity };
+    while (!master.lost.aborted) {
+      const r = await this.reader.read();
+      if (r.triedAt >= since) await this.reduce(master, r).catch(() => undefined);
+      const rest = r.triedAt + this.reader.every - this.clock.now();
+      await pause(this.clock, Math.max(this.reader.every / 20, rest), master.lost);
+    }
+  }
+
+  private async reduce(master: MasterView, r: Reading): Promise<void> {
+    const read = r.readAt === r.triedAt;
+    const s = master.committed;
+    if (!s) return;
+    if (read && listInto(s, r.servers) !== s) await master.submit((t) => listInto(t, r.servers));
+    if (master.lost.aborted || this.term !== master.term) return;
+    this.held = { triedAt: r.triedAt, readAt: read ? r.readAt : this.held.readAt };
+  }
+
+  told(term: number | undefined): ListTold {
+    return term === this.term ? toldOf(this.held, this.clock.now()) : { age: null, readAge: null };
+  }
+}
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -3,26 +3,39 @@
 import { Mishap, mishapOf, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type MasterView, type ZenParts } from '@tillerstair/zen';
 import { Keeper } from './keeper.js';
+import { ListPoll, ListReader, type ServerList } from './list.js';
 import { operate, Operation, Outcome } from './operate.js';
 import { tuneWeights } from './weights.js';
 
-export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'> {
+export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead' | 'tell' | 'onTold'> {
   readonly copies: number;
+  readonly list?: ServerList | undefined;
 }
 
+const Departs = z.object({ id: z.string() });
 const Filled = z.object({ store: z.string(), slot: z.number(), tenure: z.number() });
 
 export class ControlNode {
   readonly zen: ZenNode;
   private readonly keeper: Keeper;
+  private readonly list: { readonly reader: ListReader; readonly poll: ListPoll } | undefined;
 
   constructor(private readonly p: ControlParts) {
     this.keeper = new Keeper(p.clock, p.bounds, p.log, p.copies);
+    const old = p.keep.kept.accepted;
+    if (old) this.keeper.learn(old);
+    if (p.list) {
+      const reader = new ListReader(p.clock, p.list, p.bounds.listEvery, p.log);
+      this.list = { reader, poll: new ListPoll(p.clock, reader) };
+    }
+    const poll = this.list?.poll;
     this.zen = new ZenNode({
       ...p,
       settle: this.keeper.settle,
+      onApplied: async (s) => this.keeper.learn(s),
       onReport: this.keeper.onReport,
       onLead: (m) => this.lead(m),
+      ...(poll ? { tell: () => poll.told(this.zen.leading?.term) } : {}),
     });
   }
 
@@ -32,6 +45,7 @@
 
   private lead(m: MasterView): void {
     void this.keeper.run(m);
+    void this.list?.poll.run(m);
     void tuneWeights(m, this.keeper, this.p.clock, this.p.bounds);
   }
 
@@ -47,11 +61,19 @@
 
   async handle(inq: Inquiry): Promise<unknown> {
     if (inq.kind.startsWith('zen/')) return this.zen.handle(inq);
+    if (inq.kind === 'control/list') return this.list?.reader.reply() ?? { open: [], leaving: [] };
     if (inq.kind === 'control/operate') {
       const m = this.zen.leading;
       if (!m) throw new Mishap('not-master', 'this control is not master');
       return operate(m, Operation.parse(inq.body));
     }
+    if (inq.kind === 'control/depart') {
+      const m = this.zen.leading;
+      if (!m) throw new Mishap('not-master', 'this control is not master');
+      const { id } = Departs.parse(inq.body);
+      await m.submit((s) => (s.nodes.get(id)?.kind === 'front' ? reduce(s, { kind: 'retire', id, on: true }) : s));
+      return {};
+    }
     if (inq.kind === 'control/filled') {
       const m = this.zen.leading;
       if (!m) throw new Mishap('not-master', 'this control is not master');
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,3 +6,4 @@
 export * from './compiled.js';
 export * from './belief.js';
 export * from './item.js';
+export * from './listing.js';
--- a/packages/zen/src/bounds.ts
+++ b/packages/zen/src/bounds.ts
@@ -9,6 +9,7 @@
   readonly replaceAfter: number;
   readonly grace: number;
   readonly markWithin: number;
+  readonly listEvery: number;
   readonly pingsFromAnotherMaster: number;
 }
 
@@ -30,5 +31,6 @@
   replaceAfter: o.silent * 2,
   grace: (o.leavingWithin * 5) / 6,
   markWithin: o.leavingWithin / 6,
+  listEvery: o.leavingWithin / 6,
   pingsFromAnotherMaster: 1,
 });
--- a/packages/zen/src/messages.ts
+++ b/packages/zen/src/messages.ts
@@ -51,7 +51,7 @@
 export const NodePong = z.object({ term: z.number(), applied: Mark, report: z.unknown() });
 
 export const MasterPing = z.object({ from: Mate, term: z.number(), applied: Mark, report: z.unknown() });
-export const MasterPong = z.object({ leading: z.boolean(), listed: z.boolean(), term: z.number(), committed: Mark, age: z.number() });
+export const MasterPong = z.object({ leading: z.boolean(), listed: z.boolean(), term: z.number(), committed: Mark, age: z.number(), told: z.unknown().optional() });
 
 export const FoundVote = z.object({ from: Mate, members: z.array(Mate) });
 export const Voted = z.object({ yes: z.boolean() });
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,4 +1,4 @@
-import { flatten, markOf, newer, quorum, type Mate, type State } from '@tillerstair/state';
+import { flatten, markOf, newer, quorum, reduce, type Mate, type State } from '@tillerstair/state';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import { gatherPromises } from './candidate.js';
@@ -6,9 +6,7 @@
 import { Founder } from './found.js';
 import { acceptedMark, type Keep } from './keep.js';
 import { Master, type MasterView } from './master.js';
-import {
-  Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate,
-} from './messages.js';
+import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
 import { Receiver } from './receiver.js';
 
@@ -21,10 +19,14 @@
   readonly bounds: ZenBounds;
   readonly log: Log;
   readonly slots: number;
+  /** Whether this node may help to found a cluster; not when the installation has run before. */
+  readonly founds?: boolean;
   readonly settle?: (s: State) => State;
   readonly onApplied?: (s: State) => Promise<void>;
   readonly report?: () => unknown;
   readonly onReport?: (id: string, report: unknown) => void;
+  readonly tell?: () => unknown;
+  readonly onTold?: (told: unknown, askedAt: number) => void;
   readonly onLead?: (m: MasterView) => void;
 }
 
@@ -45,6 +47,7 @@
   private master: Master | undefined;
   private readonly receiver: Receiver;
   private ended: Promise<void> = Promise.resolve();
+  private misses = 0;
   freshAt = -Infinity;
 
   constructor(private readonly p: ZenParts) {
@@ -151,21 +154,24 @@
     if (this.gone.signal.aborted) return undefined;
     this.freshen(round);
     const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
-    if (me.kind === 'control' && !keep.kept.accepted) {
+    if (me.kind === 'control' && !keep.kept.accepted && this.p.founds !== false) {
       const view = { me, seeds: this.p.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
       if (await this.founder.round(view)) return undefined;
     }
     const choice = elect(this.self(), mine);
     if (choice.kind === 'none') {
       log.debug(`No master yet: ${choice.why}.`);
+      this.misses = Math.min(this.misses + 1, 5);
+      await pause(this.p.clock, (this.p.bounds.beat / 20) * this.misses, this.gone.signal);
       return undefined;
     }
+    this.misses = 0;
     log.info(`Elected ${choice.mate.addr} (${choice.by}).`);
     return choice.mate;
   }
 
   private ping(): Ping {
-    return { from: this.p.me, known: [...this.knownControls()], clusterId: this.clusterId };
+    return { from: this.p.me, known: this.pinger.controls(), clusterId: this.clusterId };
   }
 
   private async keepFresh(): Promise<void> {
@@ -177,10 +183,6 @@
     }
   }
 
-  private knownControls(): readonly Mate[] {
-    return this.pinger.heardOf().filter((m) => m.kind === 'control');
-  }
-
   private freshen(round: Round): void {
     const s = this.applied;
     if (!s || !s.nodes.has(this.p.me.id)) return;
@@ -189,9 +191,8 @@
   }
 
   private dropPending(): void {
-    const all = this.pending;
+    for (const j of this.pending?.values() ?? []) j.fail(new Mishap('not-master', 'another control was elected'));
     this.pending = undefined;
-    for (const j of all?.values() ?? []) j.fail(new Mishap('not-master', 'another control was elected'));
   }
 
   private async lead(): Promise<void> {
@@ -290,17 +291,16 @@
       if (!master) return;
       const sent = clock.now();
       try {
-        const ping: MasterPing = {
-          from: me, term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null,
-        };
-        const back = await circuits.call(master.addr, 'zen/master-ping', ping, { within: bounds.silent });
-        const pong = MasterPong.parse(back);
+        const ping: MasterPing = { from: me, term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null };
+        const pong = MasterPong.parse(await circuits.call(master.addr, 'zen/master-ping', ping, { within: bounds.silent }));
         unlisted = pong.listed ? 0 : unlisted + 1;
         if (!pong.leading || pong.term < this.term || unlisted >= 2) return;
         good = clock.now();
         refused = 0;
-        if (pong.listed && !newer(pong.committed, markOf(this.applied)))
+        if (pong.listed && !newer(pong.committed, markOf(this.applied))) {
           this.freshAt = Math.max(this.freshAt, sent - pong.age);
+          this.p.onTold?.(pong.told, sent);
+        }
       } catch (e) {
         if (e instanceof CircuitRefused) refused++;
       }
@@ -321,7 +321,7 @@
       joinedBefore: self.joinedBefore,
       accepted: self.accepted,
       voters: self.voters,
-      known: [...this.knownControls()],
+      known: this.pinger.controls(),
     };
   }
 
@@ -349,12 +349,12 @@
         const ping = MasterPing.parse(inq.body);
         const m = this.master;
         if (m && ping.term > m.term) m.stepDown(`${ping.from.addr} is in term ${ping.term}`);
-        if (m && !m.lost.aborted) return m.onMasterPing(ping);
+        if (m && !m.lost.aborted) return { ...m.onMasterPing(ping), told: this.p.tell?.() };
         return { leading: false, listed: false, term: this.term, committed: markOf(undefined), age: 0 };
       }
       case 'zen/leave': {
         const { id } = Ping.pick({ from: true }).parse(inq.body).from;
-        await this.leading?.submit((s) => ({ ...s, nodes: new Map([...s.nodes].filter(([k]) => k !== id)) }));
+        await this.leading?.submit((s) => reduce(s, { kind: 'leave', id }));
         return {};
       }
       default:
--- a/packages/zen/src/pinger.ts
+++ b/packages/zen/src/pinger.ts
@@ -40,12 +40,19 @@
     return [...this.learned.values()];
   }
 
+  controls(): Mate[] {
+    return [...this.learned.values()].filter((m) => m.kind === 'control');
+  }
+
+  /** Asks every control heard of; ends when each has replied or refused, at the latest after the ping wait. */
   async round(ping: () => Ping, gone: AbortSignal): Promise<Round> {
     const at = this.clock.now();
     const me = ping().from;
     const pongs = new Map<string, Pong>();
     const asked = new Set<string>([me.addr]);
     const end = at + this.bounds.pingWait;
+    const early = new AbortController();
+    let open = 0;
     const ask = async (addr: string): Promise<void> => {
       const left = end - this.clock.now();
       if (left <= 0 || gone.aborted) return;
@@ -69,14 +76,18 @@
       }
     };
     const spread = (): void => {
-      for (const addr of [...this.seeds, ...this.learned.keys()]) {
+      for (const addr of [...this.seeds, ...this.controls().map((m) => m.addr)]) {
         if (asked.has(addr)) continue;
         asked.add(addr);
-        void ask(addr);
+        open++;
+        void ask(addr).finally(() => {
+          open--;
+          if (open === 0) early.abort();
+        });
       }
     };
     spread();
-    await pause(this.clock, this.bounds.pingWait, gone);
+    if (open > 0) await pause(this.clock, this.bounds.pingWait, AbortSignal.any([gone, early.signal]));
     return { at, pongs: [...pongs.values()] };
   }
 }
