Orders: versions in uneven steps, orders sent again, nodes by name, quick refills, lost disks

Cause: operators number versions as they like, send an order again after a later one, name machines, and expect a wiped store to be full again within the catch-up bound. Change: a record keeps the last 64 orders; Mate has a name; half of the slots refill at once and the store wakes on each state; an address held by another id is a lost disk, replaced at once. Ruled out: waiting out replaceAfter for a disk that is known to be gone.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import { allot, reduce, type State } from '@tillerstair/state';
-import { pause, type Clock, type Log } from '@tillerstair/wire';
+import { allot, keptOn, reduce, type State } from '@tillerstair/state';
+import { pause, type Beat, type Clock, type Log } from '@tillerstair/wire';
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export const FrontReport = z.object({
@@ -22,7 +22,9 @@
   private fronts = new Set<string>();
   private frontJoinedAt = -Infinity;
   private master: MasterView | undefined;
+  private soon: Beat | undefined;
   private handingSince = new Map<number, number>();
+  private readonly addrs = new Map<string, string>();
 
   constructor(
     private readonly clock: Clock,
@@ -31,16 +33,40 @@
     private readonly copies: number,
   ) {}
 
+  readonly learn = (s: State): void => {
+    for (const m of [...s.voterMates.values(), ...s.nodes.values()]) this.addrs.set(m.id, m.addr);
+    const named = new Set([...s.voterMates.keys(), ...s.nodes.keys(), ...s.slots.flatMap(keptOn)]);
+    for (const id of this.addrs.keys()) if (!named.has(id)) this.addrs.delete(id);
+  };
+
+  private diskLost(s: State, ids: readonly string[]): ReadonlySet<string> {
+    const held = new Set([...s.nodes.values()].map((m) => m.addr));
+    return new Set(ids.filter((id) => !s.nodes.has(id) && held.has(this.addrs.get(id) ?? '')));
+  }
+
   readonly settle = (s: State): State => {
+    this.learn(s);
     const fronts = [...s.nodes.values()].filter((m) => m.kind === 'front').map((m) => m.id);
     const now = this.clock.now();
     if (fronts.some((id) => !this.fronts.has(id))) this.frontJoinedAt = now;
     this.fronts = new Set(fronts);
-    if (now - this.frontJoinedAt < this.bounds.beat / 2) return s;
+    const served = s.slots.some((slot) => s.nodes.has(slot.steward));
+    const rest = this.frontJoinedAt + this.bounds.beat / (served ? 2 : 5) - now;
+    if (rest > 0) {
+      this.settleIn(rest);
+      return s;
+    }
     const moves = Math.max(1, Math.ceil(s.slots.length / 16));
-    return allot(s, { copies: this.copies, moves, silentStores: this.silentStores });
+    const fills = Math.max(1, Math.floor(s.slots.length / 2));
+    const lost = this.diskLost(s, [...new Set(s.slots.flatMap(keptOn))]);
+    return allot(s, { copies: this.copies, moves, fills, silentStores: new Set([...this.silentStores, ...lost]) });
   };
 
+  private settleIn(ms: number): void {
+    this.soon?.stop();
+    this.soon = this.clock.after(ms, () => void this.master?.submit((s) => s).catch(() => undefined));
+  }
+
   readonly onReport = (front: string, report: unknown): void => {
     const got = FrontReport.safeParse(report);
     if (!got.success) return;
@@ -121,13 +147,14 @@
 
   private replaceVoter(s: State, master: MasterView): State {
     if (s.voters.now.join() !== s.voters.next.join()) return s;
-    const out = s.voters.now.find((id) => !s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter);
+    const lost = this.diskLost(s, s.voters.now);
+    const out = s.voters.now.find((id) => lost.has(id) || (!s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter));
     if (out === undefined) return s;
     const spare = [...s.nodes.values()]
       .filter((m) => m.kind === 'control' && !s.voters.now.includes(m.id) && master.silentFor(m.id) < this.bounds.beat * 2)
       .sort((a, b) => (a.id < b.id ? -1 : 1))[0];
     if (!spare) return s;
-    this.log.info(`Control ${out} is silent, ${spare.addr} takes its place.`);
+    this.log.info(`Control ${out} is lost, ${spare.addr} takes its place.`);
     return reduce(s, { kind: 'voters', out, in: spare });
   }
 }
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, reduce, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
+import { checkConfig, digestOf, keptOn, pastMost, reduce, type Config, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -25,28 +25,33 @@
   }
 }
 
-const recordOf = (s: State, base: number, text: string, digest: string, compiled: string): ConfigRecord | 'held' => {
+const takenOf = (c: ConfigRecord | undefined): ConfigRecord['past'] =>
+  c ? [...c.past, { version: c.version, digest: c.digest, order: c.order }] : [];
+
+const recordOf = (s: State, config: Config, text: string, digest: string, compiled: string): ConfigRecord | 'held' => {
   const current = s.config?.version ?? 0;
-  if (s.config && s.config.digest === digest && current === base + 1) return 'held';
-  if (base !== current) throw new WrongBase(current);
-  return { version: current + 1, text, digest, compiled };
+  const version = config.version ?? config.base + 1;
+  const past = takenOf(s.config);
+  if (past.some((p) => p.version === version && p.digest === digest)) return 'held';
+  if (config.base !== current) throw new WrongBase(current);
+  return { version, text, digest, compiled, order: config.order ?? '', past: past.slice(-pastMost) };
 };
 
 const putConfig = async (m: MasterView, text: string): Promise<Outcome> => {
   const { config, findings } = checkConfig(text);
   if (!config) return no(422, 'findings', `${findings.length} findings`, { findings });
   const digest = digestOf(text);
-  const compiled = JSON.stringify(config);
+  const compiled = JSON.stringify({ ...config, origin: undefined, order: undefined });
   const how = 'GET /v1/config and compare the digest, or hand in the same file again';
   try {
     const c = await m.submit((s) => {
-      const record = recordOf(s, config.base, text, digest, compiled);
+      const record = recordOf(s, config, text, digest, compiled);
       return record === 'held' ? s : reduce(s, { kind: 'config', record });
     });
     await m.inForce(c);
     if (c.state.config?.digest !== digest) {
       const now = c.state.config?.version ?? 0;
-      return { status: 200, body: { version: config.base + 1, digest, newest: now } };
+      return { status: 200, body: { version: config.version ?? config.base + 1, digest, newest: now } };
     }
     return { status: 200, body: { version: c.state.config.version, digest } };
   } catch (e) {
@@ -68,8 +73,22 @@
   }
 };
 
+const look = async (m: MasterView, view: (s: State) => unknown): Promise<Outcome> => {
+  try {
+    return { status: 200, body: view(await m.confirm()) };
+  } catch (e) {
+    const x = mishapOf(e);
+    return x.code === 'missing' ? no(404, x.code, x.message) : no(503, 'unavailable', x.message);
+  }
+};
+
+const findMate = (s: State, id: string): Mate | undefined => {
+  const all = [...s.nodes.values()];
+  return s.nodes.get(id) ?? all.find((x) => x.addr === id) ?? all.find((x) => x.name !== '' && x.name === id);
+};
+
 const mateOf = (s: State, id: string): Mate => {
-  const mate = s.nodes.get(id) ?? [...s.nodes.values()].find((x) => x.addr === id);
+  const mate = findMate(s, id);
   if (!mate) throw new Mishap('missing', `no node ${id}`);
   return mate;
 };
@@ -85,7 +104,7 @@
     const got = NewServer.safeParse(raw);
     if (!got.success)
       return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
-    const server = { id, ...got.data, leaving: false, down: false };
+    const server = { id, ...got.data, leaving: false, down: false, zone: '', places: 0 };
     return change(m, (s) => reduce(s, { kind: 'server', server }), (s) => s.servers.get(id));
   }
   if (o.method === 'POST' && verb === 'leaving')
@@ -101,8 +120,19 @@
   return no(405, 'no-such-operation', `${o.method} ${o.path}`);
 };
 
+const retiredOf = (s: State, id: string): string | undefined =>
+  s.retiring.has(id) ? id : [...s.retiring].findLast(([, name]) => name !== '' && name === id)?.[0];
+
+const storeOf = (s: State, id: string): string => {
+  const mate = findMate(s, id);
+  if (mate && mate.kind !== 'store') throw new Mishap('missing', `${id} is a ${mate.kind}, not a store`);
+  const found = mate?.id ?? retiredOf(s, id);
+  if (found === undefined) throw new Mishap('missing', `no store ${id}`);
+  return found;
+};
+
 export const emptyingOf = (s: State, id: string): object => {
-  const held = s.slots.filter((x) => x.copies.includes(id)).length;
+  const held = s.slots.filter((x) => keptOn(x).includes(id)).length;
   const filling = s.slots.filter((x) => x.filling.length > 0).length;
   return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 };
 };
@@ -112,9 +142,11 @@
   return change(
     m,
     (s) => {
-      const mate = mateOf(s, id);
-      found = mate.id;
-      if (mate.kind !== kind) throw new Mishap('refused', `${id} is a ${mate.kind}, not a ${kind}`);
+      const mate = findMate(s, id);
+      found = mate?.id ?? retiredOf(s, id) ?? id;
+      if (mate && mate.kind !== kind) throw new Mishap('refused', `${id} is a ${mate.kind}, not a ${kind}`);
+      if (mate ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
+      if (!mate) throw new Mishap('missing', `no node ${id}`);
       const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== mate.id && !s.retiring.has(x.id));
       if (on && kind === 'store' && rest.length < 3) throw new Mishap('refused', `only ${rest.length} other stores would stay, 3 copies are needed`);
       if (on && kind === 'front' && rest.length < 1) throw new Mishap('refused', 'no other front would stay');
@@ -166,19 +198,17 @@
   if (section === 'config' && id === '') {
     if (o.method === 'PUT') return putConfig(m, o.body);
     if (o.method !== 'GET') return no(405, 'no-such-operation', `${o.method} ${o.path}`);
-    try {
-      const s = await m.confirm();
-      if (!s.config) return no(404, 'missing', 'no configuration has been handed in');
-      const { version, text, digest } = s.config;
-      return { status: 200, body: { version, text, digest } };
-    } catch (e) {
-      return no(503, 'unavailable', mishapOf(e).message);
-    }
+    return look(m, (s) => {
+      if (!s.config) throw new Mishap('missing', 'no configuration has been handed in');
+      const { version, text, digest, order, past } = s.config;
+      return { version, text, digest, order, past };
+    });
   }
   if (section === 'servers' && id !== '') return servers(m, o, id, verb);
   if (section === 'stores' && verb === 'empty') {
     if (o.method === 'POST') return retire(m, id, true, 'store');
     if (o.method === 'DELETE') return retire(m, id, false, 'store');
+    if (o.method === 'GET') return look(m, (s) => emptyingOf(s, storeOf(s, id)));
   }
   if (section === 'fronts' && verb === 'drain') {
     if (o.method === 'POST') return retire(m, id, true, 'front');
@@ -188,12 +218,6 @@
     if (o.method === 'POST') return voters(m, id, true);
     if (o.method === 'DELETE') return voters(m, id, false);
   }
-  if (section === 'status' && o.method === 'GET') {
-    try {
-      return { status: 200, body: statusOf(await m.confirm()) };
-    } catch (e) {
-      return no(503, 'unavailable', mishapOf(e).message);
-    }
-  }
+  if (section === 'status' && o.method === 'GET') return look(m, statusOf);
   return no(404, 'no-such-page', o.path);
 };
--- a/packages/env/src/daemon.ts
+++ b/packages/env/src/daemon.ts
@@ -46,16 +46,21 @@
   cli.version(version);
   const { options } = cli.parse(process.argv, { run: false });
   if (options['help'] || options['version']) return;
+  const file: unknown = options['settings'];
+  await live(spec.name, () => spec.start(readEnv(spec.schema, typeof file === 'string' ? file : undefined, collect(options))));
+};
+
+/** Starts a program and keeps it until SIGTERM or SIGINT; ends with 2 for bad settings, 3 for a data folder that cannot be used, 1 otherwise. */
+export const live = async (name: string, start: () => Promise<Running>): Promise<void> => {
   let running: Running;
   try {
-    const file: unknown = options['settings'];
-    running = await spec.start(readEnv(spec.schema, typeof file === 'string' ? file : undefined, collect(options)));
+    running = await start();
   } catch (e) {
     if (e instanceof BadEnv) {
-      for (const f of e.findings) process.stderr.write(`${spec.name}: ${f.place}: ${f.text}\n`);
+      for (const f of e.findings) process.stderr.write(`${name}: ${f.place}: ${f.text}\n`);
       process.exit(2);
     }
-    process.stderr.write(`${spec.name}: cannot start: ${e instanceof Error ? e.message : String(e)}\n`);
+    process.stderr.write(`${name}: cannot start: ${e instanceof Error ? e.message : String(e)}\n`);
     process.exit(e instanceof FolderTaken || e instanceof JournalCorrupt ? 3 : 1);
   }
   let stopping = false;
--- a/packages/env/src/env.ts
+++ b/packages/env/src/env.ts
@@ -43,6 +43,7 @@
 const Linked = {
   addr,
   listen: addr.optional(),
+  name: z.string().max(200).default(''),
   seeds: z.array(addr).length(3, { message: 'must be three addresses' }),
 };
 
@@ -52,6 +53,7 @@
   data: z.string().min(1),
   slots: z.number().int().min(8).max(4096).default(64),
   copies: z.literal(3).default(3),
+  founds: z.boolean().default(true),
   journalLongAt: z.number().int().min(65536).default(4 << 20),
 });
 export type ControlEnv = z.infer<typeof ControlEnv>;
@@ -61,12 +63,12 @@
   ...Linked,
   data: z.string().min(1),
   journalLongAt: z.number().int().min(65536).default(32 << 20),
-  keepMs: z.number().int().min(120000).default(3600000),
+  keepMs: z.number().int().min(60000).default(3600000),
   hintsMost: z.number().int().min(100).default(100000),
 });
 export type StoreEnv = z.infer<typeof StoreEnv>;
 
-export const AgentEnv = z.strictObject({ ...Common, ...Linked, proxy: addr });
+export const AgentEnv = z.strictObject({ ...Common, ...Linked, proxy: addr, stopWithin: ms(100, 600000, 5000) });
 export type AgentEnv = z.infer<typeof AgentEnv>;
 
 export const ProxyEnv = z.strictObject({
@@ -76,6 +78,9 @@
   feed: addr,
   bodyMost: z.number().int().min(1024).default(1 << 20),
   affinity: z.boolean().default(true),
+  asksServers: z.boolean().default(true),
+  keepMs: z.number().int().min(60000).default(3600000),
+  stopWithin: ms(100, 600000, 5000),
 });
 export type ProxyEnv = z.infer<typeof ProxyEnv>;
 
--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -26,10 +26,14 @@
   }
 };
 
+const ended: ReadonlySet<string> = new Set(['Z', 'X']);
+
+/** When a process began, or '' if it has ended or cannot be seen; a lock without it holds nobody off. */
 const started = async (pid: number): Promise<string> => {
   try {
     const text = await readFile(`/proc/${pid}/stat`, 'utf8');
-    return text.slice(text.lastIndexOf(')') + 2).split(' ')[19] ?? '';
+    const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+    return ended.has(fields[0] ?? '') ? '' : (fields[19] ?? '');
   } catch {
     return '';
   }
@@ -57,7 +61,7 @@
         return new FolderDisk(dir, lockPath);
       } catch {
         const [pid = '0', born = ''] = (await readFile(lockPath, 'utf8').catch(() => '')).split(' ');
-        if (Number(pid) > 0 && alive(Number(pid)) && (await started(Number(pid))) === born)
+        if (Number(pid) > 0 && born !== '' && alive(Number(pid)) && (await started(Number(pid))) === born)
           throw new FolderTaken(`${dir} is in use by process ${pid}`);
         await unlink(lockPath).catch(() => undefined);
       }
--- a/packages/state/src/allot.ts
+++ b/packages/state/src/allot.ts
@@ -3,6 +3,7 @@
 export interface AllotBounds {
   readonly copies: number;
   readonly moves: number;
+  readonly fills: number;
   readonly silentStores: ReadonlySet<string>;
 }
 
@@ -39,7 +40,7 @@
     }
     const lost = slot.filling.find((id) => gone(id) || s.retiring.has(id));
     if (slot.filling.length > 0 && lost === undefined) return slot;
-    if (slot.filling.length === 0 && moving >= bounds.moves) return slot;
+    if (slot.filling.length === 0 && moving >= bounds.fills) return slot;
     const out = slot.filling.length > 0 ? slot.instead : (slot.copies.find(gone) ?? slot.copies.find((id) => s.retiring.has(id)));
     if (out === undefined) return slot;
     const stay = live.filter((m) => slot.copies.includes(m.id) && m.id !== out);
--- a/packages/state/src/belief.ts
+++ b/packages/state/src/belief.ts
@@ -20,7 +20,7 @@
     });
     for (const [k, v] of s.servers) facts.push([`server ${k}`, `${v.pool} ${v.url}${v.leaving ? ' leaving' : ''}${v.down ? ' down' : ''}`]);
     for (const [k, w] of s.weights) facts.push([`weight ${k}`, String(w)]);
-    for (const k of s.retiring) facts.push([`retiring ${k}`, 'yes']);
+    for (const k of s.retiring.keys()) facts.push([`retiring ${k}`, 'yes']);
   }
   return { id, kind, term, master, applied: markOf(s), facts };
 };
--- a/packages/state/src/compiled.ts
+++ b/packages/state/src/compiled.ts
@@ -4,19 +4,42 @@
 
 const Compiled = z.object({
   base: z.number(),
-  pools: z.array(z.object({ name: z.string(), kind: z.enum(['model', 'service']) })),
+  version: z.number().optional(),
+  pools: z.array(
+    z.object({
+      name: z.string(),
+      kind: z.enum(['model', 'service']),
+      circuits: z.number(),
+      remembersKeys: z.boolean(),
+      check: z.string(),
+      engine: z.object({ places: z.number(), memoryTokens: z.number(), pieceTokens: z.number() }).optional(),
+    }),
+  ),
   lanes: z.array(
     z.object({
       name: z.string(),
-      match: z.object({ kind: z.enum(['turn', 'call']), path: z.string() }),
+      match: z.object({ kind: z.enum(['turn', 'call', 'pass']), host: z.string(), path: z.string() }),
       acting: z.boolean(),
       urgent: z.boolean(),
+      pass: z
+        .object({
+          manner: z.enum(['repeatable', 'once', 'keyed', 'stream']),
+          tries: z.number(),
+          deadlineMs: z.number(),
+          aimMs: z.number(),
+          rank: z.number(),
+          keptMs: z.number(),
+          resumable: z.boolean(),
+          pauseMs: z.number(),
+        })
+        .optional(),
       shares: z.array(z.object({ pool: z.string(), share: z.number() })),
     }),
   ),
   tuning: z.boolean(),
   budgets: z.object({ program: z.number(), turn: z.number() }),
   bounds: z.object({ turnMs: z.number(), callMs: z.number(), line: z.number(), perServer: z.number() }),
+  limits: z.object({ headerBytes: z.number(), bodyBytes: z.number(), headerWaitMs: z.number(), idleMs: z.number() }),
 });
 
 const known = new WeakMap<ConfigRecord, Config>();
@@ -29,3 +52,15 @@
   known.set(record, config);
   return config;
 };
+
+const longest = new WeakMap<Config, number>();
+
+/** Twice the longest time that a lane keeps its turns for, in ms; 0 without a configuration. */
+export const turnsKeptMs = (config: Config | undefined): number => {
+  if (!config) return 0;
+  const old = longest.get(config);
+  if (old !== undefined) return old;
+  const ms = 2 * Math.max(0, ...config.lanes.map((l) => l.pass?.keptMs ?? 0));
+  longest.set(config, ms);
+  return ms;
+};
--- a/packages/state/src/config.ts
+++ b/packages/state/src/config.ts
@@ -2,25 +2,54 @@
 import { array, boolean, number, object, string, ValidationError, type InferType } from 'yup';
 import { LineCounter, parseDocument, type YAMLParseError } from 'yaml';
 
-const name = () => string().strict().matches(/^[a-z0-9][a-z0-9-]{0,62}$/, { message: '${path} must be a lower-case name' }).required();
+const name = () =>
+  string().strict().matches(/^[a-z0-9][A-Za-z0-9._-]{0,199}$/, { message: '${path} must begin with a-z or 0-9 and hold letters, digits, dots, dashes and underscores' }).required();
 const whole = (least: number, most: number) => number().strict().integer().min(least).max(most);
 
-const Share = object({ pool: name(), share: whole(0, 1000).required() }).noUnknown().strict();
+const Share = object({ pool: name(), share: number().strict().min(0).max(1e6).required() }).noUnknown().strict();
+const PassRules = object({
+  manner: string().strict().oneOf(['repeatable', 'once', 'keyed', 'stream']).required(),
+  tries: whole(1, 100).default(1),
+  deadlineMs: number().strict().moreThan(0).required(),
+  aimMs: number().strict().min(0).default(0),
+  rank: whole(0, 1000).default(0),
+  keptMs: number().strict().min(0).default(0),
+  resumable: boolean().strict().default(false),
+  pauseMs: number().strict().min(0).default(0),
+}).noUnknown().strict();
 const Lane = object({
   name: name(),
   match: object({
-    kind: string().strict().oneOf(['turn', 'call']).required(),
-    path: string().strict().matches(/^\/[A-Za-z0-9/_-]*$/, { message: '${path} must begin with / and hold plain characters' }).required(),
+    kind: string().strict().oneOf(['turn', 'call', 'pass']).required(),
+    host: string().strict().matches(/^[a-z0-9.-]*$/, { message: '${path} must be a lower-case host name' }).default(''),
+    path: string().strict().matches(/^\/[A-Za-z0-9/_.~%!$&'()*+,;=:@-]*$/, { message: '${path} must begin with / and hold plain characters' }).required(),
   }).noUnknown().strict().required(),
   acting: boolean().strict().default(false),
   urgent: boolean().strict().default(false),
+  pass: PassRules.optional().default(undefined),
   shares: array().of(Share.required()).min(1).required(),
 }).noUnknown().strict();
-const Pool = object({ name: name(), kind: string().strict().oneOf(['model', 'service']).required() }).noUnknown().strict();
+const Engine = object({
+  places: whole(1, 100000).required(),
+  memoryTokens: number().strict().moreThan(0).required(),
+  pieceTokens: number().strict().moreThan(0).required(),
+}).noUnknown().strict();
+const Pool = object({
+  name: name(),
+  kind: string().strict().oneOf(['model', 'service']).required(),
+  circuits: whole(0, 1e6).default(0),
+  remembersKeys: boolean().strict().default(false),
+  check: string().strict().matches(/^(\/[!-~]*)?$/, { message: '${path} must be a path' }).default(''),
+  engine: Engine.optional().default(undefined),
+}).noUnknown().strict();
+const limits = { headerBytes: 16384, bodyBytes: 1 << 22, headerWaitMs: 5000, idleMs: 60000 };
 const File = object({
   base: whole(0, Number.MAX_SAFE_INTEGER).required(),
+  version: whole(1, Number.MAX_SAFE_INTEGER).optional(),
+  origin: string().strict().optional(),
+  order: string().strict().optional(),
   pools: array().of(Pool.required()).min(1).required(),
-  lanes: array().of(Lane.required()).min(1).max(10000).required(),
+  lanes: array().of(Lane.required()).min(1).max(100000).required(),
   tuning: boolean().strict().default(true),
   budgets: object({
     program: whole(1, 1e9).default(100000),
@@ -32,6 +61,12 @@
     line: whole(1, 100000).default(256),
     perServer: whole(1, 10000).default(16),
   }).noUnknown().strict().default({ turnMs: 60000, callMs: 5000, line: 256, perServer: 16 }),
+  limits: object({
+    headerBytes: whole(1, 1 << 30).default(limits.headerBytes),
+    bodyBytes: whole(1, 1 << 30).default(limits.bodyBytes),
+    headerWaitMs: number().strict().moreThan(0).default(limits.headerWaitMs),
+    idleMs: number().strict().moreThan(0).default(limits.idleMs),
+  }).noUnknown().strict().default(limits),
 }).noUnknown().strict();
 
 export type Config = InferType<typeof File>;
@@ -45,6 +80,8 @@
   readonly findings: readonly Finding[];
 }
 
+const matchOf = (l: Lane): string => `${l.match.kind} ${l.match.host}${l.match.path}`;
+
 const lanes = (c: Config): readonly Finding[] => {
   const out: Finding[] = [];
   const pools = new Map<string, string>();
@@ -52,12 +89,16 @@
     if (pools.has(p.name)) out.push({ place: `pools[${i}].name`, text: `pool ${p.name} is named twice` });
     pools.set(p.name, p.kind);
   });
+  if (c.version !== undefined && c.version <= c.base) out.push({ place: 'version', text: `version must be above the base ${c.base}` });
   const seen = new Set<string>();
   const matches = new Map<string, string>();
   c.lanes.forEach((l, i) => {
     if (seen.has(l.name)) out.push({ place: `lanes[${i}].name`, text: `lane ${l.name} is named twice` });
     seen.add(l.name);
-    const m = `${l.match.kind} ${l.match.path}`;
+    const m = matchOf(l);
+    if (l.match.kind === 'pass' && !l.pass) out.push({ place: `lanes[${i}].pass`, text: 'a pass lane says how its requests are carried' });
+    if (l.match.kind === 'pass' && !l.match.path.endsWith('/')) out.push({ place: `lanes[${i}].match.path`, text: 'the path of a pass lane ends with /' });
+    if (l.match.kind !== 'pass' && (l.pass || l.match.host !== '')) out.push({ place: `lanes[${i}].match`, text: 'only a pass lane has a host and rules of carrying' });
     const other = matches.get(m);
     if (other !== undefined) out.push({ place: `lanes[${i}].match`, text: `lane ${other} already takes ${m}` });
     matches.set(m, l.name);
@@ -67,7 +108,7 @@
       const place = `lanes[${i}].shares[${j}].pool`;
       const kind = pools.get(s.pool);
       if (kind === undefined) out.push({ place, text: `pool ${s.pool} is not in this file` });
-      else if (kind !== want) out.push({ place, text: `a ${l.match.kind} lane needs a ${want} pool, ${s.pool} is a ${kind} pool` });
+      else if (l.match.kind !== 'pass' && kind !== want) out.push({ place, text: `a ${l.match.kind} lane needs a ${want} pool, ${s.pool} is a ${kind} pool` });
       if (named.has(s.pool)) out.push({ place, text: `pool ${s.pool} is named twice` });
       named.add(s.pool);
     });
@@ -87,12 +128,27 @@
   return (e.inner.length > 0 ? e.inner : [e]).map((x) => ({ place: x.path ?? '', text: x.errors.join('; ') }));
 };
 
+const canonical = (text: string): unknown => {
+  try {
+    const value: unknown = JSON.parse(text);
+    return JSON.stringify(value) === text ? value : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
 export const checkConfig = (text: string): Checked => {
+  const plain = canonical(text);
+  if (plain !== undefined) return checkValue(plain);
   const counter = new LineCounter();
   const doc = parseDocument(text, { lineCounter: counter, uniqueKeys: true });
   if (doc.errors.length > 0) return { config: undefined, findings: yamlFindings(doc.errors, counter) };
+  return checkValue(doc.toJS());
+};
+
+const checkValue = (value: unknown): Checked => {
   try {
-    const config = File.cast(File.validateSync(doc.toJS(), { abortEarly: false, strict: true }));
+    const config = File.cast(File.validateSync(value, { abortEarly: false, strict: true }));
     const findings = lanes(config);
     return { config: findings.length === 0 ? config : undefined, findings };
   } catch (e) {
@@ -102,10 +158,10 @@
 
 export const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32);
 
-export type LaneKind = 'turn' | 'call';
+export type LaneKind = 'turn' | 'call' | 'pass';
 export type Lanes = ReadonlyMap<string, Lane>;
 
-export const lanesOf = (config: Config): Lanes => new Map(config.lanes.map((l) => [`${l.match.kind} ${l.match.path}`, l]));
+export const lanesOf = (config: Config): Lanes => new Map(config.lanes.map((l) => [matchOf(l), l]));
 
 export const laneFor = (table: Lanes, kind: LaneKind, path: string): Lane | undefined => {
   const exact = table.get(`${kind} ${path}`);
--- a/packages/state/src/flat.ts
+++ b/packages/state/src/flat.ts
@@ -9,15 +9,25 @@
 
 export class BadState extends Error {}
 
+const configs = new WeakMap<ConfigRecord, string>();
+
+const configText = (record: ConfigRecord): string => {
+  const old = configs.get(record);
+  if (old !== undefined) return old;
+  const text = JSON.stringify(record);
+  configs.set(record, text);
+  return text;
+};
+
 export const flatten = (s: State): Flat => {
   const out = new Map<string, string>();
   const head: Head = { clusterId: s.clusterId, term: s.term, version: s.version, master: s.master, voters: s.voters };
   out.set('head', JSON.stringify(head));
   for (const [id, m] of s.nodes) out.set(`node/${id}`, JSON.stringify(m));
   for (const [id, m] of s.voterMates) out.set(`voter/${id}`, JSON.stringify(m));
-  for (const id of s.retiring) out.set(`retiring/${id}`, 'true');
+  for (const [id, name] of s.retiring) out.set(`retiring/${id}`, JSON.stringify(name));
   s.slots.forEach((slot, i) => out.set(`slot/${i}`, JSON.stringify(slot)));
-  if (s.config) out.set('config', JSON.stringify(s.config));
+  if (s.config) out.set('config', configText(s.config));
   for (const [id, v] of s.servers) out.set(`server/${id}`, JSON.stringify(v));
   for (const [k, w] of s.weights) out.set(`weight/${k}`, JSON.stringify(w));
   return out;
@@ -31,7 +41,7 @@
   const voterMates = new Map<string, Mate>();
   const servers = new Map<string, Server>();
   const weights = new Map<string, number>();
-  const retiring = new Set<string>();
+  const retiring = new Map<string, string>();
   const slots: Slot[] = [];
   let config: ConfigRecord | undefined;
   for (const [key, json] of flat) {
@@ -44,7 +54,7 @@
     else if (section === 'slot') slots[Number(id)] = Slot.parse(v);
     else if (section === 'server') servers.set(id, Server.parse(v));
     else if (section === 'weight') weights.set(id, z.number().parse(v));
-    else if (section === 'retiring') retiring.add(id);
+    else if (section === 'retiring') retiring.set(id, z.string().catch('').parse(v));
     else if (section === 'config') config = ConfigRecord.parse(v);
     else if (section !== 'head') throw new BadState(`unknown section ${section}`);
   }
@@ -62,7 +72,10 @@
 export const patch = (a: State, d: Diff): State | undefined => {
   if (!sameMark(a, d.base)) return undefined;
   const flat = new Map(flatten(a));
+  const same = !d.drop.includes('config') && !d.set.some(([k]) => k === 'config');
+  if (same) flat.delete('config');
   for (const k of d.drop) flat.delete(k);
   for (const [k, v] of d.set) flat.set(k, v);
-  return unflatten(flat);
+  const next = unflatten(flat);
+  return same ? { ...next, config: a.config } : next;
 };
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -44,6 +44,8 @@
 
 export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
 export const ReadBack = z.object({ item: Item.nullable() });
+export const FindTurn = z.object({ turn: z.string() });
+export const FoundTurns = z.object({ items: z.array(Item) });
 export const Hint = z.object({ to: z.string(), slot: z.number(), items: z.array(Item) });
 export const Hand = z.object({ slot: z.number(), items: z.array(Item) });
 
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -34,7 +34,8 @@
       };
     }
     case 'leave':
-      return s.nodes.has(a.id) ? { ...s, nodes: without(s.nodes, a.id) } : s;
+      if (!s.nodes.has(a.id)) return s;
+      return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
     case 'config':
       return { ...s, config: a.record };
     case 'server':
@@ -73,10 +74,7 @@
     }
     case 'retire': {
       if (s.retiring.has(a.id) === a.on) return s;
-      const retiring = new Set(s.retiring);
-      if (a.on) retiring.add(a.id);
-      else retiring.delete(a.id);
-      return { ...s, retiring };
+      return { ...s, retiring: a.on ? withEntry(s.retiring, a.id, s.nodes.get(a.id)?.name ?? '') : without(s.retiring, a.id) };
     }
     case 'weights':
       return { ...s, weights: a.weights };
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -7,6 +7,7 @@
   http: z.string(),
   zone: z.string(),
   data: z.string(),
+  name: z.string().default(''),
 }).readonly();
 export type Mate = z.infer<typeof Mate>;
 
@@ -27,14 +28,23 @@
   url: z.string(),
   leaving: z.boolean(),
   down: z.boolean(),
+  zone: z.string().default(''),
+  places: z.number().default(0),
 }).readonly();
 export type Server = z.infer<typeof Server>;
 
+export const PastConfig = z.object({ version: z.number(), digest: z.string(), order: z.string() }).readonly();
+export type PastConfig = z.infer<typeof PastConfig>;
+
+export const pastMost = 64;
+
 export const ConfigRecord = z.object({
   version: z.number(),
   text: z.string(),
   digest: z.string(),
   compiled: z.string(),
+  order: z.string().default(''),
+  past: z.array(PastConfig).readonly().default([]),
 }).readonly();
 export type ConfigRecord = z.infer<typeof ConfigRecord>;
 
@@ -59,7 +69,7 @@
 export interface State extends Head {
   readonly nodes: ReadonlyMap<string, Mate>;
   readonly voterMates: ReadonlyMap<string, Mate>;
-  readonly retiring: ReadonlySet<string>;
+  readonly retiring: ReadonlyMap<string, string>;
   readonly slots: readonly Slot[];
   readonly config: ConfigRecord | undefined;
   readonly servers: ReadonlyMap<string, Server>;
@@ -77,7 +87,7 @@
   voters: { now: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
   nodes: new Map(),
   voterMates: new Map(members.map((m) => [m.id, m])),
-  retiring: new Set(),
+  retiring: new Map(),
   slots: emptySlots(slots),
   config: undefined,
   servers: new Map(),
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,3 @@
 export * from './shelf.js';
 export * from './node.js';
+export * from './start.js';
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,5 +1,5 @@
 import pLimit from 'p-limit';
-import { beliefOf, Hand, Hint, keptOn, pagesFrom, Put, Read, Seal, type Belief, type State } from '@tillerstair/state';
+import { beliefOf, compiledOf, FindTurn, Hand, Hint, keptOn, pagesFrom, Put, Read, Seal, turnsKeptMs, type Belief, type State } from '@tillerstair/state';
 import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { Shelf } from './shelf.js';
@@ -13,10 +13,20 @@
 export class StoreNode {
   readonly zen: ZenNode;
   private readonly gone = lasting();
-  private readonly few = pLimit(2);
+  private readonly few = pLimit(8);
+  private readonly refilling = new Map<number, number>();
+  private newest: State | undefined;
+  private wake: () => void = () => undefined;
 
   constructor(private readonly p: StoreParts) {
-    this.zen = new ZenNode({ ...p, slots: 0 });
+    this.zen = new ZenNode({
+      ...p,
+      slots: 0,
+      onApplied: async (s) => {
+        this.newest = s;
+        this.wake();
+      },
+    });
   }
 
   get id(): string {
@@ -27,10 +37,12 @@
     await this.p.circuits.serve((inq) => this.handle(inq));
     this.zen.start();
     void this.repair();
+    void this.refill();
   }
 
   async stop(): Promise<void> {
     this.gone.abort();
+    this.wake();
     await this.zen.stop();
     await this.p.circuits.close();
   }
@@ -61,6 +73,11 @@
         const { slot, tenure, after } = Seal.parse(inq.body);
         return shelf.pull(slot, tenure, after);
       }
+      case 'store/find': {
+        const { turn } = FindTurn.parse(inq.body);
+        await shelf.synced();
+        return { items: shelf.find(turn) };
+      }
       case 'store/hint': {
         const { to, slot, items } = Hint.parse(inq.body);
         await shelf.hint(to, slot, items);
@@ -85,10 +102,9 @@
       if (!s || this.gone.signal.aborted) continue;
       try {
         await this.handOver(s);
-        await this.refill(s);
-        await this.p.shelf.dropOld();
+        await this.p.shelf.dropOld(turnsKeptMs(compiledOf(s.config)));
         await this.p.shelf.forgetSlots((n) => {
-          const slot = s.slots[n];
+          const slot = this.newest?.slots[n];
           return slot && slot.copies.length > 0 && !keptOn(slot).includes(this.p.me.id) ? slot.tenure : -1;
         });
       } catch (e) {
@@ -122,20 +138,33 @@
     }
   }
 
-  private async refill(s: State): Promise<void> {
-    const me = this.p.me.id;
-    const todo = s.slots.flatMap((slot, n) => (slot.filling.includes(me) ? [{ slot, n }] : []));
-    await Promise.all(
-      todo.map(({ slot, n }) =>
-        this.few(async () => {
-          try {
-            await this.refillOne(s, n, slot.tenure, slot.copies);
-          } catch (e) {
-            this.p.log.debug(`Refill of slot ${n} waits: ${mishapOf(e).message}.`);
-          }
-        }),
-      ),
-    );
+  private async refill(): Promise<void> {
+    const { clock, bounds, me } = this.p;
+    while (!this.gone.signal.aborted) {
+      const early = new AbortController();
+      this.wake = () => early.abort();
+      this.newest?.slots.forEach((slot, n) => {
+        if (!slot.filling.includes(me.id) || this.refilling.get(n) === slot.tenure) return;
+        this.refilling.set(n, slot.tenure);
+        void this.refillUntilFull(n, slot.tenure);
+      });
+      await pause(clock, bounds.beat / 2, early.signal);
+    }
+  }
+
+  private async refillUntilFull(n: number, tenure: number): Promise<void> {
+    const { clock, bounds, log } = this.p;
+    while (!this.gone.signal.aborted) {
+      const s = this.newest;
+      const slot = s?.slots[n];
+      if (!s || slot?.tenure !== tenure) return;
+      try {
+        return await this.few(() => this.refillOne(s, n, tenure, slot.copies));
+      } catch (e) {
+        log.debug(`Refill of slot ${n} waits: ${mishapOf(e).message}.`);
+      }
+      await pause(clock, bounds.beat / 16, this.gone.signal);
+    }
   }
 
   private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/shelf.ts
@@ -12,6 +12,13 @@
 ]);
 type Rec = z.infer<typeof Rec>;
 
+const Followed = z.object({ after: z.string() });
+
+const turnOf = (key: string): string => {
+  const [kind, , section, turn = ''] = key.split('/');
+  return kind === 'p' && section === 't' ? turn : '';
+};
+
 export interface HintRecord {
   readonly n: number;
   readonly to: string;
@@ -33,6 +40,7 @@
 
 export class Shelf {
   private readonly slots = new Map<number, SlotShelf>();
+  private readonly byTurn = new Map<string, { readonly slot: number; readonly key: string }>();
   private readonly hints = new Map<number, HintRecord>();
   private hintSeq = 0;
   private rewriting = false;
@@ -66,6 +74,8 @@
           const old = s.items.get(item.key);
           if (!old || newerItem(item, old)) s.items.set(item.key, item);
           s.touched.set(groupOf(item.key), this.clock.now());
+          const turn = turnOf(item.key);
+          if (turn !== '') this.byTurn.set(turn, { slot: r.slot, key: item.key });
         }
         return;
       }
@@ -78,7 +88,12 @@
       case 'drop': {
         const s = this.slot(r.slot);
         const groups = new Set(r.groups);
-        for (const key of [...s.items.keys()]) if (groups.has(groupOf(key))) s.items.delete(key);
+        for (const key of [...s.items.keys()]) {
+          if (!groups.has(groupOf(key))) continue;
+          s.items.delete(key);
+          const turn = turnOf(key);
+          if (this.byTurn.get(turn)?.key === key) this.byTurn.delete(turn);
+        }
         for (const g of groups) s.touched.delete(g);
         return;
       }
@@ -149,7 +164,8 @@
     return { items, next: '' };
   }
 
-  private synced(): Promise<void> {
+  /** Resolves once everything held now is on disk. */
+  synced(): Promise<void> {
     return this.journal.append({ t: 'seal', slot: 0, tenure: 0 });
   }
 
@@ -157,6 +173,19 @@
     return this.fence(slot, tenure).items.get(key) ?? null;
   }
 
+  /** The turn so named and, after it, those that it goes on from, as far as they are held here; the newest first. */
+  find(turn: string): readonly ItemT[] {
+    const out: ItemT[] = [];
+    for (let at = this.byTurn.get(turn); at; ) {
+      const item = this.slots.get(at.slot)?.items.get(at.key);
+      const after = item && Followed.safeParse(item.value);
+      if (!item || out.includes(item)) break;
+      out.push(item);
+      at = after?.success ? this.byTurn.get(encodeURIComponent(after.data.after).replaceAll('~', '%7E')) : undefined;
+    }
+    return out;
+  }
+
   pull(slot: number, tenure: number, after: string): Paged {
     const s = this.slot(slot);
     if (s.sealed < tenure) throw new Mishap('not-sealed', `slot ${slot} is not sealed at tenure ${tenure} yet`);
@@ -190,11 +219,13 @@
     await this.put({ t: 'handed', n });
   }
 
-  async dropOld(): Promise<number> {
+  /** Drops what nobody touched for as long as things are kept, and for `leastMs`. */
+  async dropOld(leastMs = 0): Promise<number> {
     const now = this.clock.now();
+    const keepMs = Math.max(this.bounds.keepMs, leastMs);
     let dropped = 0;
     for (const [slot, s] of this.slots) {
-      const groups = [...s.touched].filter(([, at]) => now - at > this.bounds.keepMs).map(([g]) => g);
+      const groups = [...s.touched].filter(([, at]) => now - at > keepMs).map(([g]) => g);
       if (groups.length === 0) continue;
       dropped += groups.length;
       await this.put({ t: 'drop', slot, groups });
--- a/packages/wire/src/tcp.ts
+++ b/packages/wire/src/tcp.ts
@@ -25,6 +25,7 @@
   readonly socket: Socket;
   readonly ready: Promise<void>;
   readonly waiting: Map<number, Waiting>;
+  heardAt: number;
 }
 
 export const splitAddr = (addr: string): { host: string; port: number } => {
@@ -126,7 +127,10 @@
       });
     });
     ready.catch(() => undefined);
-    const circuit = { socket, ready, waiting };
+    const circuit: Outgoing = { socket, ready, waiting, heardAt: hostClock.now() };
+    socket.on('data', () => {
+      circuit.heardAt = hostClock.now();
+    });
     this.out.set(to, circuit);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
@@ -167,8 +171,10 @@
         const cancel = () => {
           circuit.socket.write(`${JSON.stringify({ id, cancel: true })}\n`);
         };
+        const sentAt = hostClock.now();
         const beat: Beat = hostClock.after(bounds.within, () => {
           cancel();
+          if (circuit.heardAt < sentAt && hostClock.now() - circuit.heardAt > this.openWithin) circuit.socket.destroy();
           fail(new TooLate(to));
         });
         stop.add(() => beat.stop());
--- a/tests/src/journal.test.ts
+++ b/tests/src/journal.test.ts
@@ -119,4 +119,14 @@
   assert.match(low, 'sealed at tenure 7');
 });
 
+journal('a lock that does not say when its holder began holds nobody off, one that does and lives does', () =>
+  folder(async (dir) => {
+    await writeFile(join(dir, 'lock'), `${process.pid} `);
+    const disk = await FolderDisk.take(dir);
+    const again = await FolderDisk.take(dir).then(() => 'taken', (e: unknown) => (e instanceof FolderTaken ? 'held' : String(e)));
+    assert.is(again, 'held');
+    await disk.free();
+  }),
+);
+
 journal.run();
