--- a/packages/checker/src/index.ts
+++ b/packages/checker/src/index.ts
@@ -1,2 +1,4 @@
 export * from './records.js';
 export * from './rules.js';
+export * from './verdicts.js';
+export * from './pass-rules.js';
--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -17,8 +17,29 @@
   readonly retryAfter: number;
 }
 
+/** A request on a pass lane as its caller knows it; `body` and `input` hold one byte a character. */
+export interface PassRecord {
+  readonly manner: 'repeatable' | 'once' | 'keyed' | 'stream';
+  readonly path: string;
+  readonly resumable: boolean;
+  readonly key: string;
+  readonly attempt: string;
+  readonly program: string;
+  readonly budget: number | null;
+  readonly most: number;
+  readonly after: string;
+  readonly input: string;
+  readonly from: number;
+  readonly to: number;
+  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
+  readonly status: number;
+  readonly mishap: string;
+  readonly retryAfter: number;
+  readonly body: string;
+}
+
 export interface RanRecord {
-  readonly kind: 'generate' | 'act';
+  readonly kind: 'generate' | 'act' | 'pass';
   readonly server: string;
   readonly pool: string;
   readonly key: string;
@@ -67,6 +88,7 @@
 export interface Records {
   readonly told: readonly ToldRecord[];
   readonly ran: readonly RanRecord[];
+  readonly passes: readonly PassRecord[];
   readonly configs: readonly ConfigRecord[];
   readonly leavings: readonly LeavingRecord[];
   readonly shares: readonly SharesRecord[];
@@ -76,5 +98,5 @@
 }
 
 export const noRecords: Records = {
-  told: [], ran: [], configs: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
+  told: [], ran: [], passes: [], configs: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
 };
--- a/packages/checker/src/rules.ts
+++ b/packages/checker/src/rules.ts
@@ -1,31 +1,6 @@
+import { passRules } from './pass-rules.js';
 import type { ConfigRecord, RanRecord, Records, ToldRecord } from './records.js';
-
-export interface RuleVerdict {
-  readonly rule: string;
-  readonly checked: number;
-  readonly breaches: readonly string[];
-}
-
-export interface Slack {
-  readonly leavingMs: number;
-  readonly inForceMs: number;
-  readonly serveMs: number;
-  readonly historyMs: number;
-  readonly keyMs: number;
-}
-
-export const slack: Slack = { leavingMs: 3300, inForceMs: 2200, serveMs: 12500, historyMs: 60000, keyMs: 60000 };
-
-const group = <T>(rows: readonly T[], key: (t: T) => string): ReadonlyMap<string, readonly T[]> => {
-  const out = new Map<string, T[]>();
-  for (const r of rows) {
-    const k = key(r);
-    const list = out.get(k);
-    if (list) list.push(r);
-    else out.set(k, [r]);
-  }
-  return out;
-};
+import { group, slack, type RuleVerdict, type Slack } from './verdicts.js';
 
 export const operationOf = (tenant: string, key: string): string => `${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
 const opOf = (t: ToldRecord): string => operationOf(t.tenant, t.key);
@@ -176,7 +151,8 @@
   return { rule: 'work is split by the shares the operator gave', checked, breaches };
 };
 
-const poolsOf = (c: ConfigRecord, kind: RanRecord['kind']): readonly string[] => (kind === 'generate' ? c.turnPools : c.callPools);
+const poolsOf = (c: ConfigRecord, kind: RanRecord['kind']): readonly string[] =>
+  kind === 'pass' ? [...c.turnPools, ...c.callPools] : kind === 'generate' ? c.turnPools : c.callPools;
 
 const inForce = (r: Records, s: Slack): RuleVerdict => {
   const acked = r.configs.filter((c) => c.told === 'done').sort((a, b) => a.version - b.version);
@@ -225,7 +201,7 @@
 
 export const checkRecords = (r: Records, s: Slack = slack): readonly RuleVerdict[] => [
   once(r), sameKey(r, s), refusedRan(r), trueAnswers(r), budgets(r), history(r, s),
-  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), restart(r, s),
+  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), restart(r, s), ...passRules(r, s),
 ];
 
 export const countTold = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,9 +1,10 @@
 import { pipeline } from 'node:stream';
 import split2 from 'split2';
-import { Agent, DecoratorHandler, errors, request, type Dispatcher } from 'undici';
+import { Agent, DecoratorHandler, errors, Pool, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, BusyReport } from '@tillerstair/steward';
+import type { Act, Backend, Busyness, BusyReport, Ended, Generate, Header, Passing, Sink } from '@tillerstair/steward';
+import { ownDialect, type Dialect } from './dialect.js';
 
 const Piece = z.object({ id: z.string(), n: z.number(), text: z.string() });
 const End = z.object({ id: z.string(), end: z.literal(true), pieces: z.number() });
@@ -49,11 +50,81 @@
   return { kind: neverLeft(e) ? 'never-left' : 'lost', text: textOf(e) };
 };
 
+export const ofOneCircuit: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'proxy-connection', 'te', 'trailer', 'content-length', 'expect']);
+
+const Raw = z.array(z.string());
+
+export const pairsOf = (headers: unknown): readonly Header[] => {
+  const raw = Raw.parse(headers);
+  const out: Header[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) out.push([raw[i] ?? '', raw[i + 1] ?? '']);
+  return out;
+};
+
+const find = (headers: readonly Header[], name: string): string => headers.find(([k]) => k.toLowerCase() === name)?.[1] ?? '';
+
+const busynessOf = (text: string): Busyness | undefined => {
+  const [running, waiting, places] = text.split(',').map(Number);
+  return text !== '' && running !== undefined && waiting !== undefined && places !== undefined && running >= 0 && waiting >= 0 ? { running, waiting, places } : undefined;
+};
+
+export interface BackendBounds {
+  readonly connectWithin: number;
+  /** Circuits this front may open to one server. */
+  readonly circuits: (url: string) => number;
+}
+
 export class HttpBackend implements Backend {
   private readonly agent: Agent;
 
-  constructor(connectWithin: number) {
-    this.agent = new Agent({ connect: { timeout: connectWithin }, pipelining: 1, keepAliveTimeout: 4000 });
+  constructor(
+    bounds: BackendBounds,
+    private readonly dialect: Dialect = ownDialect,
+  ) {
+    this.agent = new Agent({
+      connect: { timeout: bounds.connectWithin }, pipelining: 1, keepAliveTimeout: 4000, keepAliveMaxTimeout: 600000,
+      factory: (origin, opts) => new Pool(origin, { ...opts, connections: bounds.circuits(String(origin)) }),
+    });
+  }
+
+  async pass(server: Server, p: Passing, sink: Sink, gone: AbortSignal, left: number, still: () => boolean): Promise<Ended> {
+    if (left <= 0) return { kind: 'declined', text: 'no time is left' };
+    const d = this.dialect;
+    const stop = AbortSignal.any([gone, AbortSignal.timeout(Math.ceil(left))]);
+    const headers = p.headers.filter(([k]) => !ofOneCircuit.has(k.toLowerCase()));
+    const sent = [...headers, [d.timeLeft, String(Math.max(1, Math.floor(left)))], [d.expect, server.id], ...(p.resume === '' ? [] : [[d.resume, p.resume]])];
+    try {
+      const res = await request(server.url + p.path, {
+        method: p.method,
+        dispatcher: this.agent.compose(lookLast(still)),
+        headers: sent.flat(),
+        responseHeaders: 'raw',
+        body: p.body === '' && p.method === 'GET' ? null : Buffer.from(p.body, 'latin1'),
+        signal: stop,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const got = pairsOf(res.headers);
+      const told = busynessOf(find(got, d.busyness));
+      if (told) sink.busyness(told);
+      const spoil = (text: string): Ended => {
+        res.body.on('error', () => undefined).destroy();
+        return { kind: 'lost', text };
+      };
+      const echoed = find(got, d.attempt);
+      if (echoed !== p.attempt) return spoil('the server spoke of another try');
+      if (find(got, d.declined) !== '' || res.statusCode === 421) {
+        await res.body.dump().catch(() => undefined);
+        return { kind: 'declined', text: `server declined with ${res.statusCode}` };
+      }
+      if ([408, 425, 429, 503].includes(res.statusCode)) return spoil(`server failed with ${res.statusCode}`);
+      if (res.statusCode < 300 && d.seal !== '' && find(got, d.seal) === '') return spoil('the answer is not the server\'s');
+      sink.head({ status: res.statusCode, headers: got.filter(([k]) => !ofOneCircuit.has(k.toLowerCase())) });
+      for await (const part of res.body) sink.bytes(Buffer.isBuffer(part) ? part.toString('latin1') : String(part));
+      return { kind: 'done', code: res.statusCode, body: null };
+    } catch (e) {
+      return failed(e);
+    }
   }
 
   close(): Promise<void> {
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { beliefOf, Entries, markOf, newer, unflatten, type Belief, type State } from '@tillerstair/state';
 import {
-  CallAsk, HistoryAsk, ofMishap, ProgramAsk, refused, Steward, TurnAsk, unknown, Verdict, type EmitPiece, type StewardParts,
+  CallAsk, HistoryAsk, ofMishap, PassAsk, ProgramAsk, refused, Steward, TurnAsk, unknown, Verdict, type EmitPiece, type StewardParts,
 } from '@tillerstair/steward';
 import { CircuitRefused, lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
 
@@ -11,17 +11,20 @@
   state: Entries.optional(),
   config: z.string().optional(),
   freshAt: z.number(),
+  barred: z.array(z.string()).optional(),
   master: z.string(),
   term: z.number(),
 });
 export type Feed = z.infer<typeof Feed>;
-export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.unknown() });
+export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.unknown(), stopping: z.boolean() });
 
 const TurnEnd = z.object({ end: z.object({ pieces: z.number() }) });
 const PieceLine = z.object({ n: z.number(), text: z.string() });
 
+const lingers = 0.4;
+
 interface Delivery {
-  readonly kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call';
+  readonly kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call' | 'front/keyed' | 'front/stream';
   readonly slotKey: string;
   readonly body: unknown;
   readonly within: number;
@@ -43,10 +46,14 @@
     this.steward.start();
   }
 
+  /** Goes on serving until its slots are handed over, callers have had time to see it is not ready, and nothing is under way. */
   async stop(): Promise<void> {
     this.gone.abort();
-    const end = this.p.clock.now() + this.p.bounds.beat * 5;
-    while (this.active > 0 && this.p.clock.now() < end) await pause(this.p.clock, this.p.bounds.beat / 20);
+    const { clock, bounds } = this.p;
+    const from = clock.now();
+    const linger = this.steward.fresh ? bounds.stopWithin * lingers : 0;
+    const busy = (): boolean => this.active > 0 || (this.steward.fresh && this.steward.holdsSlots) || clock.now() - from < linger;
+    while (busy() && clock.now() - from < bounds.stopWithin) await pause(clock, bounds.beat / 20);
     this.steward.stop();
     await this.p.circuits.close();
   }
@@ -71,9 +78,10 @@
     if (f.term >= this.agentTerm) {
       this.agentTerm = f.term;
       this.master = f.master;
+      if (f.barred) this.steward.bar(new Set(f.barred));
       if (f.freshAt <= now) this.steward.freshen(f.freshAt);
     }
-    return { id: this.p.id, applied: markOf(this.steward.current?.state), seen: this.steward.placement.report(), released: this.steward.releases() };
+    return { id: this.p.id, applied: markOf(this.steward.current?.state), seen: this.steward.placement.report(), released: this.steward.releases(), stopping: this.stopping };
   }
 
   private async handle(inq: Inquiry, emit: (piece: unknown) => void, gone: AbortSignal): Promise<unknown> {
@@ -92,6 +100,10 @@
           return await this.steward.turns.history(HistoryAsk.parse(body));
         case 'front/call':
           return await this.steward.calls.call(CallAsk.parse(body), gone);
+        case 'front/keyed':
+          return await this.steward.calls.pass(PassAsk.parse(body), gone);
+        case 'front/stream':
+          return await this.steward.streams.stream(PassAsk.parse(body), emit, gone);
         default:
           return refused(404, 'unknown-kind', kind);
       }
@@ -100,6 +112,11 @@
     }
   }
 
+  /** Carries a request that needs no steward straight to a server. */
+  async carry(ask: PassAsk, streamed: boolean, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
+    return this.local(streamed ? 'front/stream' : 'front/keyed', ask, emit, gone).catch((e: unknown) => ofMishap(mishapOf(e)));
+  }
+
   async deliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
     this.active++;
     return this.tryDeliver(d, emit, gone).finally(() => {
@@ -109,7 +126,8 @@
 
   private async tryDeliver(d: Delivery, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
     const { clock, bounds, id, circuits } = this.p;
-    let end = clock.now() + bounds.beat * 1.5;
+    const wait = Math.min(bounds.beat * 1.5, d.within / 4);
+    let end = clock.now() + wait;
     let emitted = 0;
     let whole = true;
     const counting: EmitPiece = (n, text) => {
@@ -119,7 +137,7 @@
       emit(n, text);
     };
     const checked = (v: Verdict): Verdict => {
-      if (d.kind !== 'front/turn' || v.verdict !== 'done') return v;
+      if ((d.kind !== 'front/turn' && d.kind !== 'front/stream') || v.verdict !== 'done') return v;
       const end = TurnEnd.safeParse(v.body);
       return whole && end.success && end.data.end.pieces === emitted ? v : unknown('the stream did not arrive whole', 'broken-off');
     };
@@ -144,7 +162,7 @@
           return checked(Verdict.parse(await asked));
         } catch (e) {
           if (!watch.lost.aborted || gone.aborted || emitted > 0) throw e;
-          end = clock.now() + bounds.beat * 1.5;
+          end = clock.now() + wait;
           throw new Mishap('not-steward', 'the steward left the cluster');
         } finally {
           watch.end();
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,3 +1,6 @@
 export * from './backend.js';
 export * from './front.js';
 export * from './pages.js';
+export * from './dialect.js';
+export * from './passing.js';
+export * from './start.js';
--- a/packages/proxy/src/pages.ts
+++ b/packages/proxy/src/pages.ts
@@ -5,6 +5,7 @@
 import { opKeyOf, type Verdict } from '@tillerstair/steward';
 import { readBody, sendJson, type Page } from '@tillerstair/wire';
 import type { Front } from './front.js';
+import type { Carry } from './passing.js';
 
 const NewProgram = z.strictObject({ budget: z.number().int().min(1).optional(), parent: z.string().optional() });
 const NewTurn = z.strictObject({
@@ -56,7 +57,7 @@
   return ctl.signal;
 };
 
-export const callerPages = (front: Front, bodyMost: number): Page => {
+export const callerPages = (front: Front, bodyMost: number, carry?: Carry): Page => {
   const ownPid = (): string => {
     for (let n = 0; ; n++) {
       const pid = `p-${randomBytes(8).toString('hex')}`;
@@ -113,6 +114,7 @@
   };
 
   return async (req, res, url) => {
+    if (carry && !url.pathname.startsWith('/v1/')) return carry(req, res);
     const tenant = header(req, 'x-tenant') || 'default';
     if (front.stopping) {
       res.setHeader('connection', 'close');
--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -33,6 +33,10 @@
     return `${this.kind}-${this.n}`;
   }
 
+  get name(): string {
+    return `${this.kind}-number-${this.n}`;
+  }
+
   get seeds(): readonly string[] {
     return this.ownSeeds ?? this.world.seeds;
   }
@@ -68,14 +72,14 @@
     }
     const disk = this.platter.disk(clock, life);
     const keep = await DiskKeep.open(disk, () => `${this.kind.charAt(0)}${w.freshId()}`, w.longAt);
-    const me = { id: keep.kept.id, kind: this.kind, addr: this.addr, http: '', zone, data: '' };
+    const me = { id: keep.kept.id, kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
     if (this.kind === 'control') {
-      const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3 });
+      const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3, list: w.list?.reader(this.addr, life) });
       await node.start();
       this.control = node;
       return;
     }
-    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: 3600000, hintsMost: w.hintsMost });
+    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: w.keepMs, hintsMost: w.hintsMost });
     const node = new StoreNode({ ...common, me, keep, shelf });
     await node.start();
     this.store = node;
@@ -86,7 +90,7 @@
     const w = this.world;
     const agent = new Agent({
       seeds: this.seeds, clock: life.clock(w.clock), circuits: w.net.circuits(this.addr, life), bounds: w.bounds, log: this.log('zen'), addr: this.addr,
-      http: '', zone: `zone-${this.n % 3}`, proxy: `${this.addr}/feed`, loop: w.net.circuits(`${this.addr}/loop`, life),
+      http: '', zone: `zone-${this.n % 3}`, name: this.name, proxy: `${this.addr}/feed`, stopWithin: 5 * w.bounds.beat, loop: w.net.circuits(`${this.addr}/loop`, life),
     });
     await agent.start();
     this.agent = agent;
@@ -98,7 +102,7 @@
     const { beat, silent, grace } = w.bounds;
     const front = new Front({
       id: `f${w.freshId()}`, clock, circuits: w.net.circuits(`${this.addr}/data`, life), backend: w.servers.backend(life, this.addr),
-      bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: 3600000 }, log: this.log('proxy'), affinity: true,
+      bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: w.keepMs, stopWithin: 5 * beat }, log: this.log('proxy'), affinity: true,
     });
     const feed = w.net.circuits(`${this.addr}/feed`, life);
     await feed.serve(async (inq) =>
@@ -120,6 +124,12 @@
     if (how === 'power') this.platter.powerLoss();
   }
 
+  /** Tells both processes of a front to stop; resolves when they have ended. */
+  async stopInOrder(): Promise<void> {
+    await Promise.all([this.front?.stop(), this.agent?.stop()]);
+    this.kill();
+  }
+
   killProxy(): void {
     this.proxyLife.dead = true;
     this.front = undefined;
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -1,8 +1,9 @@
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, BusyReport } from '@tillerstair/steward';
+import type { Act, Backend, Ended, Generate, BusyReport, Passing } from '@tillerstair/steward';
 import type { RanRecord } from '@tillerstair/checker';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
+import { passRun, type Passed } from './sim-pass.js';
 
 export interface SimFaults {
   readonly refuses: boolean;
@@ -10,15 +11,22 @@
   readonly loseEvery: number;
   readonly cutEvery: number;
   readonly slow: number;
+  /** Says that it did not run what it is sent. */
+  readonly declines: boolean;
+  /** With a cut: in the middle of an event. */
+  readonly tears: boolean;
+  /** Runs, and speaks of another try. */
+  readonly lies: boolean;
 }
 
-const healthy: SimFaults = { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1 };
+const healthy: SimFaults = { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1, declines: false, tears: false, lies: false };
 
 export class SimServers {
   readonly ran: RanRecord[] = [];
   private readonly faults = new Map<string, SimFaults>();
   private readonly busy = new Map<string, number>();
   asked = 0;
+  polls = 0;
   private served = 0;
   readonly cutFronts = new Set<string>();
 
@@ -40,7 +48,7 @@
   }
 
   private note(s: Server, ran: Omit<RanRecord, 'server' | 'pool' | 'at'>): void {
-    this.ran.push({ ...ran, server: s.id, pool: s.pool, at: this.clock.now(), said: ran.said.slice(-60) });
+    this.ran.push({ ...ran, server: s.id, pool: s.pool, at: this.clock.now(), said: ran.kind === 'pass' ? ran.said : ran.said.slice(-60) });
   }
 
   backend(life: Life, front = ''): Backend {
@@ -99,8 +107,25 @@
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the verdict was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
+      pass: async (s: Server, p: Passing, sink, gone, _left, still): Promise<Ended> => {
+        const f = this.of(s.id);
+        const back = await leave(s, still);
+        if (back) return back;
+        if (f.declines) return gate({ kind: 'declined', text: 'full' });
+        const nth = ++this.served;
+        const began = clock.now();
+        this.enter(s, 1);
+        const ran: Passed = await passRun({ by: s.id, nth, faults: f, clock, rng: this.rng, life, gone }, p, sink);
+        this.enter(s, -1);
+        this.note(s, { kind: 'pass', attempt: p.attempt, began, said: p.body, ...ran });
+        if (!ran.complete) return gate({ kind: 'lost', text: 'the answer stopped' });
+        if (f.lies) return gate({ kind: 'lost', text: 'the server spoke of another try' });
+        if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the answer was lost' });
+        return gate({ kind: 'done', code: 200, body: null });
+      },
       busyness: async (s: Server): Promise<BusyReport> => {
         const f = this.of(s.id);
+        this.polls++;
         await pause(frontClock, 0.5);
         if (refuses(s)) throw new Error('refused');
         return { busy: this.busy.get(s.id) ?? 0, leaving: f.leaving };
--- a/packages/sim/src/sim-net.ts
+++ b/packages/sim/src/sim-net.ts
@@ -6,13 +6,26 @@
   readonly life: Life;
 }
 
+export interface Heard {
+  readonly from: string;
+  readonly to: string;
+  readonly kind: string;
+  readonly bytes: number;
+}
+
+const headOf = (kind: string, part: 'body' | 'piece' | 'verdict'): number =>
+  `{"id":10000,${part === 'body' ? `"kind":"${kind}",` : ''}"${part}":}\n`.length;
+
 export class SimNet {
   private readonly hosts = new Map<string, Host>();
   private readonly cuts = new Set<string>();
   messages = 0;
+  heard: ((m: Heard) => void) | undefined;
+  apart: (from: string, to: string) => number = () => 0;
   readonly largest = new Map<string, number>();
 
-  private weigh(kind: string, text: string): void {
+  private weigh(kind: string, text: string, from: string, to: string, part: 'body' | 'piece' | 'verdict'): void {
+    this.heard?.({ from, to, kind, bytes: Buffer.byteLength(text) + headOf(kind, part) });
     if (text.length > (this.largest.get(kind) ?? 0)) this.largest.set(kind, text.length);
   }
 
@@ -33,7 +46,7 @@
 
   private carry(from: string, to: string, run: () => void): void {
     const pair = `${from}>${to}`;
-    const at = Math.max(this.clock.now() + 0.3 + this.rng() * 0.7, (this.lastAt.get(pair) ?? 0) + 0.001);
+    const at = Math.max(this.clock.now() + 0.3 + this.rng() * 0.7 + this.apart(from, to), (this.lastAt.get(pair) ?? 0) + 0.001);
     this.lastAt.set(pair, at);
     this.clock.after(at - this.clock.now(), run);
   }
@@ -68,7 +81,7 @@
 
   call(from: string, mine: Life, to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
     const sent = JSON.stringify(body ?? null);
-    this.weigh(kind, sent);
+    this.weigh(kind, sent, from, to, 'body');
     const wire: unknown = JSON.parse(sent);
     this.messages++;
     return new Promise((done, fail) => {
@@ -114,6 +127,7 @@
         host.life.do(() => {
           const emit = (piece: unknown): void => {
             const text = JSON.stringify(piece);
+            this.weigh(`${kind} piece`, text, to, from, 'piece');
             back(() => {
               mine.do(() => {
                 if (!over) bounds.onPiece?.(JSON.parse(text));
@@ -123,7 +137,7 @@
           void host.handler({ from, kind, body: wire }, emit, gone.signal).then(
             (v) => {
               const text = JSON.stringify(v ?? null);
-              this.weigh(kind, text);
+              this.weigh(kind, text, to, from, 'verdict');
               back(() => finish(() => done(JSON.parse(text))), host);
             },
             (e: unknown) => {
--- a/packages/sim/src/storm-config.ts
+++ b/packages/sim/src/storm-config.ts
@@ -1,3 +1,5 @@
+import { passLanes } from './pass.js';
+
 export interface StormConfig {
   readonly base: number;
   readonly turnPools: readonly string[];
@@ -14,6 +16,7 @@
       { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: turnPools.map((pool) => ({ pool, share: 1 })) },
       call('hold', '/hold', { acting: true }),
       call('alarm', '/alarm', { acting: true, urgent: true }),
+      ...passLanes(turnPools, callPool),
       ...Array.from({ length: extra }, (_, i) => call(`x${i}`, `/x/${i}`)),
     ],
     budgets: { program: 1000, turn: 16 },
--- a/packages/sim/src/storm-faults.ts
+++ b/packages/sim/src/storm-faults.ts
@@ -10,7 +10,7 @@
 const onMachines = ['kill', 'freeze', 'power', 'cut', 'oneway', 'slow', 'wipe', 'swap'].flatMap((what) =>
   (what === 'wipe' || what === 'swap' || what === 'slow' ? ['control', 'store'] : ['control', 'store', 'front']).map((kind) => `${what}-${kind}`),
 );
-const onServers = ['lose-verdicts', 'cut-streams', 'refuse', 'leave', 'own-leave', 'slow-server'];
+const onServers = ['lose-verdicts', 'cut-streams', 'tear-events', 'lie', 'decline', 'refuse', 'leave', 'own-leave', 'slow-server'];
 const others = [
   'split-controls', 'isolate-controls', 'kill-proxy', 'freeze-proxy', 'kill-agent', 'power-on-ack', 'config', 'race', 'grow', 'crowd', 'pile-up',
   'add-front', 'drain-front', 'empty-store', 'swap-seeds', 'all-down',
@@ -176,6 +176,15 @@
       case 'cut-streams':
         w.servers.set(server, { cutEvery: 3 });
         break;
+      case 'tear-events':
+        w.servers.set(server, { cutEvery: 2, tears: true });
+        break;
+      case 'lie':
+        w.servers.set(server, { lies: true });
+        break;
+      case 'decline':
+        w.servers.set(server, { declines: true });
+        break;
       case 'refuse':
         w.servers.set(server, { refuses: true });
         break;
@@ -185,7 +194,7 @@
       default:
         return this.onMachine(what, kind, span, p);
     }
-    this.after(span, () => w.servers.set(server, { refuses: false, loseEvery: 0, cutEvery: 0, slow: 1 }));
+    this.after(span, () => w.servers.set(server, { refuses: false, declines: false, tears: false, lies: false, loseEvery: 0, cutEvery: 0, slow: 1 }));
     return server;
   }
 
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -4,6 +4,7 @@
 import type { Machine } from './machine.js';
 import { Faults, faultKinds } from './storm-faults.js';
 import { stormConfig } from './storm-config.js';
+import { passChat } from './storm-pass.js';
 import { seededRng, World, type WorldSizes } from './world.js';
 
 export interface Planned {
@@ -45,10 +46,12 @@
   readonly faults: Faults;
   onDone: ((t: ToldRecord) => void) | undefined;
   private readonly going = new Set<Promise<unknown>>();
+  private readonly passing = new Set<Promise<unknown>>();
   private readonly ownLeavings = new Set<LeavingRecord>();
   private version = 1;
   private extra = 0;
   private n = 0;
+  private passChats = 0;
 
   constructor(readonly spec: StormSpec) {
     this.w = new World(spec.seed, spec.sizes);
@@ -60,9 +63,13 @@
     return from[Math.floor(this.w.rng() * from.length)];
   }
 
-  track(p: Promise<unknown>): void {
-    this.going.add(p);
-    void p.then(() => this.going.delete(p), () => this.going.delete(p));
+  track(p: Promise<unknown>, among = this.going): void {
+    among.add(p);
+    void p.then(() => among.delete(p), () => among.delete(p));
+  }
+
+  trackPass(p: Promise<unknown>): void {
+    this.track(p, this.passing);
   }
 
   wait(ms: number): Promise<void> {
@@ -81,6 +88,7 @@
     let nextAt = w.clock.now() + (spec.plan[0]?.gap ?? Infinity);
     while (w.clock.now() < end) {
       if (this.going.size < spec.chats) this.beginChat();
+      if (this.passing.size < spec.chats / 2) this.trackPass(passChat(this, this.passChats++));
       const planned = spec.plan[next];
       if (planned && w.clock.now() >= nextAt) {
         next++;
@@ -93,12 +101,12 @@
     }
     await this.faults.calm();
     for (const l of this.ownLeavings) this.endLeaving(l);
-    for (const [id] of stormServers) w.servers.set(id, { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1 });
+    for (const [id] of stormServers) w.servers.set(id, { refuses: false, leaving: false, declines: false, tears: false, lies: false, loseEvery: 0, cutEvery: 0, slow: 1 });
     await w.clock.until('calm', () => w.readyFronts().length >= w.of('front').filter((m) => m.up).length - w.drained.size && w.slotsOpen(), 60000);
-    await w.clock.until('callers', () => this.going.size === 0, 240000);
+    await w.clock.until('callers', () => this.going.size === 0 && this.passing.size === 0, 240000);
     const readBack = await this.held();
     return {
-      ...noRecords, told: w.told, ran: w.servers.ran, configs: this.configs, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
+      ...noRecords, told: w.told, ran: w.servers.ran, passes: w.passes, configs: this.configs, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
     };
   }
 
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -1,12 +1,14 @@
 import type { Outcome } from '@tillerstair/control';
-import type { ToldRecord } from '@tillerstair/checker';
+import type { PassRecord, ToldRecord } from '@tillerstair/checker';
+import type { Front } from '@tillerstair/proxy';
 import { rootOf, type State } from '@tillerstair/state';
-import { opKeyOf, type Verdict } from '@tillerstair/steward';
+import { opKeyOf, type EmitPiece, type Verdict } from '@tillerstair/steward';
 import { zenBounds } from '@tillerstair/zen';
 import { z } from 'zod';
 import { Machine } from './machine.js';
 import { SimServers } from './sim-backend.js';
 import { SimClock } from './sim-clock.js';
+import type { SimList } from './sim-list.js';
 import { SimNet } from './sim-net.js';
 
 export const seededRng = (seed: number): (() => number) => {
@@ -26,6 +28,7 @@
   readonly controls: number;
   readonly stores: number;
   readonly fronts: number;
+  readonly slots?: number;
 }
 
 export class World {
@@ -34,11 +37,14 @@
   readonly net;
   readonly servers;
   readonly bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
-  readonly slots = 8;
+  readonly slots: number;
   readonly longAt = 1 << 16;
   hintsMost = 10000;
+  keepMs = 3600000;
+  list: SimList | undefined;
   readonly machines: Machine[] = [];
   readonly told: ToldRecord[] = [];
+  readonly passes: PassRecord[] = [];
   trace: ((line: string) => void) | undefined;
   skewed = false;
   private ids = 0;
@@ -49,6 +55,7 @@
     sizes: WorldSizes,
   ) {
     this.rng = seededRng(seed);
+    this.slots = sizes.slots ?? 8;
     this.net = new SimNet(this.clock, this.rng);
     this.servers = new SimServers(this.clock, this.rng);
     for (let n = 0; n < sizes.controls; n++) this.add('control');
@@ -91,7 +98,7 @@
   }
 
   get drained(): ReadonlySet<string> {
-    return this.committed?.retiring ?? new Set();
+    return new Set(this.committed?.retiring.keys());
   }
 
   start(ms: readonly Machine[] = this.machines): void {
@@ -150,13 +157,18 @@
     return up[Math.floor(this.rng() * up.length)];
   }
 
-  private async ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onPiece: (n: number, text: string) => void): Promise<Verdict> {
+  private ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onPiece: EmitPiece): Promise<Verdict> {
+    return this.inquire(at, (front, emit, gone) => front.deliver({ kind, slotKey, body, within: 120000 }, emit, gone), onPiece);
+  }
+
+  /** Runs an inquiry at a front as its caller hears it: nothing more comes from a front that died. */
+  async inquire(at: Machine | undefined, ask: (front: Front, emit: EmitPiece, gone: AbortSignal) => Promise<Verdict>, onPiece: EmitPiece): Promise<Verdict> {
     const m = this.front(at);
     const front = m?.front;
     if (!front) return { verdict: 'refused', status: 0, mishap: 'no-front' };
     const life = m.proxyLife;
     const gone = new AbortController();
-    const run = front.deliver({ kind, slotKey, body, within: 120000 }, (n, text) => life.do(() => onPiece(n, text)), gone.signal);
+    const run = ask(front, (n, text) => life.do(() => onPiece(n, text)), gone.signal);
     return new Promise((done) => {
       let over = false;
       const end = (v: Verdict): void => {
--- a/packages/steward/src/backend.ts
+++ b/packages/steward/src/backend.ts
@@ -11,6 +11,36 @@
   | { readonly kind: 'lost'; readonly text: string }
   | { readonly kind: 'done'; readonly code: number; readonly body: unknown };
 
+export interface Busyness {
+  readonly running: number;
+  readonly waiting: number;
+  readonly places: number;
+}
+
+export type Header = readonly [string, string];
+
+export interface Head {
+  readonly status: number;
+  readonly headers: readonly Header[];
+}
+
+/** A request as the caller sent it. `body` holds one byte a character (latin1); `resume` names the last event that the caller has. */
+export interface Passing {
+  readonly attempt: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: string;
+  readonly resume: string;
+}
+
+/** Where the bytes of a server's answer go, one byte a character (latin1). */
+export interface Sink {
+  head(head: Head): void;
+  bytes(text: string): void;
+  busyness(b: Busyness): void;
+}
+
 export interface Generate {
   readonly id: string;
   readonly messages: readonly Message[];
@@ -34,5 +64,7 @@
 export interface Backend {
   generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
   act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
+  /** Sends a request unchanged; `left` is the caller's time in ms. The verdict is `done` only after the server's whole answer. */
+  pass(server: Server, p: Passing, sink: Sink, gone: AbortSignal, left: number, still: () => boolean): Promise<Ended>;
   busyness(server: Server, within: number): Promise<BusyReport>;
 }
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -8,3 +8,5 @@
 export * from './steward.js';
 export * from './turns.js';
 export * from './calls.js';
+export * from './events.js';
+export * from './streams.js';
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -1,9 +1,9 @@
 import {
-  copiesAfter, groupOf, Item, keptOn, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, type Slot,
+  copiesAfter, groupOf, Item, keptOn, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, turnsKeptMs, type Slot,
 } from '@tillerstair/state';
 import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
-import { TurnValue } from './verdict.js';
+import { Cost } from './verdict.js';
 
 export interface KeeperParts {
   readonly clock: Clock;
@@ -158,7 +158,7 @@
     const [kind, pid = '', t] = item.key.split('/');
     if (kind === 'p' && t === 't') {
       const cost = (v: unknown): number => {
-        const turn = TurnValue.safeParse(v);
+        const turn = Cost.safeParse(v);
         return turn.success ? turn.data.cost : 0;
       };
       const root = rootOf(pid);
@@ -254,7 +254,8 @@
 
   expire(): number {
     const now = this.p.clock.now();
-    const old = new Set([...this.touched].filter(([, at]) => now - at > this.p.keepMs * 0.9).map(([g]) => g));
+    const keepMs = Math.max(this.p.keepMs * 0.9, turnsKeptMs(this.p.table()?.config));
+    const old = new Set([...this.touched].filter(([, at]) => now - at > keepMs).map(([g]) => g));
     if (old.size === 0) return 0;
     const kept = [...this.held.values()].filter((i) => !old.has(groupOf(i.key)));
     const touched = [...this.touched].filter(([g]) => !old.has(g));
--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
-import { weightKey, type Lane, type Server } from '@tillerstair/state';
+import { slotOf, weightKey, type Lane, type Server } from '@tillerstair/state';
 import type { Clock } from '@tillerstair/wire';
-import type { Backend, Message } from './backend.js';
+import type { Backend, Busyness, Message } from './backend.js';
 import type { Candidate, PlaceContext, Policy, Seen } from './policies.js';
 import type { Table } from './table.js';
 
@@ -9,6 +9,8 @@
   readonly url: string;
   readonly inflight: number;
   readonly busy: number;
+  readonly told: Busyness | undefined;
+  readonly toldAt: number;
   readonly leaving: boolean;
   readonly badSince: number;
   readonly failures: number;
@@ -17,16 +19,33 @@
 }
 
 const fresh = (url: string): Sight => ({
-  url, inflight: 0, busy: 0, leaving: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
+  url, inflight: 0, busy: 0, told: undefined, toldAt: -Infinity, leaving: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
 });
 
-export const prefixesOf = (messages: readonly Message[]): readonly string[] => {
-  const out: string[] = [];
+/** A piece of a prompt that a server may hold already: its name with all before it, and its tokens. */
+export interface Part {
+  readonly name: string;
+  readonly tokens: number;
+}
+
+export const partsOf = (parts: readonly (readonly [string, number])[]): readonly Part[] => {
+  let name = '';
+  return parts.map(([id, tokens]) => {
+    name = createHash('sha1').update(name).update(id).digest('base64url').slice(0, 12);
+    return { name, tokens };
+  });
+};
+
+const blockLength = 256;
+const blockTokens = blockLength / 4;
+
+export const prefixesOf = (messages: readonly Message[]): readonly Part[] => {
+  const out: Part[] = [];
   let h = '';
   for (const m of messages) {
-    for (let i = 0; i < m.text.length; i += 256) {
-      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + 256)).digest('base64url').slice(0, 12);
-      out.push(h);
+    for (let i = 0; i < m.text.length; i += blockLength) {
+      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + blockLength)).digest('base64url').slice(0, 12);
+      out.push({ name: h, tokens: blockTokens });
     }
   }
   return out;
@@ -37,12 +56,15 @@
   readonly pollWithin: number;
   readonly retryBad: number;
   readonly sightWithin: number;
+  /** How long a server's own word of its busyness counts, in ms. */
+  readonly toldFor: number;
 }
 
 export class Placement {
   private readonly sights = new Map<string, Sight>();
-  private readonly warm = new Map<string, string>();
+  private readonly warm = new Map<string, ReadonlySet<string>>();
   private readonly credit = new Map<string, number>();
+  barred: ReadonlySet<string> = new Set();
 
   constructor(
     private readonly clock: Clock,
@@ -51,6 +73,7 @@
     private readonly bounds: PlacementBounds,
     private readonly table: () => Table | undefined,
     private readonly perServer: () => number,
+    private readonly self = '',
   ) {}
 
   private sight(s: Server): Sight {
@@ -66,8 +89,37 @@
     const v = this.sight(s);
     const since = this.clock.now() - v.badSince;
     const standing = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
-    const stale = this.clock.now() - v.polledAt > this.bounds.sightWithin;
-    return { inflight: v.inflight, busy: v.busy, leaving: v.leaving || stale, standing };
+    const stale = this.bounds.poll > 0 && this.clock.now() - v.polledAt > this.bounds.sightWithin;
+    return { inflight: v.inflight, busy: Math.max(v.busy, this.toldRunning(v)), leaving: v.leaving || stale || this.barred.has(s.id), standing };
+  }
+
+  private toldRunning(v: Sight): number {
+    return v.told && this.clock.now() - v.toldAt < this.bounds.toldFor ? v.told.running + v.told.waiting : 0;
+  }
+
+  told(s: Server, told: Busyness): void {
+    this.set(s, { told, toldAt: this.clock.now() });
+  }
+
+  private limitOf(s: Server): number {
+    const { config } = this.table() ?? {};
+    const places = config?.pools.find((p) => p.name === s.pool)?.engine?.places ?? s.places;
+    return places > 0 ? places : this.perServer();
+  }
+
+  private warmth(parts: readonly Part[]): (s: Server) => number {
+    const total = parts.reduce((n, p) => n + p.tokens, 0);
+    const held = new Map<string, number>();
+    const live = new Set<string>();
+    parts.forEach((p, i) => {
+      const at = this.warm.get(p.name);
+      if (i === 0) for (const id of at ?? []) live.add(id);
+      for (const id of [...live]) {
+        if (at?.has(id)) held.set(id, (held.get(id) ?? 0) + p.tokens);
+        else live.delete(id);
+      }
+    });
+    return (s) => (total === 0 ? 0 : (held.get(s.id) ?? 0) / total);
   }
 
   allowed(server: Server, lane: Lane): boolean {
@@ -80,23 +132,32 @@
     const state = this.table()?.state;
     if (!state) return false;
     const pools = new Set(lane.shares.filter((s) => s.share > 0).map((s) => s.pool));
-    return [...state.servers.values()].some((s) => pools.has(s.pool) && !skip.has(s.id) && !s.leaving && !this.seen(s).leaving && this.seen(s).standing !== 'bad');
+    return [...state.servers.values()].some(
+      (s) => pools.has(s.pool) && !skip.has(s.id) && !s.leaving && (this.unasked(s) || (!this.seen(s).leaving && this.seen(s).standing !== 'bad')),
+    );
+  }
+
+  /** Listed a moment ago: its first word of itself is still to come. */
+  private unasked(s: Server): boolean {
+    const { polledAt, failures } = this.sight(s);
+    return this.bounds.poll > 0 && polledAt === -Infinity && failures === 0 && !this.barred.has(s.id);
   }
 
-  pick(lane: Lane, prefixes: readonly string[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
+  pick(lane: Lane, parts: readonly Part[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
     const state = this.table()?.state;
     if (!state) return undefined;
     const shares = lane.shares.filter((s) => s.share > 0);
+    const pools = new Map(this.table()?.config?.pools.map((p) => [p.name, p]));
     const total = shares.reduce((n, s) => n + s.share, 0);
-    const depth = new Map<string, number>();
-    prefixes.forEach((h, i) => {
-      const server = this.warm.get(h);
-      if (server !== undefined) depth.set(server, i + 1);
-    });
+    const tokens = parts.reduce((n, p) => n + p.tokens, 0);
+    const tie = (id: string): number => slotOf(`${this.self}|${id}`, 1 << 20);
     const ctx: PlaceContext = {
       lane,
       seen: (s) => this.seen(s),
-      warmth: (s) => (prefixes.length === 0 ? 0 : (depth.get(s.id) ?? 0) / prefixes.length),
+      tokens,
+      warmth: this.warmth(parts),
+      engine: (s) => pools.get(s.pool)?.engine,
+      places: (s) => this.limitOf(s),
       weight: (s) => state.weights.get(weightKey(s.pool, s.id)) ?? 1,
     };
     const from = (pool: string): Server | undefined => {
@@ -105,8 +166,8 @@
         .map((server) => ({ server, score: 0 }));
       const ranked = this.chain
         .reduce((cands, p) => p.apply(cands, ctx), start)
-        .filter((c) => this.sight(c.server).inflight < this.perServer());
-      return [...ranked].sort((a, b) => b.score - a.score || (a.server.id < b.server.id ? -1 : 1))[0]?.server;
+        .filter((c) => this.sight(c.server).inflight < this.limitOf(c.server));
+      return [...ranked].sort((a, b) => b.score - a.score || tie(a.server.id) - tie(b.server.id))[0]?.server;
     };
     const credit = (pool: string): number => this.credit.get(`${lane.name}|${pool}`) ?? 0;
     const order = shares
@@ -124,11 +185,12 @@
     return undefined;
   }
 
-  begin(s: Server, prefixes: readonly string[]): void {
+  begin(s: Server, parts: readonly Part[]): void {
     this.set(s, { inflight: this.sight(s).inflight + 1 });
-    for (const h of prefixes) {
-      this.warm.delete(h);
-      this.warm.set(h, s.id);
+    for (const { name } of parts) {
+      const at = this.warm.get(name);
+      this.warm.delete(name);
+      this.warm.set(name, at?.has(s.id) ? at : new Set([...(at ?? []), s.id]));
     }
     while (this.warm.size > 20000) {
       const oldest = this.warm.keys().next().value;
@@ -162,6 +224,7 @@
     const state = this.table()?.state;
     if (!state) return;
     for (const id of [...this.sights.keys()]) if (!state.servers.has(id)) this.sights.delete(id);
+    if (this.bounds.poll <= 0) return;
     await Promise.all(
       [...state.servers.values()].map(async (s) => {
         if (onlyNew && this.sight(s).polledAt > -Infinity) return;
--- a/packages/steward/src/policies.ts
+++ b/packages/steward/src/policies.ts
@@ -7,9 +7,20 @@
   readonly standing: 'good' | 'doubtful' | 'bad';
 }
 
+export interface Engine {
+  readonly places: number;
+  readonly memoryTokens: number;
+  readonly pieceTokens: number;
+}
+
 export interface PlaceContext {
   readonly lane: Lane;
   seen(server: Server): Seen;
+  /** Tokens of the whole prompt; 0 where it is not known. */
+  readonly tokens: number;
+  engine(server: Server): Engine | undefined;
+  places(server: Server): number;
+  /** The share of the prompt's tokens, 0 to 1, that the server should hold already. */
   warmth(server: Server): number;
   weight(server: Server): number;
 }
@@ -38,15 +49,35 @@
   },
 };
 
+const tokensPerPlace = 1 / 25;
+const fullCost = 8;
+
+/** For servers that run batches: what is to be read anew, against what more there is in the batch, both in tokens. */
+export const batch: Policy = {
+  name: 'batch',
+  apply: (cands, ctx) =>
+    cands.map((c) => {
+      const engine = ctx.engine(c.server);
+      if (!engine || ctx.tokens === 0) return c;
+      const seen = ctx.seen(c.server);
+      const running = Math.max(seen.inflight, seen.busy);
+      const step = (engine.memoryTokens / engine.places) * tokensPerPlace;
+      const over = Math.max(0, running + 1 - engine.places);
+      const cold = ctx.tokens * (1 - ctx.warmth(c.server));
+      return { ...c, score: c.score - (cold + running * step + over * fullCost * step) / step };
+    }),
+};
+
 export const affinity = (gain: number): Policy => ({
   name: 'affinity',
-  apply: (cands, ctx) => cands.map((c) => ({ ...c, score: c.score + gain * ctx.warmth(c.server) })),
+  apply: (cands, ctx) => cands.map((c) => (ctx.engine(c.server) ? c : { ...c, score: c.score + gain * ctx.warmth(c.server) })),
 });
 
 export const busyness = (cost: number): Policy => ({
   name: 'busyness',
   apply: (cands, ctx) =>
     cands.map((c) => {
+      if (ctx.engine(c.server) && ctx.tokens > 0) return c;
       const seen = ctx.seen(c.server);
       return { ...c, score: c.score - (cost * (Math.max(seen.inflight, seen.busy) + seen.inflight * 0.1)) / Math.max(0.05, ctx.weight(c.server)) };
     }),
@@ -60,7 +91,7 @@
 export const chainOf = (withAffinity: boolean): readonly Policy[] => [
   leaving,
   standing,
-  ...(withAffinity ? [affinity(4)] : []),
+  ...(withAffinity ? [batch, affinity(4)] : []),
   busyness(1),
   weight,
 ];
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -1,13 +1,15 @@
-import { laneFor, rootOf, slotOf, type Lane, type LaneKind, type Server, type State } from '@tillerstair/state';
+import { FoundTurns, laneFor, newerItem, rootOf, slotOf, type Lane, type LaneKind, type Server, type State } from '@tillerstair/state';
 import { Mishap, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { Backend } from './backend.js';
 import { Calls } from './calls.js';
 import { Gate } from './gate.js';
 import { SlotKeeper } from './keeper.js';
-import { Placement } from './placement.js';
+import { Placement, type Part } from './placement.js';
 import { chainOf } from './policies.js';
+import { Streams } from './streams.js';
 import { tableOf, type Table } from './table.js';
 import { Turns } from './turns.js';
+import { PassTurn } from './verdict.js';
 
 export interface StewardBounds {
   readonly beat: number;
@@ -15,6 +17,8 @@
   readonly grace: number;
   readonly poll: number;
   readonly keepMs: number;
+  /** How long a front that is told to stop may take, in ms. */
+  readonly stopWithin: number;
 }
 
 export interface StewardParts {
@@ -39,7 +43,8 @@
   private readonly watches = new Set<Watch>();
   private readonly gone = lasting();
   readonly placement: Placement;
-  readonly gate: Gate<Server>;
+  private readonly gates = new Map<string, Gate<Server>>();
+  readonly streams: Streams;
   readonly turns: Turns;
   readonly calls: Calls;
 
@@ -49,11 +54,12 @@
       p.clock,
       p.backend,
       chainOf(p.affinity),
-      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.beat, sightWithin: (p.bounds.grace * 4) / 5 },
+      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.beat, sightWithin: (p.bounds.grace * 4) / 5, toldFor: p.bounds.beat / 2 },
       table,
       () => this.table?.config?.bounds.perServer ?? 16,
+      p.id,
     );
-    this.gate = new Gate<Server>(p.clock, () => this.table?.config?.bounds.line ?? 256);
+    this.streams = new Streams(this);
     this.turns = new Turns(this);
     this.calls = new Calls(this);
   }
@@ -69,10 +75,12 @@
   private async pollServers(): Promise<void> {
     while (!this.gone.signal.aborted) {
       await this.placement.poll();
-      this.gate.pump();
-      this.gate.review();
+      for (const gate of this.gates.values()) {
+        gate.pump();
+        gate.review();
+      }
       for (const k of this.keepers.values()) k.expire();
-      await pause(this.p.clock, this.p.bounds.poll, this.gone.signal);
+      await pause(this.p.clock, this.p.bounds.poll > 0 ? this.p.bounds.poll : this.p.bounds.beat / 4, this.gone.signal);
     }
   }
 
@@ -82,7 +90,7 @@
 
   take(state: State): void {
     this.table = tableOf(state, this.table);
-    void this.placement.poll(true);
+    void this.placement.poll(true).then(() => this.pump());
     for (const w of [...this.watches]) if (!state.nodes.has(w.front)) w.lost.abort();
     state.slots.forEach((slot, n) => {
       const old = this.keepers.get(n);
@@ -95,7 +103,22 @@
         this.keepers.delete(n);
       }
     });
-    this.gate.pump();
+    this.pump();
+  }
+
+  private pump(): void {
+    for (const gate of this.gates.values()) gate.pump();
+  }
+
+  private gateOf(lane: Lane): Gate<Server> {
+    const name = lane.shares.map((x) => x.pool).sort().join(' ');
+    const gate = this.gates.get(name) ?? new Gate<Server>(this.p.clock, () => this.table?.config?.bounds.line ?? 256);
+    this.gates.set(name, gate);
+    return gate;
+  }
+
+  get waiting(): number {
+    return [...this.gates.values()].reduce((n, g) => n + g.waiting, 0);
   }
 
   private makeKeeper(n: number, since: number): SlotKeeper {
@@ -111,6 +134,10 @@
     this.freshAt = Math.max(this.freshAt, at);
   }
 
+  bar(ids: ReadonlySet<string>): void {
+    this.placement.barred = ids;
+  }
+
   get fresh(): boolean {
     return this.p.clock.now() - this.freshAt < this.p.bounds.grace;
   }
@@ -155,6 +182,38 @@
     return { lost: w.lost.signal, end: () => this.watches.delete(w) };
   }
 
+  /**
+   * Asks every store that keeps a copy for a finished turn named by its try alone, and what it goes on from.
+   * Empty only when all but one of them (a write is on two of three) say that there is none.
+   */
+  async findTurn(attempt: string): Promise<readonly (readonly [string, PassTurn])[]> {
+    const state = this.table?.state;
+    if (!state) throw new Mishap('not-ready', 'no committed state yet');
+    const ids = [...new Set(state.slots.flatMap((slot) => slot.copies))];
+    const asked = await Promise.allSettled(
+      ids.map(async (id) => {
+        const mate = state.nodes.get(id);
+        if (!mate) throw new Mishap('away', `copy ${id} is away`);
+        return FoundTurns.parse(await this.p.circuits.call(mate.addr, 'store/find', { turn: attempt }, { within: this.p.bounds.putWithin }));
+      }),
+    );
+    const good = asked.flatMap((r) => (r.status === 'fulfilled' ? [r.value.items] : []));
+    const turns = good.flat().flatMap((item) => {
+      const turn = PassTurn.safeParse(item.value);
+      return turn.success ? [{ item, turn: turn.data, name: item.key.split('/')[3] ?? '' }] : [];
+    });
+    const finished = turns.filter((t) => t.turn.status === 'done');
+    if (finished.some((t) => t.name === attempt)) return finished.map((t) => [t.name, t.turn]);
+    if (ids.length === 0 || ids.length - good.length > 1) throw new Mishap('unavailable', 'too few stores can tell');
+    const newest = turns.filter((t) => t.name === attempt).reduce<(typeof turns)[number] | undefined>((a, b) => (a && !newerItem(b.item, a.item) ? a : b), undefined);
+    if (newest?.turn.status === 'reserved') throw new Mishap('not-finished', 'this turn has not finished');
+    return [];
+  }
+
+  get holdsSlots(): boolean {
+    return this.keepers.size > 0;
+  }
+
   releases(): readonly (readonly [number, number])[] {
     return [...this.keepers.values()].flatMap((k) => {
       const r = k.tryRelease();
@@ -176,16 +235,17 @@
     return lane;
   }
 
-  async place(kind: LaneKind, path: string, prefixes: readonly string[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
+  async place(kind: LaneKind, path: string, parts: readonly Part[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
     const usable = (): Lane => {
       const lane = this.laneOf(kind, path);
       if (!this.placement.usable(lane, skip)) throw new Mishap('no-server', `no server of lane ${lane.name} is usable`);
       return lane;
     };
-    return this.gate.enter(usable().urgent, within, gone, () => {
+    const lane = usable();
+    return this.gateOf(lane).enter(lane.urgent, within, gone, () => {
       if (!this.fresh) return undefined;
-      const server = this.placement.pick(usable(), prefixes, sticky, skip);
-      if (server) this.placement.begin(server, prefixes);
+      const server = this.placement.pick(usable(), parts, sticky, skip);
+      if (server) this.placement.begin(server, parts);
       return server;
     });
   }
@@ -197,12 +257,12 @@
 
   finished(server: Server, ok: boolean, pace?: number): void {
     this.placement.end(server, ok, pace);
-    this.gate.pump();
+    this.pump();
   }
 
   sizes(): { slots: number; items: number; waiting: number } {
     let items = 0;
     for (const k of this.keepers.values()) items += k.size;
-    return { slots: this.keepers.size, items, waiting: this.gate.waiting };
+    return { slots: this.keepers.size, items, waiting: this.waiting };
   }
 }
--- a/packages/steward/src/verdict.ts
+++ b/packages/steward/src/verdict.ts
@@ -79,5 +79,48 @@
   digest: z.string(),
   code: z.number(),
   body: z.unknown(),
+  /** Whether every server that it was sent to keeps its own record of keys. */
+  recorded: z.boolean().default(false),
 });
 export type OpValue = z.infer<typeof OpValue>;
+
+export const Cost = z.object({ cost: z.number() });
+
+const Headers = z.array(z.tuple([z.string(), z.string()]));
+
+/** A request on a pass lane, as it goes to its steward. `left` is in ms; `body` holds one byte a character. */
+export const PassAsk = z.object({
+  tenant: z.string(),
+  host: z.string(),
+  method: z.string(),
+  path: z.string(),
+  headers: Headers,
+  body: z.string(),
+  attempt: z.string(),
+  key: z.string(),
+  left: z.number(),
+  program: z.string(),
+  budget: z.number().nullable(),
+  most: z.number(),
+  parts: z.array(z.tuple([z.string(), z.number()])),
+  after: z.string(),
+  resume: z.string(),
+});
+export type PassAsk = z.infer<typeof PassAsk>;
+
+/** A server's whole answer, as kept for a key and sent to the caller. */
+export const Passed = z.object({ status: z.number(), headers: Headers, body: z.string() });
+export type Passed = z.infer<typeof Passed>;
+
+/** A turn on a pass lane: `input` as sent, `output` the data of its events, a line feed behind each. */
+export const PassTurn = z.object({
+  t: z.literal('pass'),
+  status: z.enum(['reserved', 'done', 'failed', 'void']),
+  after: z.string(),
+  cost: z.number(),
+  input: z.string(),
+  output: z.string(),
+});
+export type PassTurn = z.infer<typeof PassTurn>;
+
+export const passPath = (ask: PassAsk): string => `${ask.host}${ask.path.split('?')[0] ?? ''}`;
--- a/tests/src/backend.test.ts
+++ b/tests/src/backend.test.ts
@@ -10,7 +10,7 @@
 const say = { id: 'i', messages: [{ role: 'user' as const, text: 'hello' }], maxTokens: 64, inquiry: 'i' };
 const act = { id: 'i', key: 'k', path: '/hold', body: '{}', inquiry: 'i' };
 
-const at = (port: number) => ({ id: 's', pool: 'p', url: `http://127.0.0.1:${port}`, leaving: false, down: false });
+const at = (port: number) => ({ id: 's', pool: 'p', url: `http://127.0.0.1:${port}`, leaving: false, down: false, zone: '', places: 0 });
 
 const raw = async (lines: readonly string[]): Promise<{ port: number; close: () => void }> => {
   const [port = 0] = await freePorts(1);
@@ -22,7 +22,7 @@
 };
 
 backend('a server that closes early or loses its end is "lost", at once', async () => {
-  const client = new HttpBackend(500);
+  const client = new HttpBackend({ connectWithin: 500, circuits: () => 8 });
   for (const faults of [{ cutAfter: 1 }, { loseEnd: 1 }]) {
     const [port = 0] = await freePorts(1);
     const model = new ModelServer(
@@ -53,7 +53,7 @@
 });
 
 backend('foreign ids, gaps, repeats, false counts and missing ends are never a success', async () => {
-  const client = new HttpBackend(500);
+  const client = new HttpBackend({ connectWithin: 500, circuits: () => 8 });
   const piece = (n: number, id = 'i') => JSON.stringify({ id, n, text: 'x' });
   const end = (pieces: number, id = 'i') => JSON.stringify({ id, end: true, pieces });
   const wrong = [
@@ -72,7 +72,7 @@
 });
 
 backend('work that had to wait for its circuit is looked at once more before a byte leaves', async () => {
-  const client = new HttpBackend(500);
+  const client = new HttpBackend({ connectWithin: 500, circuits: () => 8 });
   const [port = 0] = await freePorts(1);
   const ledger = new Ledger();
   const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, ledger);
--- a/tests/src/checker.test.ts
+++ b/tests/src/checker.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { checkRecords, noRecords, type RanRecord, type Records, type ToldRecord } from '@tillerstair/checker';
+import { checkRecords, noRecords, type PassRecord, type RanRecord, type Records, type ToldRecord } from '@tillerstair/checker';
 
 const bites = suite('the checker bites');
 
@@ -23,13 +23,36 @@
 const late: RanRecord = { ...ran, server: 's9', key: 't/l', attempt: 'i7', began: -7000, at: -6990 };
 const split = Array.from({ length: 30 }, (_, i): RanRecord => ({ ...ran, key: `t/w${i}`, attempt: `w${i}`, began: 2000 + i, at: 2001 + i, pool: i % 3 === 0 ? 'shop' : 'more' }));
 const wide = { version: 3, text: 'c2', turnPools: ['models'], callPools: ['shop', 'more'], sentAt: 1000, told: 'unknown' as const, toldAt: 1100 };
+const ev = (...ns: readonly number[]): string => ns.map((n) => `id: ${n}\ndata: d${n}\n\n`).join('');
+const passed: PassRecord = {
+  manner: 'keyed', path: '/keyed/x', resumable: false, key: 'pk', attempt: 'a1', program: '', budget: null, most: 4, after: '', input: 'in', from: 100, to: 200, told: 'done',
+  status: 200, mishap: '', retryAfter: 0, body: 'out',
+};
+const passRan: RanRecord = { ...ran, kind: 'pass', key: 'pk', attempt: 'a1', said: 'in', reply: 'out' };
+const root: PassRecord = { ...passed, manner: 'stream', path: '/turn/x', key: '', attempt: 'a2', program: 'pp', budget: 6, body: ev(0, 1) };
+const next: PassRecord = { ...root, attempt: 'a3', after: 'a2', input: 'more', from: 300, to: 400, body: ev(0, 1, 2) };
+const live: PassRecord = { ...root, path: '/live/x', resumable: true, attempt: 'a4', program: '', budget: null, body: ev(0, 1, 2) };
+const not: PassRecord = { ...passed, manner: 'once', path: '/once/x', key: '', attempt: 'a5', told: 'refused', status: 503, body: '' };
+const rootRan: RanRecord = { ...passRan, key: '', attempt: 'a2', program: 'pp', reply: ev(0, 1), tokens: 2 };
+const nextRan: RanRecord = { ...rootRan, attempt: 'a3', said: 'ind0\nd1\nmore', reply: ev(0, 1, 2), tokens: 3 };
+const liveRans: readonly RanRecord[] = [
+  { ...rootRan, attempt: 'a4', program: '', reply: ev(0), complete: false, tokens: 1 }, { ...rootRan, attempt: 'a4', program: '', reply: ev(1, 2), tokens: 2 },
+];
+const passes: readonly PassRecord[] = [passed, root, next, live, not];
+const passRans: readonly RanRecord[] = [passRan, rootRan, nextRan, ...liveRans];
 const good: Records = {
-  ...noRecords, told: [program, turn, fetched, told, { ...told, attempt: 'i3', from: 300, to: 350 }, refused], ran: [ran, gen, late, ...split], configs: [first, config, wide],
+  ...noRecords, passes, told: [program, turn, fetched, told, { ...told, attempt: 'i3', from: 300, to: 350 }, refused], ran: [ran, gen, late, ...split, ...passRans], configs: [first, config, wide],
   leavings: [away], restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 5000, configBefore: 2, configAfter: 2 }],
   shares: [{ kind: 'act', from: 1999, to: 3000, shares: [['shop', 1], ['more', 2]], rounding: 2 }],
   readBack: { version: 2, text: 'c1' }, perTurn: 4,
 };
 
+const brokenOff = (...ns: readonly number[]): Records => ({
+  ...good,
+  ran: [...good.ran, { ...rootRan, attempt: 'a9', reply: ev(...ns), complete: false, tokens: ns.length }],
+  passes: [...passes, { ...root, attempt: 'a9', told: 'partial', body: ev(...ns) }],
+});
+
 bites('sound records breach nothing and prove every rule', () => {
   for (const v of checkRecords(good)) {
     assert.equal(v.breaches, [], v.rule);
@@ -70,6 +93,25 @@
   ['read-back', { ...good, readBack: undefined }],
   ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 12501, configBefore: 1, configAfter: 1 }] }],
   ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 4000, configBefore: 2, configAfter: 1 }] }],
+  ['may not be repeated', { ...good, ran: [...good.ran, { ...passRan, attempt: 'a9' }] }],
+  ['may not be repeated', { ...good, ran: [...good.ran, rootRan] }],
+  ['refused on a pass lane', { ...good, ran: [...good.ran, { ...passRan, key: '', attempt: 'a5' }] }],
+  ['refused on a pass lane', { ...good, passes: [...passes, { ...root, told: 'refused', status: 402, body: '' }] }],
+  ['nobody sent', { ...good, ran: [...good.ran, { ...passRan, key: '', attempt: 'a9' }] }],
+  ['its server\'s bytes', { ...good, passes: [{ ...passed, body: 'ou' }, root, next, live, not] }],
+  ['its server\'s bytes', { ...good, passes: [...passes, { ...passed, attempt: 'a9', body: 'other' }] }],
+  ['its server\'s bytes', { ...good, passes: [passed, { ...root, body: ev(0) }, next, live, not] }],
+  ['repeats or tears', { ...good, passes: [...passes, { ...root, told: 'partial', body: ev(0).slice(0, -1) }] }],
+  ['repeats or tears', { ...good, passes: [passed, root, next, { ...live, body: ev(0, 0, 1, 2) }, not] }],
+  ['repeats or tears', { ...good, passes: [passed, root, next, { ...live, body: ev(0, 2) }, not] }],
+  ['repeats or tears', { ...good, passes: [passed, root, next, { ...live, told: 'partial', body: ev(0, 1, 2, 3) }, not] }],
+  ['its chain before it', { ...good, ran: good.ran.map((x) => (x === nextRan ? { ...x, said: 'ind0\nd1more' } : x)) }],
+  ['its chain before it', { ...good, ran: good.ran.map((x) => (x === passRan ? { ...x, said: 'In' } : x)) }],
+  ['its chain before it', { ...good, passes: [passed, root, { ...next, after: 'none' }, live, not] }],
+  ['pass lanes hands out', { ...good, passes: [...passes, ...['b1', 'b2'].map((attempt) => ({ ...next, attempt }))] }],
+  ['pass lanes hands out', brokenOff(0, 1, 2, 3, 4, 5)],
+  ['of a pass lane answered whole', { ...good, passes: [...passes, { ...next, attempt: 'a9', told: 'refused', status: 404, body: '' }] }],
+  ['never allowed', { ...good, ran: [...good.ran, { ...passRan, key: '', pool: 'secret' }] }],
 ];
 
 const sound: readonly (readonly [string, Records])[] = [
@@ -81,6 +123,9 @@
   ['work of an older version just inside the bound', { ...good, configs: [first, { ...config, toldAt: -2000 }, wide], ran: [...good.ran, { ...gen, attempt: 'n', program: 'n', pool: 'early', began: 200 }] }],
   ['a split within rounding', { ...good, ran: [...good.ran, { ...ran, key: 't/z', pool: 'more', began: 2500 }] }],
   ['serving back just in time', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 12500, configBefore: 2, configAfter: 3 }] }],
+  ['a budget on pass lanes overrun by one turn', brokenOff(0, 1, 2, 3, 4)],
+  ['a budget on pass lanes overrun by what nobody received', { ...good, ran: [...good.ran, { ...rootRan, attempt: 'a9', tokens: 6 }], passes: [...passes, { ...root, attempt: 'a9', told: 'unknown', body: '' }] }],
+  ['a repeatable pass that ran twice and was told refused once more', { ...good, ran: [...good.ran, ...[1, 2].map(() => ({ ...passRan, key: '', attempt: 'a8' }))], passes: [...passes, { ...not, manner: 'repeatable', attempt: 'a8' }] }],
   ['a version of unknown fate read back', { ...good, readBack: { version: 3, text: 'c2' } }],
 ];
 
--- a/tests/src/house.test.ts
+++ b/tests/src/house.test.ts
@@ -11,7 +11,7 @@
 const sources = async (): Promise<ReadonlyMap<string, string>> => {
   const out = new Map<string, string>();
   const dirs = (await readdir(join(root, 'packages'))).map((p) => join('packages', p, 'src'));
-  for (const dir of [...dirs, join('tests', 'src')])
+  for (const dir of [...dirs, join('platform', 'src'), join('tests', 'src')])
     for (const f of await readdir(join(root, dir))) if (f.endsWith('.ts')) out.set(join(dir, f), await readFile(join(root, dir, f), 'utf8'));
   return out;
 };
@@ -48,4 +48,29 @@
   assert.equal(hits(tests, /setTimeout|sleep/), []);
 });
 
+const platformHeaders = [
+  'Try-Id', 'Server-Seal', 'Server-Load', 'Server-Id', 'Time-Left-Ms', 'Token-Budget', 'Token-Count', 'Previous-Turn', 'Prompt-Prefix', 'Program-Time-Left', 'Not-Run',
+  'Expect-Server', 'Expect-Edition', 'Weight-Editions',
+];
+const platformNames = [
+  'wayKind', 'once_only', 'keyed_once', 'pathPrefix', 'depots?', 'berths', 'strideTokens', 'cacheTokens', 'selfDedupes', 'connLimit', 'signal_box', 'winding_down', 'cloudApi',
+  'coldLeftMs', 'intakeLimits', 'gapTargetMs', 'targetMs', 'retainS', 'passWindowS', 'frontAddr', 'readyAddr', 'controlAddr', 'contactMs', 'drainMs', 'graceS', 'recoverS',
+  'TILLERSTAIR_CONFIG', 'retire/', 'nodeName', 'seedNodes', 'firstBoot', 'vaults?', 'tlsMode', 'editions?',
+];
+const platformWords = new RegExp(`(?<!x-)\\b(${platformHeaders.flatMap((h) => [h, h.toLowerCase()]).join('|')})\\b|\\b(${platformNames.join('|')})(?![A-Za-z])`);
+
+house('words of the platform stand in platform/ alone', async () => {
+  const all = await sources();
+  const others = new Map([...all].filter(([f]) => f.startsWith('packages')));
+  assert.equal(hits(others, platformWords), []);
+  assert.ok(hits(new Map([...all].filter(([f]) => f.startsWith('platform'))), platformWords).length > 20);
+});
+
+house('platform/ keeps to the packages\' front doors', async () => {
+  const own = new Map([...(await sources())].filter(([f]) => f.startsWith('platform')));
+  assert.ok(own.size > 5);
+  assert.equal(hits(own, /Date\.now|new Date|toISOString|child_process|worker_threads|node:cluster/), []);
+  assert.equal(hits(own, /from '(\.\.\/|@tillerstair\/[a-z-]+\/)/), []);
+});
+
 house.run();
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -297,7 +297,7 @@
     for (const id of ['m1', 'm2']) w.servers.set(id, { slow: 40 });
     const going = Array.from({ length: 12 }, (_, i) => w.turn(p.program, null, `d #${seed}-${i}`, `d${i}`, front));
     await w.clock.run(100);
-    assert.ok((front?.front?.steward.gate.waiting ?? 0) >= 8);
+    assert.ok((front?.front?.steward.waiting ?? 0) >= 8);
     const sentAt = w.clock.now();
     assert.is((await w.operate('PUT', '/v1/config', narrow(2, 'others'))).status, 200);
     const toldAt = w.clock.now();
--- a/tests/src/steward.test.ts
+++ b/tests/src/steward.test.ts
@@ -34,7 +34,7 @@
     await w.clock.run(50);
     const first = w.call(key, '/hold', { n: 1 }, a);
     await w.clock.run(200);
-    assert.ok((a.front?.steward.gate.waiting ?? 0) > 0, 'it waits in line');
+    assert.ok((a.front?.steward.waiting ?? 0) > 0, 'it waits in line');
     const tenure = slotAt(w, opKeyOf('t', key))?.tenure ?? 0;
     a.proxyLife.frozen = true;
     await w.clock.until('taken over', () => stewardAs(b, opKeyOf('t', key)) === b.front?.p.id, 20000);
--- a/tests/src/util.ts
+++ b/tests/src/util.ts
@@ -1,6 +1,6 @@
 import * as assert from 'uvu/assert';
-import { checkRecords, noRecords, type Records } from '@tillerstair/checker';
-import { World, type WorldSizes } from '@tillerstair/sim';
+import { checkRecords, noRecords, type PassRecord, type RanRecord, type Records } from '@tillerstair/checker';
+import { passAt, passHost, passLanes, World, type Machine, type PassWish, type WorldSizes } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
 
 export const configText = (base: number, turnPool = 'models', callPool = 'shop', extra = 0): string =>
@@ -34,10 +34,47 @@
   return w;
 };
 
+export const passText = (base: number, turnPool = 'models', callPool = 'shop', ownPool = 'memo', more: object = {}): string =>
+  JSON.stringify({
+    base,
+    pools: [
+      ...['models', 'others'].map((name) => ({ name, kind: 'model', engine: { places: 4, memoryTokens: 100000, pieceTokens: 1 } })),
+      { name: 'shop', kind: 'service' }, { name: 'mart', kind: 'service' }, { name: 'memo', kind: 'service', remembersKeys: true },
+    ],
+    lanes: [
+      ...passLanes([turnPool], callPool),
+      { name: 'own', match: { kind: 'pass', host: passHost, path: '/own/' }, pass: { manner: 'keyed', tries: 2, deadlineMs: 8000 }, shares: [{ pool: ownPool, share: 1 }] },
+    ],
+    ...more,
+  });
+
+const passServers: readonly (readonly [string, string])[] = [...servers, ['k1', 'memo'], ['k2', 'memo'], ['n1', 'others'], ['z1', 'mart']];
+
+export const passUp = async (seed: number, sizes: WorldSizes, more: object = {}, keepMs?: number): Promise<World> => {
+  const w = new World(seed, sizes);
+  if (keepMs !== undefined) w.keepMs = keepMs;
+  await w.bringUp((base) => passText(base, 'models', 'shop', 'memo', more), passServers);
+  return w;
+};
+
+/** Sends on a pass lane and lets time go on until the caller has heard. */
+export const passed = (w: World, wish: PassWish, at?: Machine): Promise<PassRecord> => w.clock.finish(wish.path, passAt(w, wish, at), 60000);
+
+export const runsOf = (w: World, attempt: string): readonly RanRecord[] => w.servers.ran.filter((r) => r.attempt === attempt);
+
+export const restart = async (w: World): Promise<void> => {
+  for (const m of w.machines) m.kill('power');
+  await w.clock.run(500);
+  w.start();
+  await w.clock.until('serving', () => w.readyFronts().length === w.of('front').length && w.slotsOpen(), 20000);
+  await w.clock.run(500);
+};
+
 export const recordsOf = (w: World, more: Partial<Records> = {}): Records => ({
   ...noRecords,
   told: w.told,
   ran: w.servers.ran,
+  passes: w.passes,
   perTurn: 16,
   configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: 0 }],
   readBack: { version: 1, text: '' },
