A steward that left the cluster may have run what it had: never told as refused

Cause: when the steward left while a delivery to it was open, the front went on to the next one; if that could not open its slot in time, the caller was told 503, a promise, though the old one ran it. Change: such a delivery ends as unknown. Ruled out: waiting longer (the next steward may never look).

--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -130,6 +130,7 @@
     let end = clock.now() + wait;
     let emitted = 0;
     let whole = true;
+    let mayHaveRun = false;
     const counting: EmitPiece = (n, text) => {
       whole &&= n === emitted;
       if (!whole) return;
@@ -163,6 +164,7 @@
         } catch (e) {
           if (!watch.lost.aborted || gone.aborted || emitted > 0) throw e;
           end = clock.now() + wait;
+          mayHaveRun = true;
           throw new Mishap('not-steward', 'the steward left the cluster');
         } finally {
           watch.end();
@@ -171,7 +173,8 @@
         mishap = mishapOf(e);
       }
       const passing = ['not-steward', 'taking-over', 'no-steward'].includes(mishap.code) || mishap instanceof CircuitRefused;
-      if (emitted > 0 || !passing || gone.aborted || clock.now() >= end) return ofMishap(mishap);
+      const over = emitted > 0 || !passing || gone.aborted || clock.now() >= end;
+      if (over) return mayHaveRun ? unknown(`the steward that had it left the cluster: ${mishap.message}`) : ofMishap(mishap);
       await pause(clock, bounds.beat / 20);
     }
   }
--- a/tests/src/pass.test.ts
+++ b/tests/src/pass.test.ts
@@ -47,6 +47,21 @@
   }
 });
 
+pass('what a steward that left may have run is never told as refused while the next one cannot look', async () => {
+  const w = await passUp(11, small);
+  for (const id of shops) w.servers.set(id, { slow: 300 });
+  const steward = stewardOf(w, opKeyOf('t', 'k'));
+  const other = w.of('front').find((m) => m !== steward);
+  const first = passAt(w, { path: '/keyed/x', key: 'k', body: 'a' }, other);
+  await w.clock.until('it is sent', () => w.servers.asked > 0, 5000);
+  for (const m of w.of('store').slice(0, 2)) m.kill('power');
+  steward?.killAgent();
+  const told = await w.clock.finish('first', first, 30000);
+  await w.clock.run(15000);
+  assert.is(told.told, 'unknown');
+  assert.is(runs(w, 'k'), 1);
+});
+
 pass('a key whose answer was lost is unknown and never run again, over a full stop too', async () => {
   for (const fault of [{ loseEvery: 1 }, { lies: true }, { cutEvery: 1 }]) {
     const w = await passUp(11, small);
