Placement: a server in the front's own zone comes first, worth one place of a batch

Change: crossing a zone costs as much as one more place of the batch; a tie-break for plain services. Ruled out: keeping to the zone whatever it costs (a shared opening would be read anew).

--- a/packages/steward/src/placement.ts
+++ b/packages/steward/src/placement.ts
@@ -149,6 +149,7 @@
     const shares = lane.shares.filter((s) => s.share > 0);
     const pools = new Map(this.table()?.config?.pools.map((p) => [p.name, p]));
     const total = shares.reduce((n, s) => n + s.share, 0);
+    const zone = state.nodes.get(this.self)?.zone ?? '';
     const tokens = parts.reduce((n, p) => n + p.tokens, 0);
     const tie = (id: string): number => slotOf(`${this.self}|${id}`, 1 << 20);
     const ctx: PlaceContext = {
@@ -158,6 +159,7 @@
       warmth: this.warmth(parts),
       engine: (s) => pools.get(s.pool)?.engine,
       places: (s) => this.limitOf(s),
+      near: (s) => zone === '' || s.zone === '' || s.zone.toLowerCase() === zone,
       weight: (s) => state.weights.get(weightKey(s.pool, s.id)) ?? 1,
     };
     const from = (pool: string): Server | undefined => {
--- a/packages/steward/src/policies.ts
+++ b/packages/steward/src/policies.ts
@@ -20,6 +20,8 @@
   readonly tokens: number;
   engine(server: Server): Engine | undefined;
   places(server: Server): number;
+  /** Whether the server stands in this front's own zone. */
+  near(server: Server): boolean;
   /** The share of the prompt's tokens, 0 to 1, that the server should hold already. */
   warmth(server: Server): number;
   weight(server: Server): number;
@@ -51,6 +53,8 @@
 
 const tokensPerPlace = 1 / 25;
 const fullCost = 8;
+const farCost = 1;
+const farTie = 0.25;
 
 /** For servers that run batches: what is to be read anew, against what more there is in the batch, both in tokens. */
 export const batch: Policy = {
@@ -64,7 +68,8 @@
       const step = (engine.memoryTokens / engine.places) * tokensPerPlace;
       const over = Math.max(0, running + 1 - engine.places);
       const cold = ctx.tokens * (1 - ctx.warmth(c.server));
-      return { ...c, score: c.score - (cold + running * step + over * fullCost * step) / step };
+      const far = ctx.near(c.server) ? 0 : farCost;
+      return { ...c, score: c.score - (cold + running * step + over * fullCost * step) / step - far };
     }),
 };
 
@@ -79,7 +84,8 @@
     cands.map((c) => {
       if (ctx.engine(c.server) && ctx.tokens > 0) return c;
       const seen = ctx.seen(c.server);
-      return { ...c, score: c.score - (cost * (Math.max(seen.inflight, seen.busy) + seen.inflight * 0.1)) / Math.max(0.05, ctx.weight(c.server)) };
+      const far = ctx.near(c.server) ? 0 : farTie;
+      return { ...c, score: c.score - far - (cost * (Math.max(seen.inflight, seen.busy) + seen.inflight * 0.1)) / Math.max(0.05, ctx.weight(c.server)) };
     }),
 });
 
--- a/tests/src/batch.test.ts
+++ b/tests/src/batch.test.ts
@@ -21,15 +21,16 @@
 
 const server = (id: string, pool: string, room = 0): Server => ({ id, pool, url: `http://127.0.0.1:1/${id}`, leaving: false, down: false, zone: '', places: room });
 
-const placing = (servers: readonly Server[]) => {
+const placing = (servers: readonly Server[], zone = '') => {
   const clock = new SimClock();
+  const me = { id: 'f', kind: 'front' as const, addr: '', http: '', zone, data: '', name: '' };
   const state: State = servers.reduce<State>((s, v) => reduce(s, { kind: 'server', server: v }), {
-    ...foundingState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '', past: [] },
+    ...foundingState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '', past: [] },
   });
   const table = tableOf(state, undefined);
   const sims = new SimServers(clock, seededRng(1));
   const bounds = { poll: 0, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, toldFor: 500 };
-  const placement = new Placement(clock, sims.backend(new Life()), chainOf(true), bounds, () => table, () => 16);
+  const placement = new Placement(clock, sims.backend(new Life()), chainOf(true), bounds, () => table, () => 16, 'f');
   return { clock, placement, at: (id: string) => state.servers.get(id) ?? server(id, 'none') };
 };
 const big = (...ids: readonly string[]) => placing(ids.map((id) => server(id, 'big')));
@@ -61,6 +62,18 @@
   assert.is(placement.pick(talk, partsOf([['x', perPlace], ['b', 5 * perPlace]]), '', new Set())?.id, 'c');
 });
 
+batches('a server in the own zone comes first, unless one far off holds more than a place is worth', () => {
+  const zoned: readonly Server[] = [{ ...server('n', 'big'), zone: 'Here' }, { ...server('f', 'big'), zone: 'there' }];
+  const { placement, at } = placing(zoned, 'here');
+  assert.is(placement.pick(talk, prompt(perPlace, 'x'), '', new Set())?.id, 'n');
+  for (const [tokens, id] of [[0.5, 'n'], [1.5, 'f']] as const) {
+    const parts = prompt(tokens * perPlace, `t${tokens}`);
+    placement.begin(at('f'), parts);
+    placement.end(at('f'), true);
+    assert.is(placement.pick(talk, parts, '', new Set())?.id, id);
+  }
+});
+
 batches('no more than its places are given to a server, whatever it holds', () => {
   const { placement, at } = big('w');
   const parts = prompt(50 * perPlace);
