--- a/tests/src/wire.test.ts
+++ b/tests/src/wire.test.ts
@@ -1,4 +1,5 @@
-import { connect } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer, type Socket } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { freePorts } from '@tillerstair/fleet';
@@ -91,4 +92,45 @@
   await close();
 });
 
+wire('a circuit on which nothing was heard for its bound is left, and the next call opens a new one', async () => {
+  const [p = 0, q = 0] = await freePorts(2);
+  const a = new TcpCircuits(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+  const opened: Socket[] = [];
+  const silent = createServer((s) => {
+    opened.push(s);
+    s.on('error', () => undefined);
+    s.resume();
+  });
+  silent.listen(q, '127.0.0.1');
+  await once(silent, 'listening');
+  const to = `127.0.0.1:${q}`;
+  const lost: string[] = [];
+  a.onLost((addr) => lost.push(addr));
+  const beside = mishapFrom(a.call(to, 'x', 0, { within: 4000 }));
+  const late = await mishapFrom(a.call(to, 'x', 1, { within: 250 }));
+  assert.equal([late.code, late.ran], ['too-late', 'unknown']);
+  const other = await beside;
+  assert.equal([other.code, other.ran], ['circuit-lost', 'unknown']);
+  assert.equal(lost, [to]);
+  assert.is((await mishapFrom(a.call(to, 'x', 2, { within: 250 }))).code, 'too-late');
+  assert.is(opened.length, 2);
+  silent.close();
+  await a.close();
+});
+
+wire('a circuit on which other calls are heard of is kept, though one call is late', async () => {
+  const [p = 0, q = 0] = await freePorts(2);
+  const a = new TcpCircuits(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+  const b = new TcpCircuits(`127.0.0.1:${q}`);
+  const lost: string[] = [];
+  a.onLost((addr) => lost.push(addr));
+  await b.serve(async (inq) => (inq.kind === 'long' ? new Promise(() => undefined) : 'fine'));
+  const late = mishapFrom(a.call(b.self, 'long', 1, { within: 250 }));
+  assert.is(await a.call(b.self, 'short', 2, { within: 5000 }), 'fine');
+  assert.is((await late).code, 'too-late');
+  assert.is(await a.call(b.self, 'short', 3, { within: 5000 }), 'fine');
+  assert.equal(lost, []);
+  await Promise.all([a.close(), b.close()]);
+});
+
 wire.run();
