Tests: the adapter's settings, list and bundle; gaps on the users' platform

Change: settings to env with findings, the list page by page or not at all, the bundle made and called.

--- /dev/null
+++ b/tests/src/platform.test.ts
@@ -0,0 +1,123 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type RequestListener } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { BadEnv } from '@tillerstair/env';
+import { agentEnv, controlEnv, platformList, proxyEnv, readSettings, storeEnv } from '@tillerstair/platform';
+import { Mishap } from '@tillerstair/wire';
+
+const adapter = suite('the adapter: settings and the list of servers');
+
+const text = (more = ''): string => `
+nodeName: "vault-gangnam-a-1"
+nodeIp: "10.1.0.33"
+zone: "gangnam-a"
+bind: {}
+portRange: [7380, 7395]
+seedNodes: ["10.1.0.34:8144", "10.2.0.38:8144"]
+firstBoot: true
+dataDir: "/data/my-vault"
+newField: 3
+timeBounds: { contactMs: 3000, drainMs: 3000, graceS: 8, inForceMs: 2000, recoverS: 12, passWindowS: 60 }
+${more}`;
+
+const withFile = async <T>(body: string, work: (path: string) => T): Promise<T> => {
+  const dir = await mkdtemp(join(tmpdir(), 'tillerstair-settings-'));
+  const path = join(dir, 'settings.yaml');
+  await writeFile(path, body);
+  try {
+    return work(path);
+  } finally {
+    await rm(dir, { recursive: true });
+  }
+};
+
+adapter('a settings file becomes the env of each program, in ratios to its bounds', () =>
+  withFile(text(), (path) => {
+    const s = readSettings(path);
+    const store = storeEnv(s);
+    assert.is(store.addr, '10.1.0.33:7387');
+    assert.is(store.name, 'vault-gangnam-a-1');
+    assert.is(store.keepMs, 180000);
+    assert.equal(store.bounds, { serveWithin: 12000, inForceWithin: 2000, leavingWithin: 3000, beat: 500, silent: 1800 });
+    assert.equal(store.seeds, ['10.1.0.34:7385', '10.2.0.38:7385', '10.1.0.34:7385']);
+    assert.is(controlEnv(s).founds, true);
+    assert.is(proxyEnv(s).asksServers, false);
+    assert.is(agentEnv(s).proxy, proxyEnv(s).feed);
+    const ports = [proxyEnv(s).addr, proxyEnv(s).feed, proxyEnv(s).http, agentEnv(s).addr, agentEnv(s).http, controlEnv(s).addr, controlEnv(s).http, store.addr, store.http];
+    assert.is(new Set(ports).size, ports.length);
+    assert.ok(ports.every((a) => Number(a.split(':')[1]) >= 7380 && Number(a.split(':')[1]) <= 7395));
+  }),
+);
+
+adapter('settings that lack something are found with their place, all together', () =>
+  withFile('nodeName: "x"\nzone: 3\nseedNodes: []\n', (path) => {
+    try {
+      readSettings(path);
+      assert.unreachable();
+    } catch (e) {
+      assert.instance(e, BadEnv);
+      const found = e instanceof BadEnv ? e.findings.map((f) => f.place.split(' ')[1]) : [];
+      assert.equal(found.sort(), ['nodeIp', 'portRange', 'seedNodes', 'timeBounds', 'zone']);
+    }
+  }),
+);
+
+const listAt = async <T>(serve: RequestListener, work: (addr: string) => Promise<T>): Promise<T> => {
+  const server = createServer(serve);
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', () => done()));
+  const at: AddressInfo | string | null = server.address();
+  const port = at !== null && typeof at === 'object' ? at.port : 0;
+  try {
+    return await work(`127.0.0.1:${port}`);
+  } finally {
+    server.closeAllConnections();
+    await new Promise((done) => server.close(done));
+  }
+};
+
+const entry = (n: number, state = 'accepting') => ({ serverId: `i-${n}`, depot: 'd', address: `10.0.0.${n}:80`, zone: 'a', berths: 6, state, edition: 'v1', coldLeftMs: 0 });
+const outcome = (addr: string): Promise<unknown> => platformList(addr).read(2000).catch((e: unknown) => (e instanceof Mishap ? 'mishap' : e));
+
+adapter('the list is read page by page, whole', () =>
+  listAt(
+    (req, res) => {
+      const second = req.url?.includes('pageToken=p%2B2') ?? false;
+      res.end(JSON.stringify(second ? { servers: [entry(2, 'winding_down')], nextToken: null } : { servers: [entry(1)], nextToken: 'p+2' }));
+    },
+    async (addr) => {
+      assert.equal(await platformList(addr).read(2000), [
+        { id: 'i-1', pool: 'd', url: 'http://10.0.0.1:80', zone: 'a', places: 6, leaving: false },
+        { id: 'i-2', pool: 'd', url: 'http://10.0.0.2:80', zone: 'a', places: 6, leaving: true },
+      ]);
+    },
+  ),
+);
+
+adapter('a list that is refused, cut, unreadable or lacks a page is a mishap, never a short list', async () => {
+  const first = JSON.stringify({ servers: [entry(1)], nextToken: 'x' });
+  const bad: readonly RequestListener[] = [
+    (_req, res) => res.writeHead(429).end(),
+    (_req, res) => res.end('{"servers":['),
+    (_req, res) => res.end(JSON.stringify({ servers: [entry(1)] })),
+    (req, res) => (req.url?.includes('pageToken') ? res.writeHead(503).end() : res.end(first)),
+    (req, res) => (req.url?.includes('pageToken') ? res.destroy() : res.end(first)),
+  ];
+  for (const serve of bad) assert.is(await listAt(serve, outcome), 'mishap');
+});
+
+adapter('the bundle is made, and says how it is called', async () => {
+  const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+  const run = promisify(execFile);
+  await run(process.execPath, [join(root, 'platform', 'build.mjs')]);
+  const said = await run(process.execPath, [join(root, 'target', 'tillerstair.cjs'), 'nobody']).catch((e: unknown) => String(e));
+  assert.match(String(said), 'usage: tillerstair front-proxy | control-node | front-agent | store-node');
+});
+
+adapter.run();
