Requests to servers leave once, unchanged, or not at all; what is queued never counts as sent

Cause: whether a request may have run was guessed from the code of an error, so one that waited for a connection until its time was up was told as unknown (502) though it had reached no server, and it was held past its time, as the HTTP client hears no abort for what it has queued. Paths went through URL parsing, which changes dots, braces, quotes and an empty query. A redirect or client error without the server's stamp was passed on. A reset after an answer without length passed for its end. A refusal was told only after its body. Withdrawing a request threw a good connection away. Idle connections rested up to the whole hint less two seconds (58 s for a hint of 60), and a hint of one or two seconds closed the connection after every answer.

Change: Departure marks the moment before the first byte and lets a request through once; everything else follows from that mark. Idle time: hint less 0.5 s, 4 s at most, 0.5 s without a hint.

Ruled out: that undici writes a request twice by itself (tests count requests for each kind of failure, on a new and on a kept connection). An answer without length whose reset comes with its last bytes still looks whole: Node reports it as an end.

--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -1,9 +1,11 @@
 import { pipeline } from 'node:stream';
 import split2 from 'split2';
-import { Agent, errors, Pool, request, type Dispatcher } from 'undici';
+import { errors, request, type Agent, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { Server } from '@tillerstair/state';
 import type { Act, Backend, Busyness, BusyReport, Ended, Generate, Header, Passing, Sink } from '@tillerstair/steward';
+import { connectionsTo, type BackendBounds } from './connections.js';
+import { Departure, Withdrawn } from './departure.js';
 import { ownDialect, type Dialect } from './dialect.js';
 
 const Piece = z.object({ id: z.string(), n: z.number(), text: z.string() });
@@ -13,37 +15,12 @@
 const Declined = z.object({ ran: z.literal('no') });
 const Acted = z.object({ id: z.string(), result: z.unknown() });
 
-const codeOf = (e: unknown): string => {
-  if (e === null || typeof e !== 'object' || !('code' in e)) return '';
-  return typeof e.code === 'string' ? e.code : '';
-};
-
-class TakenBack extends Error {}
-
-/** Looks once more just before a request leaves; hands headers on as they came, which undici's own decorators do not. */
-const lookLast =
-  (still: () => boolean): Dispatcher.DispatcherComposeInterceptor =>
-  (dispatch) =>
-  (opts, inner) =>
-    dispatch(opts, {
-      onConnect: (abort) => {
-        if (still()) inner.onConnect?.(abort);
-        else abort(new TakenBack('taken back before it left'));
-      },
-      onHeaders: (status, headers, resume, text) => inner.onHeaders?.(status, headers, resume, text) ?? true,
-      onData: (chunk) => inner.onData?.(chunk) ?? true,
-      onComplete: (trailers) => inner.onComplete?.(trailers),
-      onError: (e) => inner.onError?.(e),
-    });
-
-const neverLeft = (e: unknown): boolean =>
-  e instanceof errors.ConnectTimeoutError || ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'].includes(codeOf(e));
-
 const textOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
 
-const failed = (e: unknown): Ended => {
-  if (e instanceof TakenBack) return { kind: 'declined', text: e.message };
-  return { kind: neverLeft(e) ? 'never-left' : 'lost', text: textOf(e) };
+/** What became of a request that failed. A request the HTTP client cannot put into words says nothing about its server. */
+const failed = (e: unknown, departure: Departure): Ended => {
+  const kind = departure.mayHaveLeft ? 'lost' : e instanceof Withdrawn || e instanceof errors.InvalidArgumentError ? 'declined' : 'never-left';
+  return { kind, text: textOf(e) };
 };
 
 export const ofOneCircuit: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'proxy-connection', 'te', 'trailer', 'content-length', 'expect']);
@@ -70,11 +47,8 @@
   return text !== '' && running !== undefined && waiting !== undefined && places !== undefined && running >= 0 && waiting >= 0 ? { running, waiting, places } : undefined;
 };
 
-export interface BackendBounds {
-  readonly connectWithin: number;
-  /** Circuits this front may open to one server. */
-  readonly circuits: (url: string) => number;
-}
+const unclear: ReadonlySet<number> = new Set([408, 425, 429, 503]);
+const serverErrors = 500;
 
 export class HttpBackend implements Backend {
   private readonly agent: Agent;
@@ -83,28 +57,30 @@
     bounds: BackendBounds,
     private readonly dialect: Dialect = ownDialect,
   ) {
-    this.agent = new Agent({
-      connect: { timeout: bounds.connectWithin }, pipelining: 1, keepAliveTimeout: 4000, keepAliveMaxTimeout: 600000,
-      factory: (origin, opts) => new Pool(origin, { ...opts, connections: bounds.circuits(String(origin)) }),
-    });
+    this.agent = connectionsTo(bounds);
+  }
+
+  private send(server: Server, options: Omit<Dispatcher.RequestOptions, 'origin'>, departure: Departure): Promise<Dispatcher.ResponseData> {
+    return departure.unlessQueued(this.agent.compose(departure.guard).request({ ...options, origin: server.url }));
   }
 
   async pass(server: Server, p: Passing, sink: Sink, gone: AbortSignal, left: number, still: () => boolean): Promise<Ended> {
     if (left <= 0) return { kind: 'declined', text: 'no time is left' };
     const d = this.dialect;
     const stop = AbortSignal.any([gone, AbortSignal.timeout(Math.ceil(left))]);
+    const departure = new Departure(still, stop);
     const sent = [...endToEnd(p.headers), [d.timeLeft, String(Math.max(1, Math.floor(left)))], [d.expect, server.id], ...(p.resume === '' ? [] : [[d.resume, p.resume]])];
     try {
-      const res = await request(server.url + p.path, {
+      const res = await this.send(server, {
+        path: p.path,
         method: p.method,
-        dispatcher: this.agent.compose(lookLast(still)),
         headers: sent.flat(),
         responseHeaders: 'raw',
         body: p.body.length === 0 && p.method === 'GET' ? null : p.body,
         signal: stop,
         headersTimeout: 0,
         bodyTimeout: 0,
-      });
+      }, departure);
       const got = pairsOf(res.headers);
       const told = busynessOf(find(got, d.busyness));
       if (told) sink.busyness(told);
@@ -115,16 +91,16 @@
       const echoed = find(got, d.attempt);
       if (echoed !== p.attempt) return spoil('the server spoke of another try');
       if (find(got, d.declined) !== '' || res.statusCode === 421) {
-        await res.body.dump().catch(() => undefined);
+        void res.body.dump().catch(() => undefined);
         return { kind: 'declined', text: `server declined with ${res.statusCode}` };
       }
-      if ([408, 425, 429, 503].includes(res.statusCode)) return spoil(`server failed with ${res.statusCode}`);
-      if (res.statusCode < 300 && d.seal !== '' && find(got, d.seal) === '') return spoil('the answer is not the server\'s');
+      if (unclear.has(res.statusCode)) return spoil(`server failed with ${res.statusCode}`);
+      if (res.statusCode < serverErrors && d.seal !== '' && find(got, d.seal) === '') return spoil('the answer is not the server\'s');
       sink.head({ status: res.statusCode, headers: endToEnd(got) });
       for await (const part of res.body) sink.bytes(Buffer.isBuffer(part) ? part.toString('latin1') : String(part));
       return { kind: 'done', code: res.statusCode, body: null };
     } catch (e) {
-      return failed(e);
+      return failed(e, departure);
     }
   }
 
@@ -134,16 +110,17 @@
 
   async generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
     const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
+    const departure = new Departure(still, stop);
     try {
-      const res = await request(`${server.url}/v1/generate`, {
+      const res = await this.send(server, {
+        path: '/v1/generate',
         method: 'POST',
-        dispatcher: this.agent.compose(lookLast(still)),
         headers: { 'content-type': 'application/json', 'x-request-id': g.inquiry },
         body: JSON.stringify({ id: g.id, messages: g.messages, maxTokens: g.maxTokens }),
         signal: stop,
         headersTimeout: within,
         bodyTimeout: within,
-      });
+      }, departure);
       if (res.statusCode !== 200) {
         const body: unknown = await res.body.json().catch(() => undefined);
         return Declined.safeParse(body).success
@@ -164,22 +141,23 @@
       }
       return { kind: 'lost', text: 'the stream stopped without an end' };
     } catch (e) {
-      return failed(e);
+      return failed(e, departure);
     }
   }
 
   async act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
     const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
+    const departure = new Departure(still, stop);
     try {
-      const res = await request(`${server.url}/v1/act`, {
+      const res = await this.send(server, {
+        path: '/v1/act',
         method: 'POST',
-        dispatcher: this.agent.compose(lookLast(still)),
         headers: { 'content-type': 'application/json', 'x-request-id': a.inquiry, ...(a.key ? { 'idempotency-key': a.key } : {}) },
         body: JSON.stringify({ id: a.id, path: a.path, body: a.body }),
         signal: stop,
         headersTimeout: within,
         bodyTimeout: within,
-      });
+      }, departure);
       const raw: unknown = await res.body.json();
       if (res.statusCode >= 500 || res.statusCode === 429)
         return Declined.safeParse(raw).success
@@ -189,7 +167,7 @@
       if (!got.success || got.data.id !== a.id) return { kind: 'lost', text: 'the server spoke of another inquiry' };
       return { kind: 'done', code: res.statusCode, body: got.data.result };
     } catch (e) {
-      return failed(e);
+      return failed(e, departure);
     }
   }
 
