503 where nothing left or one cannot be sure; a failure keeps its server's head and body

Cause: a front asked to steward a lane it does not hold (a configuration ahead or behind the one that took the request) said 404; an error before a request was handed on said 502; an intent that could not be kept after an earlier server was lost said 503, which promises too much; a failure on a resumable stream that broke off gave its head to the stream of the next server; bytes of no event were continued by another server.

Change: lane-unknown is tried again within the usual wait and then told as 503 with Retry-After; a failed answer on a stream lane is told only once it is whole.

Ruled out: 404 for a turn that failed stays, as 'done' is kept before an answer's end is told.

--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -172,7 +172,7 @@
       } catch (e) {
         mishap = mishapOf(e);
       }
-      const passing = ['not-steward', 'taking-over', 'no-steward'].includes(mishap.code) || mishap instanceof CircuitRefused;
+      const passing = ['not-steward', 'taking-over', 'no-steward', 'lane-unknown'].includes(mishap.code) || mishap instanceof CircuitRefused;
       const over = emitted > 0 || !passing || gone.aborted || clock.now() >= end;
       if (over) return mayHaveRun ? unknown(`the steward that had it left the cluster: ${mishap.message}`) : ofMishap(mishap);
       await pause(clock, bounds.beat / 20);
--- a/packages/proxy/src/passing.ts
+++ b/packages/proxy/src/passing.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { opKeyOf, packed, Passed, passPath, refused, streamSlotKey, unpacked, type EmitPiece, type Head, type PassAsk, type Verdict } from '@tillerstair/steward';
-import { BodyTooLarge } from '@tillerstair/wire';
+import { BodyTooLarge, mishapOf } from '@tillerstair/wire';
 import { z } from 'zod';
 import { endToEnd, pairsOf } from './backend.js';
 import type { Dialect } from './dialect.js';
@@ -32,6 +32,9 @@
   return text !== '' && Number.isFinite(n) && n >= 0 ? n : null;
 };
 
+/** When a caller may come back after a refusal that says nothing of its own, in seconds. */
+const comeBackS = 0.5;
+
 const refuse = (res: ServerResponse, status: number, mishap: string, text: string, retryAfter?: number): void => {
   if (res.destroyed || res.headersSent) return;
   const body = JSON.stringify({ ran: status === 502 || status === 504 ? 'unknown' : 'no', mishap, text });
@@ -126,16 +129,19 @@
       if (!res.writableFinished) stop.abort();
     });
     if (front.stopping) res.setHeader('Connection', 'close');
+    let passedOn = false;
     try {
       const ask = await askOf(req, arrived);
       if (ask.attempt === '') return refuse(res, 400, 'no-try', `a request names its try in ${d.attempt}`);
       const { emit, end } = headed(res);
+      passedOn = true;
       answer(res, end(await passOn(front, ask, emit, stop.signal)));
     } catch (e) {
       if (e instanceof BodyTooLarge) return refuse(res, 413, 'body-too-large', e.message);
       if (e instanceof Error && 'code' in e && e.code === 'not-ready') return refuse(res, 503, 'not-ready', e.message, (front.p.bounds.beat * 2) / 1000);
-      if (res.headersSent) res.destroy();
-      else refuse(res, 502, 'internal', e instanceof Error ? e.message : String(e));
+      if (res.headersSent) return void res.destroy();
+      const { code, message, ran } = mishapOf(e);
+      refuse(res, passedOn && ran !== 'no' ? 502 : 503, code, message, passedOn && ran !== 'no' ? undefined : comeBackS);
     }
   };
 };
--- a/packages/steward/src/calls.ts
+++ b/packages/steward/src/calls.ts
@@ -4,7 +4,7 @@
 import type { Ended, Head } from './backend.js';
 import type { SlotKeeper } from './keeper.js';
 import type { Steward } from './steward.js';
-import { done, ofMishap, OpValue, packed, passPath, refused, unknown, unpacked, type CallAsk, type PassAsk, type Verdict } from './verdict.js';
+import { done, laneUnknown, ofMishap, OpValue, packed, passPath, refused, unknown, unpacked, type CallAsk, type PassAsk, type Verdict } from './verdict.js';
 
 export const operationOf = (tenant: string, key: string): string => `${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
 export const opKeyOf = (tenant: string, key: string): string => `o/${operationOf(tenant, key)}`;
@@ -53,7 +53,7 @@
     const path = passPath(ask);
     const lane = this.s.findLane('pass', path);
     const rules = lane?.pass;
-    if (!rules) return refused(404, 'no-lane', `no lane takes ${path}`);
+    if (!rules) throw laneUnknown(path);
     const keyed = rules.manner === 'keyed';
     if (keyed && ask.key === '') return refused(400, 'no-key', 'this lane needs an operation key');
     const end = this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs);
@@ -160,7 +160,8 @@
         const record: boolean = recorded && this.records(server.pool);
         if (!noted || record !== recorded) {
           recorded = record;
-          await note('intent', 0, null);
+          const failure = await note('intent', 0, null).then(() => undefined, mishapOf);
+          if (failure) return lost ? unknown(failure.message) : ofMishap(failure);
         }
         noted = true;
         if (!this.s.mayRun(server, kind, path)) {
--- a/packages/steward/src/streams.ts
+++ b/packages/steward/src/streams.ts
@@ -6,9 +6,10 @@
 import { partsOf, type Part } from './placement.js';
 import type { EmitPiece } from './turns.js';
 import type { Steward } from './steward.js';
-import { done, ofMishap, passPath, PassTurn, refused, unknown, unpacked, type PassAsk, type Verdict } from './verdict.js';
+import { done, laneUnknown, ofMishap, passPath, PassTurn, refused, unknown, unpacked, type PassAsk, type Verdict } from './verdict.js';
 
 const gone404 = 404;
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 const named = (id: string): string => encodeURIComponent(id).replaceAll('~', '%7E');
 export const streamProgram = (ask: PassAsk): string => `x-${named(ask.program === '' ? `a-${ask.attempt}` : ask.program)}`;
 const turnKey = (pid: string, attempt: string): string => `p/${pid}/t/${named(attempt)}`;
@@ -36,8 +37,8 @@
   readonly resumable: boolean;
   readonly events: Events;
   readonly emit: EmitPiece;
-  /** Whether the head of an answer went to the caller, and how many pieces. */
-  readonly out: { headed: boolean; n: number };
+  /** Whether the head of an answer went to the caller, how many pieces, and whether some were bytes of no event. */
+  readonly out: { headed: boolean; n: number; plain: boolean };
 }
 
 export class Streams {
@@ -51,7 +52,7 @@
     if (!config) return refused(503, 'not-ready', 'no configuration yet', 1);
     const path = passPath(ask);
     const lane = this.s.findLane('pass', path);
-    if (!lane?.pass) return refused(gone404, 'no-lane', `no lane takes ${path}`);
+    if (!lane?.pass) throw laneUnknown(path);
     const slotKey = streamSlotKey(ask, lane);
     const keeper = slotKey === '' ? undefined : this.s.keeper(slotKey);
     const key = turnKey(streamProgram(ask), ask.attempt);
@@ -72,7 +73,7 @@
     ask: PassAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, key: string, emit: EmitPiece, gone: AbortSignal,
   ): Promise<Verdict> {
     const rules = lane.pass;
-    if (!rules) return refused(gone404, 'no-lane', 'no such lane');
+    if (!rules) throw laneUnknown(passPath(ask));
     const kept = rules.keptMs > 0;
     if (keeper?.get(key) !== undefined) {
       const old = PassTurn.safeParse(keeper.get(key));
@@ -86,7 +87,7 @@
       await Promise.all(foreign.map((a) => keeper.put(turnKey(streamProgram(ask), a.attempt), { ...a.turn, cost: 0 } satisfies PassTurn)));
     const run: Run = {
       ask, path: passPath(ask), kept, body, keeper, key, emit, parts: partsOf(ask.parts), end: this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs),
-      tries: rules.tries, resumable: rules.resumable, events: new Events(), out: { headed: false, n: 0 },
+      tries: rules.tries, resumable: rules.resumable, events: new Events(), out: { headed: false, n: 0, plain: false },
     };
     return this.tryServers(run, config, gone);
   }
@@ -169,7 +170,7 @@
         cost = run.events.count * this.pieceTokens(config, server);
         if (ended.kind === 'done') return await this.whole(run, ended.code, cost);
         lost = ended.text;
-        if (run.resumable && !run.events.unnamed && !gone.aborted && offered < run.tries && run.end > clock.now()) {
+        if (run.resumable && !run.events.unnamed && !run.out.plain && !gone.aborted && offered < run.tries && run.end > clock.now()) {
           run.events.drop();
           continue;
         }
@@ -194,7 +195,7 @@
   }
 
   private async whole(run: Run, code: number, cost: number): Promise<Verdict> {
-    const good = code >= 200 && code < 300;
+    const good = isSuccess(code);
     const turn: PassTurn = {
       t: 'pass', status: good ? 'done' : 'failed', after: run.ask.after, cost,
       input: run.kept && good ? run.ask.body : '', output: run.kept && good ? run.events.data : '',
@@ -224,17 +225,24 @@
     const onGone = () => stop.abort();
     gone.addEventListener('abort', onGone, { once: true });
     let plain = false;
+    const failure: { head: Head | undefined; body: string } = { head: undefined, body: '' };
     const sink = {
       head: (head: Head) => {
         status = head.status;
         plain = !head.headers.some(([k, v]) => k.toLowerCase() === 'content-type' && v.includes('event-stream'));
-        if (first) {
+        if (first && !isSuccess(status)) failure.head = head;
+        else if (first) {
           out.headed = true;
           say(JSON.stringify(head));
         } else if (status !== 200 || plain) stop.abort();
       },
       bytes: (text: string) => {
         if (stop.signal.aborted) return;
+        if (failure.head) {
+          failure.body += text;
+          return;
+        }
+        out.plain ||= plain;
         const whole = plain ? text : events.take(text);
         if (whole !== '') say(whole);
       },
@@ -246,6 +254,12 @@
       .finally(() => gone.removeEventListener('abort', onGone));
     if (ended.kind !== 'done') return ended;
     if (stop.signal.aborted) return { kind: 'lost', text: 'the caller is gone or the stream could not go on' };
+    if (failure.head) {
+      out.headed = true;
+      say(JSON.stringify(failure.head));
+      if (failure.body !== '') say(failure.body);
+      return { ...ended, code: status };
+    }
     if (!plain && events.torn) return { kind: 'lost', text: 'the stream stopped within an event' };
     if (!plain && events.tail !== '') say(events.tail);
     return { ...ended, code: status };
--- a/packages/steward/src/verdict.ts
+++ b/packages/steward/src/verdict.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { Mishap } from '@tillerstair/wire';
+import { Mishap } from '@tillerstair/wire';
 
 export const Verdict = z.object({
   verdict: z.enum(['done', 'refused', 'unknown']),
@@ -26,6 +26,9 @@
 export const ofMishap = (m: Mishap): Verdict =>
   m.ran === 'no' ? refused(m.code === 'line-full' ? 429 : 503, m.code, m.message, Math.max(1, Math.ceil(m.comeBack / 1000))) : unknown(m.message, m.code);
 
+/** The front that took a request knows its lane, but this one does not, or not any more: which of them is behind is not known. */
+export const laneUnknown = (path: string): Mishap => new Mishap('lane-unknown', `this front holds no lane for ${path}`, 'no', 300);
+
 export const ProgramAsk = z.object({
   tenant: z.string(),
   pid: z.string(),
