An inner call that was never written is told as not run

Cause: a call whose caller had left before or while the connection opened was sent all the same, and one whose connection closed before it was written was told as unknown (502 to a client though nothing had run).

--- a/packages/wire/src/tcp.ts
+++ b/packages/wire/src/tcp.ts
@@ -28,6 +28,8 @@
   heardAt: number;
 }
 
+const goneBefore = (): Mishap => new Mishap('gone', 'the caller is gone', 'no');
+
 export const splitAddr = (addr: string): { host: string; port: number } => {
   const at = addr.lastIndexOf(':');
   return { host: addr.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(addr.slice(at + 1)) };
@@ -162,8 +164,11 @@
   }
 
   async call(to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
+    if (bounds.gone?.aborted) throw goneBefore();
     const circuit = this.open(to);
     await circuit.ready;
+    if (bounds.gone?.aborted) throw goneBefore();
+    if (circuit.socket.destroyed) throw new CircuitRefused(to);
     const id = ++this.seq;
     const stop = new Set<() => void>();
     try {
@@ -188,7 +193,6 @@
           stop.add(() => gone.removeEventListener('abort', onGone));
         }
         circuit.waiting.set(id, { done, fail, piece: bounds.onPiece ?? (() => undefined) });
-        if (circuit.socket.destroyed) return fail(new CircuitLost(to));
         circuit.socket.write(`${JSON.stringify({ id, kind, body })}\n`);
       });
     } finally {
--- a/tests/src/wire.test.ts
+++ b/tests/src/wire.test.ts
@@ -92,6 +92,35 @@
   await close();
 });
 
+wire('a call whose caller is gone before it is written is not run and sends nothing', async () => {
+  const { a, b, close } = await pair();
+  const seen: unknown[] = [];
+  await b.serve(async (inq) => {
+    seen.push(inq.body);
+    return 'fine';
+  });
+  const before = await mishapFrom(a.call(b.self, 'x', 'before', { within: 500, gone: AbortSignal.abort() }));
+  const opening = new AbortController();
+  const going = mishapFrom(a.call(b.self, 'x', 'opening', { within: 500, gone: opening.signal }));
+  opening.abort();
+  const during = await going;
+  assert.equal([before.code, before.ran, during.code, during.ran], ['gone', 'no', 'gone', 'no']);
+  assert.is(await a.call(b.self, 'x', 'next', { within: 2000 }), 'fine');
+  assert.equal(seen, ['next']);
+  await close();
+});
+
+wire('a call on a circuit that closed before it was written is not run', async () => {
+  const { a, b, close } = await pair();
+  await b.serve(async () => 'fine');
+  assert.is(await a.call(b.self, 'x', 1, { within: 2000 }), 'fine');
+  const closing = a.close();
+  const late = await mishapFrom(a.call(b.self, 'x', 2, { within: 500 }));
+  assert.equal([late.code, late.ran], ['circuit-refused', 'no']);
+  await closing;
+  await close();
+});
+
 wire('a circuit on which nothing was heard for its bound is left, and the next call opens a new one', async () => {
   const [p = 0, q = 0] = await freePorts(2);
   const a = new TcpCircuits(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
