Derived times are whole, positive and in order on every deployment

Change: every derived time is rounded to whole milliseconds; AbortSignal.timeout gets whole numbers; TypeError, RangeError and ReferenceError are logged as internal errors, never as trouble outside.

--- a/packages/control/src/list.ts
+++ b/packages/control/src/list.ts
@@ -1,6 +1,6 @@
 import { listInto, type Listed, type ListReply, type ListTold } from '@tillerstair/state';
-import { mishapOf, pause, TooLate, within, type Clock, type Log } from '@tillerstair/wire';
-import type { MasterView } from '@tillerstair/zen';
+import { isProgrammingError, mishapOf, pause, TooLate, within, type Clock, type Log } from '@tillerstair/wire';
+import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export type { Listed } from '@tillerstair/state';
 
@@ -26,10 +26,15 @@
   constructor(
     private readonly clock: Clock,
     private readonly list: ServerList,
-    readonly every: number,
+    private readonly bounds: Pick<ZenBounds, 'listEvery'>,
     private readonly log: Log,
   ) {}
 
+  /** The pause between two readings, in ms. */
+  get every(): number {
+    return this.bounds.listEvery;
+  }
+
   async read(): Promise<Reading> {
     if (this.going) return this.going;
     if (this.clock.now() - this.last.triedAt < this.every) return this.last;
@@ -46,7 +51,8 @@
       const servers = await within(this.clock, this.every, this.list.read(this.every), () => new TooLate('the server list'));
       this.last = { triedAt, readAt: triedAt, servers };
     } catch (e) {
-      this.log.warn(`The server list cannot be read: ${mishapOf(e).message}.`);
+      if (isProgrammingError(e)) this.log.error(`Internal error while reading the server list: ${e.message}.`);
+      else this.log.warn(`The server list cannot be read: ${mishapOf(e).message}.`);
       this.last = { ...this.last, triedAt };
     }
     return this.last;
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -25,7 +25,7 @@
     const old = p.keep.kept.accepted;
     if (old) this.keeper.learn(old);
     if (p.list) {
-      const reader = new ListReader(p.clock, p.list, p.bounds.listEvery, p.log);
+      const reader = new ListReader(p.clock, p.list, p.bounds, p.log);
       this.list = { reader, poll: new ListPoll(p.clock, reader) };
     }
     const poll = this.list?.poll;
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -133,7 +133,7 @@
   }
 
   async generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
-    const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
+    const stop = AbortSignal.any([gone, AbortSignal.timeout(Math.ceil(within))]);
     try {
       const res = await request(`${server.url}/v1/generate`, {
         method: 'POST',
@@ -169,7 +169,7 @@
   }
 
   async act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
-    const stop = AbortSignal.any([gone, AbortSignal.timeout(within)]);
+    const stop = AbortSignal.any([gone, AbortSignal.timeout(Math.ceil(within))]);
     try {
       const res = await request(`${server.url}/v1/act`, {
         method: 'POST',
@@ -194,7 +194,7 @@
   }
 
   async busyness(server: Server, within: number): Promise<BusyReport> {
-    const res = await request(`${server.url}/load`, { dispatcher: this.agent, signal: AbortSignal.timeout(within) });
+    const res = await request(`${server.url}/load`, { dispatcher: this.agent, signal: AbortSignal.timeout(Math.ceil(within)) });
     return BusyPage.parse(await res.body.json());
   }
 }
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -3,7 +3,7 @@
 import type { Front } from '@tillerstair/proxy';
 import { rootOf, type State } from '@tillerstair/state';
 import { opKeyOf, type EmitPiece, type Verdict } from '@tillerstair/steward';
-import { zenBounds } from '@tillerstair/zen';
+import { zenBounds, type OuterBounds, type ZenBounds } from '@tillerstair/zen';
 import { z } from 'zod';
 import { Machine } from './machine.js';
 import { SimServers } from './sim-backend.js';
@@ -29,14 +29,18 @@
   readonly stores: number;
   readonly fronts: number;
   readonly slots?: number;
+  /** Outer bounds of the deployment, in ms; the usual ones if left out. */
+  readonly outer?: OuterBounds;
 }
 
+const usualOuter: OuterBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 };
+
 export class World {
   readonly rng;
   readonly clock = new SimClock();
   readonly net;
   readonly servers;
-  readonly bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+  readonly bounds: ZenBounds;
   readonly slots: number;
   readonly longAt = 1 << 16;
   hintsMost = 10000;
@@ -56,6 +60,7 @@
   ) {
     this.rng = seededRng(seed);
     this.slots = sizes.slots ?? 8;
+    this.bounds = zenBounds(sizes.outer ?? usualOuter);
     this.net = new SimNet(this.clock, this.rng);
     this.servers = new SimServers(this.clock, this.rng);
     for (let n = 0; n < sizes.controls; n++) this.add('control');
--- a/packages/wire/src/clock.ts
+++ b/packages/wire/src/clock.ts
@@ -15,6 +15,9 @@
   },
 };
 
+/** Rounds to whole milliseconds, never below one: platform timers refuse fractions. */
+export const wholeMs = (ms: number): number => Math.max(1, Math.round(ms));
+
 export const pause = (clock: Clock, ms: number, gone?: AbortSignal): Promise<void> =>
   new Promise((done) => {
     if (gone?.aborted) return done();
--- a/packages/wire/src/mishap.ts
+++ b/packages/wire/src/mishap.ts
@@ -30,5 +30,9 @@
   }
 }
 
+/** Whether an error tells of a fault in this program rather than of trouble outside it. */
+export const isProgrammingError = (e: unknown): e is TypeError | RangeError | ReferenceError =>
+  e instanceof TypeError || e instanceof RangeError || e instanceof ReferenceError;
+
 export const mishapOf = (e: unknown): Mishap =>
   e instanceof Mishap ? e : new Mishap('internal', e instanceof Error ? e.message : String(e), 'unknown');
--- a/packages/zen/src/bounds.ts
+++ b/packages/zen/src/bounds.ts
@@ -1,3 +1,12 @@
+/**
+ * Times that membership, election and publishing work with, all derived as ratios of the outer
+ * bounds that a deployment states. Every derived time is a whole, positive number of milliseconds,
+ * since platform timers refuse fractions.
+ */
+
+import { wholeMs } from '@tillerstair/wire';
+
+/** Times used inside a cluster, in whole milliseconds (`joinTries` and `pingsFromAnotherMaster` are counts). */
 export interface ZenBounds {
   readonly beat: number;
   readonly silent: number;
@@ -13,6 +22,7 @@
   readonly pingsFromAnotherMaster: number;
 }
 
+/** What a deployment states, in milliseconds. */
 export interface OuterBounds {
   readonly serveWithin: number;
   readonly leavingWithin: number;
@@ -20,17 +30,73 @@
   readonly silent: number;
 }
 
+/** Derives the inner times from the outer bounds. */
 export const zenBounds = (o: OuterBounds): ZenBounds => ({
-  beat: o.beat,
-  silent: o.silent,
-  pingWait: o.serveWithin / 24,
-  joinWait: o.serveWithin / 8,
+  beat: wholeMs(o.beat),
+  silent: wholeMs(o.silent),
+  pingWait: wholeMs(o.serveWithin / 24),
+  joinWait: wholeMs(o.serveWithin / 8),
   joinTries: 3,
-  publishWait: o.silent / 2,
-  foundingStill: o.serveWithin / 6,
-  replaceAfter: o.silent * 2,
-  grace: (o.leavingWithin * 5) / 6,
-  markWithin: o.leavingWithin / 6,
-  listEvery: o.leavingWithin / 6,
+  publishWait: wholeMs(o.silent / 2),
+  foundingStill: wholeMs(o.serveWithin / 6),
+  replaceAfter: wholeMs(o.silent * 2),
+  grace: wholeMs((o.leavingWithin * 5) / 6),
+  markWithin: wholeMs(o.leavingWithin / 6),
+  listEvery: wholeMs(o.leavingWithin / 6),
   pingsFromAnotherMaster: 1,
 });
+
+/** Bounds that can be replaced while the process runs. */
+export interface ReloadableBounds {
+  /** Always shows the values in force now. */
+  readonly bounds: ZenBounds;
+  replace(outer: OuterBounds): void;
+}
+
+/** Derives bounds whose values follow a later `replace`, for settings that are read again. */
+export const reloadableBounds = (outer: OuterBounds): ReloadableBounds => {
+  let current = zenBounds(outer);
+  return {
+    bounds: {
+      get beat() {
+        return current.beat;
+      },
+      get silent() {
+        return current.silent;
+      },
+      get pingWait() {
+        return current.pingWait;
+      },
+      get joinWait() {
+        return current.joinWait;
+      },
+      get joinTries() {
+        return current.joinTries;
+      },
+      get publishWait() {
+        return current.publishWait;
+      },
+      get foundingStill() {
+        return current.foundingStill;
+      },
+      get replaceAfter() {
+        return current.replaceAfter;
+      },
+      get grace() {
+        return current.grace;
+      },
+      get markWithin() {
+        return current.markWithin;
+      },
+      get listEvery() {
+        return current.listEvery;
+      },
+      get pingsFromAnotherMaster() {
+        return current.pingsFromAnotherMaster;
+      },
+    },
+    replace: (next) => {
+      current = zenBounds(next);
+    },
+  };
+};
--- a/tests/src/list.test.ts
+++ b/tests/src/list.test.ts
@@ -307,7 +307,7 @@
   const shown = new SimList(clock);
   shown.put({ id: 'a', pool: 'p' });
   shown.took = 100;
-  const reader = new ListReader(clock, shown.reader('c', new Life()), 500, noLog);
+  const reader = new ListReader(clock, shown.reader('c', new Life()), { listEvery: 500 }, noLog);
   const t0 = clock.now();
   const both = Promise.all([reader.read(), reader.read()]);
   const [one, two] = await clock.finish('both', both, 1000);
@@ -326,7 +326,7 @@
   const clock = new SimClock();
   const shown = new SimList(clock);
   shown.hanging = true;
-  const reader = new ListReader(clock, shown.reader('c', new Life()), 500, noLog);
+  const reader = new ListReader(clock, shown.reader('c', new Life()), { listEvery: 500 }, noLog);
   for (let i = 0; i < 5; i++) {
     const t0 = clock.now();
     const reply = await clock.finish('reply', reader.reply(), 130);
@@ -340,7 +340,7 @@
   const clock = new SimClock();
   const shown = new SimList(clock);
   shown.put({ id: 'a', pool: 'p' });
-  const reader = new ListReader(clock, shown.reader('c', new Life()), 500, noLog);
+  const reader = new ListReader(clock, shown.reader('c', new Life()), { listEvery: 500 }, noLog);
   const old = await clock.finish('old', reader.read(), 1000);
   shown.put({ id: 'b', pool: 'p' });
   const b = { id: 'b', pool: 'p', url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, leaving: false };
--- a/tests/src/platform.test.ts
+++ b/tests/src/platform.test.ts
@@ -83,7 +83,7 @@
 };
 
 const entry = (n: number, state = 'accepting') => ({ serverId: `i-${n}`, depot: 'd', address: `10.0.0.${n}:80`, zone: 'a', berths: 6, state, edition: 'v1', coldLeftMs: 0 });
-const outcome = (addr: string): Promise<unknown> => platformList(addr).read(2000).catch((e: unknown) => (e instanceof Mishap ? 'mishap' : e));
+const outcome = (addr: string): Promise<unknown> => platformList(() => addr).read(2000).catch((e: unknown) => (e instanceof Mishap ? 'mishap' : e));
 
 adapter('the list is read page by page, whole', () =>
   listAt(
@@ -92,7 +92,7 @@
       res.end(JSON.stringify(second ? { servers: [entry(2, 'winding_down')], nextToken: null } : { servers: [entry(1)], nextToken: 'p+2' }));
     },
     async (addr) => {
-      assert.equal(await platformList(addr).read(2000), [
+      assert.equal(await platformList(() => addr).read(2000), [
         { id: 'i-1', pool: 'd', url: 'http://10.0.0.1:80', zone: 'a', places: 6, leaving: false },
         { id: 'i-2', pool: 'd', url: 'http://10.0.0.2:80', zone: 'a', places: 6, leaving: true },
       ]);
