SIGHUP reads the settings again and disturbs nothing

Cause: nothing handled SIGHUP, so every process ended with 129 (seen again before this change with a bare control-node). A signal during the start is met once the program runs.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -35,8 +35,17 @@
   private fedMark: Mark = markOf(undefined);
   private fedConfig = '';
   private lastFed = -Infinity;
+  private seeds: readonly string[];
 
-  constructor(private readonly p: AgentParts) {}
+  constructor(private readonly p: AgentParts) {
+    this.seeds = p.seeds;
+  }
+
+  /** Uses other seed addresses from the next ping round on. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+    this.zen?.replaceSeeds(seeds);
+  }
 
   async start(): Promise<void> {
     await this.p.circuits.serve(async (inq) => {
@@ -107,7 +116,8 @@
   }
 
   private async adopt(hello: z.infer<typeof Hello>): Promise<void> {
-    const { addr, zone, name, seeds, clock, circuits, bounds, log } = this.p;
+    const { addr, zone, name, clock, circuits, bounds, log } = this.p;
+    const { seeds } = this;
     const old = this.zen;
     this.zen = undefined;
     this.list?.stop();
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,17 +1,18 @@
 import { closeHttp, servePages, stderrLog, type AgentEnv, type Running } from '@tillerstair/env';
 import { beliefOf } from '@tillerstair/state';
 import { hostClock, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { zenBounds } from '@tillerstair/zen';
+import { reloadableBounds } from '@tillerstair/zen';
 import { Agent } from './agent.js';
 
-export const startAgent = async (env: AgentEnv): Promise<Running> => {
+export const startAgent = async (env: AgentEnv): Promise<Running<AgentEnv>> => {
   const log = stderrLog('agent', env.log);
+  const { bounds, replace } = reloadableBounds(env.bounds);
   const agent = new Agent({
     ...env,
     clock: hostClock,
     circuits: new TcpCircuits(env.addr, env.listen),
     loop: new TcpCircuits(env.addr),
-    bounds: zenBounds(env.bounds),
+    bounds,
     log,
   });
   await agent.start();
@@ -25,6 +26,10 @@
   });
   log.info(`Serving at ${env.addr}, feeding ${env.proxy}.`);
   return {
+    reload: (next) => {
+      replace(next.bounds);
+      agent.replaceSeeds(next.seeds);
+    },
     stop: async () => {
       await agent.stop();
       await closeHttp(http);
--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -2,7 +2,7 @@
 import { closeHttp, servePages, stderrLog, type ControlEnv, type Running } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, readBody, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import { DiskKeep, reloadableBounds } from '@tillerstair/zen';
 import type { ServerList } from './list.js';
 import { ControlNode } from './node.js';
 
@@ -16,13 +16,14 @@
   readonly door?: (node: ControlNode) => Promise<ControlDoor>;
 }
 
-export const startControl = async (env: ControlEnv, more: ControlMore = {}): Promise<Running> => {
+export const startControl = async (env: ControlEnv, more: ControlMore = {}): Promise<Running<ControlEnv>> => {
   const log = stderrLog('control', env.log);
   const disk = await FolderDisk.take(env.data);
   const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt);
   const me = { id: keep.kept.id, kind: 'control' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
+  const { bounds, replace } = reloadableBounds(env.bounds);
   const node = new ControlNode({
-    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds: zenBounds(env.bounds), log,
+    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds, log,
     slots: env.slots, copies: env.copies, founds: env.founds, list: more.list,
   });
   await node.start();
@@ -39,6 +40,10 @@
   const door = await more.door?.(node);
   log.info(`Serving ${me.id} at ${env.addr}, operators at ${env.http}.`);
   return {
+    reload: (next) => {
+      replace(next.bounds);
+      node.zen.replaceSeeds(next.seeds);
+    },
     stop: async () => {
       await node.stop();
       await door?.close();
--- a/packages/env/src/daemon.ts
+++ b/packages/env/src/daemon.ts
@@ -7,8 +7,11 @@
 
 export const version = '0.1.0';
 
-export interface Running {
+/** A started program. `T` is the type of its settings. */
+export interface Running<T = never> {
   stop(): Promise<void>;
+  /** Takes over settings that were read again, as far as they may change while the program runs. */
+  reload?(settings: T): void;
 }
 
 export const stderrLog = (part: string, level: 'debug' | 'info' | 'warn' | 'error'): Log =>
@@ -33,7 +36,7 @@
   readonly about: string;
   readonly schema: z.ZodType<T>;
   readonly flags: readonly (readonly [string, string])[];
-  start(env: T): Promise<Running>;
+  start(env: T): Promise<Running<T>>;
 }
 
 export const runDaemon = async <T>(spec: DaemonSpec<T>): Promise<void> => {
@@ -47,14 +50,40 @@
   const { options } = cli.parse(process.argv, { run: false });
   if (options['help'] || options['version']) return;
   const file: unknown = options['settings'];
-  await live(spec.name, () => spec.start(readEnv(spec.schema, typeof file === 'string' ? file : undefined, collect(options))));
+  const read = (): T => readEnv(spec.schema, typeof file === 'string' ? file : undefined, collect(options));
+  await live(spec.name, read, (settings) => spec.start(settings));
 };
 
-/** Starts a program and keeps it until SIGTERM or SIGINT; ends with 2 for bad settings, 3 for a data folder that cannot be used, 1 otherwise. */
-export const live = async (name: string, start: () => Promise<Running>): Promise<void> => {
-  let running: Running;
+const findingsText = (e: unknown): string => {
+  if (e instanceof BadEnv) return e.findings.map((f) => `${f.place}: ${f.text}`).join('; ');
+  return e instanceof Error ? e.message : String(e);
+};
+
+/** Reads the settings again and hands them over; bad ones are told in one line and the old ones stay in force. */
+const reloadSettings = <T>(name: string, read: () => T, running: Running<T>): void => {
+  try {
+    running.reload?.(read());
+    process.stderr.write(`${name}: Settings were read again.\n`);
+  } catch (e) {
+    process.stderr.write(`${name}: The settings in force stay: ${findingsText(e)}\n`);
+  }
+};
+
+/**
+ * Starts a program and keeps it until SIGTERM or SIGINT. SIGHUP reads its settings again; one that comes
+ * during the start is met once the program runs. Ends with 2 for bad settings, 3 for a data folder that
+ * cannot be used, 1 otherwise.
+ */
+export const live = async <T>(name: string, read: () => T, start: (settings: T) => Promise<Running<T>>): Promise<void> => {
+  let reload: (() => void) | undefined;
+  let reloadWanted = false;
+  process.on('SIGHUP', () => {
+    if (reload) reload();
+    else reloadWanted = true;
+  });
+  let running: Running<T>;
   try {
-    running = await start();
+    running = await start(read());
   } catch (e) {
     if (e instanceof BadEnv) {
       for (const f of e.findings) process.stderr.write(`${name}: ${f.place}: ${f.text}\n`);
@@ -63,6 +92,8 @@
     process.stderr.write(`${name}: cannot start: ${e instanceof Error ? e.message : String(e)}\n`);
     process.exit(e instanceof FolderTaken || e instanceof JournalCorrupt ? 3 : 1);
   }
+  reload = () => reloadSettings(name, read, running);
+  if (reloadWanted) reload();
   let stopping = false;
   const stop = (): void => {
     if (stopping) return;
--- a/packages/env/src/env.ts
+++ b/packages/env/src/env.ts
@@ -35,7 +35,7 @@
   .prefault({});
 
 const Common = {
-  zone: z.string().regex(/^[a-z0-9-]{1,32}$/, { message: 'must be a short lower-case name' }),
+  zone: z.string().regex(/^[a-z0-9-]{1,64}$/, { message: 'must be a short lower-case name' }),
   http: addr,
   log: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   bounds: Bounds,
--- a/packages/proxy/src/start.ts
+++ b/packages/proxy/src/start.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { closeHttp, servePages, stderrLog, type ProxyEnv, type Running } from '@tillerstair/env';
-import { hostClock, TcpCircuits } from '@tillerstair/wire';
+import { hostClock, TcpCircuits, wholeMs } from '@tillerstair/wire';
 import { HttpBackend } from './backend.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { Front } from './front.js';
@@ -19,9 +19,9 @@
 const leastCircuits = 2;
 const spareFronts = 1.5;
 
-export const startProxy = async (env: ProxyEnv, dialect: Dialect = ownDialect, doors: Doors = noDoors): Promise<Running> => {
+export const startProxy = async (env: ProxyEnv, dialect: Dialect = ownDialect, doors: Doors = noDoors): Promise<Running<ProxyEnv>> => {
   const log = stderrLog('proxy', env.log);
-  const { beat, silent, leavingWithin } = env.bounds;
+  let { bounds: outer } = env;
   const table = () => front.steward.current;
   const circuitsTo = (url: string): number => {
     const { state, config } = table() ?? {};
@@ -30,9 +30,20 @@
     const fronts = [...(state?.nodes.values() ?? [])].filter((m) => m.kind === 'front').length;
     return most === 0 ? usualCircuits : Math.max(leastCircuits, Math.floor(most / (spareFronts * Math.max(1, fronts))));
   };
-  const backend = new HttpBackend({ connectWithin: beat / 2, circuits: circuitsTo }, dialect);
+  const backend = new HttpBackend({ connectWithin: wholeMs(outer.beat / 2), circuits: circuitsTo }, dialect);
   const bounds = {
-    beat, putWithin: silent / 2, grace: (leavingWithin * 5) / 6, poll: env.asksServers ? beat / 4 : 0, keepMs: env.keepMs, stopWithin: env.stopWithin,
+    get beat() {
+      return outer.beat;
+    },
+    get putWithin() {
+      return wholeMs(outer.silent / 2);
+    },
+    get grace() {
+      return wholeMs((outer.leavingWithin * 5) / 6);
+    },
+    poll: env.asksServers ? wholeMs(env.bounds.beat / 4) : 0,
+    keepMs: env.keepMs,
+    stopWithin: env.stopWithin,
   };
   const front: Front = new Front({
     id: `f-${randomBytes(6).toString('hex')}`, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), backend, bounds, log, affinity: env.affinity,
@@ -47,6 +58,9 @@
   const door = await doors(front, carry);
   log.info(`Serving callers at ${env.http}.`);
   return {
+    reload: (next) => {
+      outer = next.bounds;
+    },
     stop: async () => {
       await front.stop();
       await door.close();
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -2,18 +2,19 @@
 import { closeHttp, servePages, stderrLog, type Running, type StoreEnv } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import { DiskKeep, reloadableBounds } from '@tillerstair/zen';
 import { StoreNode } from './node.js';
 import { Shelf } from './shelf.js';
 
-export const startStore = async (env: StoreEnv): Promise<Running> => {
+export const startStore = async (env: StoreEnv): Promise<Running<StoreEnv>> => {
   const log = stderrLog('store', env.log);
   const disk = await FolderDisk.take(env.data);
   const keep = await DiskKeep.open(disk, () => `s-${randomBytes(6).toString('hex')}`, env.journalLongAt);
   const me = { id: keep.kept.id, kind: 'store' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
   const shelf = await Shelf.open(disk, hostClock, env);
   const circuits = new TcpCircuits(env.addr, env.listen);
-  const node = new StoreNode({ me, seeds: env.seeds, clock: hostClock, circuits, keep, shelf, bounds: zenBounds(env.bounds), log });
+  const { bounds, replace } = reloadableBounds(env.bounds);
+  const node = new StoreNode({ me, seeds: env.seeds, clock: hostClock, circuits, keep, shelf, bounds, log });
   await node.start();
   const readiness = () => {
     const master = node.zen.masterSeen;
@@ -26,6 +27,10 @@
   });
   log.info(`Serving ${me.id} at ${env.addr}.`);
   return {
+    reload: (next) => {
+      replace(next.bounds);
+      node.zen.replaceSeeds(next.seeds);
+    },
     stop: async () => {
       await node.stop();
       await closeHttp(http);
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -4,10 +4,12 @@
 import { gatherPromises } from './candidate.js';
 import { elect, type Self } from './elect.js';
 import { Founder } from './found.js';
+import { joinMaster } from './joiner.js';
 import { acceptedMark, type Keep } from './keep.js';
 import { Master, type MasterView } from './master.js';
 import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
+import { ReadLease } from './read-lease.js';
 import { Receiver } from './receiver.js';
 
 export interface ZenParts {
@@ -48,10 +50,12 @@
   private readonly receiver: Receiver;
   private ended: Promise<void> = Promise.resolve();
   private misses = 0;
-  freshAt = -Infinity;
+  private readonly lease = new ReadLease();
+  private seeds: readonly string[];
 
   constructor(private readonly p: ZenParts) {
-    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, p.seeds);
+    this.seeds = p.seeds;
+    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, () => this.seeds);
     this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots);
     this.receiver = new Receiver({
       keep: p.keep,
@@ -99,6 +103,11 @@
     return this.p.keep.kept.accepted;
   }
 
+  /** Uses other seed addresses from the next ping round on; nothing under way is disturbed. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   reportNow(): void {
     this.wake();
   }
@@ -155,7 +164,7 @@
     this.freshen(round);
     const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
     if (me.kind === 'control' && !keep.kept.accepted && this.p.founds !== false) {
-      const view = { me, seeds: this.p.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
+      const view = { me, seeds: this.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
       if (await this.founder.round(view)) return undefined;
     }
     const choice = elect(this.self(), mine);
@@ -183,11 +192,12 @@
     }
   }
 
+  get freshAt(): number {
+    return this.lease.freshAt;
+  }
+
   private freshen(round: Round): void {
-    const s = this.applied;
-    if (!s || !s.nodes.has(this.p.me.id)) return;
-    const old = new Set(round.pongs.filter((g) => !newer(g.accepted, markOf(s))).map((g) => g.from.id));
-    if (quorum(s.voters, old)) this.freshAt = Math.max(this.freshAt, round.at);
+    this.lease.renewFromRound(round, this.applied, this.p.me.id);
   }
 
   private dropPending(): void {
@@ -258,18 +268,8 @@
     this.joining = master;
     try {
       const ping: Ping = { from: me, known: [], clusterId: this.clusterId };
-      const pong = Pong.parse(await circuits.call(master.addr, 'zen/ping', ping, { within: bounds.pingWait }));
-      if (pong.from.id !== master.id) throw new Mishap('gone', `${master.addr} is another node now`);
       const join: Join = { from: me, term: keep.kept.term, accepted: acceptedMark(keep), clusterId: this.clusterId };
-      for (let n = 1; ; n++) {
-        try {
-          await circuits.call(master.addr, 'zen/join', join, { within: bounds.joinWait });
-          break;
-        } catch (e) {
-          const m = mishapOf(e);
-          if (n >= bounds.joinTries || m.code === 'not-master' || m instanceof CircuitRefused) throw m;
-        }
-      }
+      await joinMaster({ me, clock, circuits, bounds }, master, ping, join);
       this.following = master;
     } finally {
       this.joining = undefined;
@@ -298,7 +298,7 @@
         good = clock.now();
         refused = 0;
         if (pong.listed && !newer(pong.committed, markOf(this.applied))) {
-          this.freshAt = Math.max(this.freshAt, sent - pong.age);
+          this.lease.renew(sent - pong.age);
           this.p.onTold?.(pong.told, sent);
         }
       } catch (e) {
--- a/packages/zen/src/pinger.ts
+++ b/packages/zen/src/pinger.ts
@@ -16,7 +16,7 @@
     private readonly clock: Clock,
     private readonly circuits: Circuits,
     private readonly bounds: ZenBounds,
-    private readonly seeds: readonly string[],
+    private readonly seeds: () => readonly string[],
   ) {}
 
   learn(mates: Iterable<Mate>, me: Mate): void {
@@ -76,7 +76,7 @@
       }
     };
     const spread = (): void => {
-      for (const addr of [...this.seeds, ...this.controls().map((m) => m.addr)]) {
+      for (const addr of [...this.seeds(), ...this.controls().map((m) => m.addr)]) {
         if (asked.has(addr)) continue;
         asked.add(addr);
         open++;
