A full or stalled disk no longer ends the system: journals recover, controls step aside

A control whose write failed once stayed electable, was elected again and again and could never publish; a store refused its slots' writes until its process was restarted; a stalled write had no bound.

The old file is never appended to again: after a failed sync nobody knows what it holds. Records whose append failed stay in memory (a promise is not taken back, a state counts as accepted, items and seals may be held unacknowledged), so that memory and disk agree afterwards. One write is under way at a time, so a stall makes no pile of them. A control that cannot sync says so in its ping replies (not eligible, cannot win), neither stands, votes nor joins, counts for no majority, and steps down as master; it tells its followers at once. The master's own failed sync no longer fails a change that a majority of others synced. Bounds: half of the failure timeout on a control (a publish waits no longer), the failure timeout on a store, a quarter of a heartbeat between attempts. Log replay proves itself whole: first the id, each diff on the version before it, terms and versions that only grow, no state of a term that was not promised. Else the file is kept as NAME.damaged and the member starts with a fresh id and no state; a store with a damaged log of replicas gives up its id first.

Ruled out: reading the old file back after a failed sync (its pages come from the cache, not from the disk); going on under the old id with a damaged log (a second vote in a term, a state counted that is no longer held).

--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -19,10 +19,12 @@
 export const startControl = async (env: ControlEnv, more: ControlMore = {}): Promise<Running> => {
   const log = stderrLog('control', env.log);
   const disk = await FolderDisk.take(env.data);
-  const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt);
+  const bounds = zenBounds(env.bounds);
+  const pace = { clock: hostClock, syncWithin: bounds.syncWithin, retryEvery: bounds.diskRetryEvery, log };
+  const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt, pace);
   const me = { id: keep.kept.id, kind: 'control' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
   const node = new ControlNode({
-    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds: zenBounds(env.bounds), log,
+    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds, log,
     slots: env.slots, copies: env.copies, founds: env.founds, list: more.list,
   });
   await node.start();
--- a/packages/fleet/src/capacity-meter.ts
+++ b/packages/fleet/src/capacity-meter.ts
@@ -60,7 +60,7 @@
     return f;
   };
   return {
-    disk: { open },
+    disk: { open, setAside: (name) => disk.setAside(name) },
     close: async () => {
       for (const f of files) await f.close();
     },
--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -1,6 +1,7 @@
 import { constants } from 'node:fs';
 import { mkdir, open, readFile, rename, writeFile, unlink, type FileHandle } from 'node:fs/promises';
-import { join } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
+import { hostClock, pause, type Clock } from '@tillerstair/wire';
 
 export interface DiskFile {
   read(): Promise<Buffer>;
@@ -13,10 +14,22 @@
 
 export interface Disk {
   open(name: string): Promise<DiskFile>;
+  /** Renames a file that cannot be used to `NAME.damaged`, so that a fresh one can be opened under its name. */
+  setAside(name: string): Promise<void>;
 }
 
 export class FolderTaken extends Error {}
 
+const diskTroubles: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT', 'EIO']);
+
+const errorCode = (e: unknown): string => (e instanceof Error && 'code' in e ? String(e.code) : '');
+
+/** Whether an error says that the disk takes no bytes now, which may pass by itself. */
+export const isDiskTrouble = (e: unknown): boolean => diskTroubles.has(errorCode(e));
+
+const lockRetryMs = 250;
+const appendToNew = constants.O_RDWR | constants.O_CREAT | constants.O_TRUNC | constants.O_APPEND;
+
 const alive = (pid: number): boolean => {
   try {
     process.kill(pid, 0);
@@ -41,8 +54,18 @@
 
 const syncFolder = async (dir: string): Promise<void> => {
   const h = await open(dir, constants.O_RDONLY);
-  await h.sync();
-  await h.close();
+  try {
+    await h.sync();
+  } finally {
+    await h.close();
+  }
+};
+
+/** Makes a folder and syncs the names of all that had to be made for it. */
+const makeFolder = async (dir: string): Promise<void> => {
+  const top = await mkdir(dir, { recursive: true });
+  if (top === undefined) return;
+  for (let at = dir; at.length >= top.length; at = dirname(at)) await syncFolder(dirname(at));
 };
 
 export class FolderDisk implements Disk {
@@ -51,15 +74,32 @@
     private readonly lockPath: string,
   ) {}
 
-  static async take(dir: string): Promise<FolderDisk> {
-    await mkdir(dir, { recursive: true });
+  /** Locks a data folder for this process; a full disk is waited out, since the lock needs a few bytes. */
+  static async take(dir: string, clock: Clock = hostClock): Promise<FolderDisk> {
+    const path = resolve(dir);
+    for (;;) {
+      try {
+        return await FolderDisk.tryTake(path);
+      } catch (e) {
+        if (!isDiskTrouble(e)) throw e;
+        await pause(clock, lockRetryMs);
+      }
+    }
+  }
+
+  private static async tryTake(dir: string): Promise<FolderDisk> {
+    await makeFolder(dir);
     const lockPath = join(dir, 'lock');
     const mine = `${process.pid} ${await started(process.pid)}`;
     for (let tries = 0; tries < 2; tries++) {
       try {
         await writeFile(lockPath, mine, { flag: 'wx' });
         return new FolderDisk(dir, lockPath);
-      } catch {
+      } catch (e) {
+        if (isDiskTrouble(e)) {
+          await unlink(lockPath).catch(() => undefined);
+          throw e;
+        }
         const [pid = '0', born = ''] = (await readFile(lockPath, 'utf8').catch(() => '')).split(' ');
         if (Number(pid) > 0 && born !== '' && alive(Number(pid)) && (await started(Number(pid))) === born)
           throw new FolderTaken(`${dir} is in use by process ${pid}`);
@@ -88,16 +128,31 @@
         await h.sync();
       },
       replace: async (bytes) => {
-        const next = await open(`${path}.next`, 'w');
-        await next.writeFile(bytes);
-        await next.sync();
-        await next.close();
-        await rename(`${path}.next`, path);
-        await syncFolder(this.dir);
-        await h.close();
-        h = await open(path, 'a+');
+        const nextPath = `${path}.next`;
+        const next = await open(nextPath, appendToNew);
+        try {
+          await next.writeFile(bytes);
+          await next.sync();
+          await rename(nextPath, path);
+          await syncFolder(this.dir);
+        } catch (e) {
+          await next.close().catch(() => undefined);
+          await unlink(nextPath).catch(() => undefined);
+          throw e;
+        }
+        const old = h;
+        h = next;
+        await old.close();
       },
       close: () => h.close(),
     };
   }
+
+  async setAside(name: string): Promise<void> {
+    const path = join(this.dir, name);
+    await rename(path, `${path}.damaged`).catch((e: unknown) => {
+      if (errorCode(e) !== 'ENOENT') throw e;
+    });
+    await syncFolder(this.dir);
+  }
 }
--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -1,7 +1,7 @@
 import { Agent } from '@tillerstair/agent';
 import { ControlNode } from '@tillerstair/control';
 import { Front } from '@tillerstair/proxy';
-import { Shelf, StoreNode } from '@tillerstair/store';
+import { openStoreDisk, StoreNode, type Shelf } from '@tillerstair/store';
 import { DiskKeep } from '@tillerstair/zen';
 import { noLog, type Log } from '@tillerstair/wire';
 import { Life } from './sim-clock.js';
@@ -71,15 +71,22 @@
       return;
     }
     const disk = this.platter.disk(clock, life);
-    const keep = await DiskKeep.open(disk, () => `${this.kind.charAt(0)}${w.freshId()}`, w.longAt);
-    const me = { id: keep.kept.id, kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
+    const freshId = (): string => `${this.kind.charAt(0)}${w.freshId()}`;
+    const pace = { clock, syncWithin: w.bounds.syncWithin, retryEvery: w.bounds.diskRetryEvery, log: this.log('disk') };
+    const mate = { kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
     if (this.kind === 'control') {
+      const keep = await DiskKeep.open(disk, freshId, w.longAt, pace);
+      const me = { id: keep.kept.id, ...mate };
       const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3, list: w.list?.reader(this.addr, life) });
       await node.start();
       this.control = node;
       return;
     }
-    const shelf = await Shelf.open(disk, clock, { journalLongAt: w.longAt, keepMs: w.keepMs, hintsMost: w.hintsMost });
+    const { keep, shelf } = await openStoreDisk({
+      disk, clock, pace: { ...pace, syncWithin: w.bounds.silent }, freshId, longAt: w.longAt,
+      bounds: { journalLongAt: w.longAt, keepMs: w.keepMs, hintsMost: w.hintsMost },
+    });
+    const me = { id: keep.kept.id, ...mate };
     const node = new StoreNode({ ...common, me, keep, shelf });
     await node.start();
     this.store = node;
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -99,7 +99,7 @@
     while (!this.gone.signal.aborted) {
       await pause(clock, bounds.beat / 2, this.gone.signal);
       const s = this.zen.applied;
-      if (!s || this.gone.signal.aborted) continue;
+      if (!s || !this.p.shelf.writable || this.gone.signal.aborted) continue;
       try {
         await this.handOver(s);
         await this.p.shelf.dropOld(turnsKeptMs(compiledOf(s.config)));
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/shelf.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { groupOf, Item, newerItem, pageBytes, type Item as ItemT, type Paged } from '@tillerstair/state';
-import { Journal, type Disk } from '@tillerstair/journal';
+import { hostPace, Journal, type Disk, type JournalPace } from '@tillerstair/journal';
 import { Mishap, type Clock } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
@@ -19,6 +19,8 @@
   return kind === 'p' && section === 't' ? turn : '';
 };
 
+export const shelfLog = 'store.log';
+
 export interface HintRecord {
   readonly n: number;
   readonly to: string;
@@ -43,20 +45,32 @@
   private readonly byTurn = new Map<string, { readonly slot: number; readonly key: string }>();
   private readonly hints = new Map<number, HintRecord>();
   private hintSeq = 0;
-  private rewriting = false;
+
   private constructor(
     private readonly journal: Journal,
     private readonly clock: Clock,
     private readonly bounds: ShelfBounds,
-  ) {}
+  ) {
+    journal.recoverFrom(() => this.whole());
+  }
 
-  static async open(disk: Disk, clock: Clock, bounds: ShelfBounds): Promise<Shelf> {
-    const { journal, records } = await Journal.open(disk, 'store.log');
+  static async open(disk: Disk, clock: Clock, bounds: ShelfBounds, pace: JournalPace = { ...hostPace, clock }): Promise<Shelf> {
+    const { journal, records } = await Journal.open(disk, shelfLog, pace);
     const shelf = new Shelf(journal, clock, bounds);
-    for (const r of records) shelf.take(Rec.parse(r));
+    try {
+      for (const r of records) shelf.take(Rec.parse(r));
+    } catch (e) {
+      await journal.close();
+      throw e;
+    }
     return shelf;
   }
 
+  /** Whether the disk takes writes; without it they are refused at once and the other replicas carry them. */
+  get writable(): boolean {
+    return this.journal.writable;
+  }
+
   private slot(n: number): SlotShelf {
     const old = this.slots.get(n);
     if (old) return old;
@@ -107,14 +121,15 @@
     }
   }
 
+  /**
+   * Memory changes before the disk does. A record whose append failed may be on disk, so it stays in memory: an item may be
+   * held without being acknowledged, a seal too many refuses no more than one that was acknowledged would.
+   */
   private async put(r: Rec): Promise<void> {
+    this.journal.mustBeWritable();
     this.take(r);
     await this.journal.append(r);
-    if (this.rewriting || !this.journal.long(this.bounds.journalLongAt)) return;
-    this.rewriting = true;
-    await this.journal.rewrite(() => this.whole()).finally(() => {
-      this.rewriting = false;
-    });
+    if (this.journal.long(this.bounds.journalLongAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
   private whole(): readonly Rec[] {
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -2,18 +2,20 @@
 import { closeHttp, servePages, stderrLog, type Running, type StoreEnv } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import { zenBounds } from '@tillerstair/zen';
 import { StoreNode } from './node.js';
-import { Shelf } from './shelf.js';
+import { openStoreDisk } from './open.js';
 
 export const startStore = async (env: StoreEnv): Promise<Running> => {
   const log = stderrLog('store', env.log);
   const disk = await FolderDisk.take(env.data);
-  const keep = await DiskKeep.open(disk, () => `s-${randomBytes(6).toString('hex')}`, env.journalLongAt);
+  const bounds = zenBounds(env.bounds);
+  const pace = { clock: hostClock, syncWithin: bounds.silent, retryEvery: bounds.diskRetryEvery, log };
+  const freshId = (): string => `s-${randomBytes(6).toString('hex')}`;
+  const { keep, shelf } = await openStoreDisk({ disk, clock: hostClock, pace, bounds: env, freshId, longAt: env.journalLongAt });
   const me = { id: keep.kept.id, kind: 'store' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
-  const shelf = await Shelf.open(disk, hostClock, env);
   const circuits = new TcpCircuits(env.addr, env.listen);
-  const node = new StoreNode({ me, seeds: env.seeds, clock: hostClock, circuits, keep, shelf, bounds: zenBounds(env.bounds), log });
+  const node = new StoreNode({ me, seeds: env.seeds, clock: hostClock, circuits, keep, shelf, bounds, log });
   await node.start();
   const readiness = () => {
     const master = node.zen.masterSeen;
--- a/packages/zen/src/bounds.ts
+++ b/packages/zen/src/bounds.ts
@@ -5,6 +5,10 @@
   readonly joinWait: number;
   readonly joinTries: number;
   readonly publishWait: number;
+  /** How long a control's own sync may last before it stands down until its disk takes bytes again. */
+  readonly syncWithin: number;
+  /** How long to wait between attempts to write to a disk that failed. */
+  readonly diskRetryEvery: number;
   readonly foundingStill: number;
   readonly replaceAfter: number;
   readonly grace: number;
@@ -27,6 +31,8 @@
   joinWait: o.serveWithin / 8,
   joinTries: 3,
   publishWait: o.silent / 2,
+  syncWithin: o.silent / 2,
+  diskRetryEvery: o.beat / 4,
   foundingStill: o.serveWithin / 6,
   replaceAfter: o.silent * 2,
   grace: (o.leavingWithin * 5) / 6,
--- a/packages/zen/src/elect.ts
+++ b/packages/zen/src/elect.ts
@@ -4,6 +4,8 @@
 export interface Self {
   readonly mate: Mate;
   readonly canWin: boolean;
+  /** Whether it can sync a vote; without that it counts for no majority. */
+  readonly writable?: boolean;
   readonly joinedBefore: boolean;
   readonly accepted: Mark;
   readonly voters: Voters | undefined;
@@ -40,7 +42,7 @@
   const seen = first([...reported.values()]);
   if (seen) return { kind: 'master', mate: seen, by: 'reported' };
 
-  const self1 = self.mate.kind === 'control' ? [self.mate] : [];
+  const self1 = self.mate.kind === 'control' && self.writable !== false ? [self.mate] : [];
   const actives = [...pongs.map((p) => p.from), ...self1];
   if (!enough(votersSeen(self, pongs), actives)) return { kind: 'none', why: 'too few eligible mates replied' };
   const able = pongs.filter((p) => p.canWin);
--- a/packages/zen/src/keep.ts
+++ b/packages/zen/src/keep.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
-import { Diff, diffOf, Entries, flatten, markOf, Mate, patch, unflatten, type Mark, type State } from '@tillerstair/state';
-import { Journal, type Disk } from '@tillerstair/journal';
+import { Diff, diffOf, Entries, flatten, markOf, Mate, newer, patch, unflatten, type Mark, type State } from '@tillerstair/state';
+import { hostPace, isDiskTrouble, Journal, untilDiskTakes, type Disk, type JournalPace } from '@tillerstair/journal';
+import { pause } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
   z.object({ t: z.literal('id'), id: z.string() }),
@@ -19,6 +20,11 @@
   readonly accepted: State | undefined;
 }
 
+/** The log does not prove that it is whole: what it says last must not be counted on. */
+export class LogNotWhole extends Error {}
+
+const logName = 'zen.log';
+
 const take = (k: Kept, r: Rec): Kept => {
   switch (r.t) {
     case 'id':
@@ -30,7 +36,65 @@
     case 'full':
       return { ...k, accepted: unflatten(new Map(r.state)) };
     case 'diff':
-      return { ...k, accepted: (k.accepted && patch(k.accepted, r.diff)) ?? k.accepted };
+      return { ...k, accepted: patched(k.accepted, r.diff) };
+  }
+};
+
+const patched = (base: State | undefined, diff: Diff): State => {
+  const next = base && patch(base, diff);
+  if (!next) throw new LogNotWhole(`a change of version ${diff.base.version} follows version ${base?.version ?? 'none'}`);
+  return next;
+};
+
+const mustFollow = (before: Kept, after: Kept): void => {
+  if (after.term < before.term) throw new LogNotWhole(`term ${after.term} follows term ${before.term}`);
+  if (after.term === before.term && before.promisedTo !== '' && after.promisedTo !== before.promisedTo)
+    throw new LogNotWhole(`term ${after.term} is promised to two`);
+  if (after.accepted && after.accepted.term > after.term) throw new LogNotWhole(`a state of term ${after.accepted.term} was accepted in term ${after.term}`);
+  const went = before.accepted && after.accepted !== before.accepted;
+  if (went && !newer(markOf(after.accepted), markOf(before.accepted))) throw new LogNotWhole('an older state follows a newer one');
+};
+
+/** What a log says, if each of its records follows from those before it. */
+const replay = (records: readonly unknown[]): Kept => {
+  let kept = blank;
+  for (const raw of records) {
+    const record = Rec.parse(raw);
+    if (kept.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
+    const after = take(kept, record);
+    mustFollow(kept, after);
+    kept = after;
+  }
+  return kept;
+};
+
+interface Opened {
+  readonly journal: Journal;
+  readonly kept: Kept;
+}
+
+const openWhole = async (disk: Disk, pace: JournalPace): Promise<Opened> => {
+  const { journal, records } = await Journal.open(disk, logName, pace);
+  try {
+    return { journal, kept: replay(records) };
+  } catch (e) {
+    await journal.close();
+    throw e;
+  }
+};
+
+/**
+ * A damaged log is kept under another name, and the member starts as one that lost its disk: with a fresh id and no state.
+ * To go on under the old id could vote twice in a term, or count a state that the member no longer holds.
+ */
+const openOrStartAnew = async (disk: Disk, pace: JournalPace): Promise<Opened> => {
+  try {
+    return await openWhole(disk, pace);
+  } catch (e) {
+    if (isDiskTrouble(e)) throw e;
+    pace.log?.warn(`${logName} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${logName}.damaged, starting as a new member.`);
+    await untilDiskTakes(pace, logName, () => disk.setAside(logName));
+    return openWhole(disk, pace);
   }
 };
 
@@ -38,6 +102,8 @@
 
 export interface Keep {
   readonly kept: Kept;
+  /** Whether the disk takes what is to be kept; without it nothing may be promised, voted or accepted. */
+  readonly writable: boolean;
   promise(term: number, to: string): Promise<void>;
   vote(members: readonly Mate[]): Promise<void>;
   accept(state: State): Promise<void>;
@@ -51,21 +117,43 @@
     private readonly journal: Journal,
     public kept: Kept,
     private readonly longAt: number,
-  ) {}
+  ) {
+    journal.recoverFrom(() => this.whole());
+  }
 
-  static async open(disk: Disk, freshId: () => string, longAt: number): Promise<DiskKeep> {
-    const { journal, records } = await Journal.open(disk, 'zen.log');
-    const kept = records.map((r) => Rec.parse(r)).reduce(take, blank);
+  static async open(disk: Disk, freshId: () => string, longAt: number, pace: JournalPace = hostPace): Promise<DiskKeep> {
+    const { journal, kept } = await openOrStartAnew(disk, pace);
     const keep = new DiskKeep(journal, kept, longAt);
-    if (!kept.id) await keep.put({ t: 'id', id: freshId() });
+    if (!kept.id) await keep.start(freshId(), pace);
     return keep;
   }
 
-  private async put(r: Rec): Promise<void> {
-    this.kept = take(this.kept, r);
+  private async start(id: string, pace: JournalPace): Promise<void> {
+    await this.put({ t: 'id', id }).catch(() => undefined);
+    while (!this.writable) await pause(pace.clock, pace.retryEvery);
+  }
+
+  get writable(): boolean {
+    return this.journal.writable;
+  }
+
+  /** Gives up this identity for good; what was kept stays under another name. */
+  async forget(disk: Disk): Promise<void> {
+    await this.journal.close();
+    await disk.setAside(logName);
+  }
+
+  /**
+   * Memory changes before the disk does. When the append fails the record may or may not be on disk, so it stays in memory:
+   * a promise that may be on disk is not given again, a state that may be on disk is held as if it were. Nobody is told of
+   * either, and the journal takes no more before the disk holds just what memory holds.
+   */
+  private async put(r: Rec, next = take(this.kept, r)): Promise<void> {
+    this.journal.mustBeWritable();
+    this.kept = next;
     this.last = this.journal.append(r);
     await this.last;
-    if (this.journal.long(this.longAt)) await this.journal.rewrite(() => this.whole());
+    if (this.journal.long(this.longAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
   private whole(): readonly Rec[] {
@@ -78,8 +166,9 @@
     ];
   }
 
-  synced(): Promise<void> {
-    return this.last;
+  async synced(): Promise<void> {
+    await this.last.catch(() => undefined);
+    this.journal.mustBeWritable();
   }
 
   promise(term: number, to: string): Promise<void> {
@@ -92,13 +181,15 @@
 
   accept(state: State): Promise<void> {
     const old = this.kept.accepted;
-    if (!old || old.clusterId !== state.clusterId) return this.put({ t: 'full', state: [...flatten(state)] });
-    return this.put({ t: 'diff', diff: diffOf(old, state) });
+    const next = { ...this.kept, accepted: state };
+    if (!old || old.clusterId !== state.clusterId) return this.put({ t: 'full', state: [...flatten(state)] }, next);
+    return this.put({ t: 'diff', diff: diffOf(old, state) }, next);
   }
 }
 
 export class MemoryKeep implements Keep {
   kept: Kept;
+  readonly writable = true;
 
   constructor(id: string) {
     this.kept = { ...blank, id };
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -136,7 +136,7 @@
   }
 
   private async publish(next: State): Promise<void> {
-    const { keep, me, clock, bounds, apply } = this.p;
+    const { keep, me, clock, bounds, apply, log } = this.p;
     const old = this.base;
     const mark = markOf(next);
     const diff = this.pack({ diff: diffOf(old, next) });
@@ -157,7 +157,7 @@
         this.lost.removeEventListener('abort', onLost);
         done();
       };
-      keep.accept(next).then(() => count(me.id), fail);
+      keep.accept(next).then(() => count(me.id), (e: unknown) => log.warn(`Not synced here: ${mishapOf(e).message}.`));
       for (const mate of targets)
         void this.sendUntil(mate, next, diff, fullOf, clock.now() + bounds.publishWait)
           .then((ok) => {
@@ -297,8 +297,9 @@
   }
 
   private async watchSelf(): Promise<void> {
-    const { clock, bounds } = this.p;
+    const { clock, bounds, keep } = this.p;
     while (!this.lost.aborted) {
+      if (!keep.writable) this.stepDown('its own disk takes no writes');
       if (this.age() > bounds.silent) this.stepDown('no majority of controls replies');
       await pause(clock, bounds.beat / 4, this.lost);
     }
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,4 +1,4 @@
-import { flatten, markOf, newer, quorum, reduce, type Mate, type State } from '@tillerstair/state';
+import { markOf, newer, quorum, reduce, type Mate, type State } from '@tillerstair/state';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import { gatherPromises } from './candidate.js';
@@ -6,9 +6,11 @@
 import { Founder } from './found.js';
 import { acceptedMark, type Keep } from './keep.js';
 import { Master, type MasterView } from './master.js';
-import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate } from './messages.js';
+import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
 import { Receiver } from './receiver.js';
+import { tellSteppedDown } from './stepped-down.js';
+import { grantVote } from './vote.js';
 
 export interface ZenParts {
   readonly me: Mate;
@@ -140,7 +142,8 @@
     const acc = keep.kept.accepted;
     return {
       mate: me,
-      canWin: acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
+      writable: keep.writable,
+      canWin: keep.writable && acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
       joinedBefore: acc !== undefined && acc.version > 1,
       accepted: markOf(acc),
       voters: acc?.voters,
@@ -149,6 +152,7 @@
 
   private async findMaster(): Promise<Mate | undefined> {
     const { me, keep, log } = this.p;
+    if (!keep.writable) return this.waitForDisk();
     if (me.kind === 'control') this.pending ??= new Map();
     const round = await this.pinger.round(() => this.ping(), this.gone.signal);
     if (this.gone.signal.aborted) return undefined;
@@ -170,6 +174,12 @@
     return choice.mate;
   }
 
+  /** A node that cannot sync a vote neither stands for election nor joins; it only answers pings. */
+  private async waitForDisk(): Promise<undefined> {
+    this.dropPending();
+    await pause(this.p.clock, this.p.bounds.diskRetryEvery, this.gone.signal);
+  }
+
   private ping(): Ping {
     return { from: this.p.me, known: this.pinger.controls(), clusterId: this.clusterId };
   }
@@ -243,6 +253,7 @@
       master.stepDown(mishapOf(e).message);
     } finally {
       this.master = undefined;
+      if (!keep.writable) tellSteppedDown(this.p, master.committed);
     }
   }
 
@@ -313,7 +324,7 @@
     const self = this.self();
     return {
       from: this.p.me,
-      eligible: this.p.me.kind === 'control',
+      eligible: this.p.me.kind === 'control' && this.p.keep.writable,
       canWin: self.canWin,
       master: this.masterSeen,
       term: this.term,
@@ -338,7 +349,7 @@
       case 'zen/join':
         return this.onJoin(Join.parse(inq.body));
       case 'zen/validate':
-        return this.onValidate(inq.body);
+        return grantVote(this.p.keep, this.joining?.id, inq.body);
       case 'zen/publish':
         return this.receiver.onPublish(inq.body);
       case 'zen/commit':
@@ -352,6 +363,11 @@
         if (m && !m.lost.aborted) return { ...m.onMasterPing(ping), told: this.p.tell?.() };
         return { leading: false, listed: false, term: this.term, committed: markOf(undefined), age: 0 };
       }
+      case 'zen/stepped-down': {
+        const { id } = Ping.pick({ from: true }).parse(inq.body).from;
+        if (this.following?.id === id) this.wake();
+        return {};
+      }
       case 'zen/leave': {
         const { id } = Ping.pick({ from: true }).parse(inq.body).from;
         await this.leading?.submit((s) => reduce(s, { kind: 'leave', id }));
@@ -380,19 +396,4 @@
       this.wake();
     });
   }
-
-  private async onValidate(body: unknown): Promise<Promised> {
-    const v = Validate.parse(body);
-    const { keep } = this.p;
-    if (this.joining?.id !== v.from.id) throw new Mishap('not-joining', 'this node is not joining you');
-    if (this.clusterId && this.clusterId !== v.clusterId) throw new Mishap('other-cluster', `this is cluster ${this.clusterId}`);
-    const { term, promisedTo } = keep.kept;
-    if (v.term < term || (v.term === term && promisedTo !== v.from.id && promisedTo !== ''))
-      throw new Mishap('stale-term', `term ${term} is promised to ${promisedTo}`);
-    if (v.term !== term || promisedTo !== v.from.id) await keep.promise(v.term, v.from.id);
-    else await keep.synced();
-    const acc = keep.kept.accepted;
-    const ahead = acc && newer(markOf(acc), v.have);
-    return { accepted: markOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
-  }
 }
