--- a/packages/zen/src/bounds.ts
+++ b/packages/zen/src/bounds.ts
@@ -14,6 +14,10 @@
   readonly joinWait: number;
   readonly joinTries: number;
   readonly publishWait: number;
+  /** How long a control's own sync may last before it stands down until its disk takes bytes again. */
+  readonly syncWithin: number;
+  /** How long to wait between attempts to write to a disk that failed. */
+  readonly diskRetryEvery: number;
   readonly foundingStill: number;
   readonly replaceAfter: number;
   readonly grace: number;
@@ -38,6 +42,8 @@
   joinWait: wholeMs(o.serveWithin / 8),
   joinTries: 3,
   publishWait: wholeMs(o.silent / 2),
+  syncWithin: wholeMs(o.silent / 2),
+  diskRetryEvery: wholeMs(o.beat / 4),
   foundingStill: wholeMs(o.serveWithin / 6),
   replaceAfter: wholeMs(o.silent * 2),
   grace: wholeMs((o.leavingWithin * 5) / 6),
@@ -76,6 +82,12 @@
       get publishWait() {
         return current.publishWait;
       },
+      get syncWithin() {
+        return current.syncWithin;
+      },
+      get diskRetryEvery() {
+        return current.diskRetryEvery;
+      },
       get foundingStill() {
         return current.foundingStill;
       },
