--- a/tests/src/disk-faults.test.ts
+++ b/tests/src/disk-faults.test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Machine, World } from '@tillerstair/sim';
+import { Pong } from '@tillerstair/zen';
 import { configText, five, small, worldUp } from './util.js';
 
 const disk = suite('disks that are full or stall');
@@ -95,6 +96,23 @@
   }
 });
 
+disk('a control that cannot sync says so in its ping replies, and counts for nothing', async () => {
+  const w = await worldUp(1, small);
+  const follower = w.of('control').find((m) => m !== w.master);
+  const node = follower?.control?.zen;
+  const from = w.master?.control?.zen.masterSeen;
+  if (!follower || !node || !from) throw new Error('a follower is needed');
+  const ask = async () => Pong.parse(await node.handle({ from: from.addr, kind: 'zen/ping', body: { from, known: [], clusterId: node.clusterId } }));
+  const said = (p: Pong) => [p.eligible, p.canWin];
+  assert.equal(said(await ask()), [true, true]);
+  follower.platter.full = true;
+  assert.is((await change(w, 1)).status, 200);
+  assert.equal(said(await ask()), [false, false]);
+  follower.platter.full = false;
+  await w.clock.run(1000);
+  assert.equal(said(await ask()), [true, true]);
+});
+
 disk('without a majority of disks nobody leads or is acknowledged, and all goes on once they are whole', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
--- a/tests/src/fence.test.ts
+++ b/tests/src/fence.test.ts
@@ -98,6 +98,15 @@
   assert.equal(elect(self, [pong(a, { master: mate('gone') }), pong(c)]), { kind: 'master', mate: a, by: 'active' });
 });
 
+fence('a control that cannot sync makes no majority, neither itself nor by its reply, and is not chosen', () => {
+  const unable = { ...self, canWin: false, writable: false };
+  assert.is(elect(unable, [pong(a)]).kind, 'none');
+  assert.equal(elect(unable, [pong(a), pong(c)]), { kind: 'master', mate: a, by: 'active' });
+  const mute = { eligible: false, canWin: false };
+  assert.is(elect(self, [pong(a, mute)]).kind, 'none');
+  assert.equal(elect(self, [pong(a, mute), pong(c)]), { kind: 'master', mate: b, by: 'active' });
+});
+
 fence('founding waits for every seed and everyone heard of, and for none that knows a cluster', () => {
   const blank = (m: Mate, more: Partial<Pong> = {}) => pong(m, { clusterId: '', canWin: false, ...more });
   const view = { me: a, seeds: [a.addr, b.addr, c.addr], heardOf: [] };
--- a/tests/src/journal-faults.test.ts
+++ b/tests/src/journal-faults.test.ts
@@ -125,6 +125,22 @@
   assert.equal(keysOf(await r.shelf()), held);
 });
 
+faults('records that waited behind a stalled write are on disk after it, since their owner holds them', async () => {
+  const r = rig(1);
+  const shelf = await r.shelf();
+  r.platter.stalled = true;
+  const first = finish(r, shelf.write(1, 1, [item(0)]));
+  await r.clock.run(10);
+  const second = finish(r, shelf.write(1, 1, [item(1)]));
+  assert.equal(await Promise.all([first, second]), ['unavailable', 'unavailable']);
+  r.platter.stalled = false;
+  await r.clock.run(500);
+  assert.is(shelf.writable, true);
+  assert.equal(keysOf(shelf), ['o/t/0', 'o/t/1']);
+  r.platter.powerLoss();
+  assert.equal(keysOf(await r.shelf()), ['o/t/0', 'o/t/1']);
+});
+
 faults('a long failure is retried at the pace given', async () => {
   const r = rig(1);
   const shelf = await r.shelf();
