A follower no longer stores an older state over a newer one it has accepted

Cause: Receiver.onPublish compares a state with the accepted one, then waits for the vote of a new term to be synced, and stored the state without looking again. A newer state of the same term that came meanwhile was accepted and acknowledged first, and then replaced by the older one: a state counted towards a majority was gone from that node. Found by the model test of the controls (a follower that wakes in a new term and gets two states at once).

Change: the state is compared again after the wait; the older one is refused.

--- a/packages/zen/src/receiver.ts
+++ b/packages/zen/src/receiver.ts
@@ -50,6 +50,8 @@
     this.p.onTerm(term, from);
     if (term > keep.kept.term) await keep.promise(term, from.id);
     if (keep.kept.term !== term) throw new Mishap('stale-term', `term ${keep.kept.term} is promised`);
+    const acceptedMeanwhile = keep.kept.accepted;
+    if (acceptedMeanwhile && !newer(markOf(next), markOf(acceptedMeanwhile))) throw new Mishap('stale-state', 'a newer state was accepted meanwhile');
     await keep.accept(next);
     this.p.onPublished(from);
     return { verdict: 'accepted' };
