Model test of the controls with fast-check; npx fleet model for long series

Change: random runs of requests (put, race, resend, read) and troubles (lost, late, repeated and reordered messages, cuts one way or both, splits, freezes, kills, power lost by one or all, disks lost or slow, controls added, replaced, planned or not) over the real election, publish, membership and log code. Every statement is checked after every event: one master a term, committed states kept, terms and versions and votes never taken back, acknowledged changes committed and in every later read, refusals true, one content a version. Runs stay within a majority of voters that hold the newest committed state on disk. Failing runs are cut down and kept as explicit lists. SimNet: fate of each message, resets of connections, cuts that end by themselves.

--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -10,7 +10,8 @@
 import { scenarios } from './scenarios.js';
 import { listSweeps, runSweep, sweeps } from './capacity-run.js';
 import { hollowFronts } from './capacity-sockets.js';
-import { faultKinds } from '@tillerstair/sim';
+import { faultKinds, modelRules } from '@tillerstair/sim';
+import { modelRuns } from './model.js';
 import { stormSeeds, stormsInParallel } from './storms.js';
 
 interface Choices {
@@ -145,6 +146,24 @@
       return stormsInParallel(c, jobs, (line) => console.log(line));
     }),
   );
+cli
+  .command('model', 'Run the model test of the controls: random requests and troubles, each statement checked')
+  .option('--runs <n>', 'How many runs', { default: 1000 })
+  .option('--seed <n>', 'Seed of the first batch of runs', { default: 1 })
+  .option('--longest <n>', 'The longest run, in actions', { default: 40 })
+  .option('--except <rules>', 'Look past these rules, by commas')
+  .action((o: object) =>
+    guarded(async () => {
+      const m = opts(o);
+      const findings: string[] = [];
+      const num = (name: string, def: number): number => numberOf(name, m.get(name), def, findings);
+      const names = m.get('except');
+      const except = typeof names === 'string' ? modelRules.filter((r) => names.split(',').includes(r)) : [];
+      const choice = { runs: num('runs', 1000), seed: num('seed', 1), longest: num('longest', 40), except };
+      if (findings.length > 0) throw new BadChoice(findings.join('\n'));
+      return modelRuns(choice, (line) => console.log(line));
+    }),
+  );
 cli
   .command('capacity <sweep>', 'Sweep one count and fit what it costs; `list` names the sweeps, `all` runs each')
   .option('--sizes <n,n,…>', 'Other sizes than the sweep\'s own')
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -10,3 +10,7 @@
 export * from './storm.js';
 export * from './storm-config.js';
 export * from './storm-faults.js';
+export * from './model-actions.js';
+export * from './model-history.js';
+export * from './model-rig.js';
+export * from './control-model.js';
--- /dev/null
+++ b/packages/sim/src/model-actions.ts
@@ -0,0 +1,66 @@
+/**
+ * Actions of the model test of the controls. An action is plain data, so that a run that was found can be
+ * printed, shrunk and kept as a regression.
+ */
+import fc from 'fast-check';
+
+/** One step of a run; `at` picks a machine by its index among those there are, `ms` is a time of the simulated clock. */
+export type ModelAction =
+  | { readonly kind: 'network'; readonly lost: number; readonly late: number; readonly repeated: number }
+  | { readonly kind: 'cut'; readonly at: number; readonly way: CutWay; readonly ms: number }
+  | { readonly kind: 'split'; readonly members: number; readonly ms: number }
+  | { readonly kind: 'freeze'; readonly at: number; readonly ms: number }
+  | { readonly kind: 'kill'; readonly at: number; readonly ms: number; readonly power: boolean }
+  | { readonly kind: 'power-all'; readonly ms: number }
+  | { readonly kind: 'wipe'; readonly at: number; readonly ms: number }
+  | { readonly kind: 'replace'; readonly at: number; readonly planned: boolean }
+  | { readonly kind: 'add' }
+  | { readonly kind: 'slow-disk'; readonly at: number; readonly ms: number }
+  | { readonly kind: 'put'; readonly at: number; readonly stale: boolean }
+  | { readonly kind: 'race'; readonly at: number; readonly other: number }
+  | { readonly kind: 'resend'; readonly at: number; readonly which: number }
+  | { readonly kind: 'read'; readonly at: number }
+  | { readonly kind: 'wait'; readonly ms: number }
+  | { readonly kind: 'heal' };
+
+/** Directions in which a machine is cut off. */
+export type CutWay = 'both' | 'in' | 'out';
+
+/** A whole run: the seed of the simulated world, its number of controls, and its actions in order. */
+export interface ModelRun {
+  readonly seed: number;
+  readonly controls: number;
+  readonly actions: readonly ModelAction[];
+}
+
+const at = fc.nat(7);
+const span = fc.constantFrom(5, 60, 300, 900, 2500, 5000);
+const pause = fc.constantFrom(5, 60, 300, 900, 2500);
+const way = fc.constantFrom<CutWay>('both', 'in', 'out');
+const share = fc.constantFrom(0, 10, 30);
+
+const troubles: readonly fc.Arbitrary<ModelAction>[] = [
+  fc.record({ kind: fc.constant('network'), lost: share, late: share, repeated: share }),
+  fc.record({ kind: fc.constant('cut'), at, way, ms: span }),
+  fc.record({ kind: fc.constant('split'), members: fc.nat(31), ms: span }),
+  fc.record({ kind: fc.constant('freeze'), at, ms: span }),
+  fc.record({ kind: fc.constant('kill'), at, ms: span, power: fc.boolean() }),
+  fc.record({ kind: fc.constant('power-all'), ms: span }),
+  fc.record({ kind: fc.constant('wipe'), at, ms: span }),
+  fc.record({ kind: fc.constant('replace'), at, planned: fc.boolean() }),
+  fc.constant({ kind: 'add' }),
+  fc.record({ kind: fc.constant('slow-disk'), at, ms: span }),
+  fc.constant({ kind: 'heal' }),
+];
+
+const requests: readonly fc.Arbitrary<ModelAction>[] = [
+  fc.record({ kind: fc.constant('put'), at, stale: fc.constantFrom(false, false, false, true) }),
+  fc.record({ kind: fc.constant('race'), at, other: at }),
+  fc.record({ kind: fc.constant('resend'), at, which: fc.nat(15) }),
+  fc.record({ kind: fc.constant('read'), at }),
+];
+
+const wait: fc.Arbitrary<ModelAction> = fc.record({ kind: fc.constant('wait'), ms: pause });
+
+/** Every action, requests and waits as often as all troubles together. */
+export const anyAction: readonly fc.Arbitrary<ModelAction>[] = [...troubles, ...requests, ...requests, wait, wait, wait];
--- /dev/null
+++ b/packages/sim/src/model-nodes.ts
@@ -0,0 +1,112 @@
+/** What each control has promised and stored, seen from outside: checks that nothing of it is taken back. */
+import { inflateSync } from 'node:zlib';
+import { markOf, newer, type Mark, type State } from '@tillerstair/state';
+import { Accepted, Payload, Publish, Validate } from '@tillerstair/zen';
+import { z } from 'zod';
+import type { Machine } from './machine.js';
+import type { ModelHistory } from './model-history.js';
+import type { Answered } from './sim-net.js';
+
+const Addressed = z.object({ to: z.string() });
+/** After this long without a change a state in memory is on the disk too, unless that is slow. */
+const syncedAfterMs = 10;
+
+interface Held {
+  readonly mark: Mark;
+  readonly since: number;
+}
+
+const markText = (m: Mark): string => `${m.term}.${m.version}`;
+
+const publishedMark = (packed: string): Mark => {
+  const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
+  if ('diff' in payload) return payload.diff.to;
+  const head = new Map(payload.full).get('head') ?? '{}';
+  return markOf(z.object({ term: z.number(), version: z.number() }).parse(JSON.parse(head)));
+};
+
+/** Follows the controls of a run by the identity that stands on their disks. */
+export class ModelNodes {
+  private readonly votes = new Map<string, string>();
+  private readonly promisedTerms = new Map<string, number>();
+  private readonly acknowledged = new Map<string, Mark>();
+  private readonly stored = new Map<string, Mark>();
+  private readonly held = new Map<string, Held>();
+  private readonly applied = new Map<Machine, { readonly life: object; readonly mark: Mark }>();
+  private readonly identities = new Map<Machine, string>();
+
+  constructor(private readonly history: ModelHistory) {}
+
+  /** The identity on a machine's disk, as far as it is known. */
+  identityOf(m: Machine): string | undefined {
+    return this.identities.get(m);
+  }
+
+  /** The disk of this machine is gone. */
+  diskLost(m: Machine): void {
+    this.identities.delete(m);
+  }
+
+  answered(a: Answered): void {
+    if (a.kind === 'zen/validate') this.voted(a);
+    if (a.kind === 'zen/publish') this.accepted(a);
+  }
+
+  private voted(a: Answered): void {
+    const { from, term } = Validate.parse(a.body);
+    const { to } = Addressed.parse(a.body);
+    const key = `${to} ${term}`;
+    const before = this.votes.get(key);
+    if (before !== undefined && before !== from.id) this.history.broken('one vote a term', `${to} votes for ${before} and ${from.id} in term ${term}`);
+    this.votes.set(key, from.id);
+    this.promisedTerms.set(to, Math.max(term, this.promisedTerms.get(to) ?? 0));
+  }
+
+  private accepted(a: Answered): void {
+    if (Accepted.parse(a.answer).verdict !== 'accepted') return;
+    const { packed, term } = Publish.parse(a.body);
+    const { to } = Addressed.parse(a.body);
+    const mark = publishedMark(packed);
+    if (newer(mark, this.acknowledged.get(to) ?? markOf(undefined))) this.acknowledged.set(to, mark);
+    if (newer(mark, this.stored.get(to) ?? markOf(undefined))) this.stored.set(to, mark);
+    this.promisedTerms.set(to, Math.max(term, this.promisedTerms.get(to) ?? 0));
+  }
+
+  /** Looks at a control that is up. */
+  observe(m: Machine, now: number): void {
+    const { control } = m;
+    if (!control) return;
+    const { id } = control;
+    const before = this.identities.get(m);
+    if (before !== undefined && before !== id && this.acknowledged.has(before))
+      this.history.broken('terms and versions never go back', `${m.addr} forgot who it was: ${before} is ${id} now`);
+    this.identities.set(m, id);
+    const mark = markOf(control.zen.accepted);
+    const least = this.acknowledged.get(id);
+    if (least && newer(least, mark)) this.history.broken('terms and versions never go back', `${m.addr} holds ${markText(mark)}, had stored ${markText(least)}`);
+    const promised = this.promisedTerms.get(id) ?? 0;
+    if (control.zen.term < promised) this.history.broken('terms and versions never go back', `${m.addr} is in term ${control.zen.term}, had promised ${promised}`);
+    this.observeApplied(m, control.zen.applied);
+    this.observeStored(m, id, mark, now);
+  }
+
+  private observeApplied(m: Machine, s: State | undefined): void {
+    const mark = markOf(s);
+    const before = this.applied.get(m);
+    if (before?.life === m.life && newer(before.mark, mark))
+      this.history.broken('terms and versions never go back', `${m.addr} applies ${markText(mark)} after ${markText(before.mark)}`);
+    this.applied.set(m, { life: m.life, mark });
+  }
+
+  private observeStored(m: Machine, id: string, mark: Mark, now: number): void {
+    const held = this.held.get(id);
+    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1) this.held.set(id, { mark, since: now });
+    else if (now - held.since > syncedAfterMs && newer(mark, this.stored.get(id) ?? markOf(undefined))) this.stored.set(id, mark);
+  }
+
+  /** Whether the disk that holds this identity has the state. */
+  stores(id: string, s: State): boolean {
+    const mark = this.stored.get(id);
+    return mark !== undefined && !newer(markOf(s), mark);
+  }
+}
--- a/packages/sim/src/sim-net.ts
+++ b/packages/sim/src/sim-net.ts
@@ -13,6 +13,37 @@
   readonly bytes: number;
 }
 
+/** What becomes of one message on its way. */
+export interface Fate {
+  readonly lost: boolean;
+  /** How much longer it takes, in ms; a late message may be overtaken by later ones. */
+  readonly lateBy: number;
+  /** How many more times it arrives. */
+  readonly repeats: number;
+}
+
+/** One answer as its sender made it, whether it arrives or not. */
+export interface Answered {
+  readonly by: string;
+  readonly caller: string;
+  readonly kind: string;
+  readonly body: unknown;
+  readonly answer: unknown;
+}
+
+interface OpenCall {
+  readonly from: string;
+  readonly to: string;
+  reset(): void;
+}
+
+interface Listener {
+  readonly self: string;
+  hear(lost: string): void;
+}
+
+const delivered: Fate = { lost: false, lateBy: 0, repeats: 0 };
+
 const headOf = (kind: string, part: 'body' | 'piece' | 'verdict'): number =>
   `{"id":10000,${part === 'body' ? `"kind":"${kind}",` : ''}"${part}":}\n`.length;
 
@@ -21,6 +52,10 @@
   private readonly cuts = new Set<string>();
   messages = 0;
   heard: ((m: Heard) => void) | undefined;
+  /** Decides the fate of each message; every one is delivered once while unset. */
+  fate: ((from: string, to: string) => Fate) | undefined;
+  /** Is told each answer that a handler gave. */
+  onAnswer: ((a: Answered) => void) | undefined;
   apart: (from: string, to: string) => number = () => 0;
   readonly largest = new Map<string, number>();
 
@@ -34,17 +69,39 @@
     private readonly rng: () => number,
   ) {}
 
-  private readonly listeners: ((to: string) => void)[] = [];
+  private readonly listeners: Listener[] = [];
+  private readonly open = new Set<OpenCall>();
 
   closed(addr: string): void {
     this.clock.after(0.5 + this.rng(), () => {
-      for (const l of this.listeners) l(addr);
+      for (const l of this.listeners) l.hear(addr);
     });
   }
 
+  /** Resets a share of the connections of an address; calls under way on them are lost. */
+  reset(addr: string, share: number): void {
+    const peers = new Set<string>();
+    for (const call of this.open) {
+      if ((call.from !== addr && call.to !== addr) || this.rng() >= share) continue;
+      peers.add(call.from === addr ? call.to : call.from);
+      call.reset();
+    }
+    for (const l of this.listeners) {
+      if (l.self === addr) for (const peer of peers) l.hear(peer);
+      if (peers.has(l.self)) l.hear(addr);
+    }
+  }
+
   private readonly lastAt = new Map<string, number>();
 
   private carry(from: string, to: string, run: () => void): void {
+    const fate = this.fate?.(from, to) ?? delivered;
+    for (let n = 0; n < fate.repeats; n++) this.clock.after(1 + this.rng() * (1 + fate.lateBy), run);
+    if (fate.lost) return;
+    if (fate.lateBy > 0) {
+      this.clock.after(0.3 + fate.lateBy, run);
+      return;
+    }
     const pair = `${from}>${to}`;
     const at = Math.max(this.clock.now() + 0.3 + this.rng() * 0.7 + this.apart(from, to), (this.lastAt.get(pair) ?? 0) + 0.001);
     this.lastAt.set(pair, at);
@@ -63,6 +120,11 @@
       }
   }
 
+  /** Ends the cuts of these pairs only. */
+  uncut(pairs: readonly (readonly [string, string])[]): void {
+    for (const [from, to] of pairs) this.cuts.delete(`${from}>${to}`);
+  }
+
   mend(): void {
     this.cuts.clear();
   }
@@ -95,11 +157,21 @@
         mine.do(() => {
           if (over) return;
           over = true;
+          this.open.delete(open);
           late.stop();
           bounds.gone?.removeEventListener('abort', onGone);
           f();
         });
       };
+      const open: OpenCall = {
+        from,
+        to,
+        reset: () => {
+          gone.abort();
+          finish(() => fail(new CircuitLost(to)));
+        },
+      };
+      this.open.add(open);
       const late = this.clock.after(bounds.within, () => {
         gone.abort();
         finish(() => fail(new TooLate(to)));
@@ -137,6 +209,7 @@
           void host.handler({ from, kind, body: wire }, emit, gone.signal).then(
             (v) => {
               const text = JSON.stringify(v ?? null);
+              this.onAnswer?.({ by: to, caller: from, kind, body: wire, answer: v });
               this.weigh(kind, text, to, from, 'verdict');
               back(() => finish(() => done(JSON.parse(text))), host);
             },
@@ -152,7 +225,7 @@
 
   circuits(self: string, life: Life): Circuits {
     const heard: ((to: string) => void)[] = [];
-    this.listeners.push((to) => life.do(() => heard.forEach((h) => h(to))));
+    this.listeners.push({ self, hear: (to) => life.do(() => heard.forEach((h) => h(to))) });
     return {
       self,
       onLost: (h) => {
--- /dev/null
+++ b/tests/src/control-model.test.ts
@@ -0,0 +1,75 @@
+/**
+ * The model test of the controls. `npx fleet model --runs N --seed S` makes longer series. A run that was found
+ * stays in `regressions` by the fault that it showed; every one must break no rule.
+ */
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { checkControlModel, ModelHistory, replayModel, type ModelRun } from '@tillerstair/sim';
+import { ConfigRecord, foundingState, type Mate, type State } from '@tillerstair/state';
+
+const regressions: ReadonlyMap<string, ModelRun> = new Map([
+  [
+    'a follower that catches up in a new term stores an older state over a newer one',
+    { seed: 98969, controls: 3, actions: [{ kind: 'freeze', at: 2, ms: 2500 }, { kind: 'wait', ms: 6000 }] },
+  ],
+  [
+    'an order is refused for one of the same batch that is not committed yet',
+    { seed: 0, controls: 3, actions: [{ kind: 'race', at: 0, other: 0 }] },
+  ],
+]);
+
+const model = suite('the model test of the controls');
+
+model('seeded runs of requests and troubles break no rule', async () => {
+  const result = await checkControlModel({ seed: 1, runs: 200, longest: 16 });
+  assert.equal(result.failed, undefined, JSON.stringify(result.failed));
+  assert.is(result.runs, 200);
+  assert.ok(result.checked > 2000, `only ${result.checked} statements were checked`);
+});
+
+model('the same seed makes the same runs', async () => {
+  const choice = { seed: 7, runs: 4, longest: 16 };
+  assert.equal(await checkControlModel(choice), await checkControlModel(choice));
+});
+
+for (const [fault, run] of regressions)
+  model(`found before: ${fault}`, async () => {
+    assert.equal(await replayModel(run), []);
+  });
+
+const mate: Mate = { id: 'a', kind: 'control', addr: 'control-0', http: '', zone: '', data: '', name: '' };
+const stateAt = (term: number, version: number, master: string, configVersion: number, digest: string): State => ({
+  ...foundingState('cluster', [mate], 1), term, version, master,
+  config: ConfigRecord.parse({ version: configVersion, text: '', digest, compiled: '' }),
+});
+const rulesBroken = (tell: (h: ModelHistory) => void): readonly string[] => {
+  const history = new ModelHistory();
+  history.committed('a', stateAt(1, 5, 'a', 3, 'three'));
+  tell(history);
+  return history.findings.map((f) => f.rule);
+};
+const change = { version: 4, base: 3, digest: 'four', text: '' };
+
+model('doctored histories are caught', () => {
+  assert.equal(rulesBroken(() => undefined), []);
+  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 6, 'b', 3, 'three'))), ['one master a term']);
+  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 5, 'a', 3, 'other'))), ['committed state is kept']);
+  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 4, 'a', 3, 'three'))), ['committed state is kept']);
+  assert.equal(rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 2, 'two'))), ['committed state is kept']);
+  assert.equal(rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 3, 'other'))), ['one content a version']);
+  assert.equal(rulesBroken((h) => h.acknowledged(change, 'a')), ['acknowledged changes are committed']);
+  assert.equal(rulesBroken((h) => h.acknowledged({ ...change, version: 3 }, 'a')), ['one content a version']);
+});
+
+model('doctored refusals and reads are caught', () => {
+  assert.equal(rulesBroken((h) => h.refused(change, 'a', h.begin(), 3)), ['refusals are true']);
+  assert.equal(rulesBroken((h) => h.refused({ ...change, version: 3, base: 2, digest: 'three' }, 'a', h.begin(), 3)), ['refusals are true']);
+  assert.equal(rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 2)), ['refusals are true']);
+  assert.equal(rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 3)), []);
+  assert.equal(rulesBroken((h) => h.read({ version: 2, digest: 'two' }, 'a', h.begin())), ['reads hold every acknowledged change']);
+  assert.equal(rulesBroken((h) => h.read({ version: 4, digest: 'four' }, 'a', h.begin())), ['reads hold every acknowledged change']);
+  assert.equal(rulesBroken((h) => h.read(undefined, 'a', h.begin())), ['reads hold every acknowledged change']);
+  assert.equal(rulesBroken((h) => h.read({ version: 3, digest: 'three' }, 'a', h.begin())), []);
+});
+
+model.run();
