--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -1,5 +1,5 @@
 /** A log of records on disk that are acknowledged once they are synced, and that mends itself after a failed write. */
-import { Line, pause, type Beat } from '@tillerstair/wire';
+import { Line, pause, wholeMs, type Beat } from '@tillerstair/wire';
 import type { Disk, DiskFile } from './disk.js';
 import { frame, scan } from './frames.js';
 import { hostPace, JournalUnavailable, untilDiskTakes, type JournalPace } from './pace.js';
@@ -150,8 +150,8 @@
 
   private limit(within: number, onLate: () => void): Beat {
     const { clock } = this.pace;
-    let beat = clock.after(within * (1 - lastShare), () => {
-      beat = clock.after(within * lastShare, onLate);
+    let beat = clock.after(wholeMs(within * (1 - lastShare)), () => {
+      beat = clock.after(wholeMs(within * lastShare), onLate);
     });
     return { stop: () => beat.stop() };
   }
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -2,7 +2,7 @@
 import { closeHttp, servePages, stderrLog, type Running, type StoreEnv } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { reloadableBounds } from '@tillerstair/zen';
+import { reloadableBounds, storePace } from '@tillerstair/zen';
 import { StoreNode } from './node.js';
 import { openStoreDisk } from './open.js';
 
@@ -10,7 +10,7 @@
   const log = stderrLog('store', env.log);
   const disk = await FolderDisk.take(env.data);
   const { bounds, replace } = reloadableBounds(env.bounds);
-  const pace = { clock: hostClock, syncWithin: bounds.silent, retryEvery: bounds.diskRetryEvery, log };
+  const pace = storePace(hostClock, bounds, log);
   const freshId = (): string => `s-${randomBytes(6).toString('hex')}`;
   const { keep, shelf } = await openStoreDisk({ disk, clock: hostClock, pace, bounds: env, freshId, longAt: env.journalLongAt });
   const me = { id: keep.kept.id, kind: 'store' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
