Checker: the operators' calls must be linearizable, as a versioned register

Cause: nothing checked refusals, reads and resends of the configuration against each other; a stale read or a false refusal in a storm went unnoticed. Change: checker/config-history.ts searches (Wing and Gong, memo) for moments at which the calls took effect; unclear ones may happen at any time after they began, or never. Storms record their PUTs and reads (sim/config-calls.ts). Ruled out: one fixed order by version; two unclear changes may share a number.

--- a/packages/checker/src/index.ts
+++ b/packages/checker/src/index.ts
@@ -2,3 +2,4 @@
 export * from './rules.js';
 export * from './verdicts.js';
 export * from './pass-rules.js';
+export * from './config-history.js';
--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -1,3 +1,5 @@
+import type { ConfigCall } from './config-history.js';
+
 export interface ToldRecord {
   readonly kind: 'program' | 'turn' | 'fetch' | 'call';
   readonly tenant: string;
@@ -90,6 +92,7 @@
   readonly ran: readonly RanRecord[];
   readonly passes: readonly PassRecord[];
   readonly configs: readonly ConfigRecord[];
+  readonly configCalls: readonly ConfigCall[];
   readonly leavings: readonly LeavingRecord[];
   readonly shares: readonly SharesRecord[];
   readonly restarts: readonly RestartRecord[];
@@ -98,5 +101,5 @@
 }
 
 export const noRecords: Records = {
-  told: [], ran: [], passes: [], configs: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
+  told: [], ran: [], passes: [], configs: [], configCalls: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
 };
--- a/packages/checker/src/rules.ts
+++ b/packages/checker/src/rules.ts
@@ -1,3 +1,4 @@
+import { configHistory } from './config-history.js';
 import { passRules } from './pass-rules.js';
 import type { ConfigRecord, RanRecord, Records, ToldRecord } from './records.js';
 import { group, slack, type RuleVerdict, type Slack } from './verdicts.js';
@@ -201,7 +202,7 @@
 
 export const checkRecords = (r: Records, s: Slack = slack): readonly RuleVerdict[] => [
   once(r), sameKey(r, s), refusedRan(r), trueAnswers(r), budgets(r), history(r, s),
-  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), restart(r, s), ...passRules(r, s),
+  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), configHistory(r.configCalls), restart(r, s), ...passRules(r, s),
 ];
 
 export const countTold = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -10,3 +10,4 @@
 export * from './storm.js';
 export * from './storm-config.js';
 export * from './storm-faults.js';
+export * from './config-calls.js';
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -1,6 +1,7 @@
 import { noRecords, type ConfigRecord, type LeavingRecord, type Records, type RestartRecord, type ToldRecord } from '@tillerstair/checker';
-import type { Outcome } from '@tillerstair/control';
+import type { Operation, Outcome } from '@tillerstair/control';
 import { z } from 'zod';
+import { ConfigCalls } from './config-calls.js';
 import type { Machine } from './machine.js';
 import { Faults, faultKinds } from './storm-faults.js';
 import { stormConfig } from './storm-config.js';
@@ -39,6 +40,7 @@
 export class Storm {
   readonly w: World;
   readonly configs: ConfigRecord[] = [];
+  readonly configCalls: ConfigCalls;
   readonly leavings: LeavingRecord[] = [];
   readonly restarts: RestartRecord[] = [];
   readonly log: string[] = [];
@@ -57,6 +59,7 @@
     this.w = new World(spec.seed, spec.sizes);
     this.w.skewed = true;
     this.faults = new Faults(this);
+    this.configCalls = new ConfigCalls(this.w.clock);
   }
 
   pick<T>(from: readonly T[]): T | undefined {
@@ -82,6 +85,7 @@
     const { w, spec } = this;
     const first = stormConfig({ base: 0, turnPools: ['models'], callPool: 'shop', extra: 0 });
     await w.bringUp(() => first, stormServers);
+    await w.clock.finish('the first configuration again', this.configCalls.put(first, this.sendTo(w.master)), 20000);
     this.configs.push({ version: 1, text: first, turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: w.clock.now() });
     const end = w.clock.now() + spec.ms;
     let next = 0;
@@ -106,7 +110,7 @@
     await w.clock.until('callers', () => this.going.size === 0 && this.passing.size === 0, 240000);
     const readBack = await this.held();
     return {
-      ...noRecords, told: w.told, ran: w.servers.ran, passes: w.passes, configs: this.configs, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
+      ...noRecords, told: w.told, ran: w.servers.ran, passes: w.passes, configs: this.configs, configCalls: this.configCalls.calls, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
     };
   }
 
@@ -214,6 +218,10 @@
     return Promise.race([at?.control?.operate({ method, path, body }), lost]);
   }
 
+  private sendTo(at: Machine | undefined): (o: Operation) => Promise<Outcome | undefined> {
+    return (o) => this.operate(at, o.method, o.path, o.body);
+  }
+
   async reconfigure(grow = 1): Promise<void> {
     const { w } = this;
     const base = this.version;
@@ -223,7 +231,8 @@
     const at = w.rng() < 0.5 ? w.master : this.pick(this.faults.up('control'));
     const row: ConfigRecord = { version: base + 1, text, turnPools, callPools: ['shop'], sentAt: w.clock.now(), told: 'unknown', toldAt: Infinity };
     const n = this.configs.push(row) - 1;
-    const r = await this.operate(at, 'PUT', '/v1/config', text);
+    this.track(this.configCalls.read(this.sendTo(this.pick(this.faults.up('control')))));
+    const r = await this.configCalls.put(text, this.sendTo(at));
     const told = r?.status === 200 ? 'done' : r === undefined || r.status === 504 || r.status === 0 ? 'unknown' : 'refused';
     this.configs[n] = { ...row, told, toldAt: w.clock.now() };
     if (told === 'done') this.version = Math.max(this.version, base + 1);
--- a/tests/src/checker.test.ts
+++ b/tests/src/checker.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { checkRecords, noRecords, type PassRecord, type RanRecord, type Records, type ToldRecord } from '@tillerstair/checker';
+import { checkRecords, noRecords, type ConfigCall, type PassRecord, type RanRecord, type Records, type ToldRecord } from '@tillerstair/checker';
 
 const bites = suite('the checker bites');
 
@@ -40,8 +40,9 @@
 ];
 const passes: readonly PassRecord[] = [passed, root, next, live, not];
 const passRans: readonly RanRecord[] = [passRan, rootRan, nextRan, ...liveRans];
+const configRead: ConfigCall = { what: { kind: 'read' }, calledAt: 1, answeredAt: 2, answer: { kind: 'value', version: 0, content: '' } };
 const good: Records = {
-  ...noRecords, passes, told: [program, turn, fetched, told, { ...told, attempt: 'i3', from: 300, to: 350 }, refused], ran: [ran, gen, late, ...split, ...passRans], configs: [first, config, wide],
+  ...noRecords, passes, told: [program, turn, fetched, told, { ...told, attempt: 'i3', from: 300, to: 350 }, refused], ran: [ran, gen, late, ...split, ...passRans], configs: [first, config, wide], configCalls: [configRead],
   leavings: [away], restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 5000, configBefore: 2, configAfter: 2 }],
   shares: [{ kind: 'act', from: 1999, to: 3000, shares: [['shop', 1], ['more', 2]], rounding: 2 }],
   readBack: { version: 2, text: 'c1' }, perTurn: 4,
@@ -91,6 +92,7 @@
   ['read-back', { ...good, readBack: { version: 2, text: 'other' } }],
   ['read-back', { ...good, readBack: { version: 1, text: 'c0' } }],
   ['read-back', { ...good, readBack: undefined }],
+  ['took effect at one moment', { ...good, configCalls: [{ ...configRead, answer: { kind: 'value', version: 9, content: 'x' } }] }],
   ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 12501, configBefore: 1, configAfter: 1 }] }],
   ['full stop', { ...good, restarts: [{ stoppedAt: 0, startedAt: 0, servedAt: 4000, configBefore: 2, configAfter: 1 }] }],
   ['may not be repeated', { ...good, ran: [...good.ran, { ...passRan, attempt: 'a9' }] }],
