Operators are told of the state only on a majority's word; taken orders are kept

Cause: Master.drain failed a refused change, and ended one that altered nothing, without any word from a majority, also where the refusal rested on a change of the same batch that was not yet published. The state forgot a taken order after 64 later ones. A PATCH sent again handed in the text it had read, which could have passed meanwhile. A control waited four failure timeouts for the master. Ruled out: a record in the configuration itself (published whole each time). operator.test: "PATCH {" was 412 by way of a read that is no longer made; it is 400 now (either will do), and a readable patch on a passed base is still 412.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -1,10 +1,10 @@
 import { z } from 'zod';
-import { beliefOf, checkConfig, reduce } from '@tillerstair/state';
+import { beliefOf, checkConfig, reduce, type Belief, type Mate } from '@tillerstair/state';
 import { Mishap, mishapOf, type Inquiry } from '@tillerstair/wire';
 import { ZenNode, type MasterView, type ZenParts } from '@tillerstair/zen';
 import { Keeper } from './keeper.js';
 import { ListPoll, ListReader, type ServerList } from './list.js';
-import { operate, Operation, Outcome } from './operate.js';
+import { isRead, operate, Operation, Outcome } from './operate.js';
 import { tuneWeights } from './weights.js';
 
 export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead' | 'tell' | 'onTold'> {
@@ -94,8 +94,7 @@
   }
 
   private async passOn(o: Operation): Promise<Outcome> {
-    if (o.method === 'GET' && o.path === '/v1/belief')
-      return { status: 200, body: beliefOf(this.p.me.id, 'control', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied) };
+    if (o.method === 'GET' && o.path === '/v1/belief') return { status: 200, body: this.localView() };
     if (o.method === 'POST' && o.path === '/v1/config/check') {
       const { findings } = checkConfig(o.body);
       return { status: findings.length > 0 ? 422 : 200, body: { findings } };
@@ -103,14 +102,26 @@
     const m = this.zen.leading;
     if (m) return operate(m, o);
     const master = this.zen.masterSeen;
-    const wait = { retryAfter: Math.ceil(this.p.bounds.silent / 1000) };
-    if (!master) return { status: 503, body: { ran: 'no', mishap: 'no-master', text: 'no master is known' }, ...wait };
+    if (!master) return this.notRun('no-master', 'no master is known');
+    return this.forward(master, o);
+  }
+
+  /** What this control alone holds, which may be old: it names the state's version and waits for no majority. */
+  private localView(): Belief {
+    return beliefOf(this.p.me.id, 'control', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
+  }
+
+  private notRun(mishap: string, text: string, more: object = {}): Outcome {
+    return { status: 503, body: { ran: 'no', mishap, text, ...more }, retryAfter: Math.ceil(this.p.bounds.silent / 1000) };
+  }
+
+  /** Asks the master, for no longer than it may publish twice; a change without a clear answer may have been made. */
+  private async forward(master: Mate, o: Operation): Promise<Outcome> {
     try {
-      const within = this.p.bounds.silent * 4;
-      return Outcome.parse(await this.p.circuits.call(master.addr, 'control/operate', o, { within }));
+      return Outcome.parse(await this.p.circuits.call(master.addr, 'control/operate', o, { within: this.p.bounds.silent }));
     } catch (e) {
       const x = mishapOf(e);
-      if (x.ran === 'no') return { status: 503, body: { ran: 'no', mishap: x.code, text: x.message, master: master.http }, ...wait };
+      if (x.ran === 'no' || isRead(o)) return this.notRun(x.code, x.message, { master: master.http });
       return { status: 504, body: { ran: 'unknown', mishap: 'unknown', text: x.message, how: 'GET /v1/status or GET /v1/config' } };
     }
   }
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, keptOn, pastMost, reduce, type Config, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
+import { checkConfig, digestOf, keptOn, orderOf, reduce, takenVerdict, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -8,12 +8,25 @@
 export const Outcome = z.object({ status: z.number(), body: z.unknown(), retryAfter: z.number().optional() });
 export type Outcome = z.infer<typeof Outcome>;
 
+/** Whether an operation alters nothing, however it ends. */
+export const isRead = (o: Operation): boolean => o.method === 'GET' || o.path === '/v1/config/prepare';
+
 const no = (status: number, mishap: string, text: string, more: object = {}): Outcome => ({
   status,
   body: { ran: 'no', mishap, text, ...more },
 });
 const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { ran: 'unknown', mishap: 'unknown', text, how } });
 
+const jsonOf = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+const noConfig = 'no configuration has been handed in';
+
 const NewServer = z.strictObject({
   pool: z.string().min(1),
   url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, { message: 'must be http://IP:PORT' }),
@@ -25,16 +38,34 @@
   }
 }
 
-const takenOf = (c: ConfigRecord | undefined): ConfigRecord['past'] =>
-  c ? [...c.past, { version: c.version, digest: c.digest, order: c.order }] : [];
+class Forgotten extends Mishap {
+  constructor(version: number) {
+    super('forgotten', `version ${version} is older than the record of taken changes`, 'unknown');
+  }
+}
 
-const recordOf = (s: State, config: Config, text: string, digest: string, compiled: string): ConfigRecord | 'held' => {
+/** What tells a change apart: what it builds on, the version that it makes, and its order key. */
+interface ChangeName {
+  readonly base: number;
+  readonly version: number;
+  readonly order: string;
+}
+
+/** Whether a change was taken already; throws where it can no longer be, or where nobody knows any more. */
+const wasTaken = (s: State, c: ChangeName): boolean => {
+  const verdict = takenVerdict(s.taken, c.version, c.order);
+  if (verdict === 'taken') return true;
+  if (verdict === 'forgotten') throw new Forgotten(c.version);
   const current = s.config?.version ?? 0;
-  const version = config.version ?? config.base + 1;
-  const past = takenOf(s.config);
-  if (past.some((p) => p.version === version && p.digest === digest)) return 'held';
-  if (config.base !== current) throw new WrongBase(current);
-  return { version, text, digest, compiled, order: config.order ?? '', past: past.slice(-pastMost) };
+  if (c.base !== current) throw new WrongBase(current);
+  return false;
+};
+
+/** The answer to a change of the configuration that failed, where it was refused for a reason of its own. */
+const refusalOf = (e: unknown): Outcome | undefined => {
+  if (e instanceof WrongBase) return no(409, 'wrong-base', e.message, { current: e.current });
+  if (e instanceof Forgotten) return unknown(e.message, 'GET /v1/config');
+  return undefined;
 };
 
 const putConfig = async (m: MasterView, text: string): Promise<Outcome> => {
@@ -43,27 +74,45 @@
   const digest = digestOf(text);
   const compiled = JSON.stringify({ ...config, origin: undefined, order: undefined });
   const how = 'GET /v1/config and compare the digest, or hand in the same file again';
+  const version = config.version ?? config.base + 1;
+  const name = { base: config.base, version, order: orderOf({ order: config.order, digest }) };
+  const record: ConfigRecord = { version, text, digest, compiled, order: config.order ?? '' };
   try {
-    const c = await m.submit((s) => {
-      const record = recordOf(s, config, text, digest, compiled);
-      return record === 'held' ? s : reduce(s, { kind: 'config', record });
-    });
+    const c = await m.decide((s) => (wasTaken(s, name) ? s : reduce(s, { kind: 'config', record })));
     await m.inForce(c);
-    if (c.state.config?.digest !== digest) {
-      const now = c.state.config?.version ?? 0;
-      return { status: 200, body: { version: config.version ?? config.base + 1, digest, newest: now } };
-    }
-    return { status: 200, body: { version: c.state.config.version, digest } };
+    const newest = c.state.config?.version ?? 0;
+    return { status: 200, body: newest === version ? { version, digest } : { version, digest, newest } };
   } catch (e) {
-    if (e instanceof WrongBase) return no(409, 'wrong-base', e.message, { current: e.current });
+    const refusal = refusalOf(e);
+    if (refusal) return refusal;
     const x = mishapOf(e);
     return x.ran === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { ran: 'unknown', mishap: 'unknown', text: x.message, how, digest } };
   }
 };
 
+const Asked = z.strictObject({ base: z.number(), version: z.number(), order: z.string().min(1) });
+
+/**
+ * Whether a change was taken, and if not, the text that it builds on. A sender that derives its change from the present
+ * text asks this first: a change that was taken is acknowledged and one whose base has passed is refused, without a text.
+ */
+const prepareChange = async (m: MasterView, body: string): Promise<Outcome> => {
+  const asked = Asked.safeParse(jsonOf(body));
+  if (!asked.success) return no(422, 'findings', 'base, version and order are needed');
+  try {
+    const s = await m.confirm();
+    if (!wasTaken(s, asked.data)) return s.config ? { status: 200, body: { taken: false, text: s.config.text } } : no(404, 'missing', noConfig);
+    await m.inForce({ state: s, at: m.committedAt });
+    return { status: 200, body: { taken: true, version: asked.data.version } };
+  } catch (e) {
+    const x = mishapOf(e);
+    return refusalOf(e) ?? (x.ran === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'));
+  }
+};
+
 const change = async (m: MasterView, f: (s: State) => State, view: (s: State) => unknown): Promise<Outcome> => {
   try {
-    const { state } = await m.submit(f);
+    const { state } = await m.decide(f);
     return { status: 200, body: view(state) };
   } catch (e) {
     const x = mishapOf(e);
@@ -95,12 +144,8 @@
 
 const servers = async (m: MasterView, o: Operation, id: string, verb: string): Promise<Outcome> => {
   if (o.method === 'PUT' && verb === '') {
-    let raw: unknown;
-    try {
-      raw = JSON.parse(o.body);
-    } catch {
-      return no(400, 'bad-json', 'the body is not JSON');
-    }
+    const raw = jsonOf(o.body);
+    if (raw === undefined) return no(400, 'bad-json', 'the body is not JSON');
     const got = NewServer.safeParse(raw);
     if (!got.success)
       return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
@@ -199,11 +244,12 @@
     if (o.method === 'PUT') return putConfig(m, o.body);
     if (o.method !== 'GET') return no(405, 'no-such-operation', `${o.method} ${o.path}`);
     return look(m, (s) => {
-      if (!s.config) throw new Mishap('missing', 'no configuration has been handed in');
-      const { version, text, digest, order, past } = s.config;
-      return { version, text, digest, order, past };
+      if (!s.config) throw new Mishap('missing', noConfig);
+      const { version, text, digest, order } = s.config;
+      return { version, text, digest, order };
     });
   }
+  if (section === 'config' && id === 'prepare' && o.method === 'POST') return prepareChange(m, o.body);
   if (section === 'servers' && id !== '') return servers(m, o, id, verb);
   if (section === 'stores' && verb === 'empty') {
     if (o.method === 'POST') return retire(m, id, true, 'store');
--- a/packages/state/src/flat.ts
+++ b/packages/state/src/flat.ts
@@ -28,6 +28,7 @@
   for (const [id, name] of s.retiring) out.set(`retiring/${id}`, JSON.stringify(name));
   s.slots.forEach((slot, i) => out.set(`slot/${i}`, JSON.stringify(slot)));
   if (s.config) out.set('config', configText(s.config));
+  for (const [block, text] of s.taken) out.set(`taken/${block}`, JSON.stringify(text));
   for (const [id, v] of s.servers) out.set(`server/${id}`, JSON.stringify(v));
   for (const [k, w] of s.weights) out.set(`weight/${k}`, JSON.stringify(w));
   return out;
@@ -43,6 +44,7 @@
   const weights = new Map<string, number>();
   const retiring = new Map<string, string>();
   const slots: Slot[] = [];
+  const taken = new Map<number, string>();
   let config: ConfigRecord | undefined;
   for (const [key, json] of flat) {
     const at = key.indexOf('/');
@@ -55,10 +57,11 @@
     else if (section === 'server') servers.set(id, Server.parse(v));
     else if (section === 'weight') weights.set(id, z.number().parse(v));
     else if (section === 'retiring') retiring.set(id, z.string().catch('').parse(v));
+    else if (section === 'taken') taken.set(Number(id), z.string().parse(v));
     else if (section === 'config') config = ConfigRecord.parse(v);
     else if (section !== 'head') throw new BadState(`unknown section ${section}`);
   }
-  return { ...head, nodes, voterMates, retiring, slots, config, servers, weights };
+  return { ...head, nodes, voterMates, retiring, slots, config, taken, servers, weights };
 };
 
 export const diffOf = (a: State, b: State): Diff => {
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,5 @@
 export * from './state.js';
+export * from './taken.js';
 export * from './flat.js';
 export * from './reduce.js';
 export * from './allot.js';
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,3 +1,4 @@
+import { withTaken } from './taken.js';
 import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
 
 export type Action =
@@ -22,6 +23,9 @@
 
 const sameMate = (a: Mate | undefined, b: Mate): boolean => JSON.stringify(a) === JSON.stringify(b);
 
+/** What tells one change of the configuration from others: its sender's order key, or else its digest. */
+export const orderOf = (c: { readonly order?: string | undefined; readonly digest: string }): string => c.order || c.digest;
+
 export const reduce = (s: State, a: Action): State => {
   switch (a.kind) {
     case 'join': {
@@ -37,7 +41,7 @@
       if (!s.nodes.has(a.id)) return s;
       return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
     case 'config':
-      return { ...s, config: a.record };
+      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, orderOf(a.record)) };
     case 'server':
       return { ...s, servers: withEntry(s.servers, a.server.id, a.server) };
     case 'server-gone':
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { TakenChanges } from './taken.js';
 
 export const Mate = z.object({
   id: z.string(),
@@ -33,18 +34,12 @@
 }).readonly();
 export type Server = z.infer<typeof Server>;
 
-export const PastConfig = z.object({ version: z.number(), digest: z.string(), order: z.string() }).readonly();
-export type PastConfig = z.infer<typeof PastConfig>;
-
-export const pastMost = 64;
-
 export const ConfigRecord = z.object({
   version: z.number(),
   text: z.string(),
   digest: z.string(),
   compiled: z.string(),
   order: z.string().default(''),
-  past: z.array(PastConfig).readonly().default([]),
 }).readonly();
 export type ConfigRecord = z.infer<typeof ConfigRecord>;
 
@@ -72,6 +67,7 @@
   readonly retiring: ReadonlyMap<string, string>;
   readonly slots: readonly Slot[];
   readonly config: ConfigRecord | undefined;
+  readonly taken: TakenChanges;
   readonly servers: ReadonlyMap<string, Server>;
   readonly weights: ReadonlyMap<string, number>;
 }
@@ -90,6 +86,7 @@
   retiring: new Map(),
   slots: emptySlots(slots),
   config: undefined,
+  taken: new Map(),
   servers: new Map(),
   weights: new Map(),
 });
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -1,44 +1,9 @@
 import { deflateSync } from 'node:zlib';
 import { diffOf, flatten, markOf, newer, quorum, reduce, sameMark, settleVoters, type Mark, type Mate, type State } from '@tillerstair/state';
-import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
-import type { ZenBounds } from './bounds.js';
-import type { Keep } from './keep.js';
+import { CircuitRefused, Line, Mishap, mishapOf, pause, lasting } from '@tillerstair/wire';
+import type { Change, Committed, MasterParts, MasterView, Task } from './master-types.js';
 import { Accepted, NodePong, Promised, type Join, type MasterPing, type Payload } from './messages.js';
-
-export type Change = (s: State) => State;
-
-export interface Committed {
-  readonly state: State;
-  readonly at: number;
-}
-
-interface Task {
-  readonly change: Change;
-  done(c: Committed): void;
-  fail(e: Error): void;
-}
-
-export interface MasterParts {
-  readonly me: Mate;
-  readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly keep: Keep;
-  readonly bounds: ZenBounds;
-  readonly log: Log;
-  readonly settle: (s: State) => State;
-  readonly apply: (s: State) => Promise<void>;
-  readonly onReport: (id: string, report: unknown) => void;
-}
-
-export interface MasterView {
-  readonly term: number;
-  readonly lost: AbortSignal;
-  readonly committed: State | undefined;
-  submit(change: Change): Promise<Committed>;
-  confirm(): Promise<State>;
-  inForce(c: Committed): Promise<void>;
-  silentFor(id: string): number;
-}
+import { QuorumRead } from './quorum-read.js';
 
 interface Contact {
   readonly ackedAt: number;
@@ -53,6 +18,8 @@
   private tasks: Task[] = [];
   private base: State;
   committed: State | undefined;
+  committedAt = -Infinity;
+  private readonly quorumRead: QuorumRead;
   private readonly seen = new Map<string, Mark>();
   private readonly contacts = new Map<string, Contact>();
   private readonly watched = new Set<string>();
@@ -69,6 +36,12 @@
   ) {
     this.base = newest;
     this.electedAt = p.clock.now();
+    this.quorumRead = new QuorumRead({
+      ...p, term, lost: this.lost,
+      committed: () => this.committed,
+      deposed: () => p.keep.kept.term !== term,
+      onLaterTerm: (later, addr) => this.stepDown(`${addr} is in term ${later}`),
+    });
   }
 
   get lost(): AbortSignal {
@@ -93,9 +66,17 @@
   }
 
   submit(change: Change): Promise<Committed> {
+    return this.queue(change, false);
+  }
+
+  decide(change: Change): Promise<Committed> {
+    return this.queue(change, true);
+  }
+
+  private queue(change: Change, proven: boolean): Promise<Committed> {
     return new Promise((done, fail) => {
       if (this.lost.aborted) return fail(new Mishap('not-master', 'this control is no longer master'));
-      this.tasks.push({ change, done, fail });
+      this.tasks.push({ change, proven, done, fail });
       if (this.tasks.length === 1) void this.line.run(() => this.drain());
     });
   }
@@ -104,13 +85,14 @@
     const tasks = this.tasks;
     this.tasks = [];
     const going: Task[] = [];
+    const refused: (readonly [Task, Mishap])[] = [];
     let next = this.base;
     for (const t of tasks) {
       try {
         next = t.change(next);
         going.push(t);
       } catch (e) {
-        t.fail(mishapOf(e));
+        refused.push([t, mishapOf(e)]);
       }
     }
     next = this.p.settle(next);
@@ -119,16 +101,25 @@
       if (changed) await this.publish({ ...next, term: this.term, version: this.base.version + 1, master: this.p.me.id });
       const state = this.committed;
       if (!state) throw new Mishap('not-master', 'nothing is committed');
-      for (const t of going) t.done({ state, at: this.p.clock.now() });
+      const ends = { state, at: this.committedAt };
+      for (const t of going) this.end(t, changed, () => t.done(ends));
+      for (const [t, why] of refused) this.end(t, changed, () => t.fail(why));
       const settled = settleVoters(state);
       if (settled !== state) void this.submit(settleVoters).catch(() => undefined);
     } catch (e) {
       const m = mishapOf(e);
       for (const t of going) t.fail(new Mishap('unknown', m.message, 'unknown'));
+      for (const [t] of refused) t.fail(new Mishap('unavailable', m.message));
       this.stepDown(m.message);
     }
   }
 
+  /** Ends a task at once where a publish since it came has proven this master, else after a quorum read. */
+  private end(task: Task, published: boolean, tell: () => void): void {
+    if (published || !task.proven) return tell();
+    this.confirm().then(tell, (e: unknown) => task.fail(new Mishap('unavailable', mishapOf(e).message)));
+  }
+
   private targets(s: State): readonly Mate[] {
     const all = new Map([...s.voterMates, ...s.nodes]);
     all.delete(this.p.me.id);
@@ -170,6 +161,7 @@
     });
     this.base = next;
     this.committed = next;
+    this.committedAt = this.p.clock.now();
     this.noteDeparted(old, next);
     for (const mate of taken) void this.commit(mate, mark);
     await apply(next);
@@ -261,26 +253,8 @@
     }
   }
 
-  async confirm(): Promise<State> {
-    const { circuits, me, bounds } = this.p;
-    const state = this.committed;
-    if (!state) throw new Mishap('not-master', 'nothing is committed yet');
-    const yes = new Set([me.id]);
-    const body = { from: me, term: this.term, clusterId: state.clusterId };
-    await Promise.all(
-      [...state.voterMates.values()]
-        .filter((m) => m.id !== me.id)
-        .map(async (m) => {
-          try {
-            const pong = NodePong.parse(await circuits.call(m.addr, 'zen/node-ping', { ...body, to: m.id }, { within: bounds.beat }));
-            if (pong.term === this.term) yes.add(m.id);
-          } catch {
-            return;
-          }
-        }),
-    );
-    if (this.lost.aborted || !quorum(state.voters, yes)) throw new Mishap('unavailable', 'no majority confirms this master');
-    return state;
+  confirm(): Promise<State> {
+    return this.quorumRead.confirm();
   }
 
   silentFor(id: string): number {
--- a/tests/src/batch.test.ts
+++ b/tests/src/batch.test.ts
@@ -25,7 +25,7 @@
   const clock = new SimClock();
   const me = { id: 'f', kind: 'front' as const, addr: '', http: '', zone, data: '', name: '' };
   const state: State = servers.reduce<State>((s, v) => reduce(s, { kind: 'server', server: v }), {
-    ...foundingState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '', past: [] },
+    ...foundingState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '' },
   });
   const table = tableOf(state, undefined);
   const sims = new SimServers(clock, seededRng(1));
--- a/tests/src/carry.test.ts
+++ b/tests/src/carry.test.ts
@@ -79,7 +79,7 @@
   const text = JSON.stringify({ base: 0, pools, lanes: passLanes(['models'], 'shop'), budgets: { program: 1000, turn: 16 } });
   const { config, findings } = checkConfig(text);
   assert.equal(findings, []);
-  const record = { version: 1, text, digest: 'd', compiled: JSON.stringify(config), order: '', past: [] };
+  const record = { version: 1, text, digest: 'd', compiled: JSON.stringify(config), order: '' };
   return { ...foundingState('c', [], 8), config: record, servers: new Map(servers.map((s) => [s.id, s])) };
 };
 
--- a/tests/src/list.test.ts
+++ b/tests/src/list.test.ts
@@ -349,7 +349,8 @@
   const over = new AbortController();
   const poll = new ListPoll(clock, reader);
   void poll.run({
-    term: 4, lost: over.signal, committed, silentFor: () => 0, inForce: async () => undefined, confirm: async () => committed,
+    term: 4, lost: over.signal, committed, committedAt: 0, silentFor: () => 0, inForce: async () => undefined, confirm: async () => committed,
+    decide: () => Promise.reject(new Error('a poll asks for no proof')),
     submit: async (change) => {
       submits++;
       committed = change(committed);
--- a/tests/src/operator.test.ts
+++ b/tests/src/operator.test.ts
@@ -224,7 +224,8 @@
   const asked: string[] = [];
   const outcomes = new Map<string, Outcome>([
     ['PUT /v1/config', { status: 409, body: {} }],
-    ['GET /v1/config', { status: 200, body: { version: 4, text: text({ origin: '{"edition":4}' }), order: '', past: [] } }],
+    ['GET /v1/config', { status: 200, body: { version: 4, text: text({ origin: '{"edition":4}' }), order: '' } }],
+    ['POST /v1/config/prepare', { status: 409, body: {} }],
     ['POST /v1/stores/a%20b/empty', { status: 200, body: { done: false } }],
     ['GET /v1/stores/a%20b/empty', { status: 503, body: {} }],
   ]);
@@ -250,7 +251,8 @@
     assert.is(away.headers.get('retry-after'), '1');
     assert.is((await ask('GET', '/retire/none')).status, 404);
     assert.is((await ask('DELETE', '/configuration')).status, 404);
-    assert.is((await ask('PATCH', '/configuration', '{')).status, 412);
+    assert.is((await ask('PATCH', '/configuration', '{"edition":9}')).status, 412);
+    assert.is((await ask('PATCH', '/configuration', '{')).status, 400);
     assert.is(asked.length, 6);
   } finally {
     server.close();
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -21,7 +21,7 @@
 const stateWith = (ids: readonly (readonly [string, string])[]): State =>
   ids.reduce<State>(
     (s, [id, pool]) => reduce(s, { kind: 'server', server: { id, pool, url: `http://127.0.0.1:1/${id}`, leaving: false, down: false, zone: '', places: 0 } }),
-    { ...foundingState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '', past: [] } },
+    { ...foundingState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '' } },
   );
 
 const six = [['n1', 'new'], ['n2', 'new'], ['n3', 'new'], ['o1', 'old'], ['o2', 'old'], ['o3', 'old']] as const;
