--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -2,7 +2,7 @@
 import { closeHttp, servePages, stderrLog, type ControlEnv, type Running } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, readBody, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { DiskKeep, reloadableBounds } from '@tillerstair/zen';
+import { controlPace, DiskKeep, reloadableBounds } from '@tillerstair/zen';
 import type { ServerList } from './list.js';
 import { ControlNode } from './node.js';
 
@@ -20,7 +20,7 @@
   const log = stderrLog('control', env.log);
   const disk = await FolderDisk.take(env.data);
   const { bounds, replace } = reloadableBounds(env.bounds);
-  const pace = { clock: hostClock, syncWithin: bounds.syncWithin, retryEvery: bounds.diskRetryEvery, log };
+  const pace = controlPace(hostClock, bounds, log);
   const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt, pace);
   const me = { id: keep.kept.id, kind: 'control' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
   const node = new ControlNode({
--- a/packages/sim/src/index.ts
+++ b/packages/sim/src/index.ts
@@ -14,3 +14,4 @@
 export * from './model-history.js';
 export * from './model-rig.js';
 export * from './control-model.js';
+export * from './config-calls.js';
