--- a/packages/sim/src/model-history.ts
+++ b/packages/sim/src/model-history.ts
@@ -73,7 +73,7 @@
     return { committedVersion: this.committedVersion, hasConfig: this.newest?.config !== undefined, acknowledged: this.acknowledgedVersion };
   }
 
-  /** Takes in a state that some node holds as committed. */
+  /** Notes a state that some node holds as committed. */
   committed(by: string, s: State): void {
     if (this.seen.has(s)) return;
     this.seen.add(s);
--- a/tests/src/doors.test.ts
+++ b/tests/src/doors.test.ts
@@ -141,7 +141,7 @@
     const text = JSON.stringify({ base: version - 1, pools, lanes: passLanes(['models'], 'shop'), budgets: { program: 1000, turn: 16 }, limits });
     const { config, findings } = checkConfig(text);
     assert.equal(findings, []);
-    front.steward.take({ ...foundingState('c', [], 8), version, config: { version, text, digest: `d${version}`, compiled: JSON.stringify(config), order: '', past: [] } });
+    front.steward.take({ ...foundingState('c', [], 8), version, config: { version, text, digest: `d${version}`, compiled: JSON.stringify(config), order: '' } });
     assert.equal(limitsOf(front), limits);
   }
 });
