Replicas, quorums and voters follow the losses to bear; a leave passes the vote at once

Cause: replicas (3) and write quorum (2) were constants in five places, so two losses were never borne; a slot with two replicas gone was never refilled; a filler that died for good held its slot up; a control that stopped in order kept its vote for 6 s; a spare was voted in without the newest state on disk; the emptying of a store was told done while another slot lacked replicas.

Replicas are spread evenly over zones. A slot is refilled as long as a quorum of its replicas is live, gets its first replicas from a quorum of stores when no further one comes within the failure timeout, and grows to the full number later. A lost or retired filler is replaced at once. zen/leave of a voter (also of the master itself) or its failure passes the vote in the same commit to a spare that replied within two heartbeats and has acknowledged the newest committed state; without such a spare the voters stay as they are. `done` of an emptying needs every slot to bear f more losses, judged by pings sent after the question came. A look-up by try alone counts replies per slot, and a store that no longer keeps a slot refuses to tell for it.

Ruled out: shrinking the voters when one leaves (a rolling restart would lower what is borne).

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -21,6 +21,8 @@
   private silentStores: ReadonlySet<string> = new Set();
   private fronts = new Set<string>();
   private frontJoinedAt = -Infinity;
+  private stores = new Set<string>();
+  private storeJoinedAt = -Infinity;
   private master: MasterView | undefined;
   private soon: Beat | undefined;
   private handingSince = new Map<number, number>();
@@ -30,7 +32,6 @@
     private readonly clock: Clock,
     private readonly bounds: ZenBounds,
     private readonly log: Log,
-    private readonly copies: number,
   ) {}
 
   readonly learn = (s: State): void => {
@@ -46,6 +47,10 @@
 
   readonly settle = (s: State): State => {
     this.learn(s);
+    return this.allotted(this.replaceVoter(s));
+  };
+
+  private allotted(s: State): State {
     const fronts = [...s.nodes.values()].filter((m) => m.kind === 'front').map((m) => m.id);
     const now = this.clock.now();
     if (fronts.some((id) => !this.fronts.has(id))) this.frontJoinedAt = now;
@@ -59,8 +64,17 @@
     const moves = Math.max(1, Math.ceil(s.slots.length / 16));
     const fills = Math.max(1, Math.floor(s.slots.length / 2));
     const lost = this.diskLost(s, [...new Set(s.slots.flatMap(keptOn))]);
-    return allot(s, { copies: this.copies, moves, fills, silentStores: new Set([...this.silentStores, ...lost]) });
-  };
+    return allot(s, { leastStores: this.leastStores(s), moves, fills, silentStores: new Set([...this.silentStores, ...lost]) });
+  }
+
+  /** Slots get their first replicas once all can be placed, or a quorum of them when no further store comes. */
+  private leastStores(s: State): number {
+    const now = this.clock.now();
+    const stores = [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => m.id);
+    if (stores.some((id) => !this.stores.has(id))) this.storeJoinedAt = now;
+    this.stores = new Set(stores);
+    return now - this.storeJoinedAt > this.bounds.silent ? s.replication.quorum : s.replication.replicas;
+  }
 
   private settleIn(ms: number): void {
     this.soon?.stop();
@@ -111,7 +125,7 @@
       const s = master.committed;
       if (master.lost.aborted || !s) continue;
       this.silentStores = new Set(
-        [...new Set(s.slots.flatMap((slot) => slot.copies))].filter(
+        [...new Set(s.slots.flatMap(keptOn))].filter(
           (id) => !s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter,
         ),
       );
@@ -120,8 +134,7 @@
       await master
         .submit((t) => {
           const marked = [...downs].reduce((u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }), t);
-          const handed = overdue.reduce((u, [slot, tenure]) => reduce(u, { kind: 'handed', slot, tenure }), marked);
-          return this.replaceVoter(handed, master);
+          return overdue.reduce((u, [slot, tenure]) => reduce(u, { kind: 'handed', slot, tenure }), marked);
         })
         .catch(() => undefined);
     }
@@ -145,14 +158,17 @@
     return out;
   }
 
-  private replaceVoter(s: State, master: MasterView): State {
-    if (s.voters.now.join() !== s.voters.next.join()) return s;
+  /** Passes the vote of a control that left, failed or lost its disk to a spare that holds the newest state on disk. */
+  private replaceVoter(s: State): State {
+    const { master } = this;
+    if (!master || master.lost.aborted || s.voters.now.join() !== s.voters.next.join()) return s;
     const lost = this.diskLost(s, s.voters.now);
-    const out = s.voters.now.find((id) => lost.has(id) || (!s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter));
+    const out = s.voters.now.find((id) => lost.has(id)) ?? s.voters.now.find((id) => !s.nodes.has(id));
     if (out === undefined) return s;
+    const zone = s.voterMates.get(out)?.zone;
     const spare = [...s.nodes.values()]
-      .filter((m) => m.kind === 'control' && !s.voters.now.includes(m.id) && master.silentFor(m.id) < this.bounds.beat * 2)
-      .sort((a, b) => (a.id < b.id ? -1 : 1))[0];
+      .filter((m) => m.kind === 'control' && !s.voters.now.includes(m.id) && master.heard(m.id) && master.synced(m.id))
+      .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone) || (a.id < b.id ? -1 : 1))[0];
     if (!spare) return s;
     this.log.info(`Control ${out} is lost, ${spare.addr} takes its place.`);
     return reduce(s, { kind: 'voters', out, in: spare });
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -8,7 +8,6 @@
 import { tuneWeights } from './weights.js';
 
 export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead' | 'tell' | 'onTold'> {
-  readonly copies: number;
   readonly list?: ServerList | undefined;
 }
 
@@ -21,7 +20,7 @@
   private readonly list: { readonly reader: ListReader; readonly poll: ListPoll } | undefined;
 
   constructor(private readonly p: ControlParts) {
-    this.keeper = new Keeper(p.clock, p.bounds, p.log, p.copies);
+    this.keeper = new Keeper(p.clock, p.bounds, p.log);
     const old = p.keep.kept.accepted;
     if (old) this.keeper.learn(old);
     if (p.list) {
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, keptOn, pastMost, reduce, type Config, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
+import { checkConfig, digestOf, keptOn, liveNodes, pastMost, reduce, replicasWhole, type Config, type ConfigRecord, type IsLive, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -82,6 +82,15 @@
   }
 };
 
+/** As `look`, with the nodes of these kinds that replied after the call came. */
+const lookAtLive = async (m: MasterView, kinds: readonly Mate['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
+  const mates = [...(m.committed?.nodes.values() ?? [])].filter((mate) => kinds.includes(mate.kind));
+  const reached = await m.reach(mates);
+  return look(m, (s) => view(s, (id) => reached.has(id)));
+};
+
+const nobodyLive: IsLive = () => false;
+
 const findMate = (s: State, id: string): Mate | undefined => {
   const all = [...s.nodes.values()];
   return s.nodes.get(id) ?? all.find((x) => x.addr === id) ?? all.find((x) => x.name !== '' && x.name === id);
@@ -131,10 +140,11 @@
   return found;
 };
 
-export const emptyingOf = (s: State, id: string): object => {
+/** How far the emptying of a store is; done only when the loss of all that may be lost at once would be borne without it. */
+export const emptyingOf = (s: State, id: string, isLive: IsLive): object => {
   const held = s.slots.filter((x) => keptOn(x).includes(id)).length;
   const filling = s.slots.filter((x) => x.filling.length > 0).length;
-  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 };
+  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)) };
 };
 
 const retire = (m: MasterView, id: string, on: boolean, kind: 'store' | 'front'): Promise<Outcome> => {
@@ -148,11 +158,12 @@
       if (mate ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
       if (!mate) throw new Mishap('missing', `no node ${id}`);
       const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== mate.id && !s.retiring.has(x.id));
-      if (on && kind === 'store' && rest.length < 3) throw new Mishap('refused', `only ${rest.length} other stores would stay, 3 copies are needed`);
+      if (on && kind === 'store' && rest.length < s.replication.replicas)
+        throw new Mishap('refused', `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`);
       if (on && kind === 'front' && rest.length < 1) throw new Mishap('refused', 'no other front would stay');
       return reduce(s, { kind: 'retire', id: mate.id, on });
     },
-    (s) => (kind === 'store' ? emptyingOf(s, found) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
+    (s) => (kind === 'store' ? emptyingOf(s, found, nobodyLive) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
   );
 };
 
@@ -168,12 +179,13 @@
       }
       const mate = mateOf(s, id);
       if (mate.kind !== 'control') throw new Mishap('refused', `${id} is a ${mate.kind}`);
+      if (!m.synced(mate.id)) throw new Mishap('refused', `${id} does not hold the newest state on its disk yet; ask again`);
       return reduce(s, { kind: 'voters', out: '', in: mate });
     },
     (s) => ({ controls: s.voters.next }),
   );
 
-export const statusOf = (s: State): object => ({
+export const statusOf = (s: State, isLive: IsLive): object => ({
   clusterId: s.clusterId,
   term: s.term,
   version: s.version,
@@ -182,7 +194,7 @@
   config: s.config ? { version: s.config.version, digest: s.config.digest } : null,
   nodes: [...s.nodes.values()],
   servers: [...s.servers.values()],
-  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id)),
+  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id, isLive)),
   slots: {
     count: s.slots.length,
     stewarded: s.slots.filter((x) => s.nodes.has(x.steward)).length,
@@ -208,7 +220,7 @@
   if (section === 'stores' && verb === 'empty') {
     if (o.method === 'POST') return retire(m, id, true, 'store');
     if (o.method === 'DELETE') return retire(m, id, false, 'store');
-    if (o.method === 'GET') return look(m, (s) => emptyingOf(s, storeOf(s, id)));
+    if (o.method === 'GET') return lookAtLive(m, ['store'], (s, isLive) => emptyingOf(s, storeOf(s, id), isLive));
   }
   if (section === 'fronts' && verb === 'drain') {
     if (o.method === 'POST') return retire(m, id, true, 'front');
@@ -218,6 +230,6 @@
     if (o.method === 'POST') return voters(m, id, true);
     if (o.method === 'DELETE') return voters(m, id, false);
   }
-  if (section === 'status' && o.method === 'GET') return look(m, statusOf);
+  if (section === 'status' && o.method === 'GET') return lookAtLive(m, ['store'], statusOf);
   return no(404, 'no-such-page', o.path);
 };
--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { closeHttp, servePages, stderrLog, type ControlEnv, type Running } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
+import { replicationFor } from '@tillerstair/state';
 import { hostClock, readBody, sendJson, TcpCircuits } from '@tillerstair/wire';
 import { DiskKeep, zenBounds } from '@tillerstair/zen';
 import type { ServerList } from './list.js';
@@ -23,7 +24,7 @@
   const me = { id: keep.kept.id, kind: 'control' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
   const node = new ControlNode({
     me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds: zenBounds(env.bounds), log,
-    slots: env.slots, copies: env.copies, founds: env.founds, list: more.list,
+    slots: env.slots, replication: replicationFor(env.losses), founds: env.founds, list: more.list,
   });
   await node.start();
   const readiness = () => {
--- a/packages/env/src/env.ts
+++ b/packages/env/src/env.ts
@@ -52,7 +52,7 @@
   ...Linked,
   data: z.string().min(1),
   slots: z.number().int().min(8).max(4096).default(64),
-  copies: z.literal(3).default(3),
+  losses: z.number().int().min(1).max(7).default(1),
   founds: z.boolean().default(true),
   journalLongAt: z.number().int().min(65536).default(4 << 20),
 });
--- a/packages/fleet/src/capacity-cost.ts
+++ b/packages/fleet/src/capacity-cost.ts
@@ -60,7 +60,7 @@
   const report = reportOf(servers);
   const text = JSON.stringify(report);
   const [keeper, mb] = await keptMb(() => {
-    const k = new Keeper(hostClock, bounds, noLog, 3);
+    const k = new Keeper(hostClock, bounds, noLog);
     for (let n = 0; n < fronts; n++) k.onReport(`f-${n}`, JSON.parse(text));
     return k;
   });
--- a/packages/fleet/src/capacity-sockets.ts
+++ b/packages/fleet/src/capacity-sockets.ts
@@ -89,7 +89,7 @@
   const addr = `127.0.0.1:${port}`;
   const keep = await DiskKeep.open(watched.disk, () => 'c-0', 4 << 20);
   const me = { id: keep.kept.id, kind: 'control' as const, addr, http: '', zone: 'zone-0', data: '', name: 'control-0' };
-  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, circuits: new TcpCircuits(addr), keep, bounds, log: noLog, slots: 64, copies: 3 });
+  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, circuits: new TcpCircuits(addr), keep, bounds, log: noLog, slots: 64 });
   await node.start();
   const child = spawn(process.execPath, [process.argv[1] ?? '', 'hollow', String(count), '--seed', addr], { stdio: ['pipe', 'pipe', 'inherit'] });
   let said = '';
--- a/packages/fleet/src/capacity-state.ts
+++ b/packages/fleet/src/capacity-state.ts
@@ -31,7 +31,7 @@
   const all = [...controls, ...mates('store', 2, 15), ...mates('front', 3, z.fronts)];
   const founded = foundingState('cluster', controls, z.slots);
   const joined = all.reduce((s, mate) => reduce(s, { kind: 'join', mate }), founded);
-  const allotted = allot(joined, { copies: 3, moves: z.slots, fills: z.slots, silentStores: new Set() });
+  const allotted = allot(joined, { leastStores: 3, moves: z.slots, fills: z.slots, silentStores: new Set() });
   const servers = serversOf(z.servers);
   const served = { ...allotted, servers: new Map(servers.map((v) => [v.id, v])) };
   const weights = new Map(servers.map((v) => [weightKey(v.pool, v.id), 0.98]));
--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -1,6 +1,7 @@
 import { Agent } from '@tillerstair/agent';
 import { ControlNode } from '@tillerstair/control';
 import { Front } from '@tillerstair/proxy';
+import { replicationFor } from '@tillerstair/state';
 import { Shelf, StoreNode } from '@tillerstair/store';
 import { DiskKeep } from '@tillerstair/zen';
 import { noLog, type Log } from '@tillerstair/wire';
@@ -74,7 +75,7 @@
     const keep = await DiskKeep.open(disk, () => `${this.kind.charAt(0)}${w.freshId()}`, w.longAt);
     const me = { id: keep.kept.id, kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
     if (this.kind === 'control') {
-      const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3, list: w.list?.reader(this.addr, life) });
+      const node = new ControlNode({ ...common, me, keep, slots: w.slots, replication: replicationFor(w.losses), list: w.list?.reader(this.addr, life) });
       await node.start();
       this.control = node;
       return;
@@ -124,9 +125,9 @@
     if (how === 'power') this.platter.powerLoss();
   }
 
-  /** Tells both processes of a front to stop; resolves when they have ended. */
+  /** Tells every process of this machine to stop (SIGTERM); resolves when they have ended. */
   async stopInOrder(): Promise<void> {
-    await Promise.all([this.front?.stop(), this.agent?.stop()]);
+    await Promise.all([this.front?.stop(), this.agent?.stop(), this.control?.stop(), this.store?.stop()]);
     this.kill();
   }
 
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -3,7 +3,7 @@
 import type { Front } from '@tillerstair/proxy';
 import { rootOf, type State } from '@tillerstair/state';
 import { opKeyOf, type EmitPiece, type Verdict } from '@tillerstair/steward';
-import { zenBounds } from '@tillerstair/zen';
+import { zenBounds, type OuterBounds } from '@tillerstair/zen';
 import { z } from 'zod';
 import { Machine } from './machine.js';
 import { SimServers } from './sim-backend.js';
@@ -29,6 +29,10 @@
   readonly stores: number;
   readonly fronts: number;
   readonly slots?: number;
+  /** Losses of stores at once that the cluster is bootstrapped to bear. */
+  readonly losses?: number;
+  /** The outer bounds of the deployment; beats of 1 s and a failure timeout of 3 s where none are given. */
+  readonly bounds?: OuterBounds;
 }
 
 export class World {
@@ -36,8 +40,9 @@
   readonly clock = new SimClock();
   readonly net;
   readonly servers;
-  readonly bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+  readonly bounds;
   readonly slots: number;
+  readonly losses: number;
   readonly longAt = 1 << 16;
   hintsMost = 10000;
   keepMs = 3600000;
@@ -55,7 +60,9 @@
     sizes: WorldSizes,
   ) {
     this.rng = seededRng(seed);
+    this.bounds = zenBounds(sizes.bounds ?? { serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
     this.slots = sizes.slots ?? 8;
+    this.losses = sizes.losses ?? 1;
     this.net = new SimNet(this.clock, this.rng);
     this.servers = new SimServers(this.clock, this.rng);
     for (let n = 0; n < sizes.controls; n++) this.add('control');
--- a/packages/state/src/allot.ts
+++ b/packages/state/src/allot.ts
@@ -1,7 +1,8 @@
 import type { Mate, Slot, State } from './state.js';
 
 export interface AllotBounds {
-  readonly copies: number;
+  /** Live stores from which a slot gets its first replicas. */
+  readonly leastStores: number;
   readonly moves: number;
   readonly fills: number;
   readonly silentStores: ReadonlySet<string>;
@@ -9,14 +10,15 @@
 
 const byId = (a: Mate, b: Mate): number => (a.id < b.id ? -1 : 1);
 
+const inZone = (stores: readonly Mate[], zone: string): number => stores.filter((m) => m.zone === zone).length;
+
+/** Adds stores to `have` up to `want`, those of the zones used least first, then those that hold the fewest slots. */
 const spread = (stores: readonly Mate[], have: readonly Mate[], want: number, held: ReadonlyMap<string, number>): readonly Mate[] => {
   const out = [...have];
   while (out.length < want) {
-    const zones = new Set(out.map((m) => m.zone));
     const free = stores.filter((m) => !out.some((o) => o.id === m.id));
     const best = free.sort(
-      (a, b) =>
-        Number(zones.has(a.zone)) - Number(zones.has(b.zone)) || (held.get(a.id) ?? 0) - (held.get(b.id) ?? 0) || byId(a, b),
+      (a, b) => inZone(out, a.zone) - inZone(out, b.zone) || (held.get(a.id) ?? 0) - (held.get(b.id) ?? 0) || byId(a, b),
     )[0];
     if (!best) break;
     out.push(best);
@@ -24,32 +26,39 @@
   return out;
 };
 
+/** Stands for no replica where one more joins a slot that has too few. */
+const nobody = '';
+
 const allotCopies = (s: State, bounds: AllotBounds): readonly Slot[] => {
+  const { replicas, quorum } = s.replication;
   const live = [...s.nodes.values()].filter((m) => m.kind === 'store').sort(byId);
   const usable = live.filter((m) => !s.retiring.has(m.id));
   const held = new Map<string, number>();
   for (const slot of s.slots) for (const id of slot.copies) held.set(id, (held.get(id) ?? 0) + 1);
   const gone = (id: string): boolean => bounds.silentStores.has(id) && !s.nodes.has(id);
+  const replaced = (slot: Slot): string | undefined =>
+    slot.copies.find(gone) ?? (slot.copies.length < replicas ? nobody : slot.copies.find((id) => s.retiring.has(id)));
+  const spareFor = (slot: Slot, out: string): Mate | undefined => {
+    const answering = live.filter((m) => slot.copies.includes(m.id));
+    if (answering.length < quorum) return undefined;
+    const stay = answering.filter((m) => m.id !== out);
+    return spread(usable.filter((m) => !slot.copies.includes(m.id)), stay, stay.length + 1, held)[stay.length];
+  };
   let moving = s.slots.filter((slot) => slot.filling.length > 0).length;
   return s.slots.map((slot) => {
     if (slot.copies.length === 0) {
-      if (usable.length < bounds.copies) return slot;
-      const copies = spread(usable, [], bounds.copies, held).map((m) => m.id);
+      if (usable.length < bounds.leastStores) return slot;
+      const copies = spread(usable, [], replicas, held).map((m) => m.id);
       for (const id of copies) held.set(id, (held.get(id) ?? 0) + 1);
       return { ...slot, copies, tenure: slot.tenure + 1 };
     }
-    const lost = slot.filling.find((id) => gone(id) || s.retiring.has(id));
-    if (slot.filling.length > 0 && lost === undefined) return slot;
-    if (slot.filling.length === 0 && moving >= bounds.fills) return slot;
-    const out = slot.filling.length > 0 ? slot.instead : (slot.copies.find(gone) ?? slot.copies.find((id) => s.retiring.has(id)));
-    if (out === undefined) return slot;
-    const stay = live.filter((m) => slot.copies.includes(m.id) && m.id !== out);
-    const spare =
-      stay.length < bounds.copies - 1
-        ? undefined
-        : spread(usable.filter((m) => !slot.copies.includes(m.id) && !gone(m.id)), stay, stay.length + 1, held)[stay.length];
-    if (!spare) return lost === undefined ? slot : { ...slot, filling: [], instead: '', tenure: slot.tenure + 1 };
-    if (lost === undefined) moving++;
+    const fills = slot.filling.length > 0;
+    if (fills && slot.filling.every((id) => s.nodes.has(id) && !s.retiring.has(id))) return slot;
+    if (!fills && moving >= bounds.fills) return slot;
+    const out = replaced(slot);
+    const spare = out === undefined ? undefined : spareFor(slot, out);
+    if (out === undefined || !spare) return fills ? { ...slot, filling: [], instead: '', tenure: slot.tenure + 1 } : slot;
+    if (!fills) moving++;
     held.set(spare.id, (held.get(spare.id) ?? 0) + 1);
     held.set(out, (held.get(out) ?? 0) - 1);
     return { ...slot, filling: [spare.id], instead: out, tenure: slot.tenure + 1 };
--- a/packages/state/src/flat.ts
+++ b/packages/state/src/flat.ts
@@ -21,7 +21,7 @@
 
 export const flatten = (s: State): Flat => {
   const out = new Map<string, string>();
-  const head: Head = { clusterId: s.clusterId, term: s.term, version: s.version, master: s.master, voters: s.voters };
+  const head: Head = { clusterId: s.clusterId, term: s.term, version: s.version, master: s.master, voters: s.voters, replication: s.replication };
   out.set('head', JSON.stringify(head));
   for (const [id, m] of s.nodes) out.set(`node/${id}`, JSON.stringify(m));
   for (const [id, m] of s.voterMates) out.set(`voter/${id}`, JSON.stringify(m));
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -7,3 +7,5 @@
 export * from './belief.js';
 export * from './item.js';
 export * from './listing.js';
+export * from './replication.js';
+export * from './margin.js';
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -44,7 +44,8 @@
 
 export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
 export const ReadBack = z.object({ item: Item.nullable() });
-export const FindTurn = z.object({ turn: z.string() });
+/** `slots` are those for which who asks counts the store as a replica. */
+export const FindTurn = z.object({ turn: z.string(), slots: z.array(z.number()).default([]) });
 export const FoundTurns = z.object({ items: z.array(Item) });
 export const Hint = z.object({ to: z.string(), slot: z.number(), items: z.array(Item) });
 export const Hand = z.object({ slot: z.number(), items: z.array(Item) });
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { defaultReplication, Replication } from './replication.js';
 
 export const Mate = z.object({
   id: z.string(),
@@ -63,6 +64,7 @@
   version: z.number(),
   master: z.string(),
   voters: Voters,
+  replication: Replication.default(defaultReplication),
 }).readonly();
 export type Head = z.infer<typeof Head>;
 
@@ -79,12 +81,13 @@
 export const emptySlots = (count: number): readonly Slot[] =>
   Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [], instead: '' }));
 
-export const foundingState = (clusterId: string, members: readonly Mate[], slots: number): State => ({
+export const foundingState = (clusterId: string, members: readonly Mate[], slots: number, replication: Replication = defaultReplication): State => ({
   clusterId,
   term: 0,
   version: 1,
   master: '',
   voters: { now: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
+  replication,
   nodes: new Map(),
   voterMates: new Map(members.map((m) => [m.id, m])),
   retiring: new Map(),
--- a/packages/steward/src/keeper.ts
+++ b/packages/steward/src/keeper.ts
@@ -15,8 +15,6 @@
   readonly keepMs: number;
 }
 
-const needed = 2;
-
 export class SlotKeeper {
   private slot: Slot | undefined;
   private seq = 0;
@@ -34,6 +32,11 @@
     private readonly p: KeeperParts,
   ) {}
 
+  /** Replicas that must hold a write, or reply to a read; out of reach while no state is known. */
+  private get quorum(): number {
+    return this.p.table()?.state.replication.quorum ?? Infinity;
+  }
+
   get open(): boolean {
     return this.slot !== undefined && this.openTenure === this.slot.tenure;
   }
@@ -109,7 +112,7 @@
       let left = slot.copies.length;
       const one = () => {
         left--;
-        if (left <= 0 || seen.size >= needed) done();
+        if (left <= 0 || seen.size >= this.quorum) done();
       };
       if (left === 0) done();
       for (const id of slot.copies)
@@ -120,7 +123,7 @@
           .catch(() => undefined)
           .finally(one);
     });
-    if (seen.size < needed) throw new Mishap('unavailable', `${seen.size} of ${slot.copies.length} copies sealed`);
+    if (seen.size < this.quorum) throw new Mishap('unavailable', `${seen.size} of ${slot.copies.length} copies sealed`);
     const views = [...seen.values()];
     const merged = new Map<string, Item>(this.openTenure >= 0 ? this.held : []);
     for (const view of views)
@@ -133,7 +136,7 @@
         const theirs = v.get(item.key);
         return theirs && sameItem(theirs, item);
       });
-      return same.length < needed;
+      return same.length < this.quorum;
     });
     if (this.slot?.tenure !== tenure) return true;
     const again = uneven.map((item) => ({ key: item.key, tenure, seq: ++this.seq, value: item.value }));
@@ -187,9 +190,9 @@
     let left = targets.length;
     return new Promise((done, fail) => {
       const settle = () => {
-        if (acks() >= needed) done();
+        if (acks() >= this.quorum) done();
         if (left > 0) return;
-        if (acks() < needed) fail(new Mishap('unavailable', `${good.length} of ${targets.length} copies synced`));
+        if (acks() < this.quorum) fail(new Mishap('unavailable', `${good.length} of ${targets.length} copies synced`));
         if (good.length > 0) for (const id of missed) void this.hint(good, id, items);
       };
       for (const id of targets)
@@ -247,7 +250,7 @@
       slot.copies.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
     );
     const good = reads.flatMap((r) => (r.status === 'fulfilled' ? [r.value.item] : []));
-    if (good.length < needed) throw new Mishap('unavailable', 'too few copies confirm');
+    if (good.length < this.quorum) throw new Mishap('unavailable', 'too few copies confirm');
     if (this.slot?.tenure !== slot.tenure) throw new Mishap('unavailable', 'the slot has moved on');
     return good.every((item) => item === null);
   }
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -184,17 +184,21 @@
 
   /**
    * Asks every store that keeps a copy for a finished turn named by its try alone, and what it goes on from.
-   * Empty only when all but one of them (a write is on two of three) say that there is none.
+   * Empty only when so many replicas of every slot say that there is none that any write quorum holds one of them.
    */
   async findTurn(attempt: string): Promise<readonly (readonly [string, PassTurn])[]> {
     const state = this.table?.state;
     if (!state) throw new Mishap('not-ready', 'no committed state yet');
-    const ids = [...new Set(state.slots.flatMap((slot) => slot.copies))];
+    const slotsOn = new Map<string, number[]>();
+    state.slots.forEach((slot, n) => slot.copies.forEach((id) => slotsOn.set(id, [...(slotsOn.get(id) ?? []), n])));
+    const replied = new Set<string>();
     const asked = await Promise.allSettled(
-      ids.map(async (id) => {
+      [...slotsOn].map(async ([id, slots]) => {
         const mate = state.nodes.get(id);
         if (!mate) throw new Mishap('away', `copy ${id} is away`);
-        return FoundTurns.parse(await this.p.circuits.call(mate.addr, 'store/find', { turn: attempt }, { within: this.p.bounds.putWithin }));
+        const found = FoundTurns.parse(await this.p.circuits.call(mate.addr, 'store/find', { turn: attempt, slots }, { within: this.p.bounds.putWithin }));
+        replied.add(id);
+        return found;
       }),
     );
     const good = asked.flatMap((r) => (r.status === 'fulfilled' ? [r.value.items] : []));
@@ -204,7 +208,9 @@
     });
     const finished = turns.filter((t) => t.turn.status === 'done');
     if (finished.some((t) => t.name === attempt)) return finished.map((t) => [t.name, t.turn]);
-    if (ids.length === 0 || ids.length - good.length > 1) throw new Mishap('unavailable', 'too few stores can tell');
+    const { quorum } = state.replication;
+    const covered = (copies: readonly string[]): boolean => copies.filter((id) => replied.has(id)).length > copies.length - quorum;
+    if (slotsOn.size === 0 || !state.slots.every((slot) => slot.copies.length === 0 || covered(slot.copies))) throw new Mishap('unavailable', 'too few stores can tell');
     const newest = turns.filter((t) => t.name === attempt).reduce<(typeof turns)[number] | undefined>((a, b) => (a && !newerItem(b.item, a.item) ? a : b), undefined);
     if (newest?.turn.status === 'reserved') throw new Mishap('not-finished', 'this turn has not finished');
     return [];
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -47,6 +47,12 @@
     await this.p.circuits.close();
   }
 
+  /** Whether this store is still a replica of the slot, as far as it knows; data of other slots may have been dropped. */
+  private keeps(slot: number): boolean {
+    const known = this.newest?.slots[slot];
+    return known === undefined || keptOn(known).includes(this.p.me.id);
+  }
+
   belief(): Belief {
     const b = beliefOf(this.p.me.id, 'store', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
     const c = this.p.shelf.counts();
@@ -74,7 +80,8 @@
         return shelf.pull(slot, tenure, after);
       }
       case 'store/find': {
-        const { turn } = FindTurn.parse(inq.body);
+        const { turn, slots } = FindTurn.parse(inq.body);
+        if (slots.some((n) => !this.keeps(n))) throw new Mishap('moved', 'another store keeps one of these slots now');
         await shelf.synced();
         return { items: shelf.find(turn) };
       }
@@ -169,10 +176,11 @@
 
   private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
     const { circuits, shelf, bounds, me, log } = this.p;
+    const { quorum } = s.replication;
     let pulled = 0;
     for (const id of sources) {
       const mate = s.nodes.get(id);
-      if (!mate || pulled === 2) continue;
+      if (!mate || pulled === quorum) continue;
       try {
         const ask = async (after: string): Promise<unknown> => {
           if (after !== '') await pause(this.p.clock, bounds.beat / pagesPerBeat, this.gone.signal);
@@ -184,7 +192,7 @@
         log.debug(`Pulling slot ${slot} from ${mate.addr} failed: ${mishapOf(e).message}.`);
       }
     }
-    if (pulled < 2) throw new Mishap('unavailable', 'fewer than two full copies reply');
+    if (pulled < quorum) throw new Mishap('unavailable', `${pulled} of ${quorum} replicas that are needed reply`);
     const master = this.zen.masterSeen;
     if (!master) throw new Mishap('unavailable', 'no master is known');
     await circuits.call(master.addr, 'control/filled', { store: me.id, slot, tenure }, { within: bounds.silent });
--- a/packages/zen/src/found.ts
+++ b/packages/zen/src/found.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { foundingState, type Mate } from '@tillerstair/state';
+import { foundingState, type Mate, type Replication } from '@tillerstair/state';
 import { mishapOf, type Circuits, type Clock, type Log } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import type { Keep } from './keep.js';
@@ -46,6 +46,7 @@
     private readonly bounds: ZenBounds,
     private readonly log: Log,
     private readonly slots: number,
+    private readonly replication?: Replication,
   ) {}
 
   async round(view: FoundView): Promise<boolean> {
@@ -62,7 +63,7 @@
     const votes = await Promise.all(members.filter((m) => m.id !== view.me.id).map((m) => this.ask(view.me, m, members)));
     if (!votes.every(Boolean) || named(this.keep.kept.vote) !== name || this.keep.kept.accepted) return false;
     const clusterId = clusterIdOf(members);
-    await this.keep.accept(foundingState(clusterId, members, this.slots));
+    await this.keep.accept(foundingState(clusterId, members, this.slots, this.replication));
     this.log.info(`Founded cluster ${clusterId} with ${members.length} controls.`);
     return true;
   }
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -3,14 +3,9 @@
 import { CircuitRefused, Line, Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import type { Keep } from './keep.js';
+import type { Change, Committed, MasterView } from './master-view.js';
 import { Accepted, NodePong, Promised, type Join, type MasterPing, type Payload } from './messages.js';
-
-export type Change = (s: State) => State;
-
-export interface Committed {
-  readonly state: State;
-  readonly at: number;
-}
+import { reachNow } from './reach.js';
 
 interface Task {
   readonly change: Change;
@@ -30,16 +25,6 @@
   readonly onReport: (id: string, report: unknown) => void;
 }
 
-export interface MasterView {
-  readonly term: number;
-  readonly lost: AbortSignal;
-  readonly committed: State | undefined;
-  submit(change: Change): Promise<Committed>;
-  confirm(): Promise<State>;
-  inForce(c: Committed): Promise<void>;
-  silentFor(id: string): number;
-}
-
 interface Contact {
   readonly ackedAt: number;
   readonly applied: Mark;
@@ -283,10 +268,22 @@
     return state;
   }
 
+  reach(mates: readonly Mate[]): Promise<ReadonlySet<string>> {
+    return reachNow(this.p, { from: this.p.me, term: this.term, clusterId: this.base.clusterId }, mates);
+  }
+
   silentFor(id: string): number {
     return this.p.clock.now() - Math.max(this.electedAt, this.contacts.get(id)?.ackedAt ?? -Infinity);
   }
 
+  heard(id: string): boolean {
+    return id === this.p.me.id || this.p.clock.now() - (this.contacts.get(id) ?? never).ackedAt <= this.p.bounds.beat * 2;
+  }
+
+  synced(id: string): boolean {
+    return id === this.p.me.id || !newer(markOf(this.committed), markOf(this.seen.get(id)));
+  }
+
   private age(): number {
     const now = this.p.clock.now();
     const of = (group: readonly string[]): number => {
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,11 +1,13 @@
-import { flatten, markOf, newer, quorum, reduce, type Mate, type State } from '@tillerstair/state';
+import { flatten, markOf, newer, quorum, reduce, type Mate, type Replication, type State } from '@tillerstair/state';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import { gatherPromises } from './candidate.js';
 import { elect, type Self } from './elect.js';
 import { Founder } from './found.js';
 import { acceptedMark, type Keep } from './keep.js';
-import { Master, type MasterView } from './master.js';
+import { sayLeave } from './leave.js';
+import { Master } from './master.js';
+import type { MasterView } from './master-view.js';
 import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
 import { Receiver } from './receiver.js';
@@ -19,6 +21,8 @@
   readonly bounds: ZenBounds;
   readonly log: Log;
   readonly slots: number;
+  /** Replicas and write quorum of every slot, used when the cluster is bootstrapped. */
+  readonly replication?: Replication;
   /** Whether this node may help to found a cluster; not when the installation has run before. */
   readonly founds?: boolean;
   readonly settle?: (s: State) => State;
@@ -52,7 +56,7 @@
 
   constructor(private readonly p: ZenParts) {
     this.pinger = new Pinger(p.clock, p.circuits, p.bounds, p.seeds);
-    this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots);
+    this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots, p.replication);
     this.receiver = new Receiver({
       keep: p.keep,
       onApplied: async (s) => {
@@ -109,11 +113,7 @@
   }
 
   async stop(): Promise<void> {
-    const master = this.following;
-    if (master)
-      await this.p.circuits
-        .call(master.addr, 'zen/leave', { from: this.p.me }, { within: this.p.bounds.beat })
-        .catch(() => undefined);
+    await sayLeave(this.p, this.following, this.leading).catch(() => undefined);
     this.gone.abort();
     this.master?.stepDown('stopping');
     this.wake();
--- a/tests/src/list.test.ts
+++ b/tests/src/list.test.ts
@@ -349,7 +349,7 @@
   const over = new AbortController();
   const poll = new ListPoll(clock, reader);
   void poll.run({
-    term: 4, lost: over.signal, committed, silentFor: () => 0, inForce: async () => undefined, confirm: async () => committed,
+    term: 4, lost: over.signal, committed, silentFor: () => 0, heard: () => true, synced: () => true, reach: async () => new Set<string>(), inForce: async () => undefined, confirm: async () => committed,
     submit: async (change) => {
       submits++;
       committed = change(committed);
--- /dev/null
+++ b/tests/src/replicas.test.ts
@@ -0,0 +1,202 @@
+/** Replicas of the slots: two losses at once, zones, a late store, and a store that is emptied. */
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { allot, foundingState, reduce, replicasWhole, replicationFor, type Mate, type State } from '@tillerstair/state';
+import type { World, Machine, WorldSizes } from '@tillerstair/sim';
+import { acts, assertNoBreach, configText, recordsOf, servers, worldUp } from './util.js';
+
+const replicas = suite('replicas');
+const seeds = [71, 72, 73];
+const siteBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 500, silent: 1800 };
+const twoLosses: WorldSizes = { controls: 5, stores: 7, fronts: 2, losses: 2, bounds: siteBounds };
+const oneLoss: WorldSizes = { controls: 3, stores: 4, fronts: 2, bounds: siteBounds };
+
+const storeIdOf = (m: Machine | undefined): string => m?.store?.id ?? 'none';
+
+const wipe = (m: Machine | undefined): void => {
+  m?.kill('power');
+  m?.platter.wipe();
+};
+
+const whole = (w: World): boolean => {
+  const s = w.committed;
+  return s !== undefined && s.slots.every((slot) => slot.filling.length === 0 && slot.copies.length === s.replication.replicas && slot.copies.every((id) => s.nodes.has(id)));
+};
+
+/** Runs turns and calls for a while; resolves with the programs once all were answered. */
+const work = async (w: World, tag: string): Promise<readonly string[]> => {
+  const programs = await w.clock.finish('programs', Promise.all(Array.from({ length: 12 }, () => w.program(900))), 30000);
+  await w.clock.finish('turns', Promise.all(programs.map((p, i) => w.turn(p.program, null, `t #${tag}-${w.seed}-${i}`, `k${i}`))), 60000);
+  await w.clock.finish('calls', Promise.all(programs.map((_, i) => w.call(`${tag}-${i}`, '/hold', { n: i }))), 60000);
+  return programs.map((p) => p.program);
+};
+
+const assertKept = async (w: World, tag: string): Promise<void> => {
+  for (const t of w.told.filter((x) => x.kind === 'turn' && x.told === 'done'))
+    assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
+  for (let i = 0; i < 12; i++) {
+    await w.clock.finish('call again', w.call(`${tag}-${i}`, '/hold', { n: i }), 60000);
+    assert.is(acts(w, `${tag}-${i}`), 1);
+  }
+  assertNoBreach(recordsOf(w));
+};
+
+const stewardsAnew = async (w: World): Promise<void> => {
+  for (const m of w.of('front')) m.kill();
+  w.start(w.of('front'));
+  await w.clock.until('fronts', () => w.readyFronts().length === w.of('front').length && w.slotsServed(), 20000);
+};
+
+replicas('replicas and quorum follow the losses to bear, and stand in the state', async () => {
+  const w = await worldUp(70, twoLosses);
+  assert.equal(w.committed?.replication, { replicas: 5, quorum: 3 });
+  assert.ok(w.committed?.slots.every((s) => s.copies.length === 5));
+  assert.equal(w.of('store')[0]?.store?.zen.applied?.replication, { replicas: 5, quorum: 3 });
+  const plain = await worldUp(70, oneLoss);
+  assert.equal(plain.committed?.replication, { replicas: 3, quorum: 2 });
+});
+
+replicas('two losses to bear: a write that only two stores hold does not count', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, { ...twoLosses, stores: 5 });
+    const p = await w.clock.finish('program', w.program(900), 10000);
+    const data = w.of('front').map((m) => `${m.addr}/data`);
+    w.net.cutBoth(w.of('store').slice(0, 3).map((m) => m.addr), data);
+    const t = await w.clock.finish('turn', w.turn(p.program, null, `c #${seed}`, 'c'), 60000);
+    assert.is.not(t.told, 'done');
+  }
+});
+
+replicas('two losses to bear: two stores wiped right after acknowledged writes lose nothing and run nothing twice', async () => {
+  for (const seed of [...seeds, 74, 75, 76]) {
+    const w = await worldUp(seed, twoLosses);
+    await work(w, 'w');
+    const a = Math.floor(w.rng() * 7);
+    const b = (a + 1 + Math.floor(w.rng() * 6)) % 7;
+    const lost = [w.of('store')[a], w.of('store')[b]];
+    for (const m of lost) wipe(m);
+    await stewardsAnew(w);
+    for (const m of lost) m?.start();
+    const from = w.clock.now();
+    await w.clock.until('whole again', () => whole(w), 20000);
+    assert.ok(w.clock.now() - from < 4800, `${Math.round(w.clock.now() - from)} ms`);
+    await assertKept(w, 'w');
+    for (const m of w.of('store').filter((x) => !lost.includes(x)).slice(0, 2)) wipe(m);
+    await stewardsAnew(w);
+    await w.clock.run(2000);
+    await assertKept(w, 'w');
+  }
+});
+
+replicas('a lost zone leaves every slot a quorum where zones allow it', () => {
+  const mate = (kind: Mate['kind'], n: number, zone: string): Mate => ({ id: `${kind}-${n}`, kind, addr: `10.0.0.${n}:1`, http: '', zone, data: '', name: '' });
+  for (const [losses, zones] of [[2, ['a', 'a', 'a', 'a', 'b', 'b', 'c', 'c']], [3, ['a', 'a', 'a', 'a', 'b', 'b', 'c', 'c', 'd', 'd']], [1, ['a', 'a', 'b', 'c']]] as const) {
+    const stores = zones.map((z, n) => mate('store', n, z));
+    const founded = foundingState('c', [mate('control', 1, 'a')], 32, replicationFor(losses));
+    const joined = [mate('front', 1, 'a'), ...stores].reduce<State>((s, m) => reduce(s, { kind: 'join', mate: m }), founded);
+    const s = allot(joined, { leastStores: founded.replication.replicas, moves: 32, fills: 32, silentStores: new Set() });
+    for (const slot of s.slots)
+      for (const zone of new Set(zones)) {
+        const left = slot.copies.filter((id) => s.nodes.get(id)?.zone !== zone).length;
+        assert.ok(left >= s.replication.quorum, `${slot.copies.join()} without ${zone}`);
+      }
+  }
+});
+
+replicas('a store that is missing at the first start does not keep the others from serving, and is taken in later', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, { ...twoLosses, stores: 4 });
+    assert.ok(w.committed?.slots.every((s) => s.copies.length === 4));
+    await work(w, 'm');
+    w.add('store').start();
+    await w.clock.until('whole', () => whole(w), 10000);
+    for (const m of w.of('store').slice(0, 2)) wipe(m);
+    await stewardsAnew(w);
+    await w.clock.run(2000);
+    await assertKept(w, 'm');
+  }
+});
+
+replicas('fewer stores than the quorum are never served from', async () => {
+  const w = await worldUp(77, { ...twoLosses, stores: 2 }).catch(() => undefined);
+  assert.is(w, undefined);
+});
+
+const retired = async (w: World, m: Machine): Promise<boolean> => {
+  const got = await w.operate('GET', `/v1/stores/${m.name}/empty`);
+  return JSON.stringify(got.body).includes('"done":true');
+};
+
+const untilRetired = async (w: World, m: Machine, within: number): Promise<void> => {
+  const end = w.clock.now() + within;
+  while (!(await retired(w, m))) {
+    if (w.clock.now() > end) throw new Error('never done');
+    await w.clock.run(100);
+  }
+};
+
+replicas('a store told to be emptied, and wiped with another right after it is done, loses nothing', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, oneLoss);
+    await work(w, 'r');
+    const old = w.at('store-1');
+    assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+    await untilRetired(w, old, 6000);
+    wipe(old);
+    wipe(w.of('store').find((m) => m !== old));
+    await stewardsAnew(w);
+    await w.clock.run(2000);
+    await assertKept(w, 'r');
+  }
+});
+
+replicas('emptying is not done while another store is lost and its slots are not whole again', async () => {
+  for (const seed of seeds)
+    for (const after of [0, 200, 600]) {
+      const w = await worldUp(seed, { ...oneLoss, stores: 5 });
+      await work(w, 'l');
+      const old = w.at('store-1');
+      assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+      await w.clock.run(after);
+      wipe(w.at('store-2'));
+      await untilRetired(w, old, 30000);
+      const dead = new Set(w.of('store').filter((m) => m.up).map((m) => storeIdOf(m)));
+      assert.ok(w.committed?.slots.every((s) => s.copies.filter((id) => dead.has(id)).length === 3), 'told done before the lost replicas were replaced');
+      wipe(old);
+      wipe(w.at('store-3'));
+      await stewardsAnew(w);
+      await w.clock.run(2000);
+      await assertKept(w, 'l');
+    }
+});
+
+replicas('a store that dies while it is emptied is replaced like a lost one; emptying again is the same', async () => {
+  const w = await worldUp(78, oneLoss);
+  await work(w, 'd');
+  const old = w.at('store-1');
+  assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+  wipe(old);
+  assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+  assert.is(await retired(w, old), false);
+  await untilRetired(w, old, 20000);
+  assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+  assert.is((await w.operate('POST', '/v1/stores/nobody/empty')).status, 404);
+  assert.is((await w.operate('POST', '/v1/stores/store-number-0/empty')).status, 409);
+  assert.ok(w.committed && replicasWhole(w.committed, (id) => w.committed?.nodes.has(id) ?? false));
+  await assertKept(w, 'd');
+});
+
+replicas('with two losses to bear a store is emptied only where five others stay', async () => {
+  const w = await worldUp(79, { ...twoLosses, stores: 5 });
+  const refused = await w.operate('POST', '/v1/stores/store-0/empty');
+  assert.is(refused.status, 409);
+  w.add('store').start();
+  await w.clock.until('six', () => [...(w.committed?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 6, 5000);
+  await w.operate('PUT', '/v1/config', configText(1));
+  assert.is(w.committed?.servers.size, servers.length);
+  assert.is((await w.operate('POST', '/v1/stores/store-number-0/empty')).status, 200);
+  await untilRetired(w, w.at('store-0'), 10000);
+  assert.ok(whole(w));
+});
+
+replicas.run();
