--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -124,11 +124,7 @@
       await pause(this.clock, this.bounds.beat / 2, master.lost);
       const s = master.committed;
       if (master.lost.aborted || !s) continue;
-      this.silentStores = new Set(
-        [...new Set(s.slots.flatMap(keptOn))].filter(
-          (id) => !s.nodes.has(id) && master.silentFor(id) > this.bounds.replaceAfter,
-        ),
-      );
+      this.silentStores = this.lostStores(s, master);
       const downs = this.downs(s);
       const overdue = this.overdue(s);
       await master
@@ -141,6 +137,18 @@
     this.sights.clear();
   }
 
+  /**
+   * Replicas that are not waited for any longer: silent for too long, or away while a store stands by that holds
+   * no slot, as one does that was started in place of another.
+   */
+  private lostStores(s: State, master: MasterView): ReadonlySet<string> {
+    const kept = new Set(s.slots.flatMap(keptOn));
+    const standsBy = [...s.nodes.values()].some((m) => m.kind === 'store' && !kept.has(m.id) && !s.retiring.has(m.id));
+    const isLost = (id: string): boolean =>
+      standsBy || this.silentStores.has(id) || master.silentFor(id) > this.bounds.replaceAfter;
+    return new Set([...kept].filter((id) => !s.nodes.has(id) && isLost(id)));
+  }
+
   private downs(s: State): ReadonlyMap<string, boolean> {
     const out = new Map<string, boolean>();
     const now = this.clock.now();
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, keptOn, liveNodes, pastMost, reduce, replicasWhole, type Config, type ConfigRecord, type IsLive, type Mate, type State } from '@tillerstair/state';
+import { checkConfig, digestOf, keptOn, liveNodes, marginReport, pastMost, reduce, replicasWhole, type Config, type ConfigRecord, type IsLive, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -230,6 +230,7 @@
     if (o.method === 'POST') return voters(m, id, true);
     if (o.method === 'DELETE') return voters(m, id, false);
   }
+  if (section === 'margin' && o.method === 'GET') return lookAtLive(m, ['control', 'store'], marginReport);
   if (section === 'status' && o.method === 'GET') return lookAtLive(m, ['store'], statusOf);
   return no(404, 'no-such-page', o.path);
 };
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -2,10 +2,11 @@
 import { readFileSync } from 'node:fs';
 import cac from 'cac';
 import { z } from 'zod';
-import { checkConfig } from '@tillerstair/state';
+import { checkConfig, MarginReport } from '@tillerstair/state';
 import { askAny, askAt, CannotAsk, type Back } from './ask.js';
 import { BeliefBack, compare } from './compare.js';
 import { fromManifests } from './manifests.js';
+import { marginLines, marginWhole } from './margin.js';
 import { patchConfig } from './patch.js';
 
 class BadInput extends Error {}
@@ -101,6 +102,17 @@
   }),
 );
 
+cli.command('margin', 'How many more losses the voting controls and each slot bear now, majority-confirmed').action((x: object) =>
+  act(async () => {
+    const o = optionsOf(x);
+    const back = await ask(o, 'GET', '/v1/margin');
+    const got = MarginReport.safeParse(back.body);
+    if (!got.success) return report(o, back, pretty);
+    say(o, got.data, () => marginLines(got.data).join('\n'));
+    return marginWhole(got.data) ? 0 : 1;
+  }),
+);
+
 cli.command('config <verb> [...files]', 'get; check FILE; put FILE; patch FILE (a change merged into the current whole file); from-manifests FILE...')
   .option('--base <version>', 'With from-manifests: the version the file builds on')
   .option('--rebase', 'With put: name the current version as the base')
--- a/packages/state/src/margin.ts
+++ b/packages/state/src/margin.ts
@@ -1,5 +1,6 @@
 /** How many more losses the cluster bears now: of voting controls, and of stores for each slot. */
-import { lossesBorne } from './replication.js';
+import { z } from 'zod';
+import { lossesBorne, Replication } from './replication.js';
 import { copiesAfter, type Slot, type State } from './state.js';
 
 /** Whether a node is in touch now, as far as who asks can tell. */
@@ -20,6 +21,34 @@
   return Math.min(marginOf(s.voters.now), marginOf(s.voters.next));
 };
 
+export const SlotMargin = z.object({ slot: z.number(), replicas: z.number(), live: z.number(), filling: z.number(), margin: z.number() }).readonly();
+export type SlotMargin = z.infer<typeof SlotMargin>;
+
+/** What is still borne: `voters` and the least of all `slots` say how many more losses at once are. */
+export const MarginReport = z
+  .object({
+    replication: Replication,
+    voters: z.object({ voting: z.number(), live: z.number(), changing: z.boolean(), margin: z.number() }).readonly(),
+    leastSlotMargin: z.number().nullable(),
+    slots: z.array(SlotMargin).readonly(),
+  })
+  .readonly();
+export type MarginReport = z.infer<typeof MarginReport>;
+
+export const marginReport = (s: State, isLive: IsLive): MarginReport => {
+  const live = liveNodes(s, isLive);
+  const slots = s.slots.map((slot, n) => ({
+    slot: n, replicas: slot.copies.length, live: liveIn(slot.copies, live), filling: slot.filling.length, margin: slotMargin(s, slot, live),
+  }));
+  const { now, next } = s.voters;
+  return {
+    replication: s.replication,
+    voters: { voting: next.length, live: liveIn(next, live), changing: now.join() !== next.join(), margin: voterMargin(s, live) },
+    leastSlotMargin: slots.length === 0 ? null : Math.min(...slots.map((slot) => slot.margin)),
+    slots,
+  };
+};
+
 /** Whether every slot bears all the losses that its replication is meant for. */
 export const replicasWhole = (s: State, isLive: IsLive): boolean =>
   s.slots.every((slot) => slotMargin(s, slot, isLive) >= lossesBorne(s.replication));
--- a/tests/src/platform.test.ts
+++ b/tests/src/platform.test.ts
@@ -48,6 +48,7 @@
     assert.equal(store.bounds, { serveWithin: 12000, inForceWithin: 2000, leavingWithin: 3000, beat: 500, silent: 1800 });
     assert.equal(store.seeds, ['10.1.0.34:7385', '10.2.0.38:7385', '10.1.0.34:7385']);
     assert.is(controlEnv(s).founds, true);
+    assert.is(controlEnv(s).losses, 1);
     assert.is(proxyEnv(s).asksServers, false);
     assert.is(agentEnv(s).proxy, proxyEnv(s).feed);
     const ports = [proxyEnv(s).addr, proxyEnv(s).feed, proxyEnv(s).http, agentEnv(s).addr, agentEnv(s).http, controlEnv(s).addr, controlEnv(s).http, store.addr, store.http];
@@ -56,6 +57,14 @@
   }),
 );
 
+adapter('the losses to bear come from what is to be withstood, whichever kind asks for the most', async () => {
+  for (const [withstand, losses] of [
+    ['{ machineLosses: 1, zones: 0, regionLosses: 0 }', 1], ['{ machineLosses: 2, zones: 0, regionLosses: 0 }', 2],
+    ['{ machineLosses: 0, zones: 1, regionLosses: 0 }', 1], ['{ machineLosses: 3, zones: 1 }', 3],
+  ] as const)
+    await withFile(text(`withstand: ${withstand}`), (path) => assert.is(controlEnv(readSettings(path)).losses, losses));
+});
+
 adapter('settings that lack something are found with their place, all together', () =>
   withFile('nodeName: "x"\nzone: 3\nseedNodes: []\n', (path) => {
     try {
--- a/tests/src/replicas.test.ts
+++ b/tests/src/replicas.test.ts
@@ -1,7 +1,8 @@
 /** Replicas of the slots: two losses at once, zones, a late store, and a store that is emptied. */
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { allot, foundingState, reduce, replicasWhole, replicationFor, type Mate, type State } from '@tillerstair/state';
+import { marginLines, marginWhole } from '@tillerstair/ctl';
+import { allot, foundingState, MarginReport, reduce, replicasWhole, replicationFor, type Mate, type State } from '@tillerstair/state';
 import type { World, Machine, WorldSizes } from '@tillerstair/sim';
 import { acts, assertNoBreach, configText, recordsOf, servers, worldUp } from './util.js';
 
@@ -18,9 +19,10 @@
   m?.platter.wipe();
 };
 
-const whole = (w: World): boolean => {
+/** All replicas are there, and none of them on the stores `lost`. */
+const whole = (w: World, lost: readonly string[] = []): boolean => {
   const s = w.committed;
-  return s !== undefined && s.slots.every((slot) => slot.filling.length === 0 && slot.copies.length === s.replication.replicas && slot.copies.every((id) => s.nodes.has(id)));
+  return s !== undefined && s.slots.every((slot) => !slot.copies.some((id) => lost.includes(id)) && slot.filling.length === 0 && slot.copies.length === s.replication.replicas && slot.copies.every((id) => s.nodes.has(id)));
 };
 
 /** Runs turns and calls for a while; resolves with the programs once all were answered. */
@@ -74,11 +76,12 @@
     const a = Math.floor(w.rng() * 7);
     const b = (a + 1 + Math.floor(w.rng() * 6)) % 7;
     const lost = [w.of('store')[a], w.of('store')[b]];
+    const ids = lost.map(storeIdOf);
     for (const m of lost) wipe(m);
     await stewardsAnew(w);
     for (const m of lost) m?.start();
     const from = w.clock.now();
-    await w.clock.until('whole again', () => whole(w), 20000);
+    await w.clock.until('whole again', () => whole(w, ids), 20000);
     assert.ok(w.clock.now() - from < 4800, `${Math.round(w.clock.now() - from)} ms`);
     await assertKept(w, 'w');
     for (const m of w.of('store').filter((x) => !lost.includes(x)).slice(0, 2)) wipe(m);
@@ -186,6 +189,75 @@
   await assertKept(w, 'd');
 });
 
+replicas('the margin tells how many more losses are borne, and nothing without a majority', async () => {
+  const w = await worldUp(80, twoLosses);
+  const margin = async () => MarginReport.parse((await w.operate('GET', '/v1/margin')).body);
+  const before = await margin();
+  assert.equal(before.voters, { voting: 5, live: 5, changing: false, margin: 2 });
+  assert.is(before.leastSlotMargin, 2);
+  assert.ok(marginWhole(before));
+  assert.equal(marginLines(before), ['voting controls: 5 of 5 live: 2 more losses are borne', 'slots: 8, 5 replicas each, writes on 3: 2 more losses are borne']);
+  const lost = storeIdOf(w.at('store-2'));
+  wipe(w.at('store-2'));
+  w.of('control').find((m) => m !== w.master)?.kill('power');
+  const after = await margin();
+  assert.is(after.voters.margin, 1);
+  assert.is(after.leastSlotMargin, 1);
+  assert.not(marginWhole(after));
+  const held = w.committed?.slots.filter((s) => s.copies.length === 5).length ?? 0;
+  assert.ok(marginLines(after).length > 2 && marginLines(after).length <= 2 + held);
+  await w.clock.until('whole again', () => whole(w, [lost]), 20000);
+  assert.is((await margin()).leastSlotMargin, 2);
+  for (const m of w.of('control')) if (m !== w.master) m.kill('power');
+  assert.is((await w.operate('GET', '/v1/margin')).status, 503);
+});
+
+replicas('a filler that is gone for good is replaced by another one', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, { ...oneLoss, stores: 3 });
+    await work(w, 'f');
+    const filler = w.add('store');
+    filler.platter.delay = 400;
+    filler.start();
+    await w.clock.until('listed', () => [...(w.committed?.nodes.values() ?? [])].filter((m) => m.kind === 'store').length === 4, 8000);
+    const lost = w.at('store-0');
+    const lostId = storeIdOf(lost);
+    wipe(lost);
+    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.filling.includes(storeIdOf(filler))) ?? false, 10000);
+    wipe(filler);
+    w.add('store').start();
+    await w.clock.until('whole', () => whole(w, [lostId]), 10000);
+    wipe(w.at('store-1'));
+    await stewardsAnew(w);
+    await w.clock.run(2000);
+    await assertKept(w, 'f');
+  }
+});
+
+replicas('an empty store that replaces a lost one at another address holds every slot within half of catchUpS, slow disks too', async () => {
+  const halfCatchUp = 2400;
+  for (const [after, delay] of [[1000, 2], [1500, 12], [4000, 12]] as const) {
+    const w = await worldUp(81, { ...oneLoss, stores: 3, slots: 64 });
+    await work(w, 'a');
+    for (const m of w.of('store')) m.platter.delay = delay;
+    const old = w.at('store-0');
+    const lostId = storeIdOf(old);
+    wipe(old);
+    w.net.cutBoth([old.addr], w.machines.map((m) => m.addr));
+    await w.clock.run(after);
+    const fresh = w.add('store');
+    fresh.platter.delay = delay;
+    fresh.start();
+    const from = w.clock.now();
+    await w.clock.until('whole', () => whole(w, [lostId]), 20000);
+    assert.ok(w.clock.now() - from <= halfCatchUp, `${after} ms after the loss, disk ${delay} ms: ${Math.round(w.clock.now() - from)} ms`);
+    wipe(w.at('store-1'));
+    await stewardsAnew(w);
+    await w.clock.run(2000);
+    await assertKept(w, 'a');
+  }
+});
+
 replicas('with two losses to bear a store is emptied only where five others stay', async () => {
   const w = await worldUp(79, { ...twoLosses, stores: 5 });
   const refused = await w.operate('POST', '/v1/stores/store-0/empty');
