A store that lost its disk while emptied stays out of use; voter changes wait for the last commit

Cause: such a store came back under its name with another id, was put to use again, and its emptying was never done.

Change: a joining store inherits the order to be emptied from an id of its name that slots still name. A vote passes only while the committed state has one list. Tests of the look-up by try at f = 2.

--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/keeper.ts
@@ -16,6 +16,8 @@
   readonly at: number;
 }
 
+const votersSettled = (s: State): boolean => s.voters.now.join() === s.voters.next.join();
+
 export class Keeper {
   private readonly sights = new Map<string, Map<string, Sight>>();
   private silentStores: ReadonlySet<string> = new Set();
@@ -169,7 +171,7 @@
   /** Passes the vote of a control that left, failed or lost its disk to a spare that holds the newest state on disk. */
   private replaceVoter(s: State): State {
     const { master } = this;
-    if (!master || master.lost.aborted || s.voters.now.join() !== s.voters.next.join()) return s;
+    if (!master || master.lost.aborted || !votersSettled(s) || (master.committed && !votersSettled(master.committed))) return s;
     const lost = this.diskLost(s, s.voters.now);
     const out = s.voters.now.find((id) => lost.has(id)) ?? s.voters.now.find((id) => !s.nodes.has(id));
     if (out === undefined) return s;
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,4 +1,4 @@
-import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
+import { copiesAfter, keptOn, type ConfigRecord, type Mate, type Server, type State } from './state.js';
 
 export type Action =
   | { readonly kind: 'join'; readonly mate: Mate }
@@ -22,6 +22,12 @@
 
 const sameMate = (a: Mate | undefined, b: Mate): boolean => JSON.stringify(a) === JSON.stringify(b);
 
+/** A store that lost its disk while it was being emptied comes back under its name with another id; it stays out of use. */
+const inheritsRetiring = (s: State, mate: Mate): boolean =>
+  mate.kind === 'store' &&
+  mate.name !== '' &&
+  [...s.retiring].some(([id, name]) => id !== mate.id && name === mate.name && s.slots.some((slot) => keptOn(slot).includes(id)));
+
 export const reduce = (s: State, a: Action): State => {
   switch (a.kind) {
     case 'join': {
@@ -29,6 +35,7 @@
       const kept = [...s.nodes].filter(([id, m]) => id === a.mate.id || m.addr !== a.mate.addr);
       return {
         ...s,
+        retiring: inheritsRetiring(s, a.mate) ? withEntry(s.retiring, a.mate.id, a.mate.name) : s.retiring,
         nodes: new Map(kept).set(a.mate.id, a.mate),
         voterMates: s.voterMates.has(a.mate.id) ? withEntry(s.voterMates, a.mate.id, a.mate) : s.voterMates,
       };
--- a/tests/src/replicas.test.ts
+++ b/tests/src/replicas.test.ts
@@ -258,6 +258,32 @@
   }
 });
 
+replicas('a store that loses its disk while it is emptied stays out of use and ends as done', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, oneLoss);
+    await work(w, 'x');
+    const old = w.at('store-1');
+    assert.is((await w.operate('POST', `/v1/stores/${old.name}/empty`)).status, 200);
+    wipe(old);
+    old.start();
+    await w.clock.until('back', () => w.committed?.nodes.has(storeIdOf(old)) ?? false, 10000);
+    await untilRetired(w, old, 20000);
+    assert.not(w.committed?.slots.some((s) => s.copies.includes(storeIdOf(old))));
+    await assertKept(w, 'x');
+  }
+});
+
+replicas('a try that nobody knows is called unknown while every slot has enough replies, and not with fewer', async () => {
+  const w = await worldUp(82, { ...twoLosses, stores: 5 });
+  const steward = w.of('front')[0]?.front?.steward;
+  const look = () => w.clock.finish('look-up', steward?.findTurn('nobody').then((t) => `${t.length} found`, () => 'unavailable') ?? Promise.resolve(''), 20000);
+  assert.is(await look(), '0 found');
+  for (const m of w.of('store').slice(0, 2)) m.kill('power');
+  assert.is(await look(), '0 found');
+  w.of('store')[2]?.kill('power');
+  assert.is(await look(), 'unavailable');
+});
+
 replicas('with two losses to bear a store is emptied only where five others stay', async () => {
   const w = await worldUp(79, { ...twoLosses, stores: 5 });
   const refused = await w.operate('POST', '/v1/stores/store-0/empty');
