--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -1,6 +1,7 @@
 import { Agent } from '@tillerstair/agent';
 import { ControlNode } from '@tillerstair/control';
 import { Front } from '@tillerstair/proxy';
+import { replicationFor } from '@tillerstair/state';
 import { openStoreDisk, StoreNode, type Shelf } from '@tillerstair/store';
 import { DiskKeep } from '@tillerstair/zen';
 import { noLog, type Log } from '@tillerstair/wire';
@@ -77,7 +78,7 @@
     if (this.kind === 'control') {
       const keep = await DiskKeep.open(disk, freshId, w.longAt, pace);
       const me = { id: keep.kept.id, ...mate };
-      const node = new ControlNode({ ...common, me, keep, slots: w.slots, copies: 3, list: w.list?.reader(this.addr, life) });
+      const node = new ControlNode({ ...common, me, keep, slots: w.slots, replication: replicationFor(w.losses), list: w.list?.reader(this.addr, life) });
       await node.start();
       this.control = node;
       return;
@@ -131,9 +132,9 @@
     if (how === 'power') this.platter.powerLoss();
   }
 
-  /** Tells both processes of a front to stop; resolves when they have ended. */
+  /** Tells every process of this machine to stop (SIGTERM); resolves when they have ended. */
   async stopInOrder(): Promise<void> {
-    await Promise.all([this.front?.stop(), this.agent?.stop()]);
+    await Promise.all([this.front?.stop(), this.agent?.stop(), this.control?.stop(), this.store?.stop()]);
     this.kill();
   }
 
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -38,7 +38,7 @@
     readonly controls: number,
   ) {
     this.rng = seededRng(seed * 31 + 7);
-    this.w = new World(seed, { controls, stores: 0, fronts: 0, outer: bounds });
+    this.w = new World(seed, { controls, stores: 0, fronts: 0, bounds: bounds });
     this.w.skewed = true;
     this.w.net.onAnswer = (a) => this.nodes.answered(a);
     this.w.net.fate = () => ({
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -29,8 +29,10 @@
   readonly stores: number;
   readonly fronts: number;
   readonly slots?: number;
+  /** Losses of stores at once that the cluster is bootstrapped to bear. */
+  readonly losses?: number;
   /** Outer bounds of the deployment, in ms; the usual ones if left out. */
-  readonly outer?: OuterBounds;
+  readonly bounds?: OuterBounds;
 }
 
 const usualOuter: OuterBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 };
@@ -42,6 +44,7 @@
   readonly servers;
   readonly bounds: ZenBounds;
   readonly slots: number;
+  readonly losses: number;
   readonly longAt = 1 << 16;
   hintsMost = 10000;
   keepMs = 3600000;
@@ -59,8 +62,9 @@
     sizes: WorldSizes,
   ) {
     this.rng = seededRng(seed);
+    this.bounds = zenBounds(sizes.bounds ?? usualOuter);
     this.slots = sizes.slots ?? 8;
-    this.bounds = zenBounds(sizes.outer ?? usualOuter);
+    this.losses = sizes.losses ?? 1;
     this.net = new SimNet(this.clock, this.rng);
     this.servers = new SimServers(this.clock, this.rng);
     for (let n = 0; n < sizes.controls; n++) this.add('control');
--- a/packages/zen/src/master-types.ts
+++ b/packages/zen/src/master-types.ts
@@ -44,4 +44,10 @@
   confirm(): Promise<State>;
   inForce(c: Committed): Promise<void>;
   silentFor(id: string): number;
+  /** Whether the node replied within the last two heartbeats. */
+  heard(id: string): boolean;
+  /** Pings the nodes now; resolves with the ids of those that replied in this term within one heartbeat. */
+  reach(mates: readonly Mate[]): Promise<ReadonlySet<string>>;
+  /** Whether the node has acknowledged that the newest committed state is on its disk. */
+  synced(id: string): boolean;
 }
--- a/packages/zen/src/master.ts
+++ b/packages/zen/src/master.ts
@@ -4,6 +4,7 @@
 import type { Change, Committed, MasterParts, MasterView, Task } from './master-types.js';
 import { Accepted, NodePong, Promised, type Join, type MasterPing, type Payload } from './messages.js';
 import { QuorumRead } from './quorum-read.js';
+import { reachNow } from './reach.js';
 
 interface Contact {
   readonly ackedAt: number;
@@ -257,10 +258,22 @@
     return this.quorumRead.confirm();
   }
 
+  reach(mates: readonly Mate[]): Promise<ReadonlySet<string>> {
+    return reachNow(this.p, { from: this.p.me, term: this.term, clusterId: this.base.clusterId }, mates);
+  }
+
   silentFor(id: string): number {
     return this.p.clock.now() - Math.max(this.electedAt, this.contacts.get(id)?.ackedAt ?? -Infinity);
   }
 
+  heard(id: string): boolean {
+    return id === this.p.me.id || this.p.clock.now() - (this.contacts.get(id) ?? never).ackedAt <= this.p.bounds.beat * 2;
+  }
+
+  synced(id: string): boolean {
+    return id === this.p.me.id || !newer(markOf(this.committed), markOf(this.seen.get(id)));
+  }
+
   private age(): number {
     const now = this.p.clock.now();
     const of = (group: readonly string[]): number => {
