--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, keptOn, pastMost, reduce, type Config, type ConfigRecord, type Mate, type State } from '@tillerstair/state';
+import { checkConfig, digestOf, keptOn, liveNodes, marginReport, orderOf, reduce, replicasWhole, takenVerdict, type ConfigRecord, type IsLive, type Mate, type State } from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -8,12 +8,25 @@
 export const Outcome = z.object({ status: z.number(), body: z.unknown(), retryAfter: z.number().optional() });
 export type Outcome = z.infer<typeof Outcome>;
 
+/** Whether an operation alters nothing, however it ends. */
+export const isRead = (o: Operation): boolean => o.method === 'GET' || o.path === '/v1/config/prepare';
+
 const no = (status: number, mishap: string, text: string, more: object = {}): Outcome => ({
   status,
   body: { ran: 'no', mishap, text, ...more },
 });
 const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { ran: 'unknown', mishap: 'unknown', text, how } });
 
+const jsonOf = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+const noConfig = 'no configuration has been handed in';
+
 const NewServer = z.strictObject({
   pool: z.string().min(1),
   url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, { message: 'must be http://IP:PORT' }),
@@ -25,16 +38,34 @@
   }
 }
 
-const takenOf = (c: ConfigRecord | undefined): ConfigRecord['past'] =>
-  c ? [...c.past, { version: c.version, digest: c.digest, order: c.order }] : [];
+class Forgotten extends Mishap {
+  constructor(version: number) {
+    super('forgotten', `version ${version} is older than the record of taken changes`, 'unknown');
+  }
+}
+
+/** What tells a change apart: what it builds on, the version that it makes, and its order key. */
+interface ChangeName {
+  readonly base: number;
+  readonly version: number;
+  readonly order: string;
+}
 
-const recordOf = (s: State, config: Config, text: string, digest: string, compiled: string): ConfigRecord | 'held' => {
+/** Whether a change was taken already; throws where it can no longer be, or where nobody knows any more. */
+const wasTaken = (s: State, c: ChangeName): boolean => {
+  const verdict = takenVerdict(s.taken, c.version, c.order);
+  if (verdict === 'taken') return true;
+  if (verdict === 'forgotten') throw new Forgotten(c.version);
   const current = s.config?.version ?? 0;
-  const version = config.version ?? config.base + 1;
-  const past = takenOf(s.config);
-  if (past.some((p) => p.version === version && p.digest === digest)) return 'held';
-  if (config.base !== current) throw new WrongBase(current);
-  return { version, text, digest, compiled, order: config.order ?? '', past: past.slice(-pastMost) };
+  if (c.base !== current) throw new WrongBase(current);
+  return false;
+};
+
+/** The answer to a change of the configuration that failed, where it was refused for a reason of its own. */
+const refusalOf = (e: unknown): Outcome | undefined => {
+  if (e instanceof WrongBase) return no(409, 'wrong-base', e.message, { current: e.current });
+  if (e instanceof Forgotten) return unknown(e.message, 'GET /v1/config');
+  return undefined;
 };
 
 const putConfig = async (m: MasterView, text: string): Promise<Outcome> => {
@@ -43,27 +74,45 @@
   const digest = digestOf(text);
   const compiled = JSON.stringify({ ...config, origin: undefined, order: undefined });
   const how = 'GET /v1/config and compare the digest, or hand in the same file again';
+  const version = config.version ?? config.base + 1;
+  const name = { base: config.base, version, order: orderOf({ order: config.order, digest }) };
+  const record: ConfigRecord = { version, text, digest, compiled, order: config.order ?? '' };
   try {
-    const c = await m.submit((s) => {
-      const record = recordOf(s, config, text, digest, compiled);
-      return record === 'held' ? s : reduce(s, { kind: 'config', record });
-    });
+    const c = await m.decide((s) => (wasTaken(s, name) ? s : reduce(s, { kind: 'config', record })));
     await m.inForce(c);
-    if (c.state.config?.digest !== digest) {
-      const now = c.state.config?.version ?? 0;
-      return { status: 200, body: { version: config.version ?? config.base + 1, digest, newest: now } };
-    }
-    return { status: 200, body: { version: c.state.config.version, digest } };
+    const newest = c.state.config?.version ?? 0;
+    return { status: 200, body: newest === version ? { version, digest } : { version, digest, newest } };
   } catch (e) {
-    if (e instanceof WrongBase) return no(409, 'wrong-base', e.message, { current: e.current });
+    const refusal = refusalOf(e);
+    if (refusal) return refusal;
     const x = mishapOf(e);
     return x.ran === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { ran: 'unknown', mishap: 'unknown', text: x.message, how, digest } };
   }
 };
 
+const Asked = z.strictObject({ base: z.number(), version: z.number(), order: z.string().min(1) });
+
+/**
+ * Whether a change was taken, and if not, the text that it builds on. A sender that derives its change from the present
+ * text asks this first: a change that was taken is acknowledged and one whose base has passed is refused, without a text.
+ */
+const prepareChange = async (m: MasterView, body: string): Promise<Outcome> => {
+  const asked = Asked.safeParse(jsonOf(body));
+  if (!asked.success) return no(422, 'findings', 'base, version and order are needed');
+  try {
+    const s = await m.confirm();
+    if (!wasTaken(s, asked.data)) return s.config ? { status: 200, body: { taken: false, text: s.config.text } } : no(404, 'missing', noConfig);
+    await m.inForce({ state: s, at: m.committedAt });
+    return { status: 200, body: { taken: true, version: asked.data.version } };
+  } catch (e) {
+    const x = mishapOf(e);
+    return refusalOf(e) ?? (x.ran === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'));
+  }
+};
+
 const change = async (m: MasterView, f: (s: State) => State, view: (s: State) => unknown): Promise<Outcome> => {
   try {
-    const { state } = await m.submit(f);
+    const { state } = await m.decide(f);
     return { status: 200, body: view(state) };
   } catch (e) {
     const x = mishapOf(e);
@@ -82,6 +131,15 @@
   }
 };
 
+/** As `look`, with the nodes of these kinds that replied after the call came. */
+const lookAtLive = async (m: MasterView, kinds: readonly Mate['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
+  const mates = [...(m.committed?.nodes.values() ?? [])].filter((mate) => kinds.includes(mate.kind));
+  const reached = await m.reach(mates);
+  return look(m, (s) => view(s, (id) => reached.has(id)));
+};
+
+const nobodyLive: IsLive = () => false;
+
 const findMate = (s: State, id: string): Mate | undefined => {
   const all = [...s.nodes.values()];
   return s.nodes.get(id) ?? all.find((x) => x.addr === id) ?? all.find((x) => x.name !== '' && x.name === id);
@@ -95,12 +153,8 @@
 
 const servers = async (m: MasterView, o: Operation, id: string, verb: string): Promise<Outcome> => {
   if (o.method === 'PUT' && verb === '') {
-    let raw: unknown;
-    try {
-      raw = JSON.parse(o.body);
-    } catch {
-      return no(400, 'bad-json', 'the body is not JSON');
-    }
+    const raw = jsonOf(o.body);
+    if (raw === undefined) return no(400, 'bad-json', 'the body is not JSON');
     const got = NewServer.safeParse(raw);
     if (!got.success)
       return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
@@ -131,10 +185,11 @@
   return found;
 };
 
-export const emptyingOf = (s: State, id: string): object => {
+/** How far the emptying of a store is; done only when the loss of all that may be lost at once would be borne without it. */
+export const emptyingOf = (s: State, id: string, isLive: IsLive): object => {
   const held = s.slots.filter((x) => keptOn(x).includes(id)).length;
   const filling = s.slots.filter((x) => x.filling.length > 0).length;
-  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 };
+  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)) };
 };
 
 const retire = (m: MasterView, id: string, on: boolean, kind: 'store' | 'front'): Promise<Outcome> => {
@@ -148,11 +203,12 @@
       if (mate ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
       if (!mate) throw new Mishap('missing', `no node ${id}`);
       const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== mate.id && !s.retiring.has(x.id));
-      if (on && kind === 'store' && rest.length < 3) throw new Mishap('refused', `only ${rest.length} other stores would stay, 3 copies are needed`);
+      if (on && kind === 'store' && rest.length < s.replication.replicas)
+        throw new Mishap('refused', `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`);
       if (on && kind === 'front' && rest.length < 1) throw new Mishap('refused', 'no other front would stay');
       return reduce(s, { kind: 'retire', id: mate.id, on });
     },
-    (s) => (kind === 'store' ? emptyingOf(s, found) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
+    (s) => (kind === 'store' ? emptyingOf(s, found, nobodyLive) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
   );
 };
 
@@ -168,12 +224,13 @@
       }
       const mate = mateOf(s, id);
       if (mate.kind !== 'control') throw new Mishap('refused', `${id} is a ${mate.kind}`);
+      if (!m.synced(mate.id)) throw new Mishap('refused', `${id} does not hold the newest state on its disk yet; ask again`);
       return reduce(s, { kind: 'voters', out: '', in: mate });
     },
     (s) => ({ controls: s.voters.next }),
   );
 
-export const statusOf = (s: State): object => ({
+export const statusOf = (s: State, isLive: IsLive): object => ({
   clusterId: s.clusterId,
   term: s.term,
   version: s.version,
@@ -182,7 +239,7 @@
   config: s.config ? { version: s.config.version, digest: s.config.digest } : null,
   nodes: [...s.nodes.values()],
   servers: [...s.servers.values()],
-  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id)),
+  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id, isLive)),
   slots: {
     count: s.slots.length,
     stewarded: s.slots.filter((x) => s.nodes.has(x.steward)).length,
@@ -199,16 +256,17 @@
     if (o.method === 'PUT') return putConfig(m, o.body);
     if (o.method !== 'GET') return no(405, 'no-such-operation', `${o.method} ${o.path}`);
     return look(m, (s) => {
-      if (!s.config) throw new Mishap('missing', 'no configuration has been handed in');
-      const { version, text, digest, order, past } = s.config;
-      return { version, text, digest, order, past };
+      if (!s.config) throw new Mishap('missing', noConfig);
+      const { version, text, digest, order } = s.config;
+      return { version, text, digest, order };
     });
   }
+  if (section === 'config' && id === 'prepare' && o.method === 'POST') return prepareChange(m, o.body);
   if (section === 'servers' && id !== '') return servers(m, o, id, verb);
   if (section === 'stores' && verb === 'empty') {
     if (o.method === 'POST') return retire(m, id, true, 'store');
     if (o.method === 'DELETE') return retire(m, id, false, 'store');
-    if (o.method === 'GET') return look(m, (s) => emptyingOf(s, storeOf(s, id)));
+    if (o.method === 'GET') return lookAtLive(m, ['store'], (s, isLive) => emptyingOf(s, storeOf(s, id), isLive));
   }
   if (section === 'fronts' && verb === 'drain') {
     if (o.method === 'POST') return retire(m, id, true, 'front');
@@ -218,6 +276,7 @@
     if (o.method === 'POST') return voters(m, id, true);
     if (o.method === 'DELETE') return voters(m, id, false);
   }
-  if (section === 'status' && o.method === 'GET') return look(m, statusOf);
+  if (section === 'margin' && o.method === 'GET') return lookAtLive(m, ['control', 'store'], marginReport);
+  if (section === 'status' && o.method === 'GET') return lookAtLive(m, ['store'], statusOf);
   return no(404, 'no-such-page', o.path);
 };
--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -1,8 +1,9 @@
 import { randomBytes } from 'node:crypto';
 import { closeHttp, servePages, stderrLog, type ControlEnv, type Running } from '@tillerstair/env';
 import { FolderDisk } from '@tillerstair/journal';
+import { replicationFor } from '@tillerstair/state';
 import { hostClock, readBody, sendJson, TcpCircuits } from '@tillerstair/wire';
-import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import { controlPace, DiskKeep, reloadableBounds } from '@tillerstair/zen';
 import type { ServerList } from './list.js';
 import { ControlNode } from './node.js';
 
@@ -16,14 +17,16 @@
   readonly door?: (node: ControlNode) => Promise<ControlDoor>;
 }
 
-export const startControl = async (env: ControlEnv, more: ControlMore = {}): Promise<Running> => {
+export const startControl = async (env: ControlEnv, more: ControlMore = {}): Promise<Running<ControlEnv>> => {
   const log = stderrLog('control', env.log);
   const disk = await FolderDisk.take(env.data);
-  const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt);
+  const { bounds, replace } = reloadableBounds(env.bounds);
+  const pace = controlPace(hostClock, bounds, log);
+  const keep = await DiskKeep.open(disk, () => `c-${randomBytes(6).toString('hex')}`, env.journalLongAt, pace);
   const me = { id: keep.kept.id, kind: 'control' as const, addr: env.addr, http: env.http, zone: env.zone, data: '', name: env.name };
   const node = new ControlNode({
-    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds: zenBounds(env.bounds), log,
-    slots: env.slots, copies: env.copies, founds: env.founds, list: more.list,
+    me, seeds: env.seeds, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), keep, bounds, log,
+    slots: env.slots, replication: replicationFor(env.losses), founds: env.founds, list: more.list,
   });
   await node.start();
   const readiness = () => {
@@ -39,6 +42,10 @@
   const door = await more.door?.(node);
   log.info(`Serving ${me.id} at ${env.addr}, operators at ${env.http}.`);
   return {
+    reload: (next) => {
+      replace(next.bounds);
+      node.zen.replaceSeeds(next.seeds);
+    },
     stop: async () => {
       await node.stop();
       await door?.close();
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,4 +1,5 @@
 export * from './state.js';
+export * from './taken.js';
 export * from './flat.js';
 export * from './reduce.js';
 export * from './allot.js';
@@ -7,3 +8,5 @@
 export * from './belief.js';
 export * from './item.js';
 export * from './listing.js';
+export * from './replication.js';
+export * from './margin.js';
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,4 +1,5 @@
-import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
+import { withTaken } from './taken.js';
+import { copiesAfter, keptOn, type ConfigRecord, type Mate, type Server, type State } from './state.js';
 
 export type Action =
   | { readonly kind: 'join'; readonly mate: Mate }
@@ -22,6 +23,15 @@
 
 const sameMate = (a: Mate | undefined, b: Mate): boolean => JSON.stringify(a) === JSON.stringify(b);
 
+/** What tells one change of the configuration from others: its sender's order key, or else its digest. */
+export const orderOf = (c: { readonly order?: string | undefined; readonly digest: string }): string => c.order || c.digest;
+
+/** A store that lost its disk while it was being emptied comes back under its name with another id; it stays out of use. */
+const inheritsRetiring = (s: State, mate: Mate): boolean =>
+  mate.kind === 'store' &&
+  mate.name !== '' &&
+  [...s.retiring].some(([id, name]) => id !== mate.id && name === mate.name && s.slots.some((slot) => keptOn(slot).includes(id)));
+
 export const reduce = (s: State, a: Action): State => {
   switch (a.kind) {
     case 'join': {
@@ -29,6 +39,7 @@
       const kept = [...s.nodes].filter(([id, m]) => id === a.mate.id || m.addr !== a.mate.addr);
       return {
         ...s,
+        retiring: inheritsRetiring(s, a.mate) ? withEntry(s.retiring, a.mate.id, a.mate.name) : s.retiring,
         nodes: new Map(kept).set(a.mate.id, a.mate),
         voterMates: s.voterMates.has(a.mate.id) ? withEntry(s.voterMates, a.mate.id, a.mate) : s.voterMates,
       };
@@ -37,7 +48,7 @@
       if (!s.nodes.has(a.id)) return s;
       return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
     case 'config':
-      return { ...s, config: a.record };
+      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, orderOf(a.record)) };
     case 'server':
       return { ...s, servers: withEntry(s.servers, a.server.id, a.server) };
     case 'server-gone':
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod';
+import { defaultReplication, Replication } from './replication.js';
+import type { TakenChanges } from './taken.js';
 
 export const Mate = z.object({
   id: z.string(),
@@ -33,18 +35,12 @@
 }).readonly();
 export type Server = z.infer<typeof Server>;
 
-export const PastConfig = z.object({ version: z.number(), digest: z.string(), order: z.string() }).readonly();
-export type PastConfig = z.infer<typeof PastConfig>;
-
-export const pastMost = 64;
-
 export const ConfigRecord = z.object({
   version: z.number(),
   text: z.string(),
   digest: z.string(),
   compiled: z.string(),
   order: z.string().default(''),
-  past: z.array(PastConfig).readonly().default([]),
 }).readonly();
 export type ConfigRecord = z.infer<typeof ConfigRecord>;
 
@@ -63,6 +59,7 @@
   version: z.number(),
   master: z.string(),
   voters: Voters,
+  replication: Replication.default(defaultReplication),
 }).readonly();
 export type Head = z.infer<typeof Head>;
 
@@ -72,6 +69,7 @@
   readonly retiring: ReadonlyMap<string, string>;
   readonly slots: readonly Slot[];
   readonly config: ConfigRecord | undefined;
+  readonly taken: TakenChanges;
   readonly servers: ReadonlyMap<string, Server>;
   readonly weights: ReadonlyMap<string, number>;
 }
@@ -79,17 +77,19 @@
 export const emptySlots = (count: number): readonly Slot[] =>
   Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [], instead: '' }));
 
-export const foundingState = (clusterId: string, members: readonly Mate[], slots: number): State => ({
+export const foundingState = (clusterId: string, members: readonly Mate[], slots: number, replication: Replication = defaultReplication): State => ({
   clusterId,
   term: 0,
   version: 1,
   master: '',
   voters: { now: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
+  replication,
   nodes: new Map(),
   voterMates: new Map(members.map((m) => [m.id, m])),
   retiring: new Map(),
   slots: emptySlots(slots),
   config: undefined,
+  taken: new Map(),
   servers: new Map(),
   weights: new Map(),
 });
