--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,4 +1,5 @@
-import { copiesAfter, keptOn, type ConfigRecord, type Mate, type Server, type State } from './state.js';
+import { withTaken } from './taken.js';
+import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
 
 export type Action =
   | { readonly kind: 'join'; readonly mate: Mate }
@@ -22,11 +23,19 @@
 
 const sameMate = (a: Mate | undefined, b: Mate): boolean => JSON.stringify(a) === JSON.stringify(b);
 
-/** A store that lost its disk while it was being emptied comes back under its name with another id; it stays out of use. */
+/** The order to empty a store stands for its name until it is taken back, also when it comes back with another disk. */
 const inheritsRetiring = (s: State, mate: Mate): boolean =>
   mate.kind === 'store' &&
   mate.name !== '' &&
-  [...s.retiring].some(([id, name]) => id !== mate.id && name === mate.name && s.slots.some((slot) => keptOn(slot).includes(id)));
+  [...s.retiring.values()].includes(mate.name);
+
+/** What tells one change of the configuration from others: its sender's order key, or else its digest. */
+export const orderOf = (c: { readonly order?: string | undefined; readonly digest: string }): string => c.order || c.digest;
+
+const withoutRetiring = (retiring: State['retiring'], id: string): State['retiring'] => {
+  const name = retiring.get(id) ?? '';
+  return new Map([...retiring].filter(([other, its]) => other !== id && (name === '' || its !== name)));
+};
 
 export const reduce = (s: State, a: Action): State => {
   switch (a.kind) {
@@ -44,7 +53,7 @@
       if (!s.nodes.has(a.id)) return s;
       return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
     case 'config':
-      return { ...s, config: a.record };
+      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, orderOf(a.record)) };
     case 'server':
       return { ...s, servers: withEntry(s.servers, a.server.id, a.server) };
     case 'server-gone':
@@ -81,7 +90,7 @@
     }
     case 'retire': {
       if (s.retiring.has(a.id) === a.on) return s;
-      return { ...s, retiring: a.on ? withEntry(s.retiring, a.id, s.nodes.get(a.id)?.name ?? '') : without(s.retiring, a.id) };
+      return { ...s, retiring: a.on ? withEntry(s.retiring, a.id, s.nodes.get(a.id)?.name ?? '') : withoutRetiring(s.retiring, a.id) };
     }
     case 'weights':
       return { ...s, weights: a.weights };
--- a/packages/zen/src/leave.ts
+++ b/packages/zen/src/leave.ts
@@ -2,7 +2,7 @@
 import { reduce, type Mate } from '@tillerstair/state';
 import { TooLate, within, type Circuits, type Clock } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
-import type { MasterView } from './master-view.js';
+import type { MasterView } from './master-types.js';
 
 export interface LeaveParts {
   readonly me: Mate;
--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,16 +1,20 @@
-import { flatten, markOf, newer, quorum, reduce, type Mate, type Replication, type State } from '@tillerstair/state';
+import { markOf, newer, quorum, reduce, type Mate, type Replication, type State } from '@tillerstair/state';
 import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
 import { gatherPromises } from './candidate.js';
 import { elect, type Self } from './elect.js';
 import { Founder } from './found.js';
+import { joinMaster } from './joiner.js';
 import { acceptedMark, type Keep } from './keep.js';
 import { sayLeave } from './leave.js';
 import { Master } from './master.js';
-import type { MasterView } from './master-view.js';
-import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong, Promised, Validate } from './messages.js';
+import type { MasterView } from './master-types.js';
+import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
+import { ReadLease } from './read-lease.js';
 import { Receiver } from './receiver.js';
+import { tellSteppedDown } from './stepped-down.js';
+import { grantVote } from './vote.js';
 
 export interface ZenParts {
   readonly me: Mate;
@@ -52,10 +56,12 @@
   private readonly receiver: Receiver;
   private ended: Promise<void> = Promise.resolve();
   private misses = 0;
-  freshAt = -Infinity;
+  private readonly lease = new ReadLease();
+  private seeds: readonly string[];
 
   constructor(private readonly p: ZenParts) {
-    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, p.seeds);
+    this.seeds = p.seeds;
+    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, () => this.seeds);
     this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots, p.replication);
     this.receiver = new Receiver({
       keep: p.keep,
@@ -103,6 +109,11 @@
     return this.p.keep.kept.accepted;
   }
 
+  /** Uses other seed addresses from the next ping round on; nothing under way is disturbed. */
+  replaceSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   reportNow(): void {
     this.wake();
   }
@@ -140,7 +151,8 @@
     const acc = keep.kept.accepted;
     return {
       mate: me,
-      canWin: acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
+      writable: keep.writable,
+      canWin: keep.writable && acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
       joinedBefore: acc !== undefined && acc.version > 1,
       accepted: markOf(acc),
       voters: acc?.voters,
@@ -149,13 +161,14 @@
 
   private async findMaster(): Promise<Mate | undefined> {
     const { me, keep, log } = this.p;
+    if (!keep.writable) return this.waitForDisk();
     if (me.kind === 'control') this.pending ??= new Map();
     const round = await this.pinger.round(() => this.ping(), this.gone.signal);
     if (this.gone.signal.aborted) return undefined;
     this.freshen(round);
     const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
     if (me.kind === 'control' && !keep.kept.accepted && this.p.founds !== false) {
-      const view = { me, seeds: this.p.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
+      const view = { me, seeds: this.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
       if (await this.founder.round(view)) return undefined;
     }
     const choice = elect(this.self(), mine);
@@ -170,6 +183,12 @@
     return choice.mate;
   }
 
+  /** A node that cannot sync a vote neither stands for election nor joins; it only answers pings. */
+  private async waitForDisk(): Promise<undefined> {
+    this.dropPending();
+    await pause(this.p.clock, this.p.bounds.diskRetryEvery, this.gone.signal);
+  }
+
   private ping(): Ping {
     return { from: this.p.me, known: this.pinger.controls(), clusterId: this.clusterId };
   }
@@ -183,11 +202,12 @@
     }
   }
 
+  get freshAt(): number {
+    return this.lease.freshAt;
+  }
+
   private freshen(round: Round): void {
-    const s = this.applied;
-    if (!s || !s.nodes.has(this.p.me.id)) return;
-    const old = new Set(round.pongs.filter((g) => !newer(g.accepted, markOf(s))).map((g) => g.from.id));
-    if (quorum(s.voters, old)) this.freshAt = Math.max(this.freshAt, round.at);
+    this.lease.renewFromRound(round, this.applied, this.p.me.id);
   }
 
   private dropPending(): void {
@@ -243,6 +263,7 @@
       master.stepDown(mishapOf(e).message);
     } finally {
       this.master = undefined;
+      if (!keep.writable) tellSteppedDown(this.p, master.committed);
     }
   }
 
@@ -258,18 +279,8 @@
     this.joining = master;
     try {
       const ping: Ping = { from: me, known: [], clusterId: this.clusterId };
-      const pong = Pong.parse(await circuits.call(master.addr, 'zen/ping', ping, { within: bounds.pingWait }));
-      if (pong.from.id !== master.id) throw new Mishap('gone', `${master.addr} is another node now`);
       const join: Join = { from: me, term: keep.kept.term, accepted: acceptedMark(keep), clusterId: this.clusterId };
-      for (let n = 1; ; n++) {
-        try {
-          await circuits.call(master.addr, 'zen/join', join, { within: bounds.joinWait });
-          break;
-        } catch (e) {
-          const m = mishapOf(e);
-          if (n >= bounds.joinTries || m.code === 'not-master' || m instanceof CircuitRefused) throw m;
-        }
-      }
+      await joinMaster({ me, clock, circuits, bounds }, master, ping, join);
       this.following = master;
     } finally {
       this.joining = undefined;
@@ -298,7 +309,7 @@
         good = clock.now();
         refused = 0;
         if (pong.listed && !newer(pong.committed, markOf(this.applied))) {
-          this.freshAt = Math.max(this.freshAt, sent - pong.age);
+          this.lease.renew(sent - pong.age);
           this.p.onTold?.(pong.told, sent);
         }
       } catch (e) {
@@ -313,7 +324,7 @@
     const self = this.self();
     return {
       from: this.p.me,
-      eligible: this.p.me.kind === 'control',
+      eligible: this.p.me.kind === 'control' && this.p.keep.writable,
       canWin: self.canWin,
       master: this.masterSeen,
       term: this.term,
@@ -338,7 +349,7 @@
       case 'zen/join':
         return this.onJoin(Join.parse(inq.body));
       case 'zen/validate':
-        return this.onValidate(inq.body);
+        return grantVote(this.p.keep, this.joining?.id, inq.body);
       case 'zen/publish':
         return this.receiver.onPublish(inq.body);
       case 'zen/commit':
@@ -352,6 +363,11 @@
         if (m && !m.lost.aborted) return { ...m.onMasterPing(ping), told: this.p.tell?.() };
         return { leading: false, listed: false, term: this.term, committed: markOf(undefined), age: 0 };
       }
+      case 'zen/stepped-down': {
+        const { id } = Ping.pick({ from: true }).parse(inq.body).from;
+        if (this.following?.id === id) this.wake();
+        return {};
+      }
       case 'zen/leave': {
         const { id } = Ping.pick({ from: true }).parse(inq.body).from;
         await this.leading?.submit((s) => reduce(s, { kind: 'leave', id }));
@@ -380,19 +396,4 @@
       this.wake();
     });
   }
-
-  private async onValidate(body: unknown): Promise<Promised> {
-    const v = Validate.parse(body);
-    const { keep } = this.p;
-    if (this.joining?.id !== v.from.id) throw new Mishap('not-joining', 'this node is not joining you');
-    if (this.clusterId && this.clusterId !== v.clusterId) throw new Mishap('other-cluster', `this is cluster ${this.clusterId}`);
-    const { term, promisedTo } = keep.kept;
-    if (v.term < term || (v.term === term && promisedTo !== v.from.id && promisedTo !== ''))
-      throw new Mishap('stale-term', `term ${term} is promised to ${promisedTo}`);
-    if (v.term !== term || promisedTo !== v.from.id) await keep.promise(v.term, v.from.id);
-    else await keep.synced();
-    const acc = keep.kept.accepted;
-    const ahead = acc && newer(markOf(acc), v.have);
-    return { accepted: markOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
-  }
 }
--- /dev/null
+++ b/packages/zen/src/pace.ts
@@ -0,0 +1,28 @@
+/** How long writes to disk may last on each kind of member, as bounds that are read again may change it. */
+import type { JournalPace } from '@tillerstair/journal';
+import type { Clock, Log } from '@tillerstair/wire';
+import type { ZenBounds } from './bounds.js';
+
+/** A control's sync that lasts longer than a publish waits is of no use to any majority. */
+export const controlPace = (clock: Clock, bounds: ZenBounds, log: Log): JournalPace => ({
+  clock,
+  log,
+  get syncWithin() {
+    return bounds.syncWithin;
+  },
+  get retryEvery() {
+    return bounds.diskRetryEvery;
+  },
+});
+
+/** A store's slow sync still makes a replica whole, though the slot's writes do not wait for it. */
+export const storePace = (clock: Clock, bounds: ZenBounds, log: Log): JournalPace => ({
+  clock,
+  log,
+  get syncWithin() {
+    return bounds.silent;
+  },
+  get retryEvery() {
+    return bounds.diskRetryEvery;
+  },
+});
