--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
-import { checkConfig, digestOf, keptOn, liveNodes, marginReport, orderOf, reduce, replicasWhole, takenVerdict, type ConfigRecord, type IsLive, type Mate, type State } from '@tillerstair/state';
+import {
+  checkConfig, digestOf, keptOn, liveNodes, marginReport, orderOf, reduce, replicasWhole, takenVerdict, type ConfigRecord, type IsLive, type Mate, type State,
+} from '@tillerstair/state';
 import { Mishap, mishapOf } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
@@ -124,7 +126,7 @@
 
 const look = async (m: MasterView, view: (s: State) => unknown): Promise<Outcome> => {
   try {
-    return { status: 200, body: view(await m.confirm()) };
+    return { status: 200, body: await view(await m.confirm()) };
   } catch (e) {
     const x = mishapOf(e);
     return x.code === 'missing' ? no(404, x.code, x.message) : no(503, 'unavailable', x.message);
@@ -134,8 +136,11 @@
 /** As `look`, with the nodes of these kinds that replied after the call came. */
 const lookAtLive = async (m: MasterView, kinds: readonly Mate['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
   const mates = [...(m.committed?.nodes.values() ?? [])].filter((mate) => kinds.includes(mate.kind));
-  const reached = await m.reach(mates);
-  return look(m, (s) => view(s, (id) => reached.has(id)));
+  const replies = m.reach(mates);
+  return look(m, async (s) => {
+    const reached = await replies;
+    return view(s, (id) => reached.has(id));
+  });
 };
 
 const nobodyLive: IsLive = () => false;
--- a/tests/src/members.test.ts
+++ b/tests/src/members.test.ts
@@ -10,7 +10,7 @@
 /** The bounds of the small sites: contactMs 3000, so heartbeats of 500 ms and a failure timeout of 1800 ms. */
 const siteBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 500, silent: 1800 };
 const halfCatchUp = 2400;
-const sizes: WorldSizes = { controls: 3, stores: 3, fronts: 2, bounds: siteBounds };
+const sizes: WorldSizes = { controls: 3, stores: 3, fronts: 2, outer: siteBounds };
 
 const idOf = (m: Machine | undefined): string => m?.control?.id ?? 'none';
 const votersNow = (w: World): readonly string[] => w.committed?.voters.now ?? [];
--- a/tests/src/replicas.test.ts
+++ b/tests/src/replicas.test.ts
@@ -9,8 +9,8 @@
 const replicas = suite('replicas');
 const seeds = [71, 72, 73];
 const siteBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 500, silent: 1800 };
-const twoLosses: WorldSizes = { controls: 5, stores: 7, fronts: 2, losses: 2, bounds: siteBounds };
-const oneLoss: WorldSizes = { controls: 3, stores: 4, fronts: 2, bounds: siteBounds };
+const twoLosses: WorldSizes = { controls: 5, stores: 7, fronts: 2, losses: 2, outer: siteBounds };
+const oneLoss: WorldSizes = { controls: 3, stores: 4, fronts: 2, outer: siteBounds };
 
 const storeIdOf = (m: Machine | undefined): string => m?.store?.id ?? 'none';
 
@@ -269,6 +269,8 @@
     await w.clock.until('back', () => w.committed?.nodes.has(storeIdOf(old)) ?? false, 10000);
     await untilRetired(w, old, 20000);
     assert.not(w.committed?.slots.some((s) => s.copies.includes(storeIdOf(old))));
+    assert.is((await w.operate('DELETE', `/v1/stores/${old.name}/empty`)).status, 200);
+    assert.is(w.drained.size, 0);
     await assertKept(w, 'x');
   }
 });
