--- a/packages/env/src/daemon.ts
+++ b/packages/env/src/daemon.ts
@@ -69,12 +69,19 @@
   }
 };
 
+/** A failure that nobody waited for is a fault of the program; it is told, and does not end what others rely on. */
+const tellUnhandled = (name: string, e: unknown): void => {
+  const text = e instanceof Error ? (e.stack ?? e.message) : String(e);
+  process.stderr.write(`${name}: A failure was not handled: ${text}\n`);
+};
+
 /**
  * Starts a program and keeps it until SIGTERM or SIGINT. SIGHUP reads its settings again; one that comes
  * during the start is met once the program runs. Ends with 2 for bad settings, 3 for a data folder that
  * cannot be used, 1 otherwise.
  */
 export const live = async <T>(name: string, read: () => T, start: (settings: T) => Promise<Running<T>>): Promise<void> => {
+  process.on('unhandledRejection', (e) => tellUnhandled(name, e));
   let reload: (() => void) | undefined;
   let reloadWanted = false;
   process.on('SIGHUP', () => {
--- a/tests/src/settings.test.ts
+++ b/tests/src/settings.test.ts
@@ -148,4 +148,22 @@
   assert.is(tried.status, 0, tried.stderr);
 });
 
+settings('a failure that nobody waited for is told and does not end a program', () => {
+  const program = `
+    import { live } from '@tillerstair/env';
+    const start = async () => {
+      setImmediate(() => {
+        void Promise.reject(new Error('nobody waits'));
+        setImmediate(() => setImmediate(() => process.exit(7)));
+      });
+      return { stop: async () => undefined };
+    };
+    await live('a-program', () => ({}), start);
+    process.stdin.on('data', () => undefined);
+  `;
+  const ran = spawnSync(process.execPath, ['--input-type=module', '-e', program], { encoding: 'utf8', stdio: ['pipe', 'pipe', 'pipe'], timeout: 20000 });
+  assert.is(ran.status, 7);
+  assert.match(ran.stderr, 'A failure was not handled: Error: nobody waits');
+});
+
 settings.run();
