--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -27,6 +27,9 @@
 /** Whether an error says that the disk takes no bytes now, which may pass by itself. */
 export const isDiskTrouble = (e: unknown): boolean => diskTroubles.has(errorCode(e));
 
+/** Where a file is written anew; what a loss of power leaves there is of no use. */
+const nextOf = (path: string): string => `${path}.next`;
+
 const lockRetryMs = 250;
 const appendToNew = constants.O_RDWR | constants.O_CREAT | constants.O_TRUNC | constants.O_APPEND;
 
@@ -116,6 +119,7 @@
   async open(name: string): Promise<DiskFile> {
     const path = join(this.dir, name);
     let h: FileHandle = await open(path, 'a+');
+    await unlink(nextOf(path)).catch(() => undefined);
     await syncFolder(this.dir);
     return {
       read: () => readFile(path),
@@ -128,7 +132,7 @@
         await h.sync();
       },
       replace: async (bytes) => {
-        const nextPath = `${path}.next`;
+        const nextPath = nextOf(path);
         const next = await open(nextPath, appendToNew);
         try {
           await next.writeFile(bytes);
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -18,6 +18,11 @@
 /** Bytes of a whole file that may be written in the time of one sync. */
 const bytesPerSync = 4 << 20;
 
+/** An attempt that took long is followed by a longer wait, up to this many times the usual one. */
+const longestWait = 4;
+
+const bytesOf = (records: readonly unknown[]): Buffer => Buffer.concat(records.map((r) => frame([r])));
+
 const textOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
 
 export class Journal {
@@ -113,7 +118,7 @@
         if (!this.writable) return;
         const waiting = this.pending;
         this.pending = [];
-        await this.write(waiting, this.rewriteWithin(), () => this.replace(records));
+        await this.write(waiting, this.rewriteWithin(), () => this.replace(bytesOf(records())));
       })
       .finally(() => {
         this.rewriting = false;
@@ -124,12 +129,10 @@
     return this.pace.syncWithin * (1 + this.bytes / bytesPerSync);
   }
 
-  private async replace(records: Snapshot): Promise<Buffer> {
-    const bytes = Buffer.concat(records().map((r) => frame([r])));
+  private async replace(bytes: Buffer): Promise<void> {
     await this.file.replace(bytes);
     this.bytes = bytes.length;
     this.floor = bytes.length;
-    return bytes;
   }
 
   /** Runs one write; who waits for it hears within the bound. The next one starts only when this one has ended. */
@@ -168,20 +171,27 @@
 
   /**
    * After a failed write nobody knows what the file holds: its pages may have been dropped, or may reach the disk later.
-   * So it is not appended to again; a new one takes its place, made of all that its owner holds and read back.
+   * So it is not appended to again; a new one takes its place, made of all that its owner holds and read back. Its bytes
+   * are made once, since the owner's records do not change before the journal takes more.
    */
   private async recover(): Promise<void> {
     const { snapshot } = this;
     if (!snapshot) return;
+    const { clock, retryEvery } = this.pace;
+    let bytes: Buffer | undefined;
     while (!this.closing.signal.aborted) {
+      const began = clock.now();
       try {
-        const written = await this.replace(snapshot);
+        bytes ??= bytesOf(snapshot());
+        await this.replace(bytes);
         const held = await this.file.read();
-        if (held.equals(written)) return this.resume();
+        if (held.equals(bytes)) return this.resume();
       } catch (e) {
         this.failure = textOf(e);
       }
-      await pause(this.pace.clock, this.pace.retryEvery, this.closing.signal);
+      const took = clock.now() - began;
+      const wait = Math.min(Math.max(retryEvery, 2 * took), longestWait * retryEvery);
+      await pause(clock, wholeMs(wait), this.closing.signal);
     }
   }
 
--- a/tests/src/disk-faults.test.ts
+++ b/tests/src/disk-faults.test.ts
@@ -149,6 +149,25 @@
   }
 });
 
+disk('a control whose log is damaged comes back as a new member, and the change it was acknowledged for stays', async () => {
+  for (const seed of seeds) {
+    const w = await worldUp(seed, small);
+    const old = masterOf(w);
+    const id = old.control?.id;
+    assert.is((await change(w, version(old))).status, 200);
+    const held = version(old);
+    old.kill('power');
+    old.platter.corrupt('zen.log', 12);
+    old.start();
+    await w.clock.until('a master', () => w.master !== undefined && version(masterOf(w)) === held, 9000);
+    await w.clock.until('a voter again', () => {
+      const fresh = old.control?.id ?? '';
+      return fresh !== id && w.committed?.voters.now.includes(fresh) === true && version(old) === held;
+    }, 12000);
+    assert.ok(old.platter.list().includes('zen.log.damaged'));
+  }
+});
+
 const work = async (w: World, pid: string, n: number): Promise<readonly string[]> => {
   const turn = w.turn(pid, null, `words ${n}`, `k-${n}`);
   const call = w.call(`c-${n}`, '/hold', { n });
--- a/tests/src/journal-faults.test.ts
+++ b/tests/src/journal-faults.test.ts
@@ -360,6 +360,10 @@
     const { journal } = await Journal.open(disk, 'a.log');
     for (let n = 0; n < 3; n++) await journal.append({ n });
     await writeFile(join(data, 'a.log.next'), 'half a line that is longer than all of the rest of this file will ever be, or so it seems to be');
+    const leftover = await Journal.open(disk, 'a.log');
+    assert.equal(leftover.records, [{ n: 0 }, { n: 1 }, { n: 2 }]);
+    await leftover.journal.close();
+    assert.equal((await readdir(data)).sort(), ['a.log', 'lock']);
     await journal.rewrite(() => [{ n: 2 }]);
     await journal.append({ n: 3 });
     await journal.close();
