Storms: bad configurations are ones that nobody sent; fronts roll beside lost disks

Cause: the bad configuration on an old base could be the very text of the first one, which is rightly acknowledged again; rolling the fronts waited for lost disks, so it never struck. Change: each bad one has a length of its own; rolling fronts is tracked by itself.

--- a/packages/sim/src/faults-machine.ts
+++ b/packages/sim/src/faults-machine.ts
@@ -50,16 +50,21 @@
 };
 
 /** All machines of a kind are stopped in order and started again, one after the other. */
-const roll = (kind: MachineKind): Fault => (c) =>
-  c.tools.losesDisk(async () => {
-    for (const m of [...c.w.of(kind)]) {
+const roll = (kind: MachineKind): Fault => (c) => {
+  const all = [...c.w.of(kind)];
+  const work = async (): Promise<void> => {
+    for (const m of all) {
       if (!m.up || m.life.frozen) continue;
       await stopInOrder(c, m);
       await c.storm.wait(100 + c.rng() * 900);
       c.tools.restart(m);
       await c.storm.wait(2 * c.w.bounds.silent);
     }
-  });
+  };
+  if (kind !== 'front') return c.tools.losesDisk(work);
+  c.storm.track(work());
+  return all.map((m) => m.addr).join(' ');
+};
 
 /** Most machines of a kind are killed at once. */
 const herd = (kind: MachineKind, how: 'process' | 'power'): Fault => (c) => {
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -259,7 +259,8 @@
     const bad = badConfigs(stormConfig({ base: this.version, turnPools: ['models'], callPool: 'shop', extra: this.extra }), this.version);
     const one = bad[n % bad.length];
     if (!one) return;
-    const r = await this.operate(this.pick(this.faults.up('control')), 'PUT', '/v1/config', one.text);
+    const ownLength = ' '.repeat(1 + Math.floor(this.w.rng() * 1000));
+    const r = await this.operate(this.pick(this.faults.up('control')), 'PUT', '/v1/config', one.text + ownLength);
     if (r?.status === 200) this.faults.trouble.push(`a bad configuration was taken: ${one.flaw}`);
   }
 
