--- a/packages/sim/src/model-actions.ts
+++ b/packages/sim/src/model-actions.ts
@@ -23,6 +23,7 @@
   | { readonly kind: 'race'; readonly at: number; readonly other: number }
   | { readonly kind: 'resend'; readonly at: number; readonly which: number }
   | { readonly kind: 'read'; readonly at: number }
+  | { readonly kind: 'read-all' }
   | { readonly kind: 'wait'; readonly ms: number }
   | { readonly kind: 'heal' };
 
@@ -61,6 +62,7 @@
   fc.record({ kind: fc.constant('race'), at, other: at }),
   fc.record({ kind: fc.constant('resend'), at, which: fc.nat(15) }),
   fc.record({ kind: fc.constant('read'), at }),
+  fc.constant({ kind: 'read-all' }),
 ];
 
 const wait: fc.Arbitrary<ModelAction> = fc.record({ kind: fc.constant('wait'), ms: pause });
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -180,6 +180,9 @@
       }
       case 'read':
         return this.read(this.at(a.at));
+      case 'read-all':
+        for (const m of this.w.machines) this.read(m);
+        return;
       case 'heal':
         return this.heal();
       case 'wait':
