Storms send changes again through the recorded history; full and stalled disks in the model

Change: an operator whose answer was lost sends the change again as a call of its own in the history that is checked for linearizability. The model test of the controls fills and stalls disks besides slowing them.

--- a/packages/sim/src/model-actions.ts
+++ b/packages/sim/src/model-actions.ts
@@ -18,7 +18,7 @@
   | { readonly kind: 'wipe'; readonly at: number; readonly ms: number }
   | { readonly kind: 'replace'; readonly at: number; readonly planned: boolean }
   | { readonly kind: 'add' }
-  | { readonly kind: 'slow-disk'; readonly at: number; readonly ms: number }
+  | { readonly kind: DiskTrouble; readonly at: number; readonly ms: number }
   | { readonly kind: 'put'; readonly at: number; readonly stale: boolean }
   | { readonly kind: 'race'; readonly at: number; readonly other: number }
   | { readonly kind: 'resend'; readonly at: number; readonly which: number }
@@ -27,6 +27,9 @@
   | { readonly kind: 'wait'; readonly ms: number }
   | { readonly kind: 'heal' };
 
+/** What may be wrong with a disk that is not lost. */
+export type DiskTrouble = 'slow-disk' | 'full-disk' | 'stalled-disk';
+
 /** Directions in which a machine is cut off. */
 export type CutWay = 'both' | 'in' | 'out';
 
@@ -53,7 +56,7 @@
   fc.record({ kind: fc.constant('wipe'), at, ms: span }),
   fc.record({ kind: fc.constant('replace'), at, planned: fc.boolean() }),
   fc.constant({ kind: 'add' }),
-  fc.record({ kind: fc.constant('slow-disk'), at, ms: span }),
+  fc.record({ kind: fc.constantFrom<DiskTrouble>('slow-disk', 'full-disk', 'stalled-disk'), at, ms: span }),
   fc.constant({ kind: 'heal' }),
 ];
 
--- a/packages/sim/src/model-nodes.ts
+++ b/packages/sim/src/model-nodes.ts
@@ -100,7 +100,7 @@
 
   private observeStored(m: Machine, id: string, mark: Mark, now: number): void {
     const held = this.held.get(id);
-    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1) this.held.set(id, { mark, since: now });
+    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1 || m.platter.full || m.platter.stalled) this.held.set(id, { mark, since: now });
     else if (now - held.since > syncedAfterMs && newer(mark, this.stored.get(id) ?? markOf(undefined))) this.stored.set(id, mark);
   }
 
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -3,9 +3,10 @@
 import { digestOf } from '@tillerstair/state';
 import { z } from 'zod';
 import type { Machine } from './machine.js';
-import { atMaster, type CutWay, type ModelAction, type ModelRun } from './model-actions.js';
+import { atMaster, type CutWay, type DiskTrouble, type ModelAction, type ModelRun } from './model-actions.js';
 import { ModelHistory, type CallStart, type SentConfig } from './model-history.js';
 import { ModelNodes } from './model-nodes.js';
+import type { SimPlatter } from './sim-disk.js';
 import { stormConfig } from './storm-config.js';
 import { seededRng, World } from './world.js';
 
@@ -167,7 +168,9 @@
         this.w.add('control').start();
         return;
       case 'slow-disk':
-        return this.slowDisk(this.at(a.at), a.ms);
+      case 'full-disk':
+      case 'stalled-disk':
+        return this.troubleDisk(this.at(a.at), a.kind, a.ms);
       case 'put':
         return this.put(this.at(a.at), this.configOn(a.stale ? Math.max(0, this.history.committedVersion - 1) : this.history.committedVersion));
       case 'race':
@@ -243,11 +246,11 @@
     });
   }
 
-  private slowDisk(m: Machine, ms: number): void {
-    m.platter.delay = slowDiskMs;
-    this.later(ms, () => {
-      m.platter.delay = usualDiskMs;
-    });
+  private troubleDisk({ platter }: Machine, kind: DiskTrouble, ms: number): void {
+    if (kind === 'slow-disk') platter.delay = slowDiskMs;
+    if (kind === 'full-disk') platter.full = true;
+    if (kind === 'stalled-disk') platter.stalled = true;
+    this.later(ms, () => endDiskTrouble(platter));
   }
 
   private configOn(base: number): SentConfig {
@@ -294,7 +297,7 @@
     for (const m of this.w.machines) {
       if (m.life.frozen) m.wake();
       if (!m.up) m.start();
-      m.platter.delay = usualDiskMs;
+      endDiskTrouble(m.platter);
     }
   }
 
@@ -322,6 +325,12 @@
   }
 }
 
+const endDiskTrouble = (platter: SimPlatter): void => {
+  platter.delay = usualDiskMs;
+  platter.full = false;
+  platter.stalled = false;
+};
+
 const pairsOf = (a: string, b: string, way: CutWay): readonly (readonly [string, string])[] => {
   const out: readonly [string, string] = [a, b];
   const back: readonly [string, string] = [b, a];
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -241,13 +241,13 @@
     let at = first;
     let wasTaken = false;
     for (let n = 0; n < mostTries; n++) {
-      const answered = this.operate(at, 'PUT', '/v1/config', text);
-      this.onChange?.(at, answered);
+      const asked = at;
+      const answered = this.configCalls.put(text, this.sendTo(asked));
+      this.onChange?.(asked, answered);
       const r = await answered;
       if (wasTaken && r && r.status >= 400 && r.status < 500) this.faults.trouble.push(`a change that was taken is refused: ${JSON.stringify(r)}`);
       if (this.w.rng() >= this.lostAnswers.share) return r;
       wasTaken ||= r?.status === 200;
-      const asked = at;
       at = this.pick(this.faults.up('control').filter((m) => m !== asked)) ?? at;
       await this.wait(100 + this.w.rng() * 400);
     }
