--- a/packages/sim/src/faults-machine.ts
+++ b/packages/sim/src/faults-machine.ts
@@ -44,7 +44,7 @@
 };
 
 const stopInOrder = async (c: FaultContext, m: Machine): Promise<void> => {
-  const end = Promise.all([m.stopInOrder(), m.control?.stop(), m.store?.stop()]).catch(() => undefined);
+  const end = m.stopInOrder().catch(() => undefined);
   await Promise.race([end, c.storm.wait(6 * c.w.bounds.beat)]);
   if (m.up) m.kill();
 };
--- a/packages/sim/src/faults-members.ts
+++ b/packages/sim/src/faults-members.ts
@@ -21,8 +21,8 @@
     c.w.add(kind).start();
     await c.storm.wait(2 * c.w.bounds.silent);
     if (!old.up) c.tools.restart(old);
-    await Promise.race([Promise.all([old.control?.stop(), old.store?.stop()]).catch(() => undefined), c.storm.wait(2 * c.w.bounds.silent)]);
-    old.kill('power');
+    await Promise.race([old.stopInOrder().catch(() => undefined), c.storm.wait(2 * c.w.bounds.silent)]);
+    if (old.up) old.kill('power');
     c.w.remove(old);
     await c.tools.whole(kind);
   });
