--- a/packages/sim/src/model-actions.ts
+++ b/packages/sim/src/model-actions.ts
@@ -4,6 +4,9 @@
  */
 import fc from 'fast-check';
 
+/** As a machine's index: the one that is master now. */
+export const atMaster = -1;
+
 /** One step of a run; `at` picks a machine by its index among those there are, `ms` is a time of the simulated clock. */
 export type ModelAction =
   | { readonly kind: 'network'; readonly lost: number; readonly late: number; readonly repeated: number }
@@ -15,14 +18,18 @@
   | { readonly kind: 'wipe'; readonly at: number; readonly ms: number }
   | { readonly kind: 'replace'; readonly at: number; readonly planned: boolean }
   | { readonly kind: 'add' }
-  | { readonly kind: 'slow-disk'; readonly at: number; readonly ms: number }
+  | { readonly kind: DiskTrouble; readonly at: number; readonly ms: number }
   | { readonly kind: 'put'; readonly at: number; readonly stale: boolean }
   | { readonly kind: 'race'; readonly at: number; readonly other: number }
   | { readonly kind: 'resend'; readonly at: number; readonly which: number }
   | { readonly kind: 'read'; readonly at: number }
+  | { readonly kind: 'read-all' }
   | { readonly kind: 'wait'; readonly ms: number }
   | { readonly kind: 'heal' };
 
+/** What may be wrong with a disk that is not lost. */
+export type DiskTrouble = 'slow-disk' | 'full-disk' | 'stalled-disk';
+
 /** Directions in which a machine is cut off. */
 export type CutWay = 'both' | 'in' | 'out';
 
@@ -33,7 +40,7 @@
   readonly actions: readonly ModelAction[];
 }
 
-const at = fc.nat(7);
+const at = fc.oneof({ weight: 2, arbitrary: fc.constant(atMaster) }, { weight: 3, arbitrary: fc.nat(6) });
 const span = fc.constantFrom(5, 60, 300, 900, 2500, 5000);
 const pause = fc.constantFrom(5, 60, 300, 900, 2500);
 const way = fc.constantFrom<CutWay>('both', 'in', 'out');
@@ -49,7 +56,7 @@
   fc.record({ kind: fc.constant('wipe'), at, ms: span }),
   fc.record({ kind: fc.constant('replace'), at, planned: fc.boolean() }),
   fc.constant({ kind: 'add' }),
-  fc.record({ kind: fc.constant('slow-disk'), at, ms: span }),
+  fc.record({ kind: fc.constantFrom<DiskTrouble>('slow-disk', 'full-disk', 'stalled-disk'), at, ms: span }),
   fc.constant({ kind: 'heal' }),
 ];
 
@@ -58,6 +65,7 @@
   fc.record({ kind: fc.constant('race'), at, other: at }),
   fc.record({ kind: fc.constant('resend'), at, which: fc.nat(15) }),
   fc.record({ kind: fc.constant('read'), at }),
+  fc.constant({ kind: 'read-all' }),
 ];
 
 const wait: fc.Arbitrary<ModelAction> = fc.record({ kind: fc.constant('wait'), ms: pause });
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -3,9 +3,10 @@
 import { digestOf } from '@tillerstair/state';
 import { z } from 'zod';
 import type { Machine } from './machine.js';
-import type { CutWay, ModelAction, ModelRun } from './model-actions.js';
+import { atMaster, type CutWay, type DiskTrouble, type ModelAction, type ModelRun } from './model-actions.js';
 import { ModelHistory, type CallStart, type SentConfig } from './model-history.js';
 import { ModelNodes } from './model-nodes.js';
+import type { SimPlatter } from './sim-disk.js';
 import { stormConfig } from './storm-config.js';
 import { seededRng, World } from './world.js';
 
@@ -91,8 +92,8 @@
   }
 
   private at(n: number): Machine {
-    const { machines } = this.w;
-    const m = machines[n % machines.length];
+    const { machines, master } = this.w;
+    const m = n === atMaster && master ? master : machines[Math.max(0, n) % machines.length];
     if (!m) throw new Error('there is no machine');
     return m;
   }
@@ -167,7 +168,9 @@
         this.w.add('control').start();
         return;
       case 'slow-disk':
-        return this.slowDisk(this.at(a.at), a.ms);
+      case 'full-disk':
+      case 'stalled-disk':
+        return this.troubleDisk(this.at(a.at), a.kind, a.ms);
       case 'put':
         return this.put(this.at(a.at), this.configOn(a.stale ? Math.max(0, this.history.committedVersion - 1) : this.history.committedVersion));
       case 'race':
@@ -180,6 +183,9 @@
       }
       case 'read':
         return this.read(this.at(a.at));
+      case 'read-all':
+        for (const m of this.w.machines) this.read(m);
+        return;
       case 'heal':
         return this.heal();
       case 'wait':
@@ -240,11 +246,11 @@
     });
   }
 
-  private slowDisk(m: Machine, ms: number): void {
-    m.platter.delay = slowDiskMs;
-    this.later(ms, () => {
-      m.platter.delay = usualDiskMs;
-    });
+  private troubleDisk({ platter }: Machine, kind: DiskTrouble, ms: number): void {
+    if (kind === 'slow-disk') platter.delay = slowDiskMs;
+    if (kind === 'full-disk') platter.full = true;
+    if (kind === 'stalled-disk') platter.stalled = true;
+    this.later(ms, () => endDiskTrouble(platter));
   }
 
   private configOn(base: number): SentConfig {
@@ -291,7 +297,7 @@
     for (const m of this.w.machines) {
       if (m.life.frozen) m.wake();
       if (!m.up) m.start();
-      m.platter.delay = usualDiskMs;
+      endDiskTrouble(m.platter);
     }
   }
 
@@ -319,6 +325,12 @@
   }
 }
 
+const endDiskTrouble = (platter: SimPlatter): void => {
+  platter.delay = usualDiskMs;
+  platter.full = false;
+  platter.stalled = false;
+};
+
 const pairsOf = (a: string, b: string, way: CutWay): readonly (readonly [string, string])[] => {
   const out: readonly [string, string] = [a, b];
   const back: readonly [string, string] = [b, a];
