--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -21,6 +21,11 @@
 const Current = z.object({ current: z.number() });
 const stormServers = [['m1', 'models'], ['m2', 'models'], ['n1', 'others'], ['s1', 'shop'], ['s2', 'shop']] as const;
 
+const toldBy = (r: Outcome | undefined): ConfigRecord['told'] => {
+  if (r?.status === 200) return 'done';
+  return r === undefined || r.status === 504 || r.status === 0 ? 'unknown' : 'refused';
+};
+
 export class Storm implements StormActions {
   readonly w: World;
   readonly configs: ConfigRecord[] = [];
@@ -222,17 +227,27 @@
     const n = this.configs.push(row) - 1;
     this.track(this.configCalls.read(this.sendTo(this.pick(this.faults.up('control')))));
     const r = await this.sendChange(at, text);
-    const told = r?.status === 200 ? 'done' : r === undefined || r.status === 504 || r.status === 0 ? 'unknown' : 'refused';
-    this.configs[n] = { ...row, told, toldAt: w.clock.now() };
-    if (told === 'done') this.version = Math.max(this.version, base + 1);
-    else if (r?.status === 409) this.version = Math.max(this.version, Current.safeParse(r.body).data?.current ?? 0);
+    const told = toldBy(r);
+    this.noteTold(n, told);
+    if (told !== 'done' && r?.status === 409) this.version = Math.max(this.version, Current.safeParse(r.body).data?.current ?? 0);
     await this.resendOne();
   }
 
+  /** Keeps what an operator was told of a change; of several calls for one change, the strongest answer counts. */
+  private noteTold(n: number, told: ConfigRecord['told']): void {
+    const row = this.configs[n];
+    if (!row || row.told === 'done' || (row.toldAt !== Infinity && row.told === 'unknown' && told === 'refused')) return;
+    this.configs[n] = { ...row, told, toldAt: this.w.clock.now() };
+    if (told === 'done') this.version = Math.max(this.version, row.version);
+  }
+
   /** Sends a change again, to any control, that was taken or may have been. */
   private async resendOne(): Promise<void> {
     const old = this.pick(this.configs.filter((c) => c.told !== 'refused'));
-    if (old) await this.configCalls.put(old.text, this.sendTo(this.pick(this.faults.up('control'))));
+    if (!old) return;
+    const n = this.configs.findIndex((c) => c.text === old.text);
+    const r = await this.configCalls.put(old.text, this.sendTo(this.pick(this.faults.up('control'))));
+    this.noteTold(n, toldBy(r));
   }
 
   /** Sends a change as an operator does: where the answer is lost, again, to other machines first. */
