Journals are read and written in chunks; a store's log is never held as a whole

Stores were killed over their memory limit.

Change: DiskFile.read() becomes chunks(), replace() takes an iterable of chunks. Scanner takes chunks and hands each record on as it is scanned: same cut of a torn tail, same JournalCorrupt and place. Format on disk unchanged.

Not changed: page() of a store, its strings are bounded by one page.

The whole suite was not run.

--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -4,11 +4,13 @@
 import { hostClock, pause, type Clock } from '@tillerstair/wire';
 
 export interface DiskFile {
-  read(): Promise<Buffer>;
+  /** The bytes of the file from its start; a chunk is valid until the next one is asked for. */
+  chunks(): AsyncIterable<Buffer>;
   append(bytes: Buffer): Promise<void>;
   sync(): Promise<void>;
   cut(size: number): Promise<void>;
-  replace(bytes: Buffer): Promise<void>;
+  /** Writes the file anew; until all chunks are on disk the old one stays. */
+  replace(chunks: Iterable<Buffer>): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -31,6 +33,7 @@
 const nextOf = (path: string): string => `${path}.next`;
 
 const lockRetryMs = 250;
+const readBytes = 1 << 20;
 const appendToNew = constants.O_RDWR | constants.O_CREAT | constants.O_TRUNC | constants.O_APPEND;
 
 const alive = (pid: number): boolean => {
@@ -71,6 +74,21 @@
   for (let at = dir; at.length >= top.length; at = dirname(at)) await syncFolder(dirname(at));
 };
 
+/** Reads a file through one buffer that is used for all its chunks. */
+async function* chunksOfFile(path: string): AsyncGenerator<Buffer> {
+  const file = await open(path, constants.O_RDONLY);
+  try {
+    const buffer = Buffer.allocUnsafe(readBytes);
+    for (;;) {
+      const { bytesRead } = await file.read(buffer, 0, readBytes, null);
+      if (bytesRead === 0) return;
+      yield buffer.subarray(0, bytesRead);
+    }
+  } finally {
+    await file.close();
+  }
+}
+
 export class FolderDisk implements Disk {
   private constructor(
     private readonly dir: string,
@@ -122,7 +140,7 @@
     await unlink(nextOf(path)).catch(() => undefined);
     await syncFolder(this.dir);
     return {
-      read: () => readFile(path),
+      chunks: () => chunksOfFile(path),
       append: async (bytes) => {
         await h.appendFile(bytes);
       },
@@ -131,11 +149,11 @@
         await h.truncate(size);
         await h.sync();
       },
-      replace: async (bytes) => {
+      replace: async (chunks) => {
         const nextPath = nextOf(path);
         const next = await open(nextPath, appendToNew);
         try {
-          await next.writeFile(bytes);
+          for (const chunk of chunks) await next.appendFile(chunk);
           await next.sync();
           await rename(nextPath, path);
           await syncFolder(this.dir);
--- a/packages/journal/src/frames.ts
+++ b/packages/journal/src/frames.ts
@@ -3,41 +3,121 @@
 
 export class JournalCorrupt extends Error {}
 
+const newline = 10;
+const space = 32;
+const checksumDigits = 8;
+
+/** Bytes that are handed to the disk at once when a whole file is written. */
+const writeBytes = 256 << 10;
+
+const checksumOf = (bytes: Buffer | string): string => crc32(bytes).toString(16).padStart(checksumDigits, '0');
+
 /** One line for a batch of records, which is on disk as a whole or not at all. */
 export const frame = (records: readonly unknown[]): Buffer => {
   const json = JSON.stringify(records);
-  return Buffer.from(`${crc32(json).toString(16).padStart(8, '0')} ${json}\n`);
+  return Buffer.from(`${checksumOf(json)} ${json}\n`);
 };
 
-const unframe = (line: string): readonly unknown[] | undefined => {
-  if (line.charAt(8) !== ' ') return undefined;
-  const json = line.slice(9);
-  if (crc32(json).toString(16).padStart(8, '0') !== line.slice(0, 8)) return undefined;
-  const v: unknown = JSON.parse(json);
+const unframe = (line: Buffer): readonly unknown[] | undefined => {
+  if (line[checksumDigits] !== space) return undefined;
+  const json = line.subarray(checksumDigits + 1);
+  if (checksumOf(json) !== line.toString('latin1', 0, checksumDigits)) return undefined;
+  const v: unknown = JSON.parse(json.toString('utf8'));
   return Array.isArray(v) ? v : undefined;
 };
 
-export interface Scan {
-  readonly records: readonly unknown[];
-  readonly good: number;
+/** Frames records one by one as they are asked for, several frames to a chunk. */
+export function* chunksOf(records: Iterable<unknown>): Generator<Buffer> {
+  let frames: Buffer[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    const framed = frame([record]);
+    frames.push(framed);
+    bytes += framed.length;
+    if (bytes < writeBytes) continue;
+    yield Buffer.concat(frames);
+    frames = [];
+    bytes = 0;
+  }
+  if (bytes > 0) yield Buffer.concat(frames);
+}
+
+/** Length and checksum of bytes that pass by in chunks. */
+export class Digest {
+  private length = 0;
+  private checksum = 0;
+
+  get bytes(): number {
+    return this.length;
+  }
+
+  add(chunk: Buffer): void {
+    this.length += chunk.length;
+    this.checksum = crc32(chunk, this.checksum);
+  }
+
+  /** The chunks as they are, counted one by one. */
+  *through(chunks: Iterable<Buffer>): Generator<Buffer> {
+    for (const chunk of chunks) {
+      this.add(chunk);
+      yield chunk;
+    }
+  }
+
+  equals(other: Digest): boolean {
+    return this.length === other.length && this.checksum === other.checksum;
+  }
 }
 
-/** The records of a file up to a torn tail; a damaged line before good ones is an error. */
-export const scan = (name: string, bytes: Buffer): Scan => {
-  const records: unknown[] = [];
-  let at = 0;
-  let torn = -1;
-  while (at < bytes.length) {
-    const nl = bytes.indexOf(10, at);
-    const batch = nl < 0 ? undefined : unframe(bytes.toString('utf8', at, nl));
+/** Reads the records of a file from its chunks, up to a torn tail; a damaged line before good ones is an error. */
+export class Scanner {
+  /** Copies of the parts of a line whose end was not met yet. */
+  private parts: Buffer[] = [];
+  private lineAt = 0;
+  private length = 0;
+  private torn: number | undefined;
+
+  constructor(
+    private readonly name: string,
+    private readonly onRecord: (record: unknown) => void,
+  ) {}
+
+  /** Takes the next bytes of the file; the chunk may be overwritten afterwards. */
+  add(chunk: Buffer): void {
+    let at = 0;
+    for (let end = chunk.indexOf(newline); end >= 0; end = chunk.indexOf(newline, at)) {
+      this.line(this.joined(chunk.subarray(at, end)));
+      at = end + 1;
+      this.lineAt = this.length + at;
+    }
+    if (at < chunk.length) this.parts.push(Buffer.from(chunk.subarray(at)));
+    this.length += chunk.length;
+  }
+
+  /** The length of all bytes so far. */
+  get size(): number {
+    return this.length;
+  }
+
+  /** Once all bytes were added: where the good records end. */
+  get good(): number {
+    return this.torn ?? this.lineAt;
+  }
+
+  private joined(last: Buffer): Buffer {
+    if (this.parts.length === 0) return last;
+    const whole = Buffer.concat([...this.parts, last]);
+    this.parts = [];
+    return whole;
+  }
+
+  private line(line: Buffer): void {
+    const batch = unframe(line);
     if (batch === undefined) {
-      if (torn < 0) torn = at;
-    } else {
-      if (torn >= 0) throw new JournalCorrupt(`${name}: record at byte ${torn} is damaged and good ones follow it`);
-      for (const r of batch) records.push(r);
+      this.torn ??= this.lineAt;
+      return;
     }
-    if (nl < 0) break;
-    at = nl + 1;
+    if (this.torn !== undefined) throw new JournalCorrupt(`${this.name}: record at byte ${this.torn} is damaged and good ones follow it`);
+    for (const record of batch) this.onRecord(record);
   }
-  return { records, good: torn < 0 ? bytes.length : torn };
-};
+}
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -1,7 +1,7 @@
 /** A log of records on disk that are acknowledged once they are synced, and that mends itself after a failed write. */
 import { Line, pause, wholeMs, type Beat } from '@tillerstair/wire';
 import type { Disk, DiskFile } from './disk.js';
-import { frame, scan } from './frames.js';
+import { chunksOf, Digest, frame, Scanner } from './frames.js';
 import { hostPace, JournalUnavailable, untilDiskTakes, type JournalPace } from './pace.js';
 
 interface Pending {
@@ -10,7 +10,17 @@
   fail(e: unknown): void;
 }
 
-type Snapshot = () => readonly unknown[];
+/**
+ * All records an owner holds at the moment of the call. They are framed over several turns of the event loop, so what it
+ * returns must not change afterwards; it may be iterated more than once.
+ */
+type Snapshot = () => Iterable<unknown>;
+
+/** Who holds in memory what a journal holds on disk. */
+export interface JournalOwner {
+  /** Takes the next record while the journal is opened. */
+  restore(record: unknown): void;
+}
 
 /** A write that is stopped by the machine, not by the disk, has this share of its bound left to end in. */
 const lastShare = 0.2;
@@ -21,7 +31,15 @@
 /** An attempt that took long is followed by a longer wait, up to this many times the usual one. */
 const longestWait = 4;
 
-const bytesOf = (records: readonly unknown[]): Buffer => Buffer.concat(records.map((r) => frame([r])));
+const scanFile = async (file: DiskFile, scanner: Scanner): Promise<void> => {
+  for await (const chunk of file.chunks()) scanner.add(chunk);
+};
+
+const digestOf = async (file: DiskFile): Promise<Digest> => {
+  const digest = new Digest();
+  for await (const chunk of file.chunks()) digest.add(chunk);
+  return digest;
+};
 
 const textOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
 
@@ -34,32 +52,51 @@
   private rewriting = false;
   private readonly closing = new AbortController();
   private syncs = 0;
+  private bytes = 0;
+  private floor = 0;
 
   private constructor(
     private readonly name: string,
     private readonly file: DiskFile,
     private readonly line: Line,
     private readonly pace: JournalPace,
-    private bytes: number,
-    private floor: number,
   ) {}
 
-  static open(disk: Disk, name: string, pace: JournalPace = hostPace): Promise<{ journal: Journal; records: readonly unknown[]; cut: number }> {
+  /** Opens a journal and returns all its records; an owner with many takes them one by one with `openFor`. */
+  static async open(disk: Disk, name: string, pace: JournalPace = hostPace): Promise<{ journal: Journal; records: readonly unknown[] }> {
+    return Journal.openFor(disk, name, pace, (journal) => {
+      const records: unknown[] = [];
+      return { journal, records, restore: (record: unknown) => void records.push(record) };
+    });
+  }
+
+  /**
+   * Opens a journal and hands each record to its owner as it is read. Each attempt begins with a new owner; one that was
+   * handed a part of the records before the disk failed is dropped.
+   */
+  static openFor<Owner extends JournalOwner>(disk: Disk, name: string, pace: JournalPace, begin: (journal: Journal) => Owner): Promise<Owner> {
     return untilDiskTakes(pace, name, async () => {
       const file = await disk.open(name);
+      const journal = new Journal(name, file, new Line(`journal-${name}`), pace);
       try {
-        const bytes = await file.read();
-        const { records, good } = scan(name, bytes);
-        if (good < bytes.length) await file.cut(good);
-        const journal = new Journal(name, file, new Line(`journal-${name}`), pace, good, good);
-        return { journal, records, cut: bytes.length - good };
+        const owner = begin(journal);
+        await journal.load(owner);
+        return owner;
       } catch (e) {
-        await file.close().catch(() => undefined);
+        await journal.close().catch(() => undefined);
         throw e;
       }
     });
   }
 
+  private async load(owner: JournalOwner): Promise<void> {
+    const scanner = new Scanner(this.name, (record) => owner.restore(record));
+    await scanFile(this.file, scanner);
+    if (scanner.good < scanner.size) await this.file.cut(scanner.good);
+    this.bytes = scanner.good;
+    this.floor = scanner.good;
+  }
+
   get size(): number {
     return this.bytes;
   }
@@ -118,7 +155,7 @@
         if (!this.writable) return;
         const waiting = this.pending;
         this.pending = [];
-        await this.write(waiting, this.rewriteWithin(), () => this.replace(bytesOf(records())));
+        await this.write(waiting, this.rewriteWithin(), () => this.replace(records()));
       })
       .finally(() => {
         this.rewriting = false;
@@ -129,10 +166,12 @@
     return this.pace.syncWithin * (1 + this.bytes / bytesPerSync);
   }
 
-  private async replace(bytes: Buffer): Promise<void> {
-    await this.file.replace(bytes);
-    this.bytes = bytes.length;
-    this.floor = bytes.length;
+  private async replace(records: Iterable<unknown>): Promise<Digest> {
+    const written = new Digest();
+    await this.file.replace(written.through(chunksOf(records)));
+    this.bytes = written.bytes;
+    this.floor = written.bytes;
+    return written;
   }
 
   /** Runs one write; who waits for it hears within the bound. The next one starts only when this one has ended. */
@@ -171,21 +210,21 @@
 
   /**
    * After a failed write nobody knows what the file holds: its pages may have been dropped, or may reach the disk later.
-   * So it is not appended to again; a new one takes its place, made of all that its owner holds and read back. Its bytes
-   * are made once, since the owner's records do not change before the journal takes more.
+   * So it is not appended to again; a new one takes its place, made of all that its owner holds and read back. The
+   * snapshot is taken once, since the owner's records do not change before the journal takes more.
    */
   private async recover(): Promise<void> {
     const { snapshot } = this;
     if (!snapshot) return;
     const { clock, retryEvery } = this.pace;
-    let bytes: Buffer | undefined;
+    let records: Iterable<unknown> | undefined;
     while (!this.closing.signal.aborted) {
       const began = clock.now();
       try {
-        bytes ??= bytesOf(snapshot());
-        await this.replace(bytes);
-        const held = await this.file.read();
-        if (held.equals(bytes)) return this.resume();
+        records ??= snapshot();
+        const written = await this.replace(records);
+        const held = await digestOf(this.file);
+        if (held.equals(written)) return this.resume();
       } catch (e) {
         this.failure = textOf(e);
       }
--- a/packages/sim/src/sim-disk.ts
+++ b/packages/sim/src/sim-disk.ts
@@ -19,6 +19,11 @@
 
 const forever = new Promise<never>(() => undefined);
 const none = Buffer.alloc(0);
+const chunkBytes = 1000;
+
+async function* slicesOf(bytes: Buffer): AsyncGenerator<Buffer> {
+  for (let at = 0; at < bytes.length; at += chunkBytes) yield bytes.subarray(at, at + chunkBytes);
+}
 
 export class SimPlatter {
   /** Names as processes see them. */
@@ -157,7 +162,7 @@
       let content = this.file(name);
       if (this.syncedNames.get(name) !== content) await syncNames();
       return {
-        read: async () => content.cached,
+        chunks: () => slicesOf(content.cached),
         append: (bytes) => write(content, bytes),
         sync: () => sync(content),
         cut: async (size) => {
@@ -165,14 +170,14 @@
           content.cached = Buffer.from(content.cached.subarray(0, size));
           content.synced = content.cached;
         },
-        replace: async (bytes) => {
+        replace: async (chunks) => {
           const nextName = `${name}.next`;
           const next: Content = { synced: none, cached: none };
           try {
             await work();
             this.names.set(nextName, next);
             await step();
-            await write(next, bytes);
+            for (const chunk of chunks) await write(next, chunk);
             await sync(next);
             this.names.set(name, next);
             this.names.delete(nextName);
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/shelf.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { groupOf, Item, newerItem, pageBytes, type Item as ItemT, type Paged } from '@tillerstair/state';
-import { hostPace, Journal, type Disk, type JournalPace } from '@tillerstair/journal';
+import { hostPace, Journal, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
 import { Mishap, type Clock } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
@@ -34,13 +34,27 @@
   readonly touched: Map<string, number>;
 }
 
+interface SlotSnapshot {
+  readonly slot: number;
+  readonly sealed: number;
+  readonly items: readonly ItemT[];
+}
+
+function* recordsOf(slots: readonly SlotSnapshot[], hints: readonly HintRecord[]): Generator<Rec> {
+  for (const { slot, sealed, items } of slots) {
+    if (sealed > 0) yield { t: 'seal', slot, tenure: sealed };
+    for (const item of items) yield { t: 'put', slot, tenure: 0, items: [item] };
+  }
+  for (const hint of hints) yield { t: 'hint', ...hint, items: [...hint.items] };
+}
+
 export interface ShelfBounds {
   readonly journalLongAt: number;
   readonly keepMs: number;
   readonly hintsMost: number;
 }
 
-export class Shelf {
+export class Shelf implements JournalOwner {
   private readonly slots = new Map<number, SlotShelf>();
   private readonly byTurn = new Map<string, { readonly slot: number; readonly key: string }>();
   private readonly hints = new Map<number, HintRecord>();
@@ -55,15 +69,12 @@
   }
 
   static async open(disk: Disk, clock: Clock, bounds: ShelfBounds, pace: JournalPace = { ...hostPace, clock }): Promise<Shelf> {
-    const { journal, records } = await Journal.open(disk, shelfLog, pace);
-    const shelf = new Shelf(journal, clock, bounds);
-    try {
-      for (const r of records) shelf.take(Rec.parse(r));
-    } catch (e) {
-      await journal.close();
-      throw e;
-    }
-    return shelf;
+    return Journal.openFor(disk, shelfLog, pace, (journal) => new Shelf(journal, clock, bounds));
+  }
+
+  /** Takes a record that was read from the log. */
+  restore(record: unknown): void {
+    this.take(Rec.parse(record));
   }
 
   /** Whether the disk takes writes; without it they are refused at once and the other replicas carry them. */
@@ -132,14 +143,11 @@
     if (this.journal.long(this.bounds.journalLongAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
-  private whole(): readonly Rec[] {
-    const out: Rec[] = [];
-    for (const [slot, s] of this.slots) {
-      if (s.sealed > 0) out.push({ t: 'seal', slot, tenure: s.sealed });
-      for (const item of s.items.values()) out.push({ t: 'put', slot, tenure: 0, items: [item] });
-    }
-    for (const h of this.hints.values()) out.push({ t: 'hint', ...h, items: [...h.items] });
-    return out;
+  /** All that is held now: references are taken at once, the records are made as they are written. */
+  private whole(): Iterable<Rec> {
+    const slots = [...this.slots].map(([slot, s]): SlotSnapshot => ({ slot, sealed: s.sealed, items: [...s.items.values()] }));
+    const hints = [...this.hints.values()];
+    return { [Symbol.iterator]: () => recordsOf(slots, hints) };
   }
 
   private fence(slot: number, tenure: number): SlotShelf {
--- a/packages/zen/src/keep.ts
+++ b/packages/zen/src/keep.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { Diff, diffOf, Entries, flatten, markOf, Mate, newer, patch, unflatten, type Mark, type State } from '@tillerstair/state';
-import { hostPace, isDiskTrouble, Journal, untilDiskTakes, type Disk, type JournalPace } from '@tillerstair/journal';
+import { hostPace, isDiskTrouble, Journal, untilDiskTakes, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
 import { pause } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
@@ -20,6 +20,8 @@
   readonly accepted: State | undefined;
 }
 
+const blank: Kept = { id: '', term: 0, promisedTo: '', vote: [], accepted: undefined };
+
 /** The log does not prove that it is whole: what it says last must not be counted on. */
 export class LogNotWhole extends Error {}
 
@@ -56,38 +58,27 @@
 };
 
 /** What a log says, if each of its records follows from those before it. */
-const replay = (records: readonly unknown[]): Kept => {
-  let kept = blank;
-  for (const raw of records) {
+class Replay implements JournalOwner {
+  kept: Kept = blank;
+
+  constructor(readonly journal: Journal) {}
+
+  restore(raw: unknown): void {
     const record = Rec.parse(raw);
-    if (kept.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
-    const after = take(kept, record);
-    mustFollow(kept, after);
-    kept = after;
+    if (this.kept.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
+    const after = take(this.kept, record);
+    mustFollow(this.kept, after);
+    this.kept = after;
   }
-  return kept;
-};
-
-interface Opened {
-  readonly journal: Journal;
-  readonly kept: Kept;
 }
 
-const openWhole = async (disk: Disk, pace: JournalPace): Promise<Opened> => {
-  const { journal, records } = await Journal.open(disk, logName, pace);
-  try {
-    return { journal, kept: replay(records) };
-  } catch (e) {
-    await journal.close();
-    throw e;
-  }
-};
+const openWhole = (disk: Disk, pace: JournalPace): Promise<Replay> => Journal.openFor(disk, logName, pace, (journal) => new Replay(journal));
 
 /**
  * A damaged log is kept under another name, and the member starts as one that lost its disk: with a fresh id and no state.
  * To go on under the old id could vote twice in a term, or count a state that the member no longer holds.
  */
-const openOrStartAnew = async (disk: Disk, pace: JournalPace): Promise<Opened> => {
+const openOrStartAnew = async (disk: Disk, pace: JournalPace): Promise<Replay> => {
   try {
     return await openWhole(disk, pace);
   } catch (e) {
@@ -98,8 +89,6 @@
   }
 };
 
-const blank: Kept = { id: '', term: 0, promisedTo: '', vote: [], accepted: undefined };
-
 export interface Keep {
   readonly kept: Kept;
   /** Whether the disk takes what is to be kept; without it nothing may be promised, voted or accepted. */
--- /dev/null
+++ b/tests/src/journal-chunks.test.ts
@@ -0,0 +1,265 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FolderDisk, frame, Journal, JournalCorrupt, Scanner, type Disk, type DiskFile, type JournalPace } from '@tillerstair/journal';
+import { Life, SimClock, SimPlatter, seededRng } from '@tillerstair/sim';
+import { Shelf } from '@tillerstair/store';
+
+const chunked = suite('journals in chunks');
+
+interface Scanned {
+  readonly records: readonly unknown[];
+  readonly good: number;
+  readonly size: number;
+}
+
+/** Scans bytes cut into chunks of one size, through one buffer that is overwritten by each of them as `FolderDisk` does. */
+const scanIn = (chunkBytes: number, bytes: Buffer): Scanned => {
+  const records: unknown[] = [];
+  const scanner = new Scanner('a.log', (record) => void records.push(record));
+  const buffer = Buffer.alloc(chunkBytes);
+  for (let at = 0; at < bytes.length; at += chunkBytes) {
+    const length = bytes.copy(buffer, 0, at, at + chunkBytes);
+    scanner.add(buffer.subarray(0, length));
+  }
+  return { records, good: scanner.good, size: scanner.size };
+};
+
+const first = [{ n: 1, text: 'añ€😀' }, { n: 2 }];
+const second = [{ n: 3, text: '€'.repeat(40) }];
+const frames = [frame(first), frame([{ n: 0 }]), frame(second)];
+const all = [...first, { n: 0 }, ...second];
+const whole = Buffer.concat(frames);
+const lastAt = whole.length - (frames.at(-1)?.length ?? 0);
+
+chunked('records and characters over any border of chunks are read', () => {
+  for (let size = 1; size <= whole.length + 1; size++)
+    assert.equal(scanIn(size, whole), { records: all, good: whole.length, size: whole.length }, `chunks of ${size}`);
+  assert.equal(scanIn(10, Buffer.alloc(0)), { records: [], good: 0, size: 0 });
+});
+
+chunked('a tail torn at any byte is told at the same byte, whatever the chunks', () => {
+  const kept = all.slice(0, -1);
+  for (let length = lastAt; length < whole.length; length++)
+    for (const size of [1, 2, 3, 7, 64, 1000])
+      assert.equal(scanIn(size, whole.subarray(0, length)), { records: kept, good: lastAt, size: length }, `${length} bytes in chunks of ${size}`);
+});
+
+chunked('a tail of several damaged lines is cut at the first of them', () => {
+  const bytes = Buffer.concat([whole, Buffer.from('\n'), Buffer.from('half a line\nanother')]);
+  for (let size = 1; size <= 80; size++)
+    assert.equal(scanIn(size, bytes), { records: all, good: whole.length, size: bytes.length }, `chunks of ${size}`);
+});
+
+chunked('damage before a good record is an error that says where, whatever the chunks', () => {
+  const secondAt = frames[0]?.length ?? 0;
+  for (let at = secondAt; at < lastAt; at++) {
+    const bytes = Buffer.from(whole);
+    bytes[at] = (bytes[at] ?? 0) ^ 1;
+    const joinsTheLast = at === lastAt - 1;
+    for (const size of [1, 2, 5, 64, 1000]) {
+      if (joinsTheLast) {
+        assert.is(scanIn(size, bytes).good, secondAt);
+        continue;
+      }
+      let told: unknown;
+      try {
+        scanIn(size, bytes);
+      } catch (e) {
+        told = e;
+      }
+      assert.instance(told, JournalCorrupt, `byte ${at} in chunks of ${size}`);
+      assert.match(String(told), `at byte ${secondAt} `);
+    }
+  }
+});
+
+chunked('on a real folder: a record longer than a chunk is read, and a torn one is cut off', async () => {
+  const dir = await mkdtemp(join(tmpdir(), 'tillerstair-chunks-'));
+  try {
+    const disk = await FolderDisk.take(dir);
+    const records = [{ n: 1 }, { text: '€'.repeat(1 << 20) }, { n: 2 }];
+    const framed = records.map((r) => frame([r]));
+    const torn = frame([{ text: 'é'.repeat(1 << 20) }]).subarray(0, -1);
+    await writeFile(join(dir, 'a.log'), Buffer.concat([...framed, torn]));
+    const { journal, records: held } = await Journal.open(disk, 'a.log');
+    assert.equal(held, records);
+    assert.is(journal.size, Buffer.concat(framed).length);
+    await journal.rewrite(() => [...records, { n: 3 }]);
+    await journal.append({ n: 4 });
+    const { size } = journal;
+    await journal.close();
+    const again = await Journal.open(disk, 'a.log');
+    assert.equal(again.records, [...records, { n: 3 }, { n: 4 }]);
+    assert.is(again.journal.size, size);
+    await again.journal.close();
+    await disk.free();
+  } finally {
+    await rm(dir, { recursive: true });
+  }
+});
+
+const bounds = { journalLongAt: 1 << 30, keepMs: 1e9, hintsMost: 10 };
+const longText = 'x'.repeat(100 << 10);
+const longItem = (n: number, seq: number) => ({ key: `o/t/${n}`, tenure: 1, seq, value: `${seq} ${longText}` });
+const longItems = 12;
+
+/** A disk that calls `onChunk` after each chunk of the first file that is written anew. */
+const hooked = (disk: Disk, onChunk: (chunk: Buffer) => void): Disk => {
+  let replaced = 0;
+  return {
+    setAside: (name) => disk.setAside(name),
+    open: async (name) => {
+      const file: DiskFile = await disk.open(name);
+      const told = function* (chunks: Iterable<Buffer>): Generator<Buffer> {
+        for (const chunk of chunks) {
+          yield chunk;
+          onChunk(chunk);
+        }
+      };
+      return { ...file, replace: (chunks) => file.replace(replaced++ === 0 ? told(chunks) : chunks) };
+    },
+  };
+};
+
+const held = (shelf: Shelf): ReadonlyMap<string, number> => {
+  const seqs = new Map<string, number>();
+  for (let after = ''; ; ) {
+    const page = shelf.pull(1, 0, after);
+    for (const i of page.items) seqs.set(i.key, i.seq);
+    if (page.next === '') return seqs;
+    after = page.next;
+  }
+};
+
+chunked('what a rewrite writes is of the moment it began, and later records follow it', async () => {
+  const clock = new SimClock();
+  const platter = new SimPlatter(seededRng(1));
+  const chunks: Buffer[] = [];
+  const later: Promise<unknown>[] = [];
+  let onFirst = (): void => undefined;
+  const disk = hooked(platter.disk(clock, new Life()), (chunk) => {
+    chunks.push(chunk);
+    if (chunks.length === 1) onFirst();
+  });
+  const small = { ...bounds, journalLongAt: 1 << 20 };
+  const shelf = await clock.finish('open', Shelf.open(disk, clock, small), 1000);
+  await clock.finish('hint', shelf.hint('b', 1, [longItem(0, 1)]), 1000);
+  onFirst = () => {
+    later.push(shelf.handed(1), shelf.hint('c', 1, [longItem(0, 1)]));
+    for (let n = 0; n < longItems; n++) later.push(shelf.write(1, 1, [longItem(n, 9)]));
+    later.push(shelf.write(1, 1, [longItem(longItems, 9)]));
+  };
+  for (let n = 0; n < longItems; n++) await clock.finish('write', shelf.write(1, 1, [longItem(n, 1)]), 1000);
+  await clock.run(100);
+  assert.ok(chunks.length > 2, `${chunks.length} chunks`);
+  assert.is(later.length, longItems + 3);
+  const lines = Buffer.concat(chunks).toString('utf8').split('\n').slice(0, -1);
+  const written = lines.map((l) => JSON.parse(l.slice(9)));
+  const seqs = written.flat().flatMap((r) => (r.t === 'put' ? [r.items[0].seq] : []));
+  assert.ok(seqs.length > 5 && seqs.every((seq) => seq === 1), seqs.join());
+  assert.equal(written.flat().flatMap((r) => (r.t === 'hint' ? [r.to] : [])), ['b']);
+  await clock.finish('later', Promise.all(later), 1000);
+  platter.powerLoss();
+  const again = await clock.finish('again', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+  assert.equal([...held(again).values()], Array.from({ length: longItems + 1 }, () => 9));
+  assert.equal([...again.hintTargets()], ['c']);
+});
+
+chunked('power lost at any step of a recovery of several chunks loses nothing acknowledged', async () => {
+  let recovered = 0;
+  for (let step = 0; step < 16; step++) {
+    const clock = new SimClock();
+    const platter = new SimPlatter(seededRng(step));
+    const life = new Life();
+    const shelf = await clock.finish('open', Shelf.open(platter.disk(clock, life), clock, bounds), 1000);
+    for (let n = 0; n < longItems; n++) await clock.finish('write', shelf.write(1, 1, [longItem(n, 1)]), 1000);
+    platter.full = true;
+    const refused = await clock.finish('refused', shelf.write(1, 1, [longItem(0, 2)]).then(() => 'done', () => 'refused'), 5000);
+    assert.is(refused, 'refused');
+    await clock.run(2000);
+    platter.full = false;
+    platter.crashFrom(step, () => {
+      life.dead = true;
+    });
+    await clock.run(5000);
+    if (!life.dead) {
+      assert.is(shelf.writable, true);
+      recovered++;
+    }
+    platter.powerLoss();
+    platter.crashAtStep = -1;
+    const again = await clock.finish('again', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+    const seqs = held(again);
+    for (let n = 0; n < longItems; n++) assert.ok((seqs.get(`o/t/${n}`) ?? 0) >= 1, `step ${step}: item ${n}`);
+  }
+  assert.ok(recovered > 0 && recovered < 16, `${recovered} recoveries`);
+});
+
+chunked('a recovery whose file reads back otherwise is tried again', async () => {
+  const clock = new SimClock();
+  const platter = new SimPlatter(seededRng(1));
+  const pace: JournalPace = { clock, syncWithin: 1500, retryEvery: 250 };
+  const plain = platter.disk(clock, new Life());
+  let badReads = 2;
+  let replaced = 0;
+  const misreading: Disk = {
+    ...plain,
+    open: async (name) => {
+      const file = await plain.open(name);
+      const chunks = async function* (): AsyncGenerator<Buffer> {
+        for await (const chunk of file.chunks()) {
+          const copy = Buffer.from(chunk);
+          if (replaced > 0 && badReads-- > 0) copy[0] = (copy[0] ?? 0) ^ 1;
+          yield copy;
+        }
+      };
+      const counted = (all: Iterable<Buffer>): Promise<void> => {
+        replaced++;
+        return file.replace(all);
+      };
+      return { ...file, chunks, replace: counted };
+    },
+  };
+  const { journal } = await clock.finish('open', Journal.open(misreading, 'a.log', pace), 1000);
+  journal.recoverFrom(() => [{ n: 1 }]);
+  platter.failSyncs = true;
+  await clock.finish('append', journal.append({ n: 1 }).catch(() => undefined), 5000);
+  platter.failSyncs = false;
+  await clock.run(400);
+  assert.is(journal.writable, false);
+  await clock.run(3000);
+  assert.is(journal.writable, true);
+  assert.ok(replaced >= 3, `${replaced} attempts`);
+});
+
+chunked('a read that fails half way is begun anew with a new owner', async () => {
+  const clock = new SimClock();
+  const platter = new SimPlatter(seededRng(1));
+  const plain = platter.disk(clock, new Life());
+  const { journal } = await clock.finish('open', Journal.open(plain, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }), 1000);
+  const records = Array.from({ length: 100 }, (_, n) => ({ n, text: 'x'.repeat(50) }));
+  for (const record of records) await clock.finish('append', journal.append(record), 1000);
+  let failures = 2;
+  const failing: Disk = {
+    ...plain,
+    open: async (name) => {
+      const file = await plain.open(name);
+      const chunks = async function* (): AsyncGenerator<Buffer> {
+        let count = 0;
+        for await (const chunk of file.chunks()) {
+          if (count++ === 3 && failures-- > 0) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
+          yield chunk;
+        }
+      };
+      return { ...file, chunks };
+    },
+  };
+  const again = await clock.finish('again', Journal.open(failing, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }), 5000);
+  assert.ok(failures <= 0);
+  assert.equal(again.records, records);
+});
+
+chunked.run();
--- a/tests/src/journal-faults.test.ts
+++ b/tests/src/journal-faults.test.ts
@@ -210,12 +210,14 @@
 
 const linesOf = async (r: Rig): Promise<readonly string[]> => {
   const file = await r.clock.finish('open', r.platter.disk(r.clock, new Life()).open('zen.log'), 1000);
-  return (await file.read()).toString('utf8').split('\n').slice(0, -1);
+  const chunks: Buffer[] = [];
+  for await (const chunk of file.chunks()) chunks.push(Buffer.from(chunk));
+  return Buffer.concat(chunks).toString('utf8').split('\n').slice(0, -1);
 };
 
 const store = async (r: Rig, lines: readonly string[]): Promise<void> => {
   const file = await r.clock.finish('open', r.platter.disk(r.clock, new Life()).open('zen.log'), 1000);
-  await r.clock.finish('replace', file.replace(Buffer.from(lines.map((l) => `${l}\n`).join(''))), 1000);
+  await r.clock.finish('replace', file.replace([Buffer.from(lines.map((l) => `${l}\n`).join(''))]), 1000);
 };
 
 faults('a log with a record missing anywhere before its last starts a new member, and says so once', async () => {
--- /dev/null
+++ b/tests/src/journal-memory.test.ts
@@ -0,0 +1,59 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, open, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { z } from 'zod';
+import { frame } from '@tillerstair/journal';
+
+const memory = suite('memory of a journal');
+
+const mb = 1 << 20;
+const keys = 16000;
+const valueBytes = 1200;
+const rounds = 2;
+
+/** Peaks over that of the started process, in MB; the records themselves are about 20 MB of text. */
+const openPeakMost = 80;
+const rewritePeakMost = 145;
+
+const Told = z.object({ startMb: z.number(), openedMb: z.number(), rewrittenMb: z.number(), items: z.number(), mostBytes: z.number(), leftBytes: z.number() });
+
+/** Writes a store's log in which each key was written `rounds` times; resolves with its bytes. */
+const writeLog = async (path: string): Promise<number> => {
+  const file = await open(path, 'w');
+  let bytes = 0;
+  for (let seq = 1; seq <= rounds; seq++) {
+    const frames: Buffer[] = [];
+    for (let n = 0; n < keys; n++)
+      frames.push(frame([{ t: 'put', slot: 1, tenure: 1, items: [{ key: `o/t/${n}`, tenure: 1, seq, value: `${seq}`.padEnd(valueBytes, 'x') }] }]));
+    const all = Buffer.concat(frames);
+    await file.writeFile(all);
+    bytes += all.length;
+  }
+  await file.close();
+  return bytes;
+};
+
+memory('a log of 40 MB is opened and rewritten without being held as a whole', async () => {
+  const dir = await mkdtemp(join(tmpdir(), 'tillerstair-memory-'));
+  try {
+    const bytes = await writeLog(join(dir, 'store.log'));
+    assert.ok(bytes > 38 * mb, `${bytes} bytes`);
+    const child = fileURLToPath(new URL('./journal-memory-child.js', import.meta.url));
+    const { stdout } = await promisify(execFile)(process.execPath, [child, dir, String(keys), String(valueBytes)]);
+    const told = Told.parse(JSON.parse(stdout));
+    assert.is(told.items, keys);
+    assert.ok(told.leftBytes < told.mostBytes, 'the log was not rewritten');
+    const openPeak = told.openedMb - told.startMb;
+    const rewritePeak = told.rewrittenMb - told.startMb;
+    assert.ok(openPeak < openPeakMost && rewritePeak < rewritePeakMost, stdout);
+  } finally {
+    await rm(dir, { recursive: true });
+  }
+});
+
+memory.run();
