--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
-import { flatten, markOf, newer, type Mark, type Mate, type State } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log, lasting } from '@tillerstair/wire';
-import { MemoryKeep, ZenNode, type ZenBounds } from '@tillerstair/zen';
+import { flatten, versionOf, newer, type StateVersion, type Member, type State } from '@tillerstair/state';
+import { RpcError, toRpcError, pause, type Transport, type Clock, type Log, lasting } from '@tillerstair/wire';
+import { MemoryElectionStore, ZenNode, type ZenBounds } from '@tillerstair/zen';
 import { ListWatch } from './list-watch.js';
 
 export interface AgentParts {
@@ -12,8 +12,8 @@
   readonly proxy: string;
   readonly seeds: readonly string[];
   readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly loop: Circuits;
+  readonly transport: Transport;
+  readonly loop: Transport;
   readonly bounds: ZenBounds;
   /** How long an agent that is told to stop may wait for a proxy that stops too, in ms. */
   readonly stopWithin: number;
@@ -32,7 +32,7 @@
   private proxyId = '';
   private proxyStops = false;
   private strange = true;
-  private fedMark: Mark = markOf(undefined);
+  private fedVersion: StateVersion = versionOf(undefined);
   private fedConfig = '';
   private lastFed = -Infinity;
   private seeds: readonly string[];
@@ -48,30 +48,30 @@
   }
 
   async start(): Promise<void> {
-    await this.p.circuits.serve(async (inq) => {
+    await this.p.transport.serve(async (rpc) => {
       const zen = this.zen;
-      if (!zen) throw new Mishap('no-proxy', 'the proxy beside this agent is not there');
-      return zen.handle(inq);
+      if (!zen) throw new RpcError('no-proxy', 'the proxy beside this agent is not there');
+      return zen.handle(rpc);
     });
     void this.run();
   }
 
   /** If the proxy is stopping too, its slots are handed over and it is fed until it has ended; else leaves at once. */
   async stop(): Promise<void> {
-    const { clock, bounds, circuits, stopWithin } = this.p;
+    const { clock, bounds, transport, stopWithin } = this.p;
     const end = clock.now() + stopWithin;
-    const learnBy = clock.now() + bounds.beat / 2;
-    while (this.zen && !this.proxyStops && clock.now() < learnBy) await pause(clock, bounds.beat / 20);
-    while (this.zen && this.proxyStops && clock.now() < end && clock.now() - this.lastFed < bounds.beat) {
+    const learnBy = clock.now() + bounds.heartbeatInterval / 2;
+    while (this.zen && !this.proxyStops && clock.now() < learnBy) await pause(clock, bounds.heartbeatInterval / 20);
+    while (this.zen && this.proxyStops && clock.now() < end && clock.now() - this.lastFed < bounds.heartbeatInterval) {
       const master = this.zen.masterSeen;
       if (master && !this.zen.applied?.retiring.has(this.proxyId))
-        await circuits.call(master.addr, 'control/depart', { id: this.proxyId }, { within: bounds.beat }).catch(() => undefined);
-      await pause(clock, bounds.beat / 8);
+        await transport.call(master.addr, 'control/depart', { id: this.proxyId }, { within: bounds.heartbeatInterval }).catch(() => undefined);
+      await pause(clock, bounds.heartbeatInterval / 8);
     }
     this.gone.abort();
     this.list?.stop();
     await this.zen?.stop();
-    await this.p.circuits.close();
+    await this.p.transport.close();
     await this.p.loop.close();
   }
 
@@ -82,7 +82,7 @@
   readiness(): { ready: boolean; why: string } {
     if (!this.zen) return { ready: false, why: 'the proxy beside this agent is not there' };
     if (!this.zen.masterSeen) return { ready: false, why: 'no master is known' };
-    if (this.p.clock.now() - this.lastFed > this.p.bounds.beat * 2) return { ready: false, why: 'the proxy takes no feed' };
+    if (this.p.clock.now() - this.lastFed > this.p.bounds.heartbeatInterval * 2) return { ready: false, why: 'the proxy takes no feed' };
     return { ready: true, why: `master ${this.zen.masterSeen.addr}` };
   }
 
@@ -91,7 +91,7 @@
     while (!this.gone.signal.aborted) {
       try {
         if (!this.zen || this.strange) {
-          const hello = Hello.parse(await this.p.loop.call(this.p.proxy, 'front/hello', {}, { within: bounds.beat }));
+          const hello = Hello.parse(await this.p.loop.call(this.p.proxy, 'front/hello', {}, { within: bounds.heartbeatInterval }));
           if (hello.id !== this.proxyId) await this.adopt(hello);
           this.strange = false;
         }
@@ -99,10 +99,10 @@
         if (zen) await this.feed(zen.applied);
       } catch (e) {
         this.strange = true;
-        log.debug(`The proxy does not reply: ${mishapOf(e).message}.`);
-        if (this.zen && clock.now() - this.lastFed > bounds.silent) await this.dismiss();
+        log.debug(`The proxy does not reply: ${toRpcError(e).message}.`);
+        if (this.zen && clock.now() - this.lastFed > bounds.failureTimeout) await this.dismiss();
       }
-      await pause(clock, bounds.beat / 4, this.gone.signal);
+      await pause(clock, bounds.heartbeatInterval / 4, this.gone.signal);
     }
   }
 
@@ -116,24 +116,24 @@
   }
 
   private async adopt(hello: z.infer<typeof Hello>): Promise<void> {
-    const { addr, zone, name, clock, circuits, bounds, log } = this.p;
+    const { addr, zone, name, clock, transport, bounds, log } = this.p;
     const { seeds } = this;
     const old = this.zen;
     this.zen = undefined;
     this.list?.stop();
     await old?.stop();
-    const me: Mate = { id: hello.id, kind: 'front', addr, http: hello.http, zone, data: hello.addr, name };
+    const me: Member = { id: hello.id, kind: 'front', addr, http: hello.http, zone, data: hello.addr, name };
     this.proxyId = hello.id;
     this.proxyStops = false;
-    this.fedMark = markOf(undefined);
+    this.fedVersion = versionOf(undefined);
     this.fedConfig = '';
     this.lastFed = clock.now();
-    const list = new ListWatch(clock, circuits, bounds, log, hello.id);
+    const list = new ListWatch(clock, transport, bounds, log, hello.id);
     const zen: ZenNode = new ZenNode({
-      me, seeds, clock, circuits, bounds, log, keep: new MemoryKeep(hello.id), slots: 0,
+      me, seeds, clock, transport, bounds, log, electionStore: new MemoryElectionStore(hello.id), slots: 0,
       onApplied: (s) => this.feed(s),
       report: () => ({ seen: this.seen, released: this.released }),
-      onTold: (told, askedAt) => list.onTold(told, askedAt),
+      onListReport: (reported, askedAt) => list.onListReport(reported, askedAt),
     });
     this.zen = zen;
     this.list = list;
@@ -144,25 +144,25 @@
 
   private async feed(s: State | undefined): Promise<void> {
     const zen = this.zen;
-    if (!zen) throw new Mishap('no-proxy', 'the proxy beside this agent is not there');
-    const send = s && newer(markOf(s), this.fedMark);
+    if (!zen) throw new RpcError('no-proxy', 'the proxy beside this agent is not there');
+    const send = s && newer(versionOf(s), this.fedVersion);
     const digest = s?.config?.digest ?? '';
     const known = digest !== '' && digest === this.fedConfig;
-    const freshAt = Math.min(zen.freshAt, this.list?.freshAt ?? -Infinity);
+    const leaseRenewedAt = Math.min(zen.leaseRenewedAt, this.list?.leaseRenewedAt ?? -Infinity);
     const barred = this.list?.barred(s);
     const body = {
       ...(send ? { state: [...flatten(s)].filter(([k]) => !known || k !== 'config') } : {}),
       ...(send && known ? { config: digest } : {}),
-      freshAt: Number.isFinite(freshAt) ? freshAt : -1,
+      leaseRenewedAt: Number.isFinite(leaseRenewedAt) ? leaseRenewedAt : -1,
       ...(barred ? { barred } : {}),
       master: zen.masterSeen?.id ?? '',
       term: zen.term,
     };
     if (send) this.fedConfig = '';
-    const fed = Fed.parse(await this.p.loop.call(this.p.proxy, 'front/feed', body, { within: this.p.bounds.beat }));
+    const fed = Fed.parse(await this.p.loop.call(this.p.proxy, 'front/feed', body, { within: this.p.bounds.heartbeatInterval }));
     if (send) this.fedConfig = digest;
-    if (fed.id !== this.proxyId) throw new Mishap('other-proxy', 'another proxy replied');
-    this.fedMark = fed.applied;
+    if (fed.id !== this.proxyId) throw new RpcError('other-proxy', 'another proxy replied');
+    this.fedVersion = fed.applied;
     this.proxyStops = fed.stopping;
     this.seen = fed.seen;
     const fresh = fed.released.length > 0 && JSON.stringify(fed.released) !== JSON.stringify(this.released);
--- a/packages/agent/src/list-watch.ts
+++ b/packages/agent/src/list-watch.ts
@@ -1,5 +1,5 @@
-import { ListReply, ListTold, slotOf, type Mate, type State } from '@tillerstair/state';
-import { lasting, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import { ListReply, ListReport, slotOf, type Member, type State } from '@tillerstair/state';
+import { lasting, toRpcError, pause, type Transport, type Clock, type Log } from '@tillerstair/wire';
 import type { ZenBounds, ZenNode } from '@tillerstair/zen';
 
 export class ListWatch {
@@ -14,7 +14,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly circuits: Circuits,
+    private readonly transport: Transport,
     private readonly bounds: ZenBounds,
     private readonly log: Log,
     key: string,
@@ -22,25 +22,25 @@
     this.turn = slotOf(key, 1 << 16);
   }
 
-  onTold(body: unknown, askedAt: number): void {
+  onListReport(body: unknown, askedAt: number): void {
     if (body === undefined || body === null) {
       this.used = 'no';
       return;
     }
-    const told = ListTold.parse(body);
+    const reported = ListReport.parse(body);
     this.used = 'yes';
-    if (told.age !== null) this.triedAt = Math.max(this.triedAt, askedAt - told.age);
-    if (told.readAge !== null) this.masterRead = Math.max(this.masterRead, askedAt - told.readAge);
+    if (reported.age !== null) this.triedAt = Math.max(this.triedAt, askedAt - reported.age);
+    if (reported.readAge !== null) this.masterRead = Math.max(this.masterRead, askedAt - reported.readAge);
   }
 
-  get freshAt(): number {
+  get leaseRenewedAt(): number {
     return this.used === 'no' ? Infinity : this.triedAt;
   }
 
   barred(s: State | undefined): readonly string[] | undefined {
     if (this.used !== 'yes' || !s || Math.max(this.masterRead, this.ownRead) === -Infinity) return undefined;
     const ahead = this.ownRead > this.masterRead;
-    if (!ahead) this.left = new Set([...this.left].filter((id) => s.servers.get(id)?.leaving === false));
+    if (!ahead) this.left = new Set([...this.left].filter((id) => s.servers.get(id)?.draining === false));
     const gone = ahead ? [...s.servers.keys()].filter((id) => !this.listed.has(id)) : [];
     return [...new Set([...this.left, ...gone])];
   }
@@ -50,54 +50,54 @@
   }
 
   async run(zen: ZenNode): Promise<void> {
-    const { listEvery, beat } = this.bounds;
+    const { listEvery, heartbeatInterval } = this.bounds;
     while (!this.gone.signal.aborted) {
-      const bearable = zen.masterSeen ? beat + listEvery * 1.5 : listEvery * 2;
+      const bearable = zen.masterSeen ? heartbeatInterval + listEvery * 1.5 : listEvery * 2;
       const readAt = Math.max(this.masterRead, this.ownRead);
       const now = this.clock.now();
-      const late = this.used === 'unknown' ? zen.masterSeen === undefined && zen.freshAt > -Infinity : this.used === 'yes' && now - readAt > bearable;
+      const late = this.used === 'unknown' ? zen.masterSeen === undefined && zen.leaseRenewedAt > -Infinity : this.used === 'yes' && now - readAt > bearable;
       if (late) await this.ask(zen, now + listEvery);
       await pause(this.clock, late ? Math.max(listEvery / 10, now + listEvery - this.clock.now()) : listEvery / 10, this.gone.signal);
     }
   }
 
   private async ask(zen: ZenNode, end: number): Promise<void> {
-    const voters = [...(zen.applied?.voterMates.values() ?? [])].sort((a, b) => (a.id < b.id ? -1 : 1));
+    const voters = [...(zen.applied?.votingMembers.values() ?? [])].sort((a, b) => (a.id < b.id ? -1 : 1));
     const others = voters.filter((m) => m.id !== zen.masterSeen?.id);
-    const mates = others.length > 0 ? others : voters;
-    for (let n = 0; n < mates.length && !this.gone.signal.aborted; n++) {
+    const peers = others.length > 0 ? others : voters;
+    for (let n = 0; n < peers.length && !this.gone.signal.aborted; n++) {
       const left = end - this.clock.now();
-      const mate = mates[this.turn % mates.length];
-      if (!mate || left <= 0) return;
-      const got = await this.askOne(mate, Math.min(left, this.bounds.listEvery / 2));
+      const member = peers[this.turn % peers.length];
+      if (!member || left <= 0) return;
+      const got = await this.askOne(member, Math.min(left, this.bounds.listEvery / 2));
       if (got !== 'read') this.turn++;
       if (got !== 'silent') return;
     }
   }
 
-  private async askOne(mate: Mate, within: number): Promise<'read' | 'unread' | 'silent'> {
+  private async askOne(member: Member, within: number): Promise<'read' | 'unread' | 'silent'> {
     const askedAt = this.clock.now();
     try {
-      const reply = ListReply.parse(await this.circuits.call(mate.addr, 'control/list', {}, { within }));
-      if (!reply.told) {
+      const reply = ListReply.parse(await this.transport.call(member.addr, 'control/list', {}, { within }));
+      if (!reply.reported) {
         if (this.used === 'unknown') this.used = 'no';
         return 'read';
       }
-      this.take(reply, reply.told, askedAt);
-      return reply.told.age === reply.told.readAge ? 'read' : 'unread';
+      this.take(reply, reply.reported, askedAt);
+      return reply.reported.age === reply.reported.readAge ? 'read' : 'unread';
     } catch (e) {
-      this.log.debug(`${mate.addr} tells no server list: ${mishapOf(e).message}.`);
+      this.log.debug(`${member.addr} tells no server list: ${toRpcError(e).message}.`);
       return 'silent';
     }
   }
 
-  private take(reply: ListReply, told: ListTold, askedAt: number): void {
+  private take(reply: ListReply, reported: ListReport, askedAt: number): void {
     this.used = 'yes';
-    this.left = new Set([...this.left, ...reply.leaving]);
-    if (told.readAge !== null && askedAt - told.readAge > this.ownRead) {
-      this.ownRead = askedAt - told.readAge;
-      this.listed = new Set([...reply.open, ...reply.leaving]);
+    this.left = new Set([...this.left, ...reply.draining]);
+    if (reported.readAge !== null && askedAt - reported.readAge > this.ownRead) {
+      this.ownRead = askedAt - reported.readAge;
+      this.listed = new Set([...reply.open, ...reply.draining]);
     }
-    if (told.age !== null) this.triedAt = Math.max(this.triedAt, askedAt - told.age);
+    if (reported.age !== null) this.triedAt = Math.max(this.triedAt, askedAt - reported.age);
   }
 }
--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-import { AgentEnv, runDaemon } from '@tillerstair/env';
+import { AgentSettings, runDaemon } from '@tillerstair/settings';
 import { startAgent } from './start.js';
 
 void runDaemon({
   name: 'front-agent',
   about: 'Keeps the control link of the front-proxy beside it and feeds it over loopback.',
-  schema: AgentEnv,
+  schema: AgentSettings,
   flags: [
     ['addr', 'Own address, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
@@ -16,5 +16,5 @@
     ['seeds', 'Three addresses, comma-separated'],
     ['log', 'debug, info, warn or error'],
   ],
-  start: (env) => startAgent(env),
+  start: (settings) => startAgent(settings),
 });
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,30 +1,30 @@
-import { closeHttp, servePages, stderrLog, type AgentEnv, type Running } from '@tillerstair/env';
-import { beliefOf } from '@tillerstair/state';
-import { hostClock, sendJson, TcpCircuits } from '@tillerstair/wire';
+import { closeHttp, servePages, stderrLog, type AgentSettings, type Running } from '@tillerstair/settings';
+import { nodeViewOf } from '@tillerstair/state';
+import { hostClock, sendJson, TcpTransport } from '@tillerstair/wire';
 import { reloadableBounds } from '@tillerstair/zen';
 import { Agent } from './agent.js';
 
-export const startAgent = async (env: AgentEnv): Promise<Running<AgentEnv>> => {
-  const log = stderrLog('agent', env.log);
-  const { bounds, replace } = reloadableBounds(env.bounds);
+export const startAgent = async (settings: AgentSettings): Promise<Running<AgentSettings>> => {
+  const log = stderrLog('agent', settings.log);
+  const { bounds, replace } = reloadableBounds(settings.bounds);
   const agent = new Agent({
-    ...env,
+    ...settings,
     clock: hostClock,
-    circuits: new TcpCircuits(env.addr, env.listen),
-    loop: new TcpCircuits(env.addr),
+    transport: new TcpTransport(settings.addr, settings.listen),
+    loop: new TcpTransport(settings.addr),
     bounds,
     log,
   });
   await agent.start();
-  const http = await servePages(env.http, () => agent.readiness(), async (_req, res, url) => {
+  const http = await servePages(settings.http, () => agent.readiness(), async (_req, res, url) => {
     const zen = agent.node;
-    if (url.pathname === '/v1/belief') {
-      const b = beliefOf(zen ? env.addr : '', 'agent', zen?.term ?? 0, zen?.masterSeen?.id ?? '', zen?.applied);
+    if (url.pathname === '/v1/view') {
+      const b = nodeViewOf(zen ? settings.addr : '', 'agent', zen?.term ?? 0, zen?.masterSeen?.id ?? '', zen?.applied);
       return sendJson(res, 200, b);
     }
-    sendJson(res, 404, { ran: 'no', mishap: 'no-such-page' });
+    sendJson(res, 404, { executed: 'no', errorCode: 'no-such-page' });
   });
-  log.info(`Serving at ${env.addr}, feeding ${env.proxy}.`);
+  log.info(`Serving at ${settings.addr}, feeding ${settings.proxy}.`);
   return {
     reload: (next) => {
       replace(next.bounds);
--- a/packages/checker/src/config-history.ts
+++ b/packages/checker/src/config-history.ts
@@ -1,4 +1,4 @@
-import type { RuleVerdict } from './verdicts.js';
+import type { RuleResult } from './results.js';
 
 /**
  * Checks the operators' calls on the configuration for linearizability against a versioned compare-and-set register.
@@ -23,7 +23,7 @@
   readonly what:
     | { readonly kind: 'read' }
     /** `content` is undefined where the caller does not know what its change makes. */
-    | { readonly kind: 'change'; readonly order: string; readonly base: number; readonly version: number; readonly content: string | undefined };
+    | { readonly kind: 'change'; readonly changeId: string; readonly base: number; readonly version: number; readonly content: string | undefined };
   readonly calledAt: number;
   readonly answeredAt: number;
   readonly answer: ConfigAnswer;
@@ -39,11 +39,11 @@
 
 const empty: Register = { version: 0, content: '', taken: new Set() };
 
-const orderOf = (c: ConfigCall): string | undefined => (c.what.kind === 'change' ? c.what.order : undefined);
+const changeIdOf = (c: ConfigCall): string | undefined => (c.what.kind === 'change' ? c.what.changeId : undefined);
 
 const mustHappen = (c: ConfigCall): boolean => c.answer.kind !== 'unclear';
 
-const after = (r: Register, c: Change): Register => ({ version: c.version, content: c.content, taken: new Set(r.taken).add(c.order) });
+const after = (r: Register, c: Change): Register => ({ version: c.version, content: c.content, taken: new Set(r.taken).add(c.changeId) });
 
 /** Whether a call that alters nothing could have had its answer at this state. */
 const fits = (r: Register, c: ConfigCall): boolean => {
@@ -51,17 +51,17 @@
     if (c.answer.kind !== 'value' || c.answer.version !== r.version) return false;
     return r.content === undefined || c.answer.content === r.content;
   }
-  if (r.taken.has(c.what.order)) return c.answer.kind === 'taken';
+  if (r.taken.has(c.what.changeId)) return c.answer.kind === 'taken';
   return c.answer.kind === 'refused' && c.what.base !== r.version;
 };
 
 /** Whether a call may change the state from this one. */
 const applies = (r: Register, c: ConfigCall): c is ConfigCall & { readonly what: Change } =>
-  c.what.kind === 'change' && c.answer.kind !== 'refused' && c.what.base === r.version && !r.taken.has(c.what.order);
+  c.what.kind === 'change' && c.answer.kind !== 'refused' && c.what.base === r.version && !r.taken.has(c.what.changeId);
 
 /** Whether a call without a clear answer may still alter something; versions only go up. */
 const mayStillApply = (r: Register, c: ConfigCall): boolean =>
-  c.what.kind === 'change' && c.what.base >= r.version && !r.taken.has(c.what.order);
+  c.what.kind === 'change' && c.what.base >= r.version && !r.taken.has(c.what.changeId);
 
 /** The latest moment by which one of the calls that must happen has to have taken effect. */
 const deadlineOf = (pending: readonly ConfigCall[]): number => Math.min(...pending.filter(mustHappen).map((c) => c.answeredAt));
@@ -81,13 +81,13 @@
 };
 
 const keyOf = (r: Register, pending: readonly (readonly [ConfigCall, number])[]): string => {
-  const orders = new Set(pending.flatMap(([c]) => orderOf(c) ?? []));
+  const orders = new Set(pending.flatMap(([c]) => changeIdOf(c) ?? []));
   const taken = [...r.taken].filter((o) => orders.has(o)).sort();
   return [r.version, r.content ?? '', pending.map(([, n]) => n).join(','), ...taken].join('|');
 };
 
-const tell = (c: ConfigCall): string => {
-  const what = c.what.kind === 'read' ? 'a read' : `change ${c.what.order} of ${c.what.base} to ${c.what.version}`;
+const listReport = (c: ConfigCall): string => {
+  const what = c.what.kind === 'read' ? 'a read' : `change ${c.what.changeId} of ${c.what.base} to ${c.what.version}`;
   const answer = c.answer.kind === 'value' ? `version ${c.answer.version}` : c.answer.kind;
   return `${what} from ${c.calledAt.toFixed(0)} to ${c.answeredAt.toFixed(0)} got ${answer}`;
 };
@@ -125,9 +125,9 @@
 };
 
 /** The rule that the calls of all operators together are as if each had taken effect at one moment. */
-export const configHistory = (calls: readonly ConfigCall[]): RuleVerdict => {
+export const configHistory = (calls: readonly ConfigCall[]): RuleResult => {
   const counted = calls.filter((c) => c.answer.kind !== 'no-effect' && (c.what.kind === 'change' || c.answer.kind === 'value'));
   const stuck = stuckAt([...counted].sort((a, b) => a.calledAt - b.calledAt));
-  const breaches = stuck.length === 0 ? [] : [`no order of events explains: ${stuck.slice(0, 4).map(tell).join('; ')}`];
+  const breaches = stuck.length === 0 ? [] : [`no order of events explains: ${stuck.slice(0, 4).map(listReport).join('; ')}`];
   return { rule: "the operators' calls are as if each took effect at one moment", checked: counted.filter(mustHappen).length, breaches };
 };
--- a/packages/checker/src/index.ts
+++ b/packages/checker/src/index.ts
@@ -1,5 +1,5 @@
 export * from './records.js';
 export * from './rules.js';
-export * from './verdicts.js';
+export * from './results.js';
 export * from './pass-rules.js';
 export * from './config-history.js';
--- a/packages/checker/src/pass-rules.ts
+++ b/packages/checker/src/pass-rules.ts
@@ -1,7 +1,7 @@
-import type { PassRecord, RanRecord, Records } from './records.js';
-import { group, type RuleVerdict, type Slack } from './verdicts.js';
+import type { PassRecord, ExecutionRecord, Records } from './records.js';
+import { group, type RuleResult, type Slack } from './results.js';
 
-const runsOf = (r: Records): readonly RanRecord[] => r.ran.filter((x) => x.kind === 'pass');
+const runsOf = (r: Records): readonly ExecutionRecord[] => r.executed.filter((x) => x.kind === 'pass');
 const mayRepeat = (p: PassRecord): boolean => p.manner === 'repeatable' || (p.manner === 'stream' && p.resumable);
 
 /** The whole events of an answer: id and data, in order. */
@@ -14,46 +14,46 @@
 
 export const outputOf = (body: string): string => eventsOf(body).map((e) => `${e.data}\n`).join('');
 
-const once = (r: Records): RuleVerdict => {
+const once = (r: Records): RuleResult => {
   const byAttempt = group(runsOf(r), (x) => x.attempt);
   const breaches: string[] = [];
   const bare = r.passes.filter((p) => !mayRepeat(p));
   for (const p of bare) if ((byAttempt.get(p.attempt) ?? []).length > 1) breaches.push(`try ${p.attempt} on ${p.path} ran more than once`);
   const keyed = group(runsOf(r).filter((x) => x.key !== ''), (x) => x.key);
-  for (const [key, runs] of keyed) if (runs.length > 1) breaches.push(`key ${key} of a pass lane ran ${runs.length} times`);
+  for (const [key, runs] of keyed) if (runs.length > 1) breaches.push(`key ${key} of a pass route ran ${runs.length} times`);
   return { rule: 'no pass that may not be repeated runs twice', checked: bare.filter((p) => byAttempt.has(p.attempt)).length, breaches };
 };
 
-const refused = (r: Records): RuleVerdict => {
-  const ran = new Set(runsOf(r).map((x) => x.attempt));
-  const rows = r.passes.filter((p) => p.told === 'refused' && !(p.manner === 'repeatable'));
-  const breaches = rows.filter((p) => ran.has(p.attempt)).map((p) => `try ${p.attempt} on ${p.path} was told refused (${p.mishap}) and ran`);
-  return { rule: 'what was told refused on a pass lane has not run', checked: rows.length, breaches };
+const refused = (r: Records): RuleResult => {
+  const executed = new Set(runsOf(r).map((x) => x.attempt));
+  const rows = r.passes.filter((p) => p.reported === 'refused' && !(p.manner === 'repeatable'));
+  const breaches = rows.filter((p) => executed.has(p.attempt)).map((p) => `try ${p.attempt} on ${p.path} was told refused (${p.errorCode}) and ran`);
+  return { rule: 'what was told refused on a pass route has not run', checked: rows.length, breaches };
 };
 
-const known = (r: Records): RuleVerdict => {
+const known = (r: Records): RuleResult => {
   const tries = new Map(r.passes.map((p) => [p.attempt, p]));
   const breaches = runsOf(r).filter((x) => !tries.has(x.attempt)).map((x) => `server ${x.server} ran try ${x.attempt}, which nobody sent`);
   return { rule: 'no pass runs that nobody sent', checked: runsOf(r).length, breaches };
 };
 
-const whole = (r: Records): RuleVerdict => {
+const whole = (r: Records): RuleResult => {
   const byAttempt = group(runsOf(r), (x) => x.attempt);
   const byKey = group(runsOf(r).filter((x) => x.key !== ''), (x) => x.key);
   const breaches: string[] = [];
-  const done = r.passes.filter((p) => p.told === 'done');
+  const done = r.passes.filter((p) => p.reported === 'done');
   for (const p of done) {
     const runs = (p.key !== '' ? byKey.get(p.key) : byAttempt.get(p.attempt)) ?? [];
     const bytes = runs.some((x) => x.complete && x.reply === p.body);
     const joined = p.manner === 'stream' && p.resumable && runs.some((x) => x.complete && p.body.endsWith(x.reply));
     if (!bytes && !joined) breaches.push(`try ${p.attempt} on ${p.path} got an answer no server gave`);
   }
-  for (const [key, told] of group(done.filter((p) => p.key !== ''), (p) => p.key))
-    if (new Set(told.map((p) => p.body)).size > 1) breaches.push(`key ${key} got two answers`);
+  for (const [key, reported] of group(done.filter((p) => p.key !== ''), (p) => p.key))
+    if (new Set(reported.map((p) => p.body)).size > 1) breaches.push(`key ${key} got two answers`);
   return { rule: 'a pass told done has its server\'s bytes', checked: done.length, breaches };
 };
 
-const streams = (r: Records): RuleVerdict => {
+const streams = (r: Records): RuleResult => {
   const byAttempt = group(runsOf(r), (x) => x.attempt);
   const rows = r.passes.filter((p) => p.manner === 'stream' && p.body !== '');
   const breaches: string[] = [];
@@ -65,10 +65,10 @@
     if (!p.resumable && !made.some((reply) => reply.startsWith(p.body))) breaches.push(`try ${p.attempt} is stitched`);
     if (p.body.split('\n\n').some((e) => e !== '' && !made.some((reply) => reply.includes(`${e}\n\n`)))) breaches.push(`try ${p.attempt} has an event no server made`);
   }
-  return { rule: 'no stream on a pass lane skips, repeats or tears', checked: rows.length, breaches };
+  return { rule: 'no stream on a pass route skips, repeats or tears', checked: rows.length, breaches };
 };
 
-const chains = (r: Records): RuleVerdict => {
+const chains = (r: Records): RuleResult => {
   const tries = new Map(r.passes.map((p) => [p.attempt, p]));
   const breaches: string[] = [];
   let checked = 0;
@@ -77,7 +77,7 @@
     if (!p) continue;
     let want = p.input;
     let at = p.after;
-    for (let up = tries.get(at); up?.told === 'done'; up = tries.get(at)) {
+    for (let up = tries.get(at); up?.reported === 'done'; up = tries.get(at)) {
       want = up.input + outputOf(up.body) + want;
       at = up.after;
     }
@@ -91,7 +91,7 @@
   return { rule: 'a pass runs with its body byte for byte, its chain before it', checked, breaches };
 };
 
-const budgets = (r: Records): RuleVerdict => {
+const budgets = (r: Records): RuleResult => {
   const breaches: string[] = [];
   let checked = 0;
   const turns = r.passes.filter((p) => p.manner === 'stream' && p.program !== '');
@@ -104,19 +104,19 @@
     if (got > budget / 2) checked++;
     if (got > budget + most) breaches.push(`callers received ${got} tokens of program ${program}, which has ${budget}`);
   }
-  return { rule: 'no program on pass lanes hands out more than its budget and one turn', checked, breaches };
+  return { rule: 'no program on pass routes hands out more than its budget and one turn', checked, breaches };
 };
 
-const history = (r: Records, s: Slack): RuleVerdict => {
+const history = (r: Records, s: Slack): RuleResult => {
   const tries = new Map(r.passes.map((p) => [p.attempt, p]));
   const rows = r.passes.filter((p) => {
     const up = tries.get(p.after);
-    return up?.told === 'done' && up.to < p.from && p.to - up.to <= s.historyMs;
+    return up?.reported === 'done' && up.to < p.from && p.to - up.to <= s.historyMs;
   });
-  const breaches = rows.filter((p) => p.status === 404 || p.status === 410).map((p) => `turn ${p.after} was told ${p.status} ${p.mishap} to try ${p.attempt}`);
-  return { rule: 'a turn of a pass lane answered whole is not reported missing', checked: rows.length, breaches };
+  const breaches = rows.filter((p) => p.status === 404 || p.status === 410).map((p) => `turn ${p.after} was told ${p.status} ${p.errorCode} to try ${p.attempt}`);
+  return { rule: 'a turn of a pass route answered whole is not reported missing', checked: rows.length, breaches };
 };
 
-export const passRules = (r: Records, s: Slack): readonly RuleVerdict[] => [
+export const passRules = (r: Records, s: Slack): readonly RuleResult[] => [
   once(r), refused(r), known(r), whole(r), streams(r), chains(r), budgets(r), history(r, s),
 ];
--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -1,6 +1,6 @@
 import type { ConfigCall } from './config-history.js';
 
-export interface ToldRecord {
+export interface ReplyRecord {
   readonly kind: 'program' | 'turn' | 'fetch' | 'call';
   readonly tenant: string;
   readonly program: string;
@@ -10,16 +10,16 @@
   readonly after: string;
   readonly from: number;
   readonly to: number;
-  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
-  readonly mishap: string;
-  readonly pieces: readonly number[];
+  readonly reported: 'done' | 'refused' | 'unknown' | 'partial';
+  readonly errorCode: string;
+  readonly chunks: readonly number[];
   readonly text: string;
   readonly tokens: number;
   readonly sent: string;
   readonly retryAfter: number;
 }
 
-/** A request on a pass lane as its caller knows it; `body` and `input` hold one byte a character. */
+/** A request on a pass route as its caller knows it; `body` and `input` hold one byte a character. */
 export interface PassRecord {
   readonly manner: 'repeatable' | 'once' | 'keyed' | 'stream';
   readonly path: string;
@@ -33,14 +33,14 @@
   readonly input: string;
   readonly from: number;
   readonly to: number;
-  readonly told: 'done' | 'refused' | 'unknown' | 'partial';
+  readonly reported: 'done' | 'refused' | 'unknown' | 'partial';
   readonly status: number;
-  readonly mishap: string;
+  readonly errorCode: string;
   readonly retryAfter: number;
   readonly body: string;
 }
 
-export interface RanRecord {
+export interface ExecutionRecord {
   readonly kind: 'generate' | 'act' | 'pass';
   readonly server: string;
   readonly pool: string;
@@ -61,18 +61,18 @@
   readonly turnPools: readonly string[];
   readonly callPools: readonly string[];
   readonly sentAt: number;
-  readonly told: 'done' | 'refused' | 'unknown';
-  readonly toldAt: number;
+  readonly reported: 'done' | 'refused' | 'unknown';
+  readonly reportedAt: number;
 }
 
-export interface LeavingRecord {
+export interface DrainingRecord {
   readonly server: string;
   readonly at: number;
   readonly until: number;
 }
 
 export interface SharesRecord {
-  readonly kind: RanRecord['kind'];
+  readonly kind: ExecutionRecord['kind'];
   readonly from: number;
   readonly to: number;
   readonly shares: readonly (readonly [string, number])[];
@@ -88,12 +88,12 @@
 }
 
 export interface Records {
-  readonly told: readonly ToldRecord[];
-  readonly ran: readonly RanRecord[];
+  readonly reported: readonly ReplyRecord[];
+  readonly executed: readonly ExecutionRecord[];
   readonly passes: readonly PassRecord[];
   readonly configs: readonly ConfigRecord[];
   readonly configCalls: readonly ConfigCall[];
-  readonly leavings: readonly LeavingRecord[];
+  readonly drainings: readonly DrainingRecord[];
   readonly shares: readonly SharesRecord[];
   readonly restarts: readonly RestartRecord[];
   readonly readBack: { readonly version: number; readonly text: string } | undefined;
@@ -101,5 +101,5 @@
 }
 
 export const noRecords: Records = {
-  told: [], ran: [], passes: [], configs: [], configCalls: [], leavings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
+  reported: [], executed: [], passes: [], configs: [], configCalls: [], drainings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
 };
--- a/packages/checker/src/verdicts.ts
+++ b/packages/checker/src/results.ts
@@ -1,18 +1,18 @@
-export interface RuleVerdict {
+export interface RuleResult {
   readonly rule: string;
   readonly checked: number;
   readonly breaches: readonly string[];
 }
 
 export interface Slack {
-  readonly leavingMs: number;
+  readonly drainingMs: number;
   readonly inForceMs: number;
   readonly serveMs: number;
   readonly historyMs: number;
   readonly keyMs: number;
 }
 
-export const slack: Slack = { leavingMs: 3300, inForceMs: 2200, serveMs: 12500, historyMs: 60000, keyMs: 60000 };
+export const slack: Slack = { drainingMs: 3300, inForceMs: 2200, serveMs: 12500, historyMs: 60000, keyMs: 60000 };
 
 export const group = <T>(rows: readonly T[], key: (t: T) => string): ReadonlyMap<string, readonly T[]> => {
   const out = new Map<string, T[]>();
--- a/packages/checker/src/rules.ts
+++ b/packages/checker/src/rules.ts
@@ -1,28 +1,28 @@
 import { configHistory } from './config-history.js';
 import { passRules } from './pass-rules.js';
-import type { ConfigRecord, RanRecord, Records, ToldRecord } from './records.js';
-import { group, slack, type RuleVerdict, type Slack } from './verdicts.js';
+import type { ConfigRecord, ExecutionRecord, Records, ReplyRecord } from './records.js';
+import { group, slack, type RuleResult, type Slack } from './results.js';
 
 export const operationOf = (tenant: string, key: string): string => `${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
-const opOf = (t: ToldRecord): string => operationOf(t.tenant, t.key);
-const actsOf = (r: Records): ReadonlyMap<string, readonly RanRecord[]> => group(r.ran.filter((x) => x.kind === 'act' && x.key !== ''), (x) => x.key);
+const opOf = (t: ReplyRecord): string => operationOf(t.tenant, t.key);
+const actsOf = (r: Records): ReadonlyMap<string, readonly ExecutionRecord[]> => group(r.executed.filter((x) => x.kind === 'act' && x.key !== ''), (x) => x.key);
 
-const once = (r: Records): RuleVerdict => {
+const once = (r: Records): RuleResult => {
   const acts = actsOf(r);
-  const breaches = [...acts].filter(([, rows]) => rows.length > 1).map(([k, rows]) => `operation ${k} ran ${rows.length} times`);
+  const breaches = [...acts].filter(([, rows]) => rows.length > 1).map(([k, rows]) => `operation ${k} executed ${rows.length} times`);
   return { rule: 'no acting operation runs twice', checked: acts.size, breaches };
 };
 
-const sameKey = (r: Records, s: Slack): RuleVerdict => {
+const sameKey = (r: Records, s: Slack): RuleResult => {
   const acts = actsOf(r);
   let checked = 0;
   const breaches: string[] = [];
-  for (const [key, rows] of group(r.told.filter((t) => t.kind === 'call' && t.key !== ''), opOf)) {
+  for (const [key, rows] of group(r.reported.filter((t) => t.kind === 'call' && t.key !== ''), opOf)) {
     if (rows.length < 2) continue;
-    const ran = [...(acts.get(key) ?? [])].sort((a, b) => a.at - b.at);
-    if (ran.length > 0) checked++;
-    for (let i = 1; i < ran.length; i++)
-      if ((ran[i]?.at ?? 0) - (ran[i - 1]?.at ?? 0) <= s.keyMs) breaches.push(`two tries of ${key} both ran`);
+    const executed = [...(acts.get(key) ?? [])].sort((a, b) => a.at - b.at);
+    if (executed.length > 0) checked++;
+    for (let i = 1; i < executed.length; i++)
+      if ((executed[i]?.at ?? 0) - (executed[i - 1]?.at ?? 0) <= s.keyMs) breaches.push(`two tries of ${key} both ran`);
   }
   return { rule: 'two tries with one key do not both run within a minute', checked, breaches };
 };
@@ -30,20 +30,20 @@
 const endsWith = (said: string, sent: string): boolean => said !== '' && sent.endsWith(said);
 const runKey = (program: string, said: string): string => `${program}\n${said.slice(-60)}`;
 
-const turnRuns = (r: Records): ReadonlyMap<string, readonly RanRecord[]> =>
-  group(r.ran.filter((x) => x.kind === 'generate'), (x) => runKey(x.program, x.said));
+const turnRuns = (r: Records): ReadonlyMap<string, readonly ExecutionRecord[]> =>
+  group(r.executed.filter((x) => x.kind === 'generate'), (x) => runKey(x.program, x.said));
 
-const refusedRan = (r: Records): RuleVerdict => {
-  const refused = new Set(r.told.filter((t) => t.told === 'refused' && t.attempt !== '').map((t) => t.attempt));
-  const breaches = r.ran.filter((x) => refused.has(x.attempt)).map((x) => `${x.kind} of try ${x.attempt} was told refused and ran`);
+const refusedExecuted = (r: Records): RuleResult => {
+  const refused = new Set(r.reported.filter((t) => t.reported === 'refused' && t.attempt !== '').map((t) => t.attempt));
+  const breaches = r.executed.filter((x) => refused.has(x.attempt)).map((x) => `${x.kind} of try ${x.attempt} was told refused and ran`);
   return { rule: 'what was told refused has not run', checked: refused.size, breaches };
 };
 
-const trueAnswers = (r: Records): RuleVerdict => {
+const trueAnswers = (r: Records): RuleResult => {
   const breaches: string[] = [];
   const runs = turnRuns(r);
   const acts = actsOf(r);
-  const done = r.told.filter((t) => t.told === 'done' && (t.kind === 'turn' || (t.kind === 'call' && t.key !== '')));
+  const done = r.reported.filter((t) => t.reported === 'done' && (t.kind === 'turn' || (t.kind === 'call' && t.key !== '')));
   for (const t of done) {
     if (t.kind === 'turn') {
       const mine = (runs.get(runKey(t.program, t.sent)) ?? []).filter((x) => endsWith(x.said, t.sent));
@@ -53,8 +53,8 @@
       if (key !== opOf(t) || !(acts.get(key) ?? []).some((x) => x.server === by)) breaches.push(`call ${opOf(t)} got an answer no server gave it`);
     }
   }
-  const texts = new Map(r.told.filter((t) => t.kind === 'turn' && t.told === 'done').map((t) => [`${t.program} ${t.turn}`, t.text]));
-  for (const t of r.told.filter((x) => x.kind === 'fetch' && x.told === 'done')) {
+  const texts = new Map(r.reported.filter((t) => t.kind === 'turn' && t.reported === 'done').map((t) => [`${t.program} ${t.turn}`, t.text]));
+  for (const t of r.reported.filter((x) => x.kind === 'fetch' && x.reported === 'done')) {
     const text = texts.get(`${t.program} ${t.turn}`);
     if (text !== undefined && text !== t.text) breaches.push(`turn ${t.program} ${t.turn} was fetched with another text`);
   }
@@ -63,19 +63,19 @@
 
 const root = (program: string): string => program.split('~')[0] ?? program;
 
-const budgets = (r: Records): RuleVerdict => {
+const budgets = (r: Records): RuleResult => {
   const breaches: string[] = [];
   const granted = new Map<string, number>();
-  for (const t of r.told) if (t.kind === 'program' && t.told === 'done' && t.program === root(t.program)) granted.set(t.program, Number(t.sent));
+  for (const t of r.reported) if (t.kind === 'program' && t.reported === 'done' && t.program === root(t.program)) granted.set(t.program, Number(t.sent));
   const handed = new Map<string, Map<string, number>>();
-  for (const t of r.told.filter((x) => x.kind === 'turn')) {
+  for (const t of r.reported.filter((x) => x.kind === 'turn')) {
     const of = handed.get(root(t.program)) ?? new Map<string, number>();
     const key = `${t.program} ${t.key}`;
-    of.set(key, Math.max(of.get(key) ?? 0, t.pieces.length));
+    of.set(key, Math.max(of.get(key) ?? 0, t.chunks.length));
     handed.set(root(t.program), of);
   }
   const made = new Map<string, number>();
-  for (const x of r.ran.filter((y) => y.kind === 'generate')) made.set(root(x.program), (made.get(root(x.program)) ?? 0) + x.tokens);
+  for (const x of r.executed.filter((y) => y.kind === 'generate')) made.set(root(x.program), (made.get(root(x.program)) ?? 0) + x.tokens);
   for (const [program, budget] of granted) {
     const sum = [...(handed.get(program)?.values() ?? [])].reduce((a, b) => a + b, 0);
     if (sum > budget + r.perTurn) breaches.push(`program ${program} handed out ${sum} of ${budget}`);
@@ -85,25 +85,25 @@
   return { rule: 'no program hands out more than its budget and one turn', checked, breaches };
 };
 
-const history = (r: Records, s: Slack): RuleVerdict => {
+const history = (r: Records, s: Slack): RuleResult => {
   const breaches: string[] = [];
   const seen = new Map<string, number>();
   const touch = (id: string, at: number): void => {
     seen.set(id, Math.max(seen.get(id) ?? -Infinity, at));
   };
-  const sorted = [...r.told].sort((a, b) => a.to - b.to);
+  const sorted = [...r.reported].sort((a, b) => a.to - b.to);
   let checked = 0;
-  const judge = (t: ToldRecord, id: string, words: readonly string[], what: string): void => {
+  const judge = (t: ReplyRecord, id: string, words: readonly string[], what: string): void => {
     const at = seen.get(id);
     if (at === undefined || t.from < at || t.to - at > s.historyMs) return;
     checked++;
-    if (words.includes(t.mishap)) breaches.push(`${what} was reported missing ${t.to - at} ms after it ended`);
+    if (words.includes(t.errorCode)) breaches.push(`${what} was reported missing ${t.to - at} ms after it ended`);
   };
   for (const t of sorted) {
     if (t.kind === 'fetch' && t.turn !== '') judge(t, `${t.program} ${t.turn}`, ['missing'], `turn ${t.program} ${t.turn}`);
     if (t.kind === 'turn') judge(t, t.program, ['missing'], `program ${t.program}`);
     if (t.kind === 'turn' && t.after !== '') judge(t, `${t.program} ${t.after}`, ['missing', 'missing-turn'], `turn ${t.program} ${t.after}, followed by another,`);
-    if (t.told !== 'done') continue;
+    if (t.reported !== 'done') continue;
     if (t.kind === 'program') touch(t.program, t.to);
     if (t.kind === 'turn') touch(t.program, t.to);
     if (t.kind === 'turn' && !seen.has(`${t.program} ${t.turn}`)) touch(`${t.program} ${t.turn}`, t.to);
@@ -111,37 +111,37 @@
   return { rule: 'finished history is not reported missing', checked, breaches };
 };
 
-const streams = (r: Records): RuleVerdict => {
-  const turns = r.told.filter((t) => t.kind === 'turn' && t.pieces.length > 0);
+const streams = (r: Records): RuleResult => {
+  const turns = r.reported.filter((t) => t.kind === 'turn' && t.chunks.length > 0);
   const breaches: string[] = [];
   const runs = turnRuns(r);
   for (const t of turns) {
-    if (t.pieces.some((n, i) => n !== i)) breaches.push(`turn ${t.program} ${t.key} has pieces ${t.pieces.join(',')}`);
+    if (t.chunks.some((n, i) => n !== i)) breaches.push(`turn ${t.program} ${t.key} has chunks ${t.chunks.join(',')}`);
     const mine = runs.get(runKey(t.program, t.sent)) ?? [];
     if (!mine.some((x) => x.reply.startsWith(t.text))) breaches.push(`turn ${t.program} ${t.key} is stitched`);
   }
   return { rule: 'no stream skips, repeats or stitches', checked: turns.length, breaches };
 };
 
-const leaving = (r: Records, s: Slack): RuleVerdict => {
+const draining = (r: Records, s: Slack): RuleResult => {
   const breaches: string[] = [];
   let checked = 0;
-  const poolOf = new Map(r.ran.map((x) => [x.server, x.pool]));
-  for (const l of r.leavings)
-    for (const x of r.ran) {
-      if (x.began <= l.at + s.leavingMs || x.began >= l.until) continue;
+  const poolOf = new Map(r.executed.map((x) => [x.server, x.pool]));
+  for (const l of r.drainings)
+    for (const x of r.executed) {
+      if (x.began <= l.at + s.drainingMs || x.began >= l.until) continue;
       if (x.server === l.server) breaches.push(`server ${l.server} got work ${x.began - l.at} ms after its mark`);
       else if (x.pool === poolOf.get(l.server)) checked++;
     }
-  return { rule: 'a leaving server gets nothing new after 3 s', checked, breaches };
+  return { rule: 'a draining server gets nothing new after 3 s', checked, breaches };
 };
 
-const shares = (r: Records): RuleVerdict => {
+const shares = (r: Records): RuleResult => {
   const breaches: string[] = [];
   let checked = 0;
   for (const w of r.shares) {
     const total = w.shares.reduce((n, [, share]) => n + share, 0);
-    const mine = r.ran.filter((x) => x.kind === w.kind && x.began >= w.from && x.began < w.to);
+    const mine = r.executed.filter((x) => x.kind === w.kind && x.began >= w.from && x.began < w.to);
     for (const [pool, share] of w.shares) {
       const got = mine.filter((x) => x.pool === pool).length;
       const want = (mine.length * share) / total;
@@ -152,37 +152,37 @@
   return { rule: 'work is split by the shares the operator gave', checked, breaches };
 };
 
-const poolsOf = (c: ConfigRecord, kind: RanRecord['kind']): readonly string[] =>
+const poolsOf = (c: ConfigRecord, kind: ExecutionRecord['kind']): readonly string[] =>
   kind === 'pass' ? [...c.turnPools, ...c.callPools] : kind === 'generate' ? c.turnPools : c.callPools;
 
-const inForce = (r: Records, s: Slack): RuleVerdict => {
-  const acked = r.configs.filter((c) => c.told === 'done').sort((a, b) => a.version - b.version);
+const inForce = (r: Records, s: Slack): RuleResult => {
+  const acked = r.configs.filter((c) => c.reported === 'done').sort((a, b) => a.version - b.version);
   const breaches: string[] = [];
   let checked = 0;
-  for (const x of r.ran) {
-    const floor = acked.filter((c) => c.toldAt + s.inForceMs < x.began).at(-1);
+  for (const x of r.executed) {
+    const floor = acked.filter((c) => c.reportedAt + s.inForceMs < x.began).at(-1);
     if (!floor) continue;
-    const older = r.configs.filter((c) => c.version < floor.version && c.told !== 'refused');
+    const older = r.configs.filter((c) => c.version < floor.version && c.reported !== 'refused');
     if (older.some((c) => poolsOf(c, x.kind).some((p) => !poolsOf(floor, x.kind).includes(p)))) checked++;
-    const may = r.configs.filter((c) => c.told !== 'refused' && c.version >= floor.version && c.sentAt <= x.began);
+    const may = r.configs.filter((c) => c.reported !== 'refused' && c.version >= floor.version && c.sentAt <= x.began);
     if (!may.some((c) => poolsOf(c, x.kind).includes(x.pool))) breaches.push(`${x.kind} ran in pool ${x.pool} though version ${floor.version} was in force`);
   }
   return { rule: 'an acknowledged configuration is in force and stays', checked, breaches };
 };
 
-const allowed = (r: Records): RuleVerdict => {
-  const real = r.configs.filter((c) => c.told !== 'refused');
-  const breaches = r.ran
+const allowed = (r: Records): RuleResult => {
+  const real = r.configs.filter((c) => c.reported !== 'refused');
+  const breaches = r.executed
     .filter((x) => !real.some((c) => c.sentAt <= x.began && poolsOf(c, x.kind).includes(x.pool)))
     .map((x) => `work ran in pool ${x.pool}`);
-  return { rule: 'no work reaches a pool never allowed', checked: r.ran.length, breaches };
+  return { rule: 'no work reaches a pool never allowed', checked: r.executed.length, breaches };
 };
 
-const readBack = (r: Records): RuleVerdict => {
-  const acked = r.configs.filter((c) => c.told === 'done').sort((a, b) => a.version - b.version).at(-1);
+const readBack = (r: Records): RuleResult => {
+  const acked = r.configs.filter((c) => c.reported === 'done').sort((a, b) => a.version - b.version).at(-1);
   if (!acked) return { rule: 'read-back gives the newest acknowledged configuration', checked: 0, breaches: [] };
   const got = r.readBack;
-  const maybe = r.configs.some((c) => c.told === 'unknown' && c.version === got?.version && c.text === got.text && c.version > acked.version);
+  const maybe = r.configs.some((c) => c.reported === 'unknown' && c.version === got?.version && c.text === got.text && c.version > acked.version);
   const ok = got !== undefined && ((got.version === acked.version && got.text === acked.text) || maybe);
   return {
     rule: 'read-back gives the newest acknowledged configuration',
@@ -191,7 +191,7 @@
   };
 };
 
-const restart = (r: Records, s: Slack): RuleVerdict => {
+const restart = (r: Records, s: Slack): RuleResult => {
   const breaches: string[] = [];
   for (const x of r.restarts) {
     if (x.servedAt - x.startedAt > s.serveMs) breaches.push(`serving was back after ${x.servedAt - x.startedAt} ms`);
@@ -200,19 +200,19 @@
   return { rule: 'after a full stop serving is back within 12 s with its configuration', checked: r.restarts.length, breaches };
 };
 
-export const checkRecords = (r: Records, s: Slack = slack): readonly RuleVerdict[] => [
-  once(r), sameKey(r, s), refusedRan(r), trueAnswers(r), budgets(r), history(r, s),
-  streams(r), leaving(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), configHistory(r.configCalls), restart(r, s), ...passRules(r, s),
+export const checkRecords = (r: Records, s: Slack = slack): readonly RuleResult[] => [
+  once(r), sameKey(r, s), refusedExecuted(r), trueAnswers(r), budgets(r), history(r, s),
+  streams(r), draining(r, s), shares(r), inForce(r, s), allowed(r), readBack(r), configHistory(r.configCalls), restart(r, s), ...passRules(r, s),
 ];
 
-export const countTold = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
+export const countReported = (reported: readonly ReplyRecord[]): ReadonlyMap<string, number> => {
   const out = new Map<string, number>();
-  for (const t of told) out.set(`${t.kind} ${t.told}`, (out.get(`${t.kind} ${t.told}`) ?? 0) + 1);
+  for (const t of reported) out.set(`${t.kind} ${t.reported}`, (out.get(`${t.kind} ${t.reported}`) ?? 0) + 1);
   return out;
 };
 
-export const countRefusals = (told: readonly ToldRecord[]): ReadonlyMap<string, number> => {
+export const countRefusals = (reported: readonly ReplyRecord[]): ReadonlyMap<string, number> => {
   const out = new Map<string, number>();
-  for (const t of told) if (t.told !== 'done') out.set(`${t.told} ${t.mishap || 'no word'}`, (out.get(`${t.told} ${t.mishap || 'no word'}`) ?? 0) + 1);
+  for (const t of reported) if (t.reported !== 'done') out.set(`${t.reported} ${t.errorCode || 'no word'}`, (out.get(`${t.reported} ${t.errorCode || 'no word'}`) ?? 0) + 1);
   return out;
 };
--- a/packages/control/src/keeper.ts
+++ b/packages/control/src/allocation-controller.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import { allot, keptOn, reduce, type State } from '@tillerstair/state';
-import { pause, type Beat, type Clock, type Log } from '@tillerstair/wire';
+import { allocate, replicasToWrite, reduce, type State } from '@tillerstair/state';
+import { pause, type TimerHandle, type Clock, type Log } from '@tillerstair/wire';
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export const FrontReport = z.object({
@@ -16,18 +16,18 @@
   readonly at: number;
 }
 
-const votersSettled = (s: State): boolean => s.voters.now.join() === s.voters.next.join();
+const votersSettled = (s: State): boolean => s.voters.current.join() === s.voters.next.join();
 
-export class Keeper {
+export class AllocationController {
   private readonly sights = new Map<string, Map<string, Sight>>();
-  private silentStores: ReadonlySet<string> = new Set();
+  private unresponsiveStores: ReadonlySet<string> = new Set();
   private fronts = new Set<string>();
   private frontJoinedAt = -Infinity;
   private stores = new Set<string>();
   private storeJoinedAt = -Infinity;
   private master: MasterView | undefined;
-  private soon: Beat | undefined;
-  private handingSince = new Map<number, number>();
+  private soon: TimerHandle | undefined;
+  private transferSince = new Map<number, number>();
   private readonly addrs = new Map<string, string>();
 
   constructor(
@@ -37,8 +37,8 @@
   ) {}
 
   readonly learn = (s: State): void => {
-    for (const m of [...s.voterMates.values(), ...s.nodes.values()]) this.addrs.set(m.id, m.addr);
-    const named = new Set([...s.voterMates.keys(), ...s.nodes.keys(), ...s.slots.flatMap(keptOn)]);
+    for (const m of [...s.votingMembers.values(), ...s.nodes.values()]) this.addrs.set(m.id, m.addr);
+    const named = new Set([...s.votingMembers.keys(), ...s.nodes.keys(), ...s.slots.flatMap(replicasToWrite)]);
     for (const id of this.addrs.keys()) if (!named.has(id)) this.addrs.delete(id);
   };
 
@@ -57,16 +57,16 @@
     const now = this.clock.now();
     if (fronts.some((id) => !this.fronts.has(id))) this.frontJoinedAt = now;
     this.fronts = new Set(fronts);
-    const served = s.slots.some((slot) => s.nodes.has(slot.steward));
-    const rest = this.frontJoinedAt + this.bounds.beat / (served ? 2 : 5) - now;
+    const served = s.slots.some((slot) => s.nodes.has(slot.owner));
+    const rest = this.frontJoinedAt + this.bounds.heartbeatInterval / (served ? 2 : 5) - now;
     if (rest > 0) {
       this.settleIn(rest);
       return s;
     }
     const moves = Math.max(1, Math.ceil(s.slots.length / 16));
     const fills = Math.max(1, Math.floor(s.slots.length / 2));
-    const lost = this.diskLost(s, [...new Set(s.slots.flatMap(keptOn))]);
-    return allot(s, { leastStores: this.leastStores(s), moves, fills, silentStores: new Set([...this.silentStores, ...lost]) });
+    const lost = this.diskLost(s, [...new Set(s.slots.flatMap(replicasToWrite))]);
+    return allocate(s, { leastStores: this.leastStores(s), moves, fills, unresponsiveStores: new Set([...this.unresponsiveStores, ...lost]) });
   }
 
   /** Slots get their first replicas once all can be placed, or a quorum of them when no further store comes. */
@@ -75,7 +75,7 @@
     const stores = [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => m.id);
     if (stores.some((id) => !this.stores.has(id))) this.storeJoinedAt = now;
     this.stores = new Set(stores);
-    return now - this.storeJoinedAt > this.bounds.silent ? s.replication.quorum : s.replication.replicas;
+    return now - this.storeJoinedAt > this.bounds.failureTimeout ? s.replication.quorum : s.replication.replicas;
   }
 
   private settleIn(ms: number): void {
@@ -106,7 +106,7 @@
 
   private onReleased(released: readonly (readonly [number, number])[]): void {
     this.master
-      ?.submit((s) => released.reduce((t, [slot, tenure]) => reduce(t, { kind: 'handed', slot, tenure }), s))
+      ?.submit((s) => released.reduce((t, [slot, ownershipEpoch]) => reduce(t, { kind: 'transferred', slot, ownershipEpoch }), s))
       .catch(() => undefined);
   }
 
@@ -114,25 +114,25 @@
     const now = this.clock.now();
     const since = new Map<number, number>();
     s.slots.forEach((slot, n) => {
-      if (slot.handTo !== '') since.set(n, this.handingSince.get(n) ?? now);
+      if (slot.transferTarget !== '') since.set(n, this.transferSince.get(n) ?? now);
     });
-    this.handingSince = since;
-    return [...since].flatMap(([n, at]) => (now - at > this.bounds.silent * 4 ? [[n, s.slots[n]?.tenure ?? -1] as const] : []));
+    this.transferSince = since;
+    return [...since].flatMap(([n, at]) => (now - at > this.bounds.failureTimeout * 4 ? [[n, s.slots[n]?.ownershipEpoch ?? -1] as const] : []));
   }
 
   async run(master: MasterView): Promise<void> {
     this.master = master;
     while (!master.lost.aborted) {
-      await pause(this.clock, this.bounds.beat / 2, master.lost);
+      await pause(this.clock, this.bounds.heartbeatInterval / 2, master.lost);
       const s = master.committed;
       if (master.lost.aborted || !s) continue;
-      this.silentStores = this.lostStores(s, master);
+      this.unresponsiveStores = this.lostStores(s, master);
       const downs = this.downs(s);
       const overdue = this.overdue(s);
       await master
         .submit((t) => {
           const marked = [...downs].reduce((u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }), t);
-          return overdue.reduce((u, [slot, tenure]) => reduce(u, { kind: 'handed', slot, tenure }), marked);
+          return overdue.reduce((u, [slot, ownershipEpoch]) => reduce(u, { kind: 'transferred', slot, ownershipEpoch }), marked);
         })
         .catch(() => undefined);
     }
@@ -144,10 +144,10 @@
    * no slot, as one does that was started in place of another.
    */
   private lostStores(s: State, master: MasterView): ReadonlySet<string> {
-    const kept = new Set(s.slots.flatMap(keptOn));
+    const kept = new Set(s.slots.flatMap(replicasToWrite));
     const standsBy = [...s.nodes.values()].some((m) => m.kind === 'store' && !kept.has(m.id) && !s.retiring.has(m.id));
     const isLost = (id: string): boolean =>
-      standsBy || this.silentStores.has(id) || master.silentFor(id) > this.bounds.replaceAfter;
+      standsBy || this.unresponsiveStores.has(id) || master.unresponsiveFor(id) > this.bounds.replaceAfter;
     return new Set([...kept].filter((id) => !s.nodes.has(id) && isLost(id)));
   }
 
@@ -159,7 +159,7 @@
       let bad = 0;
       for (const m of this.sights.values()) {
         const sight = m.get(v.id);
-        if (!sight || sight.url !== v.url || now - sight.at > this.bounds.silent) continue;
+        if (!sight || sight.url !== v.url || now - sight.at > this.bounds.failureTimeout) continue;
         if (sight.ok) good++;
         else bad++;
       }
@@ -172,12 +172,12 @@
   private replaceVoter(s: State): State {
     const { master } = this;
     if (!master || master.lost.aborted || !votersSettled(s) || (master.committed && !votersSettled(master.committed))) return s;
-    const lost = this.diskLost(s, s.voters.now);
-    const out = s.voters.now.find((id) => lost.has(id)) ?? s.voters.now.find((id) => !s.nodes.has(id));
+    const lost = this.diskLost(s, s.voters.current);
+    const out = s.voters.current.find((id) => lost.has(id)) ?? s.voters.current.find((id) => !s.nodes.has(id));
     if (out === undefined) return s;
-    const zone = s.voterMates.get(out)?.zone;
+    const zone = s.votingMembers.get(out)?.zone;
     const spare = [...s.nodes.values()]
-      .filter((m) => m.kind === 'control' && !s.voters.now.includes(m.id) && master.heard(m.id) && master.synced(m.id))
+      .filter((m) => m.kind === 'control' && !s.voters.current.includes(m.id) && master.heard(m.id) && master.synced(m.id))
       .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone) || (a.id < b.id ? -1 : 1))[0];
     if (!spare) return s;
     this.log.info(`Control ${out} is lost, ${spare.addr} takes its place.`);
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,5 @@
 export * from './operate.js';
-export * from './keeper.js';
+export * from './allocation-controller.js';
 export * from './list.js';
 export * from './node.js';
 export * from './weights.js';
--- a/packages/control/src/list.ts
+++ b/packages/control/src/list.ts
@@ -1,5 +1,5 @@
-import { listInto, type Listed, type ListReply, type ListTold } from '@tillerstair/state';
-import { isProgrammingError, mishapOf, pause, TooLate, within, type Clock, type Log } from '@tillerstair/wire';
+import { listInto, type Listed, type ListReply, type ListReport } from '@tillerstair/state';
+import { isProgrammingError, toRpcError, pause, RequestTimeoutError, within, type Clock, type Log } from '@tillerstair/wire';
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export type { Listed } from '@tillerstair/state';
@@ -16,7 +16,7 @@
 
 const ageOf = (at: number, now: number): number | null => (at === -Infinity ? null : now - at);
 
-const toldOf = (r: Omit<Reading, 'servers'>, now: number): ListTold => ({ age: ageOf(r.triedAt, now), readAge: ageOf(r.readAt, now) });
+const reportOf = (r: Omit<Reading, 'servers'>, now: number): ListReport => ({ age: ageOf(r.triedAt, now), readAge: ageOf(r.readAt, now) });
 
 export class ListReader {
   private last: Reading = { triedAt: -Infinity, readAt: -Infinity, servers: [] };
@@ -48,11 +48,11 @@
     const triedAt = this.clock.now();
     this.askedAt = triedAt;
     try {
-      const servers = await within(this.clock, this.every, this.list.read(this.every), () => new TooLate('the server list'));
+      const servers = await within(this.clock, this.every, this.list.read(this.every), () => new RequestTimeoutError('the server list'));
       this.last = { triedAt, readAt: triedAt, servers };
     } catch (e) {
       if (isProgrammingError(e)) this.log.error(`Internal error while reading the server list: ${e.message}.`);
-      else this.log.warn(`The server list cannot be read: ${mishapOf(e).message}.`);
+      else this.log.warn(`The server list cannot be read: ${toRpcError(e).message}.`);
       this.last = { ...this.last, triedAt };
     }
     return this.last;
@@ -61,8 +61,8 @@
   async reply(): Promise<ListReply> {
     const late = pause(this.clock, this.every / 4).then(() => ({ ...this.last, triedAt: this.askedAt }));
     const r = await Promise.race([this.read(), late]);
-    const ids = (leaving: boolean): readonly string[] => r.servers.filter((v) => v.leaving === leaving).map((v) => v.id);
-    return { told: toldOf(r, this.clock.now()), open: ids(false), leaving: ids(true) };
+    const ids = (draining: boolean): readonly string[] => r.servers.filter((v) => v.draining === draining).map((v) => v.id);
+    return { reported: reportOf(r, this.clock.now()), open: ids(false), draining: ids(true) };
   }
 }
 
@@ -96,7 +96,7 @@
     this.held = { triedAt: r.triedAt, readAt: read ? r.readAt : this.held.readAt };
   }
 
-  told(term: number | undefined): ListTold {
-    return term === this.term ? toldOf(this.held, this.clock.now()) : { age: null, readAge: null };
+  reported(term: number | undefined): ListReport {
+    return term === this.term ? reportOf(this.held, this.clock.now()) : { age: null, readAge: null };
   }
 }
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-import { ControlEnv, runDaemon } from '@tillerstair/env';
+import { ControlSettings, runDaemon } from '@tillerstair/settings';
 import { startControl } from './start.js';
 
 void runDaemon({
   name: 'control-node',
   about: 'Keeps the cluster state, may become master, takes the operators\' HTTP.',
-  schema: ControlEnv,
+  schema: ControlSettings,
   flags: [
     ['addr', 'Own address, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
@@ -14,8 +14,8 @@
     ['name', 'Name operators may use for this node'],
     ['seeds', 'Three addresses, comma-separated'],
     ['data', 'Data folder'],
-    ['slots', 'Number of slots, used at founding only'],
+    ['slots', 'Number of slots, used at bootstrap only'],
     ['log', 'debug, info, warn or error'],
   ],
-  start: (env) => startControl(env),
+  start: (settings) => startControl(settings),
 });
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
 import {
-  checkConfig, digestOf, keptOn, liveNodes, marginReport, orderOf, reduce, replicasWhole, takenVerdict, type ConfigRecord, type IsLive, type Mate, type State,
+  checkConfig, digestOf, replicasToWrite, liveNodes, marginReport, changeIdOf, reduce, replicasWhole, takenOutcome, type ConfigRecord, type IsLive, type Member, type State,
 } from '@tillerstair/state';
-import { Mishap, mishapOf } from '@tillerstair/wire';
+import { RpcError, toRpcError } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
 export const Operation = z.object({ method: z.string(), path: z.string(), body: z.string() });
@@ -13,11 +13,11 @@
 /** Whether an operation alters nothing, however it ends. */
 export const isRead = (o: Operation): boolean => o.method === 'GET' || o.path === '/v1/config/prepare';
 
-const no = (status: number, mishap: string, text: string, more: object = {}): Outcome => ({
+const no = (status: number, errorCode: string, text: string, more: object = {}): Outcome => ({
   status,
-  body: { ran: 'no', mishap, text, ...more },
+  body: { executed: 'no', errorCode, text, ...more },
 });
-const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { ran: 'unknown', mishap: 'unknown', text, how } });
+const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { executed: 'unknown', errorCode: 'unknown', text, how } });
 
 const jsonOf = (text: string): unknown => {
   try {
@@ -34,13 +34,13 @@
   url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, { message: 'must be http://IP:PORT' }),
 });
 
-class WrongBase extends Mishap {
+class WrongBase extends RpcError {
   constructor(readonly current: number) {
     super('wrong-base', `the configuration is at version ${current}`);
   }
 }
 
-class Forgotten extends Mishap {
+class Forgotten extends RpcError {
   constructor(version: number) {
     super('forgotten', `version ${version} is older than the record of taken changes`, 'unknown');
   }
@@ -50,14 +50,14 @@
 interface ChangeName {
   readonly base: number;
   readonly version: number;
-  readonly order: string;
+  readonly changeId: string;
 }
 
 /** Whether a change was taken already; throws where it can no longer be, or where nobody knows any more. */
 const wasTaken = (s: State, c: ChangeName): boolean => {
-  const verdict = takenVerdict(s.taken, c.version, c.order);
-  if (verdict === 'taken') return true;
-  if (verdict === 'forgotten') throw new Forgotten(c.version);
+  const outcome = takenOutcome(s.taken, c.version, c.changeId);
+  if (outcome === 'taken') return true;
+  if (outcome === 'forgotten') throw new Forgotten(c.version);
   const current = s.config?.version ?? 0;
   if (c.base !== current) throw new WrongBase(current);
   return false;
@@ -77,8 +77,8 @@
   const compiled = JSON.stringify({ ...config, origin: undefined, order: undefined });
   const how = 'GET /v1/config and compare the digest, or hand in the same file again';
   const version = config.version ?? config.base + 1;
-  const name = { base: config.base, version, order: orderOf({ order: config.order, digest }) };
-  const record: ConfigRecord = { version, text, digest, compiled, order: config.order ?? '' };
+  const name = { base: config.base, version, changeId: changeIdOf({ changeId: config.changeId, digest }) };
+  const record: ConfigRecord = { version, text, digest, compiled, changeId: config.changeId ?? '' };
   try {
     const c = await m.decide((s) => (wasTaken(s, name) ? s : reduce(s, { kind: 'config', record })));
     await m.inForce(c);
@@ -87,12 +87,12 @@
   } catch (e) {
     const refusal = refusalOf(e);
     if (refusal) return refusal;
-    const x = mishapOf(e);
-    return x.ran === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { ran: 'unknown', mishap: 'unknown', text: x.message, how, digest } };
+    const x = toRpcError(e);
+    return x.executed === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { executed: 'unknown', errorCode: 'unknown', text: x.message, how, digest } };
   }
 };
 
-const Asked = z.strictObject({ base: z.number(), version: z.number(), order: z.string().min(1) });
+const Asked = z.strictObject({ base: z.number(), version: z.number(), changeId: z.string().min(1) });
 
 /**
  * Whether a change was taken, and if not, the text that it builds on. A sender that derives its change from the present
@@ -107,8 +107,8 @@
     await m.inForce({ state: s, at: m.committedAt });
     return { status: 200, body: { taken: true, version: asked.data.version } };
   } catch (e) {
-    const x = mishapOf(e);
-    return refusalOf(e) ?? (x.ran === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'));
+    const x = toRpcError(e);
+    return refusalOf(e) ?? (x.executed === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'));
   }
 };
 
@@ -117,10 +117,10 @@
     const { state } = await m.decide(f);
     return { status: 200, body: view(state) };
   } catch (e) {
-    const x = mishapOf(e);
+    const x = toRpcError(e);
     if (x.code === 'missing') return no(404, x.code, x.message);
     if (x.code === 'refused') return no(409, x.code, x.message);
-    return x.ran === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'GET /v1/status');
+    return x.executed === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'GET /v1/status');
   }
 };
 
@@ -128,15 +128,15 @@
   try {
     return { status: 200, body: await view(await m.confirm()) };
   } catch (e) {
-    const x = mishapOf(e);
+    const x = toRpcError(e);
     return x.code === 'missing' ? no(404, x.code, x.message) : no(503, 'unavailable', x.message);
   }
 };
 
 /** As `look`, with the nodes of these kinds that replied after the call came. */
-const lookAtLive = async (m: MasterView, kinds: readonly Mate['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
-  const mates = [...(m.committed?.nodes.values() ?? [])].filter((mate) => kinds.includes(mate.kind));
-  const replies = m.reach(mates);
+const lookAtLive = async (m: MasterView, kinds: readonly Member['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
+  const peers = [...(m.committed?.nodes.values() ?? [])].filter((member) => kinds.includes(member.kind));
+  const replies = m.reach(peers);
   return look(m, async (s) => {
     const reached = await replies;
     return view(s, (id) => reached.has(id));
@@ -145,15 +145,15 @@
 
 const nobodyLive: IsLive = () => false;
 
-const findMate = (s: State, id: string): Mate | undefined => {
+const findMember = (s: State, id: string): Member | undefined => {
   const all = [...s.nodes.values()];
   return s.nodes.get(id) ?? all.find((x) => x.addr === id) ?? all.find((x) => x.name !== '' && x.name === id);
 };
 
-const mateOf = (s: State, id: string): Mate => {
-  const mate = findMate(s, id);
-  if (!mate) throw new Mishap('missing', `no node ${id}`);
-  return mate;
+const memberOf = (s: State, id: string): Member => {
+  const member = findMember(s, id);
+  if (!member) throw new RpcError('missing', `no node ${id}`);
+  return member;
 };
 
 const servers = async (m: MasterView, o: Operation, id: string, verb: string): Promise<Outcome> => {
@@ -163,15 +163,15 @@
     const got = NewServer.safeParse(raw);
     if (!got.success)
       return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
-    const server = { id, ...got.data, leaving: false, down: false, zone: '', places: 0 };
+    const server = { id, ...got.data, draining: false, down: false, zone: '', places: 0 };
     return change(m, (s) => reduce(s, { kind: 'server', server }), (s) => s.servers.get(id));
   }
-  if (o.method === 'POST' && verb === 'leaving')
+  if (o.method === 'POST' && verb === 'draining')
     return change(
       m,
       (s) => {
-        if (!s.servers.has(id)) throw new Mishap('missing', `no server ${id}`);
-        return reduce(s, { kind: 'server-mark', id, leaving: true });
+        if (!s.servers.has(id)) throw new RpcError('missing', `no server ${id}`);
+        return reduce(s, { kind: 'server-mark', id, draining: true });
       },
       (s) => s.servers.get(id),
     );
@@ -183,18 +183,18 @@
   s.retiring.has(id) ? id : [...s.retiring].findLast(([, name]) => name !== '' && name === id)?.[0];
 
 const storeOf = (s: State, id: string): string => {
-  const mate = findMate(s, id);
-  if (mate && mate.kind !== 'store') throw new Mishap('missing', `${id} is a ${mate.kind}, not a store`);
-  const found = mate?.id ?? retiredOf(s, id);
-  if (found === undefined) throw new Mishap('missing', `no store ${id}`);
+  const member = findMember(s, id);
+  if (member && member.kind !== 'store') throw new RpcError('missing', `${id} is a ${member.kind}, not a store`);
+  const found = member?.id ?? retiredOf(s, id);
+  if (found === undefined) throw new RpcError('missing', `no store ${id}`);
   return found;
 };
 
 /** How far the emptying of a store is; done only when the loss of all that may be lost at once would be borne without it. */
 export const emptyingOf = (s: State, id: string, isLive: IsLive): object => {
-  const held = s.slots.filter((x) => keptOn(x).includes(id)).length;
-  const filling = s.slots.filter((x) => x.filling.length > 0).length;
-  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsFilling: filling, done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)) };
+  const held = s.slots.filter((x) => replicasToWrite(x).includes(id)).length;
+  const joiningReplicas = s.slots.filter((x) => x.joiningReplicas.length > 0).length;
+  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsJoining: joiningReplicas, done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)) };
 };
 
 const retire = (m: MasterView, id: string, on: boolean, kind: 'store' | 'front'): Promise<Outcome> => {
@@ -202,18 +202,18 @@
   return change(
     m,
     (s) => {
-      const mate = findMate(s, id);
-      found = mate?.id ?? retiredOf(s, id) ?? id;
-      if (mate && mate.kind !== kind) throw new Mishap('refused', `${id} is a ${mate.kind}, not a ${kind}`);
-      if (mate ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
-      if (!mate) throw new Mishap('missing', `no node ${id}`);
-      const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== mate.id && !s.retiring.has(x.id));
+      const member = findMember(s, id);
+      found = member?.id ?? retiredOf(s, id) ?? id;
+      if (member && member.kind !== kind) throw new RpcError('refused', `${id} is a ${member.kind}, not a ${kind}`);
+      if (member ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
+      if (!member) throw new RpcError('missing', `no node ${id}`);
+      const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== member.id && !s.retiring.has(x.id));
       if (on && kind === 'store' && rest.length < s.replication.replicas)
-        throw new Mishap('refused', `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`);
-      if (on && kind === 'front' && rest.length < 1) throw new Mishap('refused', 'no other front would stay');
-      return reduce(s, { kind: 'retire', id: mate.id, on });
+        throw new RpcError('refused', `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`);
+      if (on && kind === 'front' && rest.length < 1) throw new RpcError('refused', 'no other front would stay');
+      return reduce(s, { kind: 'retire', id: member.id, on });
     },
-    (s) => (kind === 'store' ? emptyingOf(s, found, nobodyLive) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.steward === found).length }),
+    (s) => (kind === 'store' ? emptyingOf(s, found, nobodyLive) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.owner === found).length }),
   );
 };
 
@@ -221,16 +221,16 @@
   change(
     m,
     (s) => {
-      if (s.voters.now.join() !== s.voters.next.join()) throw new Mishap('refused', 'another change of controls is under way');
+      if (s.voters.current.join() !== s.voters.next.join()) throw new RpcError('refused', 'another change of controls is under way');
       if (!add) {
-        if (!s.voters.now.includes(id)) throw new Mishap('missing', `${id} is no voting control`);
-        if (s.voters.now.length <= 1) throw new Mishap('refused', 'the last control cannot be taken out');
+        if (!s.voters.current.includes(id)) throw new RpcError('missing', `${id} is no voting control`);
+        if (s.voters.current.length <= 1) throw new RpcError('refused', 'the last control cannot be taken out');
         return reduce(s, { kind: 'voters', out: id, in: undefined });
       }
-      const mate = mateOf(s, id);
-      if (mate.kind !== 'control') throw new Mishap('refused', `${id} is a ${mate.kind}`);
-      if (!m.synced(mate.id)) throw new Mishap('refused', `${id} does not hold the newest state on its disk yet; ask again`);
-      return reduce(s, { kind: 'voters', out: '', in: mate });
+      const member = memberOf(s, id);
+      if (member.kind !== 'control') throw new RpcError('refused', `${id} is a ${member.kind}`);
+      if (!m.synced(member.id)) throw new RpcError('refused', `${id} does not hold the newest state on its disk yet; ask again`);
+      return reduce(s, { kind: 'voters', out: '', in: member });
     },
     (s) => ({ controls: s.voters.next }),
   );
@@ -247,8 +247,8 @@
   stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id, isLive)),
   slots: {
     count: s.slots.length,
-    stewarded: s.slots.filter((x) => s.nodes.has(x.steward)).length,
-    filling: s.slots.filter((x) => x.filling.length > 0).length,
+    owned: s.slots.filter((x) => s.nodes.has(x.owner)).length,
+    joiningReplicas: s.slots.filter((x) => x.joiningReplicas.length > 0).length,
   },
   weights: [...s.weights],
 });
@@ -261,9 +261,9 @@
     if (o.method === 'PUT') return putConfig(m, o.body);
     if (o.method !== 'GET') return no(405, 'no-such-operation', `${o.method} ${o.path}`);
     return look(m, (s) => {
-      if (!s.config) throw new Mishap('missing', noConfig);
-      const { version, text, digest, order } = s.config;
-      return { version, text, digest, order };
+      if (!s.config) throw new RpcError('missing', noConfig);
+      const { version, text, digest, changeId } = s.config;
+      return { version, text, digest, changeId };
     });
   }
   if (section === 'config' && id === 'prepare' && o.method === 'POST') return prepareChange(m, o.body);
--- a/packages/control/src/weights.ts
+++ b/packages/control/src/weights.ts
@@ -1,7 +1,7 @@
 import { compiledOf, reduce, weightKey, type State } from '@tillerstair/state';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
-import type { Keeper } from './keeper.js';
+import type { AllocationController } from './allocation-controller.js';
 
 const damping = 0.3;
 const least = 0.1;
@@ -31,12 +31,12 @@
 const same = (a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean =>
   a.size === b.size && [...a].every(([k, w]) => b.get(k) === w);
 
-export const tuneWeights = async (m: MasterView, keeper: Keeper, clock: Clock, bounds: ZenBounds): Promise<void> => {
+export const tuneWeights = async (m: MasterView, allocationController: AllocationController, clock: Clock, bounds: ZenBounds): Promise<void> => {
   while (!m.lost.aborted) {
-    await pause(clock, bounds.beat * 2, m.lost);
+    await pause(clock, bounds.heartbeatInterval * 2, m.lost);
     const s = m.committed;
     if (m.lost.aborted || !s?.config) continue;
-    const paces = keeper.paces(s);
+    const paces = allocationController.paces(s);
     await m
       .submit((t) => {
         const weights = tuned(t, paces);
--- a/packages/ctl/src/ask.ts
+++ b/packages/ctl/src/ask.ts
@@ -21,7 +21,7 @@
   } catch (e) {
     const code = e !== null && typeof e === 'object' && 'code' in e ? String(e.code) : '';
     if (code === 'ECONNREFUSED' || method === 'GET') throw new CannotAsk(`${http}: ${e instanceof Error ? e.message : String(e)}`);
-    return { status: 504, body: { ran: 'unknown', mishap: 'unknown', text: `${sent ? 'the reply broke off' : 'no reply'}: ${String(e)}` } };
+    return { status: 504, body: { executed: 'unknown', errorCode: 'unknown', text: `${sent ? 'the reply broke off' : 'no reply'}: ${String(e)}` } };
   }
 };
 
--- a/packages/ctl/src/compare.ts
+++ b/packages/ctl/src/compare.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
-import { newer, type Mark } from '@tillerstair/state';
+import { newer, type StateVersion } from '@tillerstair/state';
 
-export const BeliefBack = z.object({
+export const NodeViewReply = z.object({
   id: z.string(),
   kind: z.string(),
   term: z.number(),
@@ -9,7 +9,7 @@
   applied: z.object({ term: z.number(), version: z.number() }),
   facts: z.array(z.tuple([z.string(), z.string()])),
 });
-export type BeliefBack = z.infer<typeof BeliefBack>;
+export type NodeViewReply = z.infer<typeof NodeViewReply>;
 
 export interface Difference {
   readonly fact: string;
@@ -22,9 +22,9 @@
   readonly differences: readonly Difference[];
 }
 
-const sayMark = (m: Mark): string => (m.term < 0 ? 'nothing' : `term ${m.term} version ${m.version}`);
+const versionText = (m: StateVersion): string => (m.term < 0 ? 'nothing' : `term ${m.term} version ${m.version}`);
 
-export const compare = (a: BeliefBack, b: BeliefBack): Comparison => {
+export const compare = (a: NodeViewReply, b: NodeViewReply): Comparison => {
   const own = (fact: string): boolean => fact.startsWith('own ');
   const fa = new Map(a.facts.filter(([k]) => !own(k)));
   const fb = new Map(b.facts.filter(([k]) => !own(k)));
@@ -34,7 +34,7 @@
   };
   add('term', String(a.term), String(b.term));
   add('master', a.master || 'none', b.master || 'none');
-  add('applied', sayMark(a.applied), sayMark(b.applied));
+  add('applied', versionText(a.applied), versionText(b.applied));
   for (const k of [...new Set([...fa.keys(), ...fb.keys()])].sort()) add(k, fa.get(k) ?? 'nothing', fb.get(k) ?? 'nothing');
   return { newer: newer(a.applied, b.applied) ? 'a' : newer(b.applied, a.applied) ? 'b' : 'same', differences: out };
 };
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod';
 import { checkConfig, MarginReport } from '@tillerstair/state';
 import { askAny, askAt, CannotAsk, type Back } from './ask.js';
-import { BeliefBack, compare } from './compare.js';
+import { NodeViewReply, compare } from './compare.js';
 import { fromManifests } from './manifests.js';
 import { marginLines, marginWhole } from './margin.js';
 import { patchConfig } from './patch.js';
@@ -84,7 +84,7 @@
 const cli = cac('tillerctl');
 cli.option('--at <addresses>', 'Controls\' HTTP addresses, comma-separated (or TILLERCTL_AT)');
 cli.option('--json', 'Print JSON');
-cli.option('--within <ms>', 'Deadline of one inquiry');
+cli.option('--within <ms>', 'Deadline of one request');
 
 const act = async (work: () => Promise<number>): Promise<void> => {
   try {
@@ -153,7 +153,7 @@
     }),
   );
 
-cli.command('server <verb> <id> [pool] [url]', 'add ID POOL URL; leaving ID; remove ID').action((verb: string, id: string, pool: string | undefined, url: string | undefined, x: object) =>
+cli.command('server <verb> <id> [pool] [url]', 'add ID POOL URL; draining ID; remove ID').action((verb: string, id: string, pool: string | undefined, url: string | undefined, x: object) =>
   act(async () => {
     const o = optionsOf(x);
     const path = `/v1/servers/${encodeURIComponent(id)}`;
@@ -161,9 +161,9 @@
       if (pool === undefined || url === undefined) throw new BadInput('server add: name ID POOL URL');
       return report(o, await ask(o, 'PUT', path, JSON.stringify({ pool, url })), pretty);
     }
-    if (verb === 'leaving') return report(o, await ask(o, 'POST', `${path}/leaving`), pretty);
+    if (verb === 'draining') return report(o, await ask(o, 'POST', `${path}/draining`), pretty);
     if (verb === 'remove') return report(o, await ask(o, 'DELETE', path), pretty);
-    throw new BadInput(`server ${verb}: must be add, leaving or remove`);
+    throw new BadInput(`server ${verb}: must be add, draining or remove`);
   }),
 );
 
@@ -176,7 +176,7 @@
   );
 };
 toggled('drain', 'Move a front\'s slots to the others', (id) => `/v1/fronts/${id}/drain`);
-toggled('empty-store', 'Move a store\'s copies to the others', (id) => `/v1/stores/${id}/empty`);
+toggled('empty-store', 'Move a store\'s replicas to the others', (id) => `/v1/stores/${id}/empty`);
 
 cli.command('control <verb> <node>', 'add NODE to the voting controls; remove NODE from them').action((verb: string, id: string, x: object) =>
   act(async () => {
@@ -190,7 +190,7 @@
   act(async () => {
     const o = optionsOf(x);
     const within = o.raw.has('within') ? o.within : 3000;
-    const both = await Promise.allSettled([a, b].map(async (at) => BeliefBack.parse((await askAt(at, 'GET', '/v1/belief', '', within)).body)));
+    const both = await Promise.allSettled([a, b].map(async (at) => NodeViewReply.parse((await askAt(at, 'GET', '/v1/view', '', within)).body)));
     const why = both.flatMap((r) => (r.status === 'rejected' ? [String(r.reason instanceof Error ? r.reason.message : r.reason)] : []));
     if (why.length > 0) throw new CannotAsk(why.join('\n'));
     const [x1, x2] = both.flatMap((r) => (r.status === 'fulfilled' ? [r.value] : []));
--- a/packages/ctl/src/manifests.ts
+++ b/packages/ctl/src/manifests.ts
@@ -68,7 +68,7 @@
 
 const Kind = object({ kind: text().required(), metadata: object({ name: text() }) });
 
-interface LaneRow {
+interface RouteRow {
   readonly name: string;
   readonly match: { readonly kind: string; readonly path: string };
   readonly acting: boolean;
@@ -88,7 +88,7 @@
   const findings: Finding[] = [];
   const gateways = new Set<string>();
   const parents: { readonly place: string; readonly name: string }[] = [];
-  const lanes: LaneRow[] = [];
+  const routes: RouteRow[] = [];
   const pools = new Map<string, string>();
 
   const route = (place: string, raw: unknown): void => {
@@ -100,7 +100,7 @@
       rule.matches.forEach((m, j) => {
         const one = r.spec.rules.length === 1 && rule.matches.length === 1;
         for (const b of rule.backendRefs) pools.set(b.name, kind === 'turn' ? 'model' : 'service');
-        lanes.push({
+        routes.push({
           name: one ? r.metadata.name : `${r.metadata.name}-${i}-${j}`,
           match: { kind, path: m.path.value },
           acting: notes['tillerstair/acting'] === 'true',
@@ -137,9 +137,9 @@
     });
   }
   for (const p of parents) if (!gateways.has(p.name)) findings.push({ place: p.place, text: `no Gateway ${p.name} is in these files` });
-  if (lanes.length === 0 && findings.length === 0) findings.push({ place: 'files', text: 'there is no HTTPRoute' });
+  if (routes.length === 0 && findings.length === 0) findings.push({ place: 'files', text: 'there is no HTTPRoute' });
   if (findings.length > 0) return { text: undefined, findings };
-  const out = stringify({ base, pools: [...pools].map(([name, kind]) => ({ name, kind })), lanes });
+  const out = stringify({ base, pools: [...pools].map(([name, kind]) => ({ name, kind })), routes });
   const whole = checkConfig(out);
   return { text: whole.findings.length > 0 ? undefined : out, findings: whole.findings };
 };
--- a/packages/ctl/src/margin.ts
+++ b/packages/ctl/src/margin.ts
@@ -8,7 +8,7 @@
 };
 
 const slotLine = (s: SlotMargin): string =>
-  `slot ${s.slot}: ${s.live} of ${s.replicas} replicas live${s.filling > 0 ? ', one being filled' : ''}: ${meaning(s.margin)}`;
+  `slot ${s.slot}: ${s.live} of ${s.replicas} replicas live${s.joiningReplicas > 0 ? ', one being filled' : ''}: ${meaning(s.margin)}`;
 
 /** One line for the voters, one for all slots, and one for each slot below what the replication is meant for. */
 export const marginLines = (r: MarginReport): readonly string[] => {
--- a/packages/env/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from './env.js';
-export * from './daemon.js';
--- a/packages/fleet/src/capacity-cost.ts
+++ b/packages/fleet/src/capacity-cost.ts
@@ -2,31 +2,31 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { deflateSync, inflateSync } from 'node:zlib';
-import { Keeper } from '@tillerstair/control';
+import { AllocationController } from '@tillerstair/control';
 import { FolderDisk } from '@tillerstair/journal';
-import { checkConfig, compiledOf, diffOf, flatten, lanesOf, patch, reduce, unflatten, type State } from '@tillerstair/state';
-import { prefixesOf, SlotKeeper, type TurnValue } from '@tillerstair/steward';
-import { Shelf } from '@tillerstair/store';
-import { hostClock, noLog, type Circuits } from '@tillerstair/wire';
+import { checkConfig, compiledOf, diffOf, flatten, routesOf, patch, reduce, unflatten, type State } from '@tillerstair/state';
+import { prefixesOf, SlotReplicator, type TurnValue } from '@tillerstair/session-owner';
+import { ReplicaStore } from '@tillerstair/store';
+import { hostClock, noLog, type Transport } from '@tillerstair/wire';
 import { zenBounds } from '@tillerstair/zen';
 import type { Sweep, Values } from './capacity.js';
-import { closing, cpuMs, cpuMsOf, keptMb } from './capacity-meter.js';
+import { closing, cpuMs, cpuMsOf, retainedMb } from './capacity-meter.js';
 import { configOf, serversOf } from './capacity-rig.js';
 import { configured, grownState, plainState, stateOf, type StateSizes } from './capacity-state.js';
 
-const bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
 const next = (s: State): State => ({ ...s, version: s.version + 1 });
 const packed = (v: unknown): string => deflateSync(JSON.stringify(v)).toString('base64');
 
-const oneMark = (s: State): State => {
+const withOneDraining = (s: State): State => {
   const first = [...s.servers.keys()][0];
-  return next(first === undefined ? s : reduce(s, { kind: 'server-mark', id: first, leaving: true }));
+  return next(first === undefined ? s : reduce(s, { kind: 'server-mark', id: first, draining: true }));
 };
 
 /** What one change of one key costs each role, in the code that `Master`, `Receiver`, `Agent` and `Front` run for it. */
 const applyCost = async (z: StateSizes): Promise<Values> => {
-  const [s, mb] = await keptMb(() => stateOf(z));
-  const t = oneMark(s);
+  const [s, mb] = await retainedMb(() => stateOf(z));
+  const t = withOneDraining(s);
   const diff = diffOf(s, t);
   const full = [...flatten(s)];
   const text = JSON.stringify(full);
@@ -46,7 +46,7 @@
 
 const part = (percent: number): StateSizes => {
   const of = (n: number): number => Math.max(1, Math.round((n * percent) / 100));
-  return { fronts: of(grownState.fronts), servers: of(grownState.servers), slots: of(grownState.slots), lanes: of(grownState.lanes) };
+  return { fronts: of(grownState.fronts), servers: of(grownState.servers), slots: of(grownState.slots), routes: of(grownState.routes) };
 };
 
 const reportOf = (servers: number): unknown => ({
@@ -59,36 +59,36 @@
   const s = stateOf({ ...plainState, servers });
   const report = reportOf(servers);
   const text = JSON.stringify(report);
-  const [keeper, mb] = await keptMb(() => {
-    const k = new Keeper(hostClock, bounds, noLog);
+  const [allocationController, mb] = await retainedMb(() => {
+    const k = new AllocationController(hostClock, bounds, noLog);
     for (let n = 0; n < fronts; n++) k.onReport(`f-${n}`, JSON.parse(text));
     return k;
   });
   return new Map([
     ['report bytes', text.length],
     ['agent: make and send a report, ms', cpuMs(() => JSON.stringify(reportOf(servers)))],
-    ['master: take a report, ms', cpuMs(() => keeper.onReport('f-0', JSON.parse(text)))],
+    ['master: take a report, ms', cpuMs(() => allocationController.onReport('f-0', JSON.parse(text)))],
     ['master: standing kept a front, MB', mb / fronts],
-    ['master: a tuning round a front, ms', cpuMs(() => keeper.paces(s)) / fronts],
+    ['master: a tuning round a front, ms', cpuMs(() => allocationController.paces(s)) / fronts],
   ]);
 };
 
-const laneCost = async (lanes: number): Promise<Values> => {
-  const text = configOf(1, lanes);
-  const s = stateOf({ ...plainState, lanes });
-  const t = next(configured(s, lanes + 1));
+const routeCost = async (routes: number): Promise<Values> => {
+  const text = configOf(1, routes);
+  const s = stateOf({ ...plainState, routes });
+  const t = next(configured(s, routes + 1));
   const diff = diffOf(s, t);
   const u = patch(s, diff);
   const take = (): void => {
     const taken = patch(s, diff);
     const config = compiledOf(taken?.config);
-    if (config) lanesOf(config);
+    if (config) routesOf(config);
   };
   if (!u) throw new Error('the diff does not fit');
   return new Map([
     ['file bytes', text.length],
-    ['diff of one lane, bytes', JSON.stringify(diff).length],
-    ['diff of one lane packed, bytes', packed({ diff }).length],
+    ['diff of one route, bytes', JSON.stringify(diff).length],
+    ['diff of one route packed, bytes', packed({ diff }).length],
     ['control: check the file, ms', cpuMs(() => checkConfig(text))],
     ['front: take the version, ms', cpuMs(take)],
   ]);
@@ -99,13 +99,13 @@
   const turns = 81;
   const each = (thousands * 1000) / turns / 2;
   const words = 'x y '.repeat(each / 4);
-  const [kept, mb] = await keptMb(() =>
+  const [kept, mb] = await retainedMb(() =>
     Array.from({ length: turns }, (_, n) => {
       const v: TurnValue = {
         t: 'turn', status: 'done', after: n === 0 ? null : `t${n - 1}`, digest: '', words: `${n} ${words}`, pool: 'models', server: 's', cost: 0,
-        pieces: Array.from({ length: Math.ceil(each / 4) }, (_, i) => `${n}.${i} `.slice(0, 4)),
+        chunks: Array.from({ length: Math.ceil(each / 4) }, (_, i) => `${n}.${i} `.slice(0, 4)),
       };
-      return JSON.stringify({ key: `p/p/t/t${n}`, tenure: 1, seq: n, value: v });
+      return JSON.stringify({ key: `p/p/t/t${n}`, ownershipEpoch: 1, seq: n, value: v });
     }).map((text): unknown => JSON.parse(text)),
   );
   const messages = Array.from({ length: turns }, (_, n) => [
@@ -113,23 +113,23 @@
   ]).flat();
   return new Map([
     ['history kept, bytes', JSON.stringify(kept).length],
-    ['history held by a steward, MB', mb],
+    ['history held by an owner, MB', mb],
     ['bytes to the server for the last turn', JSON.stringify(messages).length],
-    ['steward: prefixes of the last turn, ms', cpuMs(() => prefixesOf(messages))],
-    ['steward: the last turn written out, ms', cpuMs(() => JSON.stringify(messages))],
+    ['owner: prefixes of the last turn, ms', cpuMs(() => prefixesOf(messages))],
+    ['owner: the last turn written out, ms', cpuMs(() => JSON.stringify(messages))],
   ]);
 };
 
-const stub = (): Circuits => ({
-  self: 'steward', call: async (_to, kind) => (kind === 'store/seal' ? { items: [], next: '' } : {}),
+const stub = (): Transport => ({
+  self: 'owner', call: async (_to, kind) => (kind === 'store/fence' ? { items: [], next: '' } : {}),
   serve: async () => undefined, onLost: () => undefined, close: async () => undefined,
 });
 
-const keeperOf = async (): Promise<SlotKeeper> => {
+const replicatorOf = async (): Promise<SlotReplicator> => {
   const state = stateOf(plainState);
   const config = compiledOf(state.config);
-  const table = { state, config, lanes: config ? lanesOf(config) : new Map() };
-  const k = new SlotKeeper(0, 0, { clock: hostClock, circuits: stub(), log: noLog, table: () => table, putWithin: 1500, beat: 1000, keepMs: 3600000 });
+  const table = { state, config, routes: config ? routesOf(config) : new Map() };
+  const k = new SlotReplicator(0, 0, { clock: hostClock, transport: stub(), log: noLog, table: () => table, putWithin: 1500, heartbeatInterval: 1000, retentionMs: 3600000 });
   const slot = state.slots[0];
   if (!slot) throw new Error('no slot');
   k.take(slot);
@@ -137,49 +137,49 @@
   return k;
 };
 
-const pieces = Array.from({ length: 64 }, (_, n) => `w${n} `);
+const chunks = Array.from({ length: 64 }, (_, n) => `w${n} `);
 
-const stewardCost = async (programs: number): Promise<Values> => {
-  const k = await keeperOf();
+const ownerCost = async (programs: number): Promise<Values> => {
+  const k = await replicatorOf();
   let put = 0;
-  const [, mb] = await keptMb(async () => {
+  const [, mb] = await retainedMb(async () => {
     put = await cpuMsOf(async () => {
       for (let n = 0; n < programs; n++) {
         await k.put(`p/p${n}`, { t: 'program', tenant: `tenant-${n % 2100}`, budget: 1000, parent: null });
         await k.put(`p/p${n}/t/t0`, {
-          t: 'turn', status: 'done', after: null, digest: `d${n}`, words: `words of ${n}`.padEnd(256), pool: 'models', server: 's', cost: 64, pieces: pieces.map((p) => `${p}${n}`.slice(0, 4)),
+          t: 'turn', status: 'done', after: null, digest: `d${n}`, words: `words of ${n}`.padEnd(256), pool: 'models', server: 's', cost: 64, chunks: chunks.map((p) => `${p}${n}`.slice(0, 4)),
         });
       }
     });
   });
   return new Map([
     ['items held', k.size],
-    ['held by the steward, MB', mb],
+    ['held by the owner, MB', mb],
     ['a put, ms', put / programs / 2],
     ['a round of ageing, ms', cpuMs(() => k.expire())],
   ]);
 };
 
-const shelfCost = async (count: number): Promise<Values> => {
+const replicaStoreCost = async (count: number): Promise<Values> => {
   const dir = mkdtempSync(join(tmpdir(), 'capacity-'));
   const disk = await FolderDisk.take(dir);
   const watched = closing(disk);
   try {
-    const open = (): Promise<Shelf> => Shelf.open(watched.disk, hostClock, { journalLongAt: 1 << 30, keepMs: 3600000, hintsMost: 1000 });
-    const fill = async (made: Shelf): Promise<void> => {
+    const open = (): Promise<ReplicaStore> => ReplicaStore.open(watched.disk, hostClock, { journalLongAt: 1 << 30, retentionMs: 3600000, hintsMost: 1000 });
+    const fill = async (made: ReplicaStore): Promise<void> => {
       for (let n = 0; n < count; n += 500)
         await Promise.all(Array.from({ length: Math.min(500, count - n) }, (_, i) =>
-          made.write((n + i) % 64, 1, [{ key: `o/tenant-${(n + i) % 2100}/key-${n + i}`, tenure: 1, seq: n + i, value: { t: 'op', status: 'done', digest: 'd'.repeat(32), code: 200, body: { did: 'hold', n } } }])));
+          made.write((n + i) % 64, 1, [{ key: `o/tenant-${(n + i) % 2100}/key-${n + i}`, ownershipEpoch: 1, seq: n + i, value: { t: 'op', status: 'done', digest: 'd'.repeat(32), code: 200, body: { did: 'hold', n } } }])));
     };
     let put = 0;
-    const [shelf, mb] = await keptMb(async () => {
+    const [replicaStore, mb] = await retainedMb(async () => {
       const made = await open();
       put = await cpuMsOf(() => fill(made));
       return made;
     });
     let ms = 0;
-    for (let n = 0; n < 5; n++) ms += await cpuMsOf(() => shelf.dropOld());
-    const { bytes } = shelf.counts();
+    for (let n = 0; n < 5; n++) ms += await cpuMsOf(() => replicaStore.dropOld());
+    const { bytes } = replicaStore.counts();
     return new Map([
       ['held by the store, MB', mb],
       ['journal bytes', bytes],
@@ -194,13 +194,13 @@
 };
 
 export const costSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
-  ['apply-nodes', { about: 'one changed key; 100 servers, 64 slots, 20 lanes', by: 'front', how: 'processor', sizes: [50, 100, 200, 400], small: [4, 8, 12, 16], grown: 410, run: (n) => applyCost({ ...plainState, fronts: n }) }],
-  ['apply-servers', { about: 'one changed key; 40 fronts, 64 slots, 20 lanes', by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: (n) => applyCost({ ...plainState, servers: n }) }],
-  ['apply-slots', { about: 'one changed key; 40 fronts, 100 servers, 20 lanes', by: 'slot', how: 'processor', sizes: [64, 512, 2048, 4096], small: [8, 16, 32, 64], grown: 8200, run: (n) => applyCost({ ...plainState, slots: n }) }],
-  ['apply-all', { about: 'one changed key; so much of 410 fronts, 3,400 servers, 4,096 slots, 8,400 lanes', by: 'percent', how: 'processor', sizes: [12, 25, 50, 100], small: [1, 2, 3, 4], grown: 100, run: (n) => applyCost(part(n)) }],
+  ['apply-nodes', { about: 'one changed key; 100 servers, 64 slots, 20 routes', by: 'front', how: 'processor', sizes: [50, 100, 200, 400], small: [4, 8, 12, 16], grown: 410, run: (n) => applyCost({ ...plainState, fronts: n }) }],
+  ['apply-servers', { about: 'one changed key; 40 fronts, 64 slots, 20 routes', by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: (n) => applyCost({ ...plainState, servers: n }) }],
+  ['apply-slots', { about: 'one changed key; 40 fronts, 100 servers, 20 routes', by: 'slot', how: 'processor', sizes: [64, 512, 2048, 4096], small: [8, 16, 32, 64], grown: 8200, run: (n) => applyCost({ ...plainState, slots: n }) }],
+  ['apply-all', { about: 'one changed key; so much of 410 fronts, 3,400 servers, 4,096 slots, 8,400 routes', by: 'percent', how: 'processor', sizes: [12, 25, 50, 100], small: [1, 2, 3, 4], grown: 100, run: (n) => applyCost(part(n)) }],
   ['reports', { about: `servers in each report; ${fronts} fronts`, by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: reportCost }],
-  ['lane-cost', { about: 'lanes in the file; one is added', by: 'lane', how: 'processor', sizes: [625, 1250, 2500, 5000], small: [8, 16, 24, 32], grown: 8400, run: laneCost }],
+  ['route-cost', { about: 'routes in the file; one is added', by: 'route', how: 'processor', sizes: [625, 1250, 2500, 5000], small: [8, 16, 24, 32], grown: 8400, run: routeCost }],
   ['history-cost', { about: 'thousand characters in one program of 81 turns', by: 'thousand characters', how: 'processor', sizes: [500, 1000, 2000, 4000], small: [8, 16, 24, 32], grown: 4000, run: historyCost }],
-  ['steward-cost', { about: 'programs of one turn of 64 pieces in one slot', by: 'program', how: 'processor', sizes: [1000, 2000, 4000, 8000], small: [8, 16, 24, 32], grown: 1050, run: stewardCost }],
-  ['store-cost', { about: 'operation keys in one store', by: 'key', how: 'processor', sizes: [5000, 10000, 20000, 40000], small: [8, 16, 24, 32], grown: 3000000, run: shelfCost }],
+  ['owner-cost', { about: 'programs of one turn of 64 chunks in one slot', by: 'program', how: 'processor', sizes: [1000, 2000, 4000, 8000], small: [8, 16, 24, 32], grown: 1050, run: ownerCost }],
+  ['store-cost', { about: 'operation keys in one store', by: 'key', how: 'processor', sizes: [5000, 10000, 20000, 40000], small: [8, 16, 24, 32], grown: 3000000, run: replicaStoreCost }],
 ]);
--- a/packages/fleet/src/capacity-meter.ts
+++ b/packages/fleet/src/capacity-meter.ts
@@ -45,7 +45,7 @@
 };
 
 /** Megabytes of heap that what `make` returns keeps. */
-export const keptMb = async <T>(make: () => T | Promise<T>): Promise<readonly [T, number]> => {
+export const retainedMb = async <T>(make: () => T | Promise<T>): Promise<readonly [T, number]> => {
   const before = heapMb();
   const made = await make();
   return [made, heapMb() - before];
--- a/packages/fleet/src/capacity-rig.ts
+++ b/packages/fleet/src/capacity-rig.ts
@@ -15,10 +15,10 @@
 export const serversOf = (count: number): readonly Server[] =>
   Array.from({ length: count }, (_, n) =>
     Server.parse({
-      id: `server-${String(n).padStart(4, '0')}`, pool: n % 8 === 7 ? 'shop' : 'models', url: `http://10.0.${n >> 8}.${n & 255}:8000`, leaving: false, down: false,
+      id: `server-${String(n).padStart(4, '0')}`, pool: n % 8 === 7 ? 'shop' : 'models', url: `http://10.0.${n >> 8}.${n & 255}:8000`, draining: false, down: false,
     }));
 
-export const configOf = (base: number, lanes: number): string => stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: lanes });
+export const configOf = (base: number, routes: number): string => stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: routes });
 
 export const rigSizes: WorldSizes = { controls: 5, stores: 3, fronts: 6, slots: 64 };
 
@@ -28,13 +28,13 @@
 
   private constructor(
     readonly w: World,
-    private lanes: number,
+    private routes: number,
   ) {}
 
-  static async raise(sizes: WorldSizes, servers: number, lanes = 3): Promise<Rig> {
+  static async raise(sizes: WorldSizes, servers: number, routes = 3): Promise<Rig> {
     const w = new World(1, sizes);
-    await w.bringUp((base) => configOf(base, lanes), []);
-    const rig = new Rig(w, lanes);
+    await w.bringUp((base) => configOf(base, routes), []);
+    const rig = new Rig(w, routes);
     const lead = w.master?.control?.zen.leading;
     if (!lead) throw new Error('no master');
     const c = await w.clock.finish('servers', lead.submit((s) => serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s)), 20000);
@@ -86,19 +86,19 @@
     return this.tally(() => this.w.clock.run(ms));
   }
 
-  /** Hands in a configuration with one lane more; the time until it is told in force, in ms. */
+  /** Hands in a configuration with one route more; the time until it is told in force, in ms. */
   async reconfigure(): Promise<number> {
     const { w } = this;
     const t0 = w.clock.now();
-    const put = await w.operate('PUT', '/v1/config', configOf(this.version, ++this.lanes), w.master);
+    const put = await w.operate('PUT', '/v1/config', configOf(this.version, ++this.routes), w.master);
     if (put.status !== 200) throw new Error(`config: ${JSON.stringify(put)}`);
     this.version++;
     return w.clock.now() - t0;
   }
 
   async mark(n: number): Promise<void> {
-    const r = await this.w.operate('POST', `/v1/servers/server-${String(n).padStart(4, '0')}/leaving`, '', this.w.master);
-    if (r.status !== 200) throw new Error(`leaving: ${JSON.stringify(r)}`);
+    const r = await this.w.operate('POST', `/v1/servers/server-${String(n).padStart(4, '0')}/draining`, '', this.w.master);
+    if (r.status !== 200) throw new Error(`draining: ${JSON.stringify(r)}`);
   }
 }
 
--- a/packages/fleet/src/capacity-sockets.ts
+++ b/packages/fleet/src/capacity-sockets.ts
@@ -6,9 +6,9 @@
 import { ControlNode } from '@tillerstair/control';
 import { FolderDisk } from '@tillerstair/journal';
 import { Front } from '@tillerstair/proxy';
-import type { Backend } from '@tillerstair/steward';
-import { hostClock, noLog, pause, TcpCircuits, type CallBounds } from '@tillerstair/wire';
-import { DiskKeep, zenBounds } from '@tillerstair/zen';
+import type { Backend } from '@tillerstair/session-owner';
+import { hostClock, noLog, pause, TcpTransport, type CallBounds } from '@tillerstair/wire';
+import { DiskElectionStore, zenBounds } from '@tillerstair/zen';
 import { reduce } from '@tillerstair/state';
 import { z } from 'zod';
 import type { Sweep, Values } from './capacity.js';
@@ -16,11 +16,11 @@
 import { configOf, serversOf } from './capacity-rig.js';
 import { freePorts } from './layout.js';
 
-const bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
 const measureMs = 8000;
-const Told = z.object({ cpuMs: z.number(), heapMb: z.number(), rssMb: z.number(), asked: z.number(), rounds: z.number() });
+const Measured = z.object({ cpuMs: z.number(), heapMb: z.number(), rssMb: z.number(), asked: z.number(), rounds: z.number() });
 
-class Counted extends TcpCircuits {
+class Counted extends TcpTransport {
   static asked = 0;
   static rounds = 0;
 
@@ -37,22 +37,22 @@
   generate: async () => never,
   act: async () => never,
   pass: async () => never,
-  busyness: async () => ({ busy: 0, leaving: false }),
+  load: async () => ({ busy: 0, draining: false }),
 });
 
 const hollow = async (seed: string, [addr = 0, loop = 0, feed = 0, data = 0]: readonly number[], n: number): Promise<void> => {
   const at = (p: number): string => `127.0.0.1:${p}`;
-  const { beat, silent, grace } = bounds;
+  const { heartbeatInterval, failureTimeout, readLease } = bounds;
   const front = new Front({
-    id: `f-${process.pid}-${n}`, clock: hostClock, circuits: new TcpCircuits(at(data)), backend: idle(),
-    bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: 3600000, stopWithin: silent }, log: noLog, affinity: true,
+    id: `f-${process.pid}-${n}`, clock: hostClock, transport: new TcpTransport(at(data)), backend: idle(),
+    bounds: { heartbeatInterval, putWithin: failureTimeout / 2, readLease, poll: heartbeatInterval / 4, retentionMs: 3600000, stopWithin: failureTimeout }, log: noLog, affinity: true,
   });
-  const fed = new TcpCircuits(at(feed));
-  await fed.serve(async (inq) => (inq.kind === 'front/hello' ? { id: front.p.id, addr: at(data), http: '' } : front.feed(inq.body)));
+  const fed = new TcpTransport(at(feed));
+  await fed.serve(async (rpc) => (rpc.kind === 'front/hello' ? { id: front.p.id, addr: at(data), http: '' } : front.feed(rpc.body)));
   await front.start();
   const agent = new Agent({
-    seeds: [seed, seed, seed], clock: hostClock, circuits: new Counted(at(addr)), bounds, log: noLog, addr: at(addr), http: '', zone: `zone-${n % 3}`,
-    name: `hollow-${n}`, stopWithin: silent, proxy: at(feed), loop: new TcpCircuits(at(loop)),
+    seeds: [seed, seed, seed], clock: hostClock, transport: new Counted(at(addr)), bounds, log: noLog, addr: at(addr), http: '', zone: `zone-${n % 3}`,
+    name: `hollow-${n}`, stopWithin: failureTimeout, proxy: at(feed), loop: new TcpTransport(at(loop)),
   });
   await agent.start();
 };
@@ -87,9 +87,9 @@
   const watched = closing(disk);
   const [port = 0] = await freePorts(1);
   const addr = `127.0.0.1:${port}`;
-  const keep = await DiskKeep.open(watched.disk, () => 'c-0', 4 << 20);
-  const me = { id: keep.kept.id, kind: 'control' as const, addr, http: '', zone: 'zone-0', data: '', name: 'control-0' };
-  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, circuits: new TcpCircuits(addr), keep, bounds, log: noLog, slots: 64 });
+  const electionStore = await DiskElectionStore.open(watched.disk, () => 'c-0', 4 << 20);
+  const me = { id: electionStore.persisted.id, kind: 'control' as const, addr, http: '', zone: 'zone-0', data: '', name: 'control-0' };
+  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, transport: new TcpTransport(addr), electionStore, bounds, log: noLog, slots: 64 });
   await node.start();
   const child = spawn(process.execPath, [process.argv[1] ?? '', 'hollow', String(count), '--seed', addr], { stdio: ['pipe', 'pipe', 'inherit'] });
   let said = '';
@@ -109,15 +109,15 @@
     await pause(hostClock, measureMs);
     const { user, system } = process.cpuUsage(t0);
     await until('the hollow fronts\' figures', () => said.split('\n').length > lines);
-    const told = Told.parse(JSON.parse(said.trimEnd().split('\n').at(-1) ?? ''));
+    const reported = Measured.parse(JSON.parse(said.trimEnd().split('\n').at(-1) ?? ''));
     const share = (ms: number): number => (ms / measureMs) * 100;
     return new Map([
       ['master at rest, % of a core', share((user + system) / 1000)],
-      ['fronts at rest, % of a core, all', share(told.cpuMs)],
-      ['asked by an agent a second', told.asked / (measureMs / 1000) / count],
-      ['asked in rounds by an agent a second', told.rounds / (measureMs / 1000) / count],
-      ['fronts, MB resident, all', told.rssMb],
-      ['fronts, MB of heap, all', told.heapMb],
+      ['fronts at rest, % of a core, all', share(reported.cpuMs)],
+      ['asked by an agent a second', reported.asked / (measureMs / 1000) / count],
+      ['asked in rounds by an agent a second', reported.rounds / (measureMs / 1000) / count],
+      ['fronts, MB resident, all', reported.rssMb],
+      ['fronts, MB of heap, all', reported.heapMb],
       ['master, MB of heap', heapMb()],
     ]);
   } finally {
--- a/packages/fleet/src/capacity-state.ts
+++ b/packages/fleet/src/capacity-state.ts
@@ -1,25 +1,25 @@
-import { allot, checkConfig, ConfigRecord, digestOf, foundingState, reduce, weightKey, type Mate, type State } from '@tillerstair/state';
+import { allocate, checkConfig, ConfigRecord, digestOf, bootstrapState, reduce, weightKey, type Member, type State } from '@tillerstair/state';
 import { configOf, serversOf } from './capacity-rig.js';
 
 export interface StateSizes {
   readonly fronts: number;
   readonly servers: number;
   readonly slots: number;
-  readonly lanes: number;
+  readonly routes: number;
 }
 
-/** The two-year size, with 20 slots a front held to the most a founding takes, and a lane for each tenant and model. */
-export const grownState: StateSizes = { fronts: 410, servers: 3400, slots: 4096, lanes: 8400 };
-export const plainState: StateSizes = { fronts: 40, servers: 100, slots: 64, lanes: 20 };
+/** The two-year size, with 20 slots a front held to the most a bootstrap takes, and a route for each tenant and model. */
+export const grownState: StateSizes = { fronts: 410, servers: 3400, slots: 4096, routes: 8400 };
+export const plainState: StateSizes = { fronts: 40, servers: 100, slots: 64, routes: 20 };
 
-const mates = (kind: Mate['kind'], net: number, count: number): readonly Mate[] =>
+const peers = (kind: Member['kind'], net: number, count: number): readonly Member[] =>
   Array.from({ length: count }, (_, n) => ({
     id: `${kind.charAt(0)}-${String(n).padStart(12, '0')}`, kind, addr: `10.${net}.${n >> 8}.${n & 255}:7400`, http: `10.${net}.${n >> 8}.${n & 255}:7500`,
     zone: `zone-${n % 7}`, data: kind === 'front' ? `10.${net}.${n >> 8}.${n & 255}:7600` : '', name: '',
   }));
 
-export const configured = (s: State, lanes: number): State => {
-  const text = configOf(s.config?.version ?? 0, lanes);
+export const configured = (s: State, routes: number): State => {
+  const text = configOf(s.config?.version ?? 0, routes);
   const { config } = checkConfig(text);
   if (!config) throw new Error('the configuration is refused');
   const record = ConfigRecord.parse({ version: (s.config?.version ?? 0) + 1, text, digest: digestOf(text), compiled: JSON.stringify(config) });
@@ -27,13 +27,13 @@
 };
 
 export const stateOf = (z: StateSizes): State => {
-  const controls = mates('control', 1, 5);
-  const all = [...controls, ...mates('store', 2, 15), ...mates('front', 3, z.fronts)];
-  const founded = foundingState('cluster', controls, z.slots);
-  const joined = all.reduce((s, mate) => reduce(s, { kind: 'join', mate }), founded);
-  const allotted = allot(joined, { leastStores: 3, moves: z.slots, fills: z.slots, silentStores: new Set() });
+  const controls = peers('control', 1, 5);
+  const all = [...controls, ...peers('store', 2, 15), ...peers('front', 3, z.fronts)];
+  const bootstrapped = bootstrapState('cluster', controls, z.slots);
+  const joined = all.reduce((s, member) => reduce(s, { kind: 'join', member }), bootstrapped);
+  const allotted = allocate(joined, { leastStores: 3, moves: z.slots, fills: z.slots, unresponsiveStores: new Set() });
   const servers = serversOf(z.servers);
   const served = { ...allotted, servers: new Map(servers.map((v) => [v.id, v])) };
   const weights = new Map(servers.map((v) => [weightKey(v.pool, v.id), 0.98]));
-  return configured(reduce(served, { kind: 'weights', weights }), z.lanes);
+  return configured(reduce(served, { kind: 'weights', weights }), z.routes);
 };
--- a/packages/fleet/src/capacity-world.ts
+++ b/packages/fleet/src/capacity-world.ts
@@ -43,7 +43,7 @@
     old?.kill();
     await w.clock.until('another master', () => w.master !== undefined && w.master !== old, 20000);
     const term = w.master?.control?.zen.term ?? 0;
-    const followed = (): boolean => w.of('front').every((m) => (m.front?.steward.current?.state.term ?? 0) >= term);
+    const followed = (): boolean => w.of('front').every((m) => (m.front?.owner.current?.state.term ?? 0) >= term);
     await w.clock.until('its state on every front', followed, 20000);
     ms = w.clock.now() - t0;
   });
@@ -94,7 +94,7 @@
   ]);
 };
 
-const lanes = async (count: number): Promise<Values> => {
+const routes = async (count: number): Promise<Values> => {
   const rig = await Rig.raise(rigSizes, 16, count);
   return new Map([['state bytes', stateBytes(rig)], ...(await changing(rig))]);
 };
@@ -108,15 +108,15 @@
   let ms = 0;
   const t = await rig.tally(async () => {
     front?.kill();
-    await rig.w.clock.until('another steward', () => (rig.w.committed?.version ?? 0) > versions && rig.w.slotsServed(), 20000);
+    await rig.w.clock.until('another owner', () => (rig.w.committed?.version ?? 0) > versions && rig.w.slotsServed(), 20000);
     ms = rig.w.clock.now() - t0;
     await rig.w.clock.run(2000);
   });
   return new Map([
     ['state bytes', state],
     ['publish bytes at the loss of a front', both(t, published, 'bytes')],
-    ['seals at the loss of a front', both(t, ['store/seal'], 'messages')],
-    ['loss of a front, ms to the last new steward', ms],
+    ['fences at the loss of a front', both(t, ['store/fence'], 'messages')],
+    ['loss of a front, ms to the last new owner', ms],
   ]);
 };
 
@@ -154,7 +154,7 @@
     const p = await w.clock.finish('program', w.program(1000, w.of('front')[n % 9]), 20000);
     const t1 = w.clock.now();
     const t = await w.clock.finish('turn', w.turn(p.program, null, 'words', `k${n}`, w.of('front')[n % 9]), 20000);
-    if (p.told !== 'done' || t.told !== 'done') throw new Error(`told ${p.told}, ${t.told}`);
+    if (p.reported !== 'done' || t.reported !== 'done') throw new Error(`reported ${p.reported}, ${t.reported}`);
     programs.push(t1 - t0);
     turns.push(w.clock.now() - t1);
   }
@@ -162,15 +162,15 @@
   return new Map([
     ['one change in force, ms', inForce],
     ['a program made, median ms', middle(programs)],
-    ['a turn of 4 to 15 pieces, median ms', middle(turns)],
-    ['a turn of 4 to 15 pieces, most ms', Math.max(...turns)],
+    ['a turn of 4 to 15 chunks, median ms', middle(turns)],
+    ['a turn of 4 to 15 chunks, most ms', Math.max(...turns)],
   ]);
 };
 
 export const worldSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
   ['nodes', { about: 'fronts beside 5 controls and 3 stores, 16 servers, 64 slots', by: 'front', how: 'simulated', sizes: [16, 32, 64, 128], small: [2, 4, 6, 8], grown: 410, run: nodes }],
   ['servers', { about: 'servers before 6 fronts', by: 'server', how: 'simulated', sizes: [16, 64, 256, 1024], small: [4, 8, 16, 32], grown: 3400, run: servers }],
-  ['lanes', { about: 'lanes in the configuration; one is added', by: 'lane', how: 'simulated', sizes: [10, 40, 160, 640], small: [2, 4, 8, 16], grown: 8400, run: lanes }],
+  ['routes', { about: 'routes in the configuration; one is added', by: 'route', how: 'simulated', sizes: [10, 40, 160, 640], small: [2, 4, 8, 16], grown: 8400, run: routes }],
   ['slots', { about: 'slots; one front of six is lost', by: 'slot', how: 'simulated', sizes: [16, 64, 256, 512], small: [8, 16, 32, 64], grown: 8200, run: slots }],
   ['changes', { about: 'changes of configuration in ten seconds, 16 fronts', by: 'change in ten seconds', how: 'simulated', sizes: [5, 10, 20, 40], small: [1, 2, 4, 8], grown: 1, run: changes }],
   ['regions', { about: 'ms one way between three regions', by: 'ms one way', how: 'simulated', sizes: [0, 10, 20, 40], small: [0, 5, 10, 20], grown: 40, run: regions }],
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -97,8 +97,8 @@
     if (this.spec.cuts) await this.relay.serve(addr, at(p1));
     const make = (): Machine => {
       if (kind !== 'front') {
-        const env = { ...common, ...via, addr, http: at(p2), seeds: this.seeds, data: join(dir, 'data') };
-        return { kind, n, addr, http: at(p2), extra: [], procs: [new Proc(name, `${kind}-node`, env, dir)] };
+        const settings = { ...common, ...via, addr, http: at(p2), seeds: this.seeds, data: join(dir, 'data') };
+        return { kind, n, addr, http: at(p2), extra: [], procs: [new Proc(name, `${kind}-node`, settings, dir)] };
       }
       const data = at(p3);
       const dataVia = this.spec.cuts ? { listen: at(p6) } : {};
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -55,17 +55,17 @@
 const print = (r: RunResult, aims: readonly string[]): boolean => {
   for (const n of r.notes) console.log(`  ${n}`);
   console.log(`  told: ${[...r.counts].sort().map(([k, n]) => `${k} ${n}`).join(', ')}`);
-  const why = [...countRefusals(r.records.told)].sort().map(([k, n]) => `${k} ${n}`);
+  const why = [...countRefusals(r.records.reported)].sort().map(([k, n]) => `${k} ${n}`);
   if (why.length > 0) console.log(`  not done: ${why.join(', ')}`);
-  console.log(`  prefix hit share ${r.prefixShare.toFixed(3)}, first piece median ${middle(r.firstPieceMs, 0.5)} ms, 99th ${middle(r.firstPieceMs, 0.99)} ms`);
-  for (const v of r.verdicts) {
+  console.log(`  prefix hit share ${r.prefixShare.toFixed(3)}, first chunk median ${middle(r.firstChunkMs, 0.5)} ms, 99th ${middle(r.firstChunkMs, 0.99)} ms`);
+  for (const v of r.results) {
     const state = v.breaches.length > 0 ? 'BREACHED' : v.checked === 0 ? 'unproven' : 'kept';
     console.log(`  ${state.padEnd(9)} ${v.rule} (${v.checked} checked)`);
     for (const b of v.breaches.slice(0, 10)) console.log(`            ${b}`);
   }
-  const empty = [...always, ...aims].filter((a) => !r.verdicts.some((v) => v.rule.includes(a) && v.checked > 0));
+  const empty = [...always, ...aims].filter((a) => !r.results.some((v) => v.rule.includes(a) && v.checked > 0));
   for (const a of empty) console.log(`  UNPROVEN  the rule this scenario is for: ${a}`);
-  return empty.length === 0 && r.verdicts.every((v) => v.breaches.length === 0);
+  return empty.length === 0 && r.results.every((v) => v.breaches.length === 0);
 };
 
 const runOne = async (name: string, c: Choices, json: unknown): Promise<boolean> => {
--- a/packages/fleet/src/operator.ts
+++ b/packages/fleet/src/operator.ts
@@ -17,7 +17,7 @@
     const parsed: unknown = text === '' ? null : JSON.parse(text);
     return { status: res.statusCode, body: parsed };
   } catch (e) {
-    return { status: 0, body: { mishap: e instanceof Error ? e.message : String(e) } };
+    return { status: 0, body: { errorCode: e instanceof Error ? e.message : String(e) } };
   }
 };
 
--- a/packages/fleet/src/proc.ts
+++ b/packages/fleet/src/proc.ts
@@ -21,7 +21,7 @@
   constructor(
     readonly name: string,
     readonly program: string,
-    readonly env: object,
+    readonly settings: object,
     readonly dir: string,
   ) {}
 
@@ -33,7 +33,7 @@
     if (this.running) return;
     mkdirSync(this.dir, { recursive: true });
     const settings = join(this.dir, 'settings.json');
-    writeFileSync(settings, JSON.stringify(this.env, null, 1));
+    writeFileSync(settings, JSON.stringify(this.settings, null, 1));
     const log = openSync(join(this.dir, 'log'), 'a');
     const main = programs.get(this.program);
     if (main === undefined) throw new Error(`no program ${this.program}`);
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -1,4 +1,4 @@
-import { checkRecords, countTold, noRecords, type ConfigRecord, type LeavingRecord, type Records, type RestartRecord, type RuleVerdict, type SharesRecord } from '@tillerstair/checker';
+import { checkRecords, countReported, noRecords, type ConfigRecord, type DrainingRecord, type Records, type RestartRecord, type RuleResult, type SharesRecord } from '@tillerstair/checker';
 import { z } from 'zod';
 import { configFor } from './configs.js';
 import { Fleet, until, type FleetSpec } from './fleet.js';
@@ -15,12 +15,12 @@
 
 export interface RunResult {
   readonly records: Records;
-  readonly verdicts: readonly RuleVerdict[];
+  readonly results: readonly RuleResult[];
   readonly counts: ReadonlyMap<string, number>;
   readonly servingAfterMs: number;
   readonly notes: readonly string[];
   readonly prefixShare: number;
-  readonly firstPieceMs: readonly number[];
+  readonly firstChunkMs: readonly number[];
 }
 
 const Current = z.object({ current: z.number() });
@@ -31,7 +31,7 @@
   readonly traffic: Traffic;
   readonly rng;
   readonly configs: ConfigRecord[] = [];
-  readonly leavings: LeavingRecord[] = [];
+  readonly drainings: DrainingRecord[] = [];
   readonly restarts: RestartRecord[] = [];
   readonly shares: SharesRecord[] = [];
   readonly notes: string[] = [];
@@ -64,14 +64,14 @@
     const [a = '', b = ''] = both(house.modelPool);
     const turnPools = [[a, b], [a], [b]][base % 3] ?? [a];
     const callPools = base % 2 === 0 ? both(house.servicePool) : [poolOf(house.servicePool, 0)];
-    const text = configFor(house, { base, turnPools, callPools, extraLanes: this.extra, note: `version ${base + 1} by ${this.rng()}`, tuning: this.spec.tuning ?? true });
-    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools, sentAt: Date.now(), told: 'unknown', toldAt: Infinity };
+    const text = configFor(house, { base, turnPools, callPools, extraRoutes: this.extra, note: `version ${base + 1} by ${this.rng()}`, tuning: this.spec.tuning ?? true });
+    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools, sentAt: Date.now(), reported: 'unknown', reportedAt: Infinity };
     const n = this.configs.push(row) - 1;
     const r = at === undefined ? await this.fleet.operator.any('PUT', '/v1/config', text) : await ask('PUT', `http://${at}/v1/config`, text);
-    const told = r.status === 200 ? 'done' : r.status === 0 || r.status === 504 ? 'unknown' : 'refused';
-    this.configs[n] = { ...row, told, toldAt: Date.now() };
+    const reported = r.status === 200 ? 'done' : r.status === 0 || r.status === 504 ? 'unknown' : 'refused';
+    this.configs[n] = { ...row, reported, reportedAt: Date.now() };
     const current = Current.safeParse(r.body);
-    if (told === 'done') this.version = Math.max(this.version, base + 1);
+    if (reported === 'done') this.version = Math.max(this.version, base + 1);
     else if (current.success) this.version = Math.max(this.version, current.data.current);
     this.note(`configuration ${base + 1}: ${r.status}`);
     return r.status;
@@ -133,15 +133,15 @@
         return readBack !== undefined;
       });
       const records: Records = {
-        ...noRecords, told: this.traffic.told, ran: this.fleet.ledger.all(), configs: this.configs, leavings: this.leavings,
+        ...noRecords, reported: this.traffic.reported, executed: this.fleet.ledger.all(), configs: this.configs, drainings: this.drainings,
         restarts: this.restarts, shares: this.shares, readBack, perTurn: 64,
       };
       const turns = this.fleet.ledger.all().filter((r) => r.kind === 'generate');
       const prompt = turns.reduce((n, r) => n + r.prompt, 0);
       return {
-        records, verdicts: checkRecords(records), counts: countTold(this.traffic.told), servingAfterMs, notes: this.notes,
+        records, results: checkRecords(records), counts: countReported(this.traffic.reported), servingAfterMs, notes: this.notes,
         prefixShare: prompt === 0 ? 0 : turns.reduce((n, r) => n + r.cached, 0) / prompt,
-        firstPieceMs: this.traffic.told.filter((t) => t.kind === 'turn' && t.told === 'done').map((t) => t.firstMs).sort((a, b) => a - b),
+        firstChunkMs: this.traffic.reported.filter((t) => t.kind === 'turn' && t.reported === 'done').map((t) => t.firstMs).sort((a, b) => a - b),
       };
     } finally {
       await this.fleet.close();
--- a/packages/fleet/src/scenarios.ts
+++ b/packages/fleet/src/scenarios.ts
@@ -54,21 +54,21 @@
   return fresh;
 };
 
-const Filling = z.object({
+const JoiningReplicas = z.object({
   nodes: z.array(z.object({ id: z.string(), addr: z.string() })),
   stores: z.array(z.object({ store: z.string(), slotsHeld: z.number() })),
-  slots: z.object({ count: z.number(), filling: z.number() }),
+  slots: z.object({ count: z.number(), joiningReplicas: z.number() }),
 });
 
 const filled = async (run: Run): Promise<boolean> => {
-  const got = Filling.safeParse((await run.fleet.operator.any('GET', '/v1/status')).body);
+  const got = JoiningReplicas.safeParse((await run.fleet.operator.any('GET', '/v1/status')).body);
   if (!got.success) return false;
   const { nodes, stores, slots } = got.data;
   const holds = (addr: string): boolean => {
     const id = nodes.find((n) => n.addr === addr)?.id;
     return stores.find((s) => s.store === id)?.slotsHeld === slots.count;
   };
-  return slots.filling === 0 && run.fleet.of('store').every((m) => holds(m.addr));
+  return slots.joiningReplicas === 0 && run.fleet.of('store').every((m) => holds(m.addr));
 };
 
 const restartAll = async (run: Run): Promise<void> => {
@@ -90,11 +90,11 @@
   return run.fleet.models.filter((m) => used.has(m.spec.id));
 };
 
-const markLeaving = async (run: Run, id: string): Promise<number> => {
+const markDraining = async (run: Run, id: string): Promise<number> => {
   for (let n = 0; n < 5; n++) {
     const at = Date.now();
-    const mark = await run.fleet.operator.any('POST', `/v1/servers/${id}/leaving`);
-    run.note(`leaving ${id}: ${mark.status}`);
+    const mark = await run.fleet.operator.any('POST', `/v1/servers/${id}/draining`);
+    run.note(`draining ${id}: ${mark.status}`);
     if (mark.status === 200) return at;
   }
   throw new Error('the mark was not taken');
@@ -104,23 +104,23 @@
   await wait(1500);
   const { fleet } = run;
   for (const s of [...fleet.models.slice(0, 3), ...fleet.services.slice(0, 2)]) {
-    const at = await markLeaving(run, s.spec.id);
+    const at = await markDraining(run, s.spec.id);
     await wait(5000);
-    run.leavings.push({ server: s.spec.id, at, until: Date.now() });
+    run.drainings.push({ server: s.spec.id, at, until: Date.now() });
     await s.stop();
     await s.start();
     await fleet.registerOne(s.spec.id, s.spec.pool, s.spec.addr);
   }
 };
 
-const ownLeaving = async (run: Run): Promise<void> => {
+const ownDraining = async (run: Run): Promise<void> => {
   await wait(2000);
   const s = run.pick(inUse(run));
-  s.set({ leaving: true });
+  s.set({ draining: true });
   const at = Date.now();
   await wait(6000);
-  run.leavings.push({ server: s.spec.id, at, until: Date.now() });
-  s.set({ leaving: false });
+  run.drainings.push({ server: s.spec.id, at, until: Date.now() });
+  s.set({ draining: false });
 };
 
 export const scenarios: ReadonlyMap<string, Scenario> = new Map<string, Scenario>([
@@ -213,19 +213,19 @@
     },
   }],
   ['cut-front', {
-    about: 'A single front is isolated, servers are marked leaving meanwhile', cuts: true, seconds: 16, aims: ['leaving', 'in force'],
+    about: 'A single front is isolated, servers are marked draining meanwhile', cuts: true, seconds: 16, aims: ['draining', 'in force'],
     during: async (run) => {
       await wait(1500);
       const s = run.pick(inUse(run));
       const cut = cutOff(run, [run.pick(run.fleet.of('front'))], 7000);
       await wait(300);
-      const at = await markLeaving(run, s.spec.id);
+      const at = await markDraining(run, s.spec.id);
       await cut;
-      run.leavings.push({ server: s.spec.id, at, until: Date.now() });
+      run.drainings.push({ server: s.spec.id, at, until: Date.now() });
     },
   }],
-  ['replace-servers', { about: 'Servers are marked leaving and replaced one by one', cuts: false, seconds: 32, aims: ['leaving'], during: replaceServers }],
-  ['own-leaving', { about: 'A server reports by itself that it leaves', cuts: false, seconds: 12, aims: ['leaving'], during: ownLeaving }],
+  ['replace-servers', { about: 'Servers are marked draining and replaced one by one', cuts: false, seconds: 32, aims: ['draining'], during: replaceServers }],
+  ['own-draining', { about: 'A server reports by itself that it leaves', cuts: false, seconds: 12, aims: ['draining'], during: ownDraining }],
   ['lose-answers', {
     about: 'Servers finish work whose answer never comes back', cuts: false, seconds: 12, aims: ['skips, repeats'],
     during: async (run) => {
@@ -236,7 +236,7 @@
     },
   }],
   ['racing-operators', {
-    about: 'Two operators hand in configurations at the same moment, many times, growing by many lanes', cuts: false, seconds: 15, aims: ['in force'],
+    about: 'Two operators hand in configurations at the same moment, many times, growing by many routes', cuts: false, seconds: 15, aims: ['in force'],
     during: async (run) => {
       const controls = run.fleet.of('control');
       for (let i = 0; i < 8; i++) {
@@ -261,7 +261,7 @@
         run.fleet.useSeeds(run.fleet.of('control').filter((x) => x !== m).slice(-3));
         const fresh = await replace(run, m);
         const took = await until('the newcomer to vote', 40000, async () => {
-          const r = await ask('GET', `http://${fresh.http}/v1/belief`, '', 500);
+          const r = await ask('GET', `http://${fresh.http}/v1/view`, '', 500);
           const mine = JSON.stringify(r.body);
           const id = /"id":"(c-[0-9a-f]+)"/.exec(mine)?.[1] ?? 'none';
           return new RegExp(`"controls","[^"]*${id}`).test(mine);
--- a/packages/fleet/src/storms.ts
+++ b/packages/fleet/src/storms.ts
@@ -13,7 +13,7 @@
   readonly cut: boolean;
 }
 
-export interface StormVerdict {
+export interface StormResult {
   readonly seed: number;
   readonly breach: string;
   readonly log: readonly string[];
@@ -25,12 +25,12 @@
   seed: z.number(), breach: z.string(), log: z.array(z.string()), few: z.array(z.string()), struck: z.array(z.string()), checked: z.array(z.tuple([z.string(), z.number()])),
 });
 
-export const stormOnce = async (seed: number, ms: number, plan: readonly Planned[]): Promise<StormVerdict> => {
+export const stormOnce = async (seed: number, ms: number, plan: readonly Planned[]): Promise<StormResult> => {
   const storm = new Storm({ seed, sizes: deploymentOf(seed), ms, plan, chats: seed % 10 === 0 ? 80 : 40 });
   try {
-    const verdicts = checkRecords(await storm.run());
-    const breach = verdicts.flatMap((v) => v.breaches.map((b) => `${v.rule}: ${b}`)).slice(0, 3).join('; ');
-    return { seed, breach, log: storm.log, checked: new Map(verdicts.map((v) => [v.rule, v.checked])), struck: [...storm.struck] };
+    const results = checkRecords(await storm.run());
+    const breach = results.flatMap((v) => v.breaches.map((b) => `${v.rule}: ${b}`)).slice(0, 3).join('; ');
+    return { seed, breach, log: storm.log, checked: new Map(results.map((v) => [v.rule, v.checked])), struck: [...storm.struck] };
   } catch (e) {
     return { seed, breach: e instanceof Error ? e.message : String(e), log: storm.log, checked: new Map(), struck: [] };
   }
--- a/packages/fleet/src/traffic.ts
+++ b/packages/fleet/src/traffic.ts
@@ -1,4 +1,4 @@
-import { Caller, type Told } from '@tillerstair/stand-ins';
+import { Caller, type CallerRecord } from '@tillerstair/stand-ins';
 import { seeded, type House } from './layout.js';
 
 export interface TrafficSpec {
@@ -12,7 +12,7 @@
 const wait = (ms: number): Promise<void> => new Promise((done) => setTimeout(done, ms));
 
 export class Traffic {
-  readonly told: Told[] = [];
+  readonly reported: CallerRecord[] = [];
   private readonly rng;
   private stopping = false;
   private readonly going = new Set<Promise<void>>();
@@ -32,14 +32,14 @@
   }
 
   private caller(n: number): Caller {
-    return new Caller(`${this.spec.house.name}-${n % 7}`, (t) => this.told.push(t));
+    return new Caller(`${this.spec.house.name}-${n % 7}`, (t) => this.reported.push(t));
   }
 
-  private async again(once: (n: number) => Promise<Told>, tries: number): Promise<Told> {
+  private async again(once: (n: number) => Promise<CallerRecord>, tries: number): Promise<CallerRecord> {
     for (let n = 1; ; n++) {
       const t = await once(n);
-      if (t.told === 'done' || t.told === 'partial' || n >= tries || this.stopping) return t;
-      if (t.told === 'refused' && ![0, 429, 503].includes(t.status)) return t;
+      if (t.reported === 'done' || t.reported === 'partial' || n >= tries || this.stopping) return t;
+      if (t.reported === 'refused' && ![0, 429, 503].includes(t.status)) return t;
       await wait(Math.min(1000, t.retryAfter * 1000 || 200) * (0.5 + this.rng()));
     }
   }
@@ -53,7 +53,7 @@
   private async chat(n: number, turns: number): Promise<void> {
     const c = this.caller(n);
     const made = await this.again(() => c.program(this.front(), 4000), 5);
-    if (made.told !== 'done') return;
+    if (made.reported !== 'done') return;
     let program = made.program;
     let after: string | null = null;
     const ended: { program: string; turn: string }[] = [];
@@ -61,8 +61,8 @@
       const key = `t${this.spec.seed}-${n}-${i}`;
       const words = this.words(n, i, key);
       const parent: string | null = after;
-      const t: Told = await this.again(() => c.turn(this.front(), program, parent, words, key), 5);
-      if (t.told === 'done') {
+      const t: CallerRecord = await this.again(() => c.turn(this.front(), program, parent, words, key), 5);
+      if (t.reported === 'done') {
         after = t.turn;
         ended.push({ program, turn: t.turn });
       }
@@ -75,7 +75,7 @@
       }
       if (i === 1 && this.rng() < 0.2) {
         const helper = await this.again(() => c.program(this.front(), 1, program), 3);
-        if (helper.told === 'done') {
+        if (helper.reported === 'done') {
           program = helper.program;
           after = null;
         }
--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -20,7 +20,7 @@
   setAside(name: string): Promise<void>;
 }
 
-export class FolderTaken extends Error {}
+export class FolderInUseError extends Error {}
 
 const diskTroubles: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT', 'EIO']);
 
@@ -123,11 +123,11 @@
         }
         const [pid = '0', born = ''] = (await readFile(lockPath, 'utf8').catch(() => '')).split(' ');
         if (Number(pid) > 0 && born !== '' && alive(Number(pid)) && (await started(Number(pid))) === born)
-          throw new FolderTaken(`${dir} is in use by process ${pid}`);
+          throw new FolderInUseError(`${dir} is in use by process ${pid}`);
         await unlink(lockPath).catch(() => undefined);
       }
     }
-    throw new FolderTaken(`${dir} cannot be locked`);
+    throw new FolderInUseError(`${dir} cannot be locked`);
   }
 
   async free(): Promise<void> {
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -1,5 +1,5 @@
 /** A log of records on disk that are acknowledged once they are synced, and that mends itself after a failed write. */
-import { Line, pause, wholeMs, type Beat } from '@tillerstair/wire';
+import { TaskQueue, pause, wholeMs, type TimerHandle } from '@tillerstair/wire';
 import type { Disk, DiskFile } from './disk.js';
 import { chunksOf, Digest, frame, Scanner } from './frames.js';
 import { hostPace, JournalUnavailable, untilDiskTakes, type JournalPace } from './pace.js';
@@ -58,7 +58,7 @@
   private constructor(
     private readonly name: string,
     private readonly file: DiskFile,
-    private readonly line: Line,
+    private readonly taskQueue: TaskQueue,
     private readonly pace: JournalPace,
   ) {}
 
@@ -77,7 +77,7 @@
   static openFor<Owner extends JournalOwner>(disk: Disk, name: string, pace: JournalPace, begin: (journal: Journal) => Owner): Promise<Owner> {
     return untilDiskTakes(pace, name, async () => {
       const file = await disk.open(name);
-      const journal = new Journal(name, file, new Line(`journal-${name}`), pace);
+      const journal = new Journal(name, file, new TaskQueue(`journal-${name}`), pace);
       try {
         const owner = begin(journal);
         await journal.load(owner);
@@ -129,7 +129,7 @@
     return new Promise((done, fail) => {
       this.mustBeWritable();
       this.pending.push({ record, done, fail });
-      if (this.pending.length === 1) void this.line.run(() => this.flush()).catch(fail);
+      if (this.pending.length === 1) void this.taskQueue.run(() => this.flush()).catch(fail);
     });
   }
 
@@ -150,7 +150,7 @@
   async rewrite(records: Snapshot): Promise<void> {
     if (this.rewriting || !this.writable) return;
     this.rewriting = true;
-    await this.line
+    await this.taskQueue
       .run(async () => {
         if (!this.writable) return;
         const waiting = this.pending;
@@ -190,12 +190,12 @@
     }
   }
 
-  private limit(within: number, onLate: () => void): Beat {
+  private limit(within: number, onLate: () => void): TimerHandle {
     const { clock } = this.pace;
-    let beat = clock.after(wholeMs(within * (1 - lastShare)), () => {
-      beat = clock.after(wholeMs(within * lastShare), onLate);
+    let timer = clock.after(wholeMs(within * (1 - lastShare)), () => {
+      timer = clock.after(wholeMs(within * lastShare), onLate);
     });
-    return { stop: () => beat.stop() };
+    return { stop: () => timer.stop() };
   }
 
   private refuse(batch: readonly Pending[], why: string): void {
@@ -242,7 +242,7 @@
 
   async close(): Promise<void> {
     this.closing.abort();
-    await this.line.run(() => this.file.close());
-    this.line.close();
+    await this.taskQueue.run(() => this.file.close());
+    this.taskQueue.close();
   }
 }
--- a/packages/journal/src/pace.ts
+++ b/packages/journal/src/pace.ts
@@ -1,5 +1,5 @@
 /** The time bounds of writes to disk. */
-import { hostClock, Mishap, pause, type Clock, type Log, type Ran } from '@tillerstair/wire';
+import { hostClock, RpcError, pause, type Clock, type Log, type Executed } from '@tillerstair/wire';
 import { isDiskTrouble } from './disk.js';
 
 export interface JournalPace {
@@ -14,9 +14,9 @@
 export const hostPace: JournalPace = { clock: hostClock, syncWithin: 1500, retryEvery: 250 };
 
 /** Told to those whose record is not known to be on disk. */
-export class JournalUnavailable extends Mishap {
-  constructor(name: string, why: string, ran: Ran) {
-    super('unavailable', `${name} cannot be written: ${why}`, ran);
+export class JournalUnavailable extends RpcError {
+  constructor(name: string, why: string, executed: Executed) {
+    super('unavailable', `${name} cannot be written: ${why}`, executed);
   }
 }
 
--- a/packages/proxy/src/backend.ts
+++ b/packages/proxy/src/backend.ts
@@ -3,16 +3,16 @@
 import { errors, request, type Agent, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Busyness, BusyReport, Ended, Generate, Header, Passing, Sink } from '@tillerstair/steward';
+import type { Act, Backend, ServerLoad, LoadReport, Ended, Generate, Header, Passing, Sink } from '@tillerstair/session-owner';
 import { connectionsTo, type BackendBounds } from './connections.js';
 import { Departure, Withdrawn } from './departure.js';
 import { ownDialect, type Dialect } from './dialect.js';
 
-const Piece = z.object({ id: z.string(), n: z.number(), text: z.string() });
-const End = z.object({ id: z.string(), end: z.literal(true), pieces: z.number() });
-const Line = z.union([End, Piece]);
-const BusyPage = z.object({ busy: z.number(), leaving: z.boolean() });
-const Declined = z.object({ ran: z.literal('no') });
+const Chunk = z.object({ id: z.string(), n: z.number(), text: z.string() });
+const End = z.object({ id: z.string(), end: z.literal(true), chunks: z.number() });
+const Line = z.union([End, Chunk]);
+const LoadPage = z.object({ busy: z.number(), draining: z.boolean() });
+const Declined = z.object({ executed: z.literal('no') });
 const Acted = z.object({ id: z.string(), result: z.unknown() });
 
 const textOf = (e: unknown): string => (e instanceof Error ? e.message : String(e));
@@ -23,7 +23,7 @@
   return { kind, text: textOf(e) };
 };
 
-export const ofOneCircuit: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'proxy-connection', 'te', 'trailer', 'content-length', 'expect']);
+export const ofOneConnection: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'proxy-connection', 'te', 'trailer', 'content-length', 'expect']);
 
 const Raw = z.array(z.string());
 
@@ -34,15 +34,15 @@
   return out;
 };
 
-/** The headers that go on to the next circuit (RFC 9110, section 7.6.1). */
+/** The headers that go on to the next connection (RFC 9110, section 7.6.1). */
 export const endToEnd = (headers: readonly Header[]): readonly Header[] => {
   const named = headers.filter(([k]) => k.toLowerCase() === 'connection').flatMap(([, v]) => v.toLowerCase().split(',').map((n) => n.trim()));
-  return headers.filter(([k]) => !ofOneCircuit.has(k.toLowerCase()) && !named.includes(k.toLowerCase()));
+  return headers.filter(([k]) => !ofOneConnection.has(k.toLowerCase()) && !named.includes(k.toLowerCase()));
 };
 
 const find = (headers: readonly Header[], name: string): string => headers.find(([k]) => k.toLowerCase() === name)?.[1] ?? '';
 
-const busynessOf = (text: string): Busyness | undefined => {
+const loadOf = (text: string): ServerLoad | undefined => {
   const [running, waiting, places] = text.split(',').map(Number);
   return text !== '' && running !== undefined && waiting !== undefined && places !== undefined && running >= 0 && waiting >= 0 ? { running, waiting, places } : undefined;
 };
@@ -82,8 +82,8 @@
         bodyTimeout: 0,
       }, departure);
       const got = pairsOf(res.headers);
-      const told = busynessOf(find(got, d.busyness));
-      if (told) sink.busyness(told);
+      const reported = loadOf(find(got, d.load));
+      if (reported) sink.load(reported);
       const spoil = (text: string): Ended => {
         res.body.on('error', () => undefined).destroy();
         return { kind: 'lost', text };
@@ -95,7 +95,7 @@
         return { kind: 'declined', text: `server declined with ${res.statusCode}` };
       }
       if (unclear.has(res.statusCode)) return spoil(`server failed with ${res.statusCode}`);
-      if (res.statusCode < serverErrors && d.seal !== '' && find(got, d.seal) === '') return spoil('the answer is not the server\'s');
+      if (res.statusCode < serverErrors && d.madeByServer !== '' && find(got, d.madeByServer) === '') return spoil('the answer is not the server\'s');
       sink.head({ status: res.statusCode, headers: endToEnd(got) });
       for await (const part of res.body) sink.bytes(Buffer.isBuffer(part) ? part.toString('latin1') : String(part));
       return { kind: 'done', code: res.statusCode, body: null };
@@ -108,14 +108,14 @@
     return this.agent.destroy();
   }
 
-  async generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
+  async generate(server: Server, g: Generate, onChunk: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended> {
     const stop = AbortSignal.any([gone, AbortSignal.timeout(Math.ceil(within))]);
     const departure = new Departure(still, stop);
     try {
       const res = await this.send(server, {
         path: '/v1/generate',
         method: 'POST',
-        headers: { 'content-type': 'application/json', 'x-request-id': g.inquiry },
+        headers: { 'content-type': 'application/json', 'x-request-id': g.requestId },
         body: JSON.stringify({ id: g.id, messages: g.messages, maxTokens: g.maxTokens }),
         signal: stop,
         headersTimeout: within,
@@ -132,11 +132,11 @@
       pipeline(res.body, lines, () => undefined);
       for await (const text of lines) {
         const line = Line.parse(JSON.parse(String(text)));
-        if (line.id !== g.id) return { kind: 'lost', text: 'the server spoke of another inquiry' };
+        if (line.id !== g.id) return { kind: 'lost', text: 'the server spoke of another request' };
         if ('end' in line)
-          return line.pieces === seen ? { kind: 'done', code: 200, body: seen } : { kind: 'lost', text: 'the server counted other pieces' };
-        if (line.n !== seen) return { kind: 'lost', text: 'the server skipped or repeated a piece' };
-        onPiece(seen++, line.text);
+          return line.chunks === seen ? { kind: 'done', code: 200, body: seen } : { kind: 'lost', text: 'the server counted other chunks' };
+        if (line.n !== seen) return { kind: 'lost', text: 'the server skipped or repeated a chunk' };
+        onChunk(seen++, line.text);
         if (stop.aborted) break;
       }
       return { kind: 'lost', text: 'the stream stopped without an end' };
@@ -152,7 +152,7 @@
       const res = await this.send(server, {
         path: '/v1/act',
         method: 'POST',
-        headers: { 'content-type': 'application/json', 'x-request-id': a.inquiry, ...(a.key ? { 'idempotency-key': a.key } : {}) },
+        headers: { 'content-type': 'application/json', 'x-request-id': a.requestId, ...(a.key ? { 'idempotency-key': a.key } : {}) },
         body: JSON.stringify({ id: a.id, path: a.path, body: a.body }),
         signal: stop,
         headersTimeout: within,
@@ -164,15 +164,15 @@
           ? { kind: 'declined', text: `server declined with ${res.statusCode}` }
           : { kind: 'lost', text: `server failed with ${res.statusCode}` };
       const got = Acted.safeParse(raw);
-      if (!got.success || got.data.id !== a.id) return { kind: 'lost', text: 'the server spoke of another inquiry' };
+      if (!got.success || got.data.id !== a.id) return { kind: 'lost', text: 'the server spoke of another request' };
       return { kind: 'done', code: res.statusCode, body: got.data.result };
     } catch (e) {
       return failed(e, departure);
     }
   }
 
-  async busyness(server: Server, within: number): Promise<BusyReport> {
+  async load(server: Server, within: number): Promise<LoadReport> {
     const res = await request(`${server.url}/load`, { dispatcher: this.agent, signal: AbortSignal.timeout(Math.ceil(within)) });
-    return BusyPage.parse(await res.body.json());
+    return LoadPage.parse(await res.body.json());
   }
 }
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -3,8 +3,8 @@
 
 export interface BackendBounds {
   readonly connectWithin: number;
-  /** Circuits this front may open to one server. */
-  readonly circuits: (url: string) => number;
+  /** Connections this front may open to one server. */
+  readonly connections: (url: string) => number;
 }
 
 /**
@@ -36,6 +36,6 @@
     });
   return new Agent({
     connect, pipelining: 1, keepAliveTimeout: idleUnsaid, keepAliveTimeoutThreshold: idleMargin, keepAliveMaxTimeout: idleMost,
-    factory: (origin, options) => new Pool(origin, { ...options, connections: bounds.circuits(String(origin)) }),
+    factory: (origin, options) => new Pool(origin, { ...options, connections: bounds.connections(String(origin)) }),
   });
 };
--- a/packages/proxy/src/dialect.ts
+++ b/packages/proxy/src/dialect.ts
@@ -1,4 +1,4 @@
-/** Names of the headers that pass lanes are spoken with, in lower case; '' where there is none. */
+/** Names of the headers that pass routes are spoken with, in lower case; '' where there is none. */
 export interface Dialect {
   /** Names a caller's try; servers echo it. */
   readonly attempt: string;
@@ -22,9 +22,9 @@
   /** A server's word that it did not run a request. */
   readonly declined: string;
   /** A server's running, waiting and places, separated by commas. */
-  readonly busyness: string;
+  readonly load: string;
   /** Stands on every answer that a server made; '' if servers do not mark theirs. */
-  readonly seal: string;
+  readonly madeByServer: string;
 }
 
 export const ownDialect: Dialect = {
@@ -40,6 +40,6 @@
   resume: 'last-event-id',
   expect: 'x-expect-server',
   declined: 'x-not-run',
-  busyness: 'x-busyness',
-  seal: '',
+  load: 'x-load',
+  madeByServer: '',
 };
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-import { ProxyEnv, runDaemon } from '@tillerstair/env';
+import { ProxySettings, runDaemon } from '@tillerstair/settings';
 import { startProxy } from './start.js';
 
 void runDaemon({
   name: 'front-proxy',
   about: 'Serves callers, places turns, holds budgets. Fed by the front-agent beside it.',
-  schema: ProxyEnv,
+  schema: ProxySettings,
   flags: [
     ['addr', 'Own address for other fronts, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
@@ -15,5 +15,5 @@
     ['affinity', 'Place turns where their prefix is warm: true or false'],
     ['log', 'debug, info, warn or error'],
   ],
-  start: (env) => startProxy(env),
+  start: (settings) => startProxy(settings),
 });
--- a/packages/proxy/src/pages.ts
+++ b/packages/proxy/src/pages.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { z } from 'zod';
 import { rootOf } from '@tillerstair/state';
-import { opKeyOf, type Verdict } from '@tillerstair/steward';
+import { opKeyOf, type CallOutcome } from '@tillerstair/session-owner';
 import { readBody, sendJson, type Page } from '@tillerstair/wire';
 import type { Front } from './front.js';
 import type { Carry } from './passing.js';
@@ -22,17 +22,17 @@
   return typeof v === 'string' ? v : '';
 };
 
-const inquiryOf = (req: IncomingMessage): string => header(req, 'x-request-id').slice(0, 100) || `i-${randomBytes(9).toString('hex')}`;
+const requestIdOf = (req: IncomingMessage): string => header(req, 'x-request-id').slice(0, 100) || `i-${randomBytes(9).toString('hex')}`;
 
-const sendVerdict = (res: ServerResponse, v: Verdict): void => {
-  if (v.verdict === 'done') return sendJson(res, v.status, v.body ?? null);
+const sendOutcome = (res: ServerResponse, v: CallOutcome): void => {
+  if (v.outcome === 'done') return sendJson(res, v.status, v.body ?? null);
   const headers = new Map<string, string>();
   if (v.retryAfter !== undefined) headers.set('retry-after', String(v.retryAfter));
-  sendJson(res, v.status, { ran: v.verdict === 'refused' ? 'no' : 'unknown', mishap: v.mishap, text: v.text }, headers);
+  sendJson(res, v.status, { executed: v.outcome === 'refused' ? 'no' : 'unknown', errorCode: v.errorCode, text: v.text }, headers);
 };
 
-const bad = (res: ServerResponse, status: number, mishap: string, text: string, more: object = {}): void =>
-  sendJson(res, status, { ran: 'no', mishap, text, ...more });
+const bad = (res: ServerResponse, status: number, errorCode: string, text: string, more: object = {}): void =>
+  sendJson(res, status, { executed: 'no', errorCode, text, ...more });
 
 const parsed = <T>(schema: z.ZodType<T>, text: string, res: ServerResponse): T | undefined => {
   let raw: unknown;
@@ -61,27 +61,27 @@
   const ownPid = (): string => {
     for (let n = 0; ; n++) {
       const pid = `p-${randomBytes(8).toString('hex')}`;
-      const slot = front.steward.slotFor(front.steward.programSlotKey(pid));
-      if (n >= 200 || front.steward.stewardOf(slot) === front.p.id) return pid;
+      const slot = front.owner.slotFor(front.owner.programSlotKey(pid));
+      if (n >= 200 || front.owner.ownerOf(slot) === front.p.id) return pid;
     }
   };
 
   const program = async (req: IncomingMessage, res: ServerResponse, tenant: string): Promise<void> => {
     const body = parsed(NewProgram, await readBody(req, bodyMost), res);
     if (!body) return;
-    front.steward.requireFresh();
+    front.owner.requireLease();
     const pid = body.parent === undefined ? ownPid() : `${rootOf(body.parent)}~${randomBytes(6).toString('hex')}`;
     const ask = { tenant, pid, ...body };
-    const within = front.p.bounds.beat * 5;
-    const v = await front.deliver({ kind: 'front/program', slotKey: `p/${rootOf(pid)}`, body: ask, within }, () => undefined, goneOf(res));
-    sendVerdict(res, v);
+    const within = front.p.bounds.heartbeatInterval * 5;
+    const v = await front.forward({ kind: 'front/program', slotKey: `p/${rootOf(pid)}`, body: ask, within }, () => undefined, goneOf(res));
+    sendOutcome(res, v);
   };
 
   const turn = async (req: IncomingMessage, res: ServerResponse, tenant: string, pid: string): Promise<void> => {
     const body = parsed(NewTurn, await readBody(req, bodyMost), res);
     if (!body) return;
     const key = header(req, 'operation-key') || header(req, 'idempotency-key') || `k-${randomBytes(9).toString('hex')}`;
-    const ask = { tenant, pid, ...body, after: body.after ?? null, key, inquiry: inquiryOf(req) };
+    const ask = { tenant, pid, ...body, after: body.after ?? null, key, requestId: requestIdOf(req) };
     const begin = (): void => {
       if (!res.headersSent) res.writeHead(200, { 'content-type': 'application/x-ndjson' });
     };
@@ -89,14 +89,14 @@
       begin();
       res.write(`${JSON.stringify({ n, text })}\n`);
     };
-    const v = await front.deliver({ kind: 'front/turn', slotKey: `p/${rootOf(pid)}`, body: ask, within: callerWithin }, emit, goneOf(res));
-    if (v.verdict === 'done') {
+    const v = await front.forward({ kind: 'front/turn', slotKey: `p/${rootOf(pid)}`, body: ask, within: callerWithin }, emit, goneOf(res));
+    if (v.outcome === 'done') {
       begin();
       res.end(`${JSON.stringify(v.body)}\n`);
       return;
     }
-    if (!res.headersSent) return sendVerdict(res, v);
-    res.end(`${JSON.stringify({ partial: true, ran: 'unknown', mishap: v.mishap, text: v.text })}\n`);
+    if (!res.headersSent) return sendOutcome(res, v);
+    res.end(`${JSON.stringify({ partial: true, executed: 'unknown', errorCode: v.errorCode, text: v.text })}\n`);
   };
 
   const call = async (req: IncomingMessage, res: ServerResponse, tenant: string, path: string): Promise<void> => {
@@ -104,13 +104,13 @@
     if (parsed(z.unknown(), body, res) === undefined && res.headersSent) return;
     const key = header(req, 'operation-key') || header(req, 'idempotency-key');
     if (key.length > 200) return bad(res, 400, 'bad-key', 'an Operation-Key has at most 200 characters');
-    const ask = { tenant, path, key, body, inquiry: inquiryOf(req) };
+    const ask = { tenant, path, key, body, requestId: requestIdOf(req) };
     const slotKey = opKeyOf(tenant, key);
     if (key === '') {
-      front.steward.requireFresh();
-      return sendVerdict(res, await front.steward.calls.call(ask, goneOf(res)));
+      front.owner.requireLease();
+      return sendOutcome(res, await front.owner.calls.call(ask, goneOf(res)));
     }
-    sendVerdict(res, await front.deliver({ kind: 'front/call', slotKey, body: ask, within: callerWithin }, () => undefined, goneOf(res)));
+    sendOutcome(res, await front.forward({ kind: 'front/call', slotKey, body: ask, within: callerWithin }, () => undefined, goneOf(res)));
   };
 
   return async (req, res, url) => {
@@ -118,7 +118,7 @@
     const tenant = header(req, 'x-tenant') || 'default';
     if (front.stopping) {
       res.setHeader('connection', 'close');
-      return sendVerdict(res, { verdict: 'refused', status: 503, mishap: 'stopping', text: 'this front is stopping', retryAfter: 1 });
+      return sendOutcome(res, { outcome: 'refused', status: 503, errorCode: 'stopping', text: 'this front is stopping', retryAfter: 1 });
     }
     const parts = url.pathname.split('/').slice(1).map(decodeURIComponent);
     const [v1, section, pid, turns, id] = parts;
@@ -128,19 +128,19 @@
         if (req.method === 'POST' && pid !== undefined && turns === 'turns' && id === undefined) return await turn(req, res, tenant, pid);
         if (req.method === 'GET' && pid !== undefined && (turns === undefined || (turns === 'turns' && id !== undefined))) {
           const ask = { tenant, pid, ...(id === undefined ? {} : { turn: id }) };
-          const within = front.p.bounds.beat * 5;
+          const within = front.p.bounds.heartbeatInterval * 5;
           const d = { kind: 'front/history' as const, slotKey: `p/${rootOf(pid)}`, body: ask, within };
-          return sendVerdict(res, await front.deliver(d, () => undefined, goneOf(res)));
+          return sendOutcome(res, await front.forward(d, () => undefined, goneOf(res)));
         }
       }
       if (v1 === 'v1' && section === 'calls' && req.method === 'POST' && pid !== undefined)
         return await call(req, res, tenant, `/${parts.slice(2).join('/')}`);
-      if (v1 === 'v1' && section === 'belief') return sendJson(res, 200, front.belief());
-      if (v1 === 'v1' && section === 'sizes') return sendJson(res, 200, { ...front.steward.sizes(), memory: process.memoryUsage().rss });
+      if (v1 === 'v1' && section === 'view') return sendJson(res, 200, front.nodeView());
+      if (v1 === 'v1' && section === 'sizes') return sendJson(res, 200, { ...front.owner.sizes(), memory: process.memoryUsage().rss });
       bad(res, 404, 'no-such-page', url.pathname);
     } catch (e) {
       if (e instanceof Error && 'code' in e && e.code === 'not-ready') {
-        return sendVerdict(res, { verdict: 'refused', status: 503, mishap: 'not-ready', text: e.message, retryAfter: 1 });
+        return sendOutcome(res, { outcome: 'refused', status: 503, errorCode: 'not-ready', text: e.message, retryAfter: 1 });
       }
       throw e;
     }
--- a/packages/proxy/src/passing.ts
+++ b/packages/proxy/src/passing.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { opKeyOf, packed, Passed, passPath, refused, streamSlotKey, unpacked, type EmitPiece, type Head, type PassAsk, type Verdict } from '@tillerstair/steward';
-import { BodyTooLarge, mishapOf } from '@tillerstair/wire';
+import { opKeyOf, packed, Passed, passPath, refused, streamSlotKey, unpacked, type EmitChunk, type Head, type PassAsk, type CallOutcome } from '@tillerstair/session-owner';
+import { BodyTooLarge, toRpcError } from '@tillerstair/wire';
 import { z } from 'zod';
 import { endToEnd, pairsOf } from './backend.js';
 import type { Dialect } from './dialect.js';
 import type { Front } from './front.js';
 
-const HeadPiece = z.object({ status: z.number(), headers: z.array(z.tuple([z.string(), z.string()])) });
+const HeadChunk = z.object({ status: z.number(), headers: z.array(z.tuple([z.string(), z.string()])) });
 
 const readBytes = async (req: IncomingMessage, most: number): Promise<string> => {
   const parts: Buffer[] = [];
@@ -35,9 +35,9 @@
 /** When a caller may come back after a refusal that says nothing of its own, in seconds. */
 const comeBackS = 0.5;
 
-const refuse = (res: ServerResponse, status: number, mishap: string, text: string, retryAfter?: number): void => {
+const refuse = (res: ServerResponse, status: number, errorCode: string, text: string, retryAfter?: number): void => {
   if (res.destroyed || res.headersSent) return;
-  const body = JSON.stringify({ ran: status === 502 || status === 504 ? 'unknown' : 'no', mishap, text });
+  const body = JSON.stringify({ executed: status === 502 || status === 504 ? 'unknown' : 'no', errorCode, text });
   const again = retryAfter === undefined ? [] : [['Retry-After', String(Math.round(retryAfter * 1000) / 1000)]];
   res.writeHead(status, [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))], ...again].flat());
   res.end(body);
@@ -51,23 +51,23 @@
   res.end(body);
 };
 
-/** Carries a request by the rules of its lane: to its steward if it has one, or straight to a server. */
-export const passOn = async (front: Front, ask: PassAsk, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> => {
-  front.steward.requireFresh();
-  const lane = front.steward.findLane('pass', passPath(ask));
-  if (!lane?.pass) return refused(404, 'no-lane', 'no lane takes this host and path');
-  const body = { ...ask, left: Math.min(ask.left, lane.pass.deadlineMs) };
-  if (lane.pass.manner === 'stream') {
-    const slotKey = streamSlotKey(body, lane);
-    return slotKey === '' ? front.carry(body, true, emit, gone) : front.deliver({ kind: 'front/stream', slotKey, body, within: body.left }, emit, gone);
+/** Carries a request by the rules of its route: to its owner if it has one, or straight to a server. */
+export const passOn = async (front: Front, ask: PassAsk, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> => {
+  front.owner.requireLease();
+  const route = front.owner.findRoute('pass', passPath(ask));
+  if (!route?.pass) return refused(404, 'no-route', 'no route takes this host and path');
+  const body = { ...ask, left: Math.min(ask.left, route.pass.deadlineMs) };
+  if (route.pass.manner === 'stream') {
+    const slotKey = streamSlotKey(body, route);
+    return slotKey === '' ? front.carry(body, true, emit, gone) : front.forward({ kind: 'front/stream', slotKey, body, within: body.left }, emit, gone);
   }
-  if (lane.pass.manner !== 'keyed') return front.carry(body, false, emit, gone);
-  return front.deliver({ kind: 'front/keyed', slotKey: opKeyOf(ask.tenant, ask.key), body, within: body.left }, emit, new AbortController().signal);
+  if (route.pass.manner !== 'keyed') return front.carry(body, false, emit, gone);
+  return front.forward({ kind: 'front/keyed', slotKey: opKeyOf(ask.tenant, ask.key), body, within: body.left }, emit, new AbortController().signal);
 };
 
 export type Carry = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
-/** Serves pass lanes: requests are carried as they came, in the words of `d`. `bodyMost` is in bytes. */
+/** Serves pass routes: requests are carried as they came, in the words of `d`. `bodyMost` is in bytes. */
 export const carrier = (front: Front, d: Dialect, bodyMost: () => number): Carry => {
   const { clock } = front.p;
 
@@ -90,18 +90,18 @@
     };
   };
 
-  const answer = (res: ServerResponse, v: Verdict): void => {
+  const answer = (res: ServerResponse, v: CallOutcome): void => {
     const whole = Passed.safeParse(v.body);
-    if (v.verdict === 'done' && whole.success) return sendPassed(res, whole.data);
+    if (v.outcome === 'done' && whole.success) return sendPassed(res, whole.data);
     if (res.headersSent) {
-      if (v.verdict === 'done') res.end();
+      if (v.outcome === 'done') res.end();
       else res.destroy();
       return;
     }
-    refuse(res, v.verdict === 'done' ? 502 : v.status === 504 ? 502 : v.status, v.mishap ?? 'unknown', v.text ?? '', v.retryAfter);
+    refuse(res, v.outcome === 'done' ? 502 : v.status === 504 ? 502 : v.status, v.errorCode ?? 'unknown', v.text ?? '', v.retryAfter);
   };
 
-  const headed = (res: ServerResponse): { readonly emit: EmitPiece; end(v: Verdict): Verdict } => {
+  const headed = (res: ServerResponse): { readonly emit: EmitChunk; end(v: CallOutcome): CallOutcome } => {
     let head: Head | undefined;
     const open = (): void => {
       if (head && !res.headersSent) res.writeHead(head.status, [...head.headers].flat());
@@ -109,14 +109,14 @@
     return {
       emit: (n, text) => {
         if (n === 0) {
-          head = HeadPiece.parse(JSON.parse(text));
+          head = HeadChunk.parse(JSON.parse(text));
           return;
         }
         open();
         res.write(Buffer.from(text, 'latin1'));
       },
       end: (v) => {
-        if (v.verdict === 'done') open();
+        if (v.outcome === 'done') open();
         return v;
       },
     };
@@ -138,10 +138,10 @@
       answer(res, end(await passOn(front, ask, emit, stop.signal)));
     } catch (e) {
       if (e instanceof BodyTooLarge) return refuse(res, 413, 'body-too-large', e.message);
-      if (e instanceof Error && 'code' in e && e.code === 'not-ready') return refuse(res, 503, 'not-ready', e.message, (front.p.bounds.beat * 2) / 1000);
+      if (e instanceof Error && 'code' in e && e.code === 'not-ready') return refuse(res, 503, 'not-ready', e.message, (front.p.bounds.heartbeatInterval * 2) / 1000);
       if (res.headersSent) return void res.destroy();
-      const { code, message, ran } = mishapOf(e);
-      refuse(res, passedOn && ran !== 'no' ? 502 : 503, code, message, passedOn && ran !== 'no' ? undefined : comeBackS);
+      const { code, message, executed } = toRpcError(e);
+      refuse(res, passedOn && executed !== 'no' ? 502 : 503, code, message, passedOn && executed !== 'no' ? undefined : comeBackS);
     }
   };
 };
--- a/packages/proxy/src/start.ts
+++ b/packages/proxy/src/start.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
-import { closeHttp, servePages, stderrLog, type ProxyEnv, type Running } from '@tillerstair/env';
-import { hostClock, TcpCircuits, wholeMs } from '@tillerstair/wire';
+import { closeHttp, servePages, stderrLog, type ProxySettings, type Running } from '@tillerstair/settings';
+import { hostClock, TcpTransport, wholeMs } from '@tillerstair/wire';
 import { HttpBackend } from './backend.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { Front } from './front.js';
@@ -15,48 +15,48 @@
 export type Doors = (front: Front, carry: Carry) => Promise<Door>;
 
 const noDoors: Doors = async () => ({ close: async () => undefined });
-const usualCircuits = 64;
-const leastCircuits = 2;
+const usualConnections = 64;
+const leastConnections = 2;
 const spareFronts = 1.5;
 
-export const startProxy = async (env: ProxyEnv, dialect: Dialect = ownDialect, doors: Doors = noDoors): Promise<Running<ProxyEnv>> => {
-  const log = stderrLog('proxy', env.log);
-  let { bounds: outer } = env;
-  const table = () => front.steward.current;
-  const circuitsTo = (url: string): number => {
+export const startProxy = async (settings: ProxySettings, dialect: Dialect = ownDialect, doors: Doors = noDoors): Promise<Running<ProxySettings>> => {
+  const log = stderrLog('proxy', settings.log);
+  let { bounds: outer } = settings;
+  const table = () => front.owner.current;
+  const connectionLimitOf = (url: string): number => {
     const { state, config } = table() ?? {};
     const pool = [...(state?.servers.values() ?? [])].find((s) => s.url === url)?.pool;
-    const most = config?.pools.find((p) => p.name === pool)?.circuits ?? 0;
+    const most = config?.pools.find((p) => p.name === pool)?.connections ?? 0;
     const fronts = [...(state?.nodes.values() ?? [])].filter((m) => m.kind === 'front').length;
-    return most === 0 ? usualCircuits : Math.max(leastCircuits, Math.floor(most / (spareFronts * Math.max(1, fronts))));
+    return most === 0 ? usualConnections : Math.max(leastConnections, Math.floor(most / (spareFronts * Math.max(1, fronts))));
   };
-  const backend = new HttpBackend({ connectWithin: wholeMs(outer.beat / 2), circuits: circuitsTo }, dialect);
+  const backend = new HttpBackend({ connectWithin: wholeMs(outer.heartbeatInterval / 2), connections: connectionLimitOf }, dialect);
   const bounds = {
-    get beat() {
-      return outer.beat;
+    get heartbeatInterval() {
+      return outer.heartbeatInterval;
     },
     get putWithin() {
-      return wholeMs(outer.silent / 2);
+      return wholeMs(outer.failureTimeout / 2);
     },
-    get grace() {
-      return wholeMs((outer.leavingWithin * 5) / 6);
+    get readLease() {
+      return wholeMs((outer.drainingWithin * 5) / 6);
     },
-    poll: env.asksServers ? wholeMs(env.bounds.beat / 4) : 0,
-    keepMs: env.keepMs,
-    stopWithin: env.stopWithin,
+    poll: settings.asksServers ? wholeMs(settings.bounds.heartbeatInterval / 4) : 0,
+    retentionMs: settings.retentionMs,
+    stopWithin: settings.stopWithin,
   };
   const front: Front = new Front({
-    id: `f-${randomBytes(6).toString('hex')}`, clock: hostClock, circuits: new TcpCircuits(env.addr, env.listen), backend, bounds, log, affinity: env.affinity,
+    id: `f-${randomBytes(6).toString('hex')}`, clock: hostClock, transport: new TcpTransport(settings.addr, settings.listen), backend, bounds, log, affinity: settings.affinity,
   });
-  const feed = new TcpCircuits(env.feed);
-  await feed.serve(async (inq) => (inq.kind === 'front/hello' ? { id: front.p.id, addr: env.addr, http: env.http } : front.feed(inq.body)));
+  const feed = new TcpTransport(settings.feed);
+  await feed.serve(async (rpc) => (rpc.kind === 'front/hello' ? { id: front.p.id, addr: settings.addr, http: settings.http } : front.feed(rpc.body)));
   await front.start();
-  const bodyMost = () => front.steward.current?.config?.limits.bodyBytes ?? env.bodyMost;
+  const bodyMost = () => front.owner.current?.config?.limits.bodyBytes ?? settings.bodyMost;
   const carry = carrier(front, dialect, bodyMost);
-  const ready = () => (front.stopping ? { ready: false, why: 'stopping' } : front.steward.readiness());
-  const http = await servePages(env.http, ready, callerPages(front, env.bodyMost, carry));
+  const ready = () => (front.stopping ? { ready: false, why: 'stopping' } : front.owner.readiness());
+  const http = await servePages(settings.http, ready, callerPages(front, settings.bodyMost, carry));
   const door = await doors(front, carry);
-  log.info(`Serving callers at ${env.http}.`);
+  log.info(`Serving callers at ${settings.http}.`);
   return {
     reload: (next) => {
       outer = next.bounds;
--- a/packages/steward/src/gate.ts
+++ b/packages/session-owner/src/admission-queue.ts
@@ -1,4 +1,4 @@
-import { Mishap, mishapOf, type Clock } from '@tillerstair/wire';
+import { RpcError, toRpcError, type Clock } from '@tillerstair/wire';
 
 interface Waiter<T> {
   readonly until: number;
@@ -16,7 +16,7 @@
 const smoothing = 0.1;
 const admitted = 0.8;
 
-export class Gate<T> {
+export class AdmissionQueue<T> {
   private readonly urgent = new Set<Waiter<T>>();
   private readonly ordinary = new Set<Waiter<T>>();
   private readonly paces = new Map<ReadonlySet<Waiter<T>>, Pace>();
@@ -31,8 +31,8 @@
     return this.urgent.size + this.ordinary.size;
   }
 
-  private waitOf(line: ReadonlySet<Waiter<T>>, place: number): number {
-    const p = this.paces.get(line);
+  private waitOf(queue: ReadonlySet<Waiter<T>>, place: number): number {
+    const p = this.paces.get(queue);
     return p ? place * p.gap + Math.max(p.gap, this.clock.now() - p.movedAt) : 0;
   }
 
@@ -42,18 +42,18 @@
         const now = pick();
         if (now !== undefined) return Promise.resolve(now);
       } catch (e) {
-        return Promise.reject(mishapOf(e));
+        return Promise.reject(toRpcError(e));
       }
     }
-    const line = urgent ? this.urgent : this.ordinary;
-    if (line.size === 0) this.paces.set(line, { gap: this.paces.get(line)?.gap ?? 0, movedAt: this.clock.now() });
-    const wait = this.waitOf(line, line.size);
-    if (line.size >= this.most()) return Promise.reject(new Mishap('line-full', 'the line is full', 'no', wait));
-    if (line.size > 0 && wait > within * admitted) return Promise.reject(new Mishap('line-late', 'the line is too long for the time there is', 'no', wait));
+    const queue = urgent ? this.urgent : this.ordinary;
+    if (queue.size === 0) this.paces.set(queue, { gap: this.paces.get(queue)?.gap ?? 0, movedAt: this.clock.now() });
+    const wait = this.waitOf(queue, queue.size);
+    if (queue.size >= this.most()) return Promise.reject(new RpcError('queue-full', 'the line is full', 'no', wait));
+    if (queue.size > 0 && wait > within * admitted) return Promise.reject(new RpcError('queue-timeout', 'the line is too long for the time there is', 'no', wait));
     return new Promise<T>((done, fail) => {
       const leave = () => {
-        line.delete(w);
-        beat.stop();
+        queue.delete(w);
+        timer.stop();
         gone.removeEventListener('abort', onGone);
       };
       const w: Waiter<T> = {
@@ -68,10 +68,10 @@
           fail(e);
         },
       };
-      const onGone = () => w.fail(new Mishap('gone', 'the caller is gone'));
-      const beat = this.clock.after(within, () => w.fail(new Mishap('line-late', 'no server came free in time')));
+      const onGone = () => w.fail(new RpcError('gone', 'the caller is gone'));
+      const timer = this.clock.after(within, () => w.fail(new RpcError('queue-timeout', 'no server came free in time')));
       gone.addEventListener('abort', onGone, { once: true });
-      line.add(w);
+      queue.add(w);
       this.pump();
     });
   }
@@ -80,24 +80,24 @@
     try {
       return w.pick();
     } catch (e) {
-      w.fail(mishapOf(e));
+      w.fail(toRpcError(e));
       return undefined;
     }
   }
 
-  private moved(line: ReadonlySet<Waiter<T>>): void {
+  private moved(queue: ReadonlySet<Waiter<T>>): void {
     const now = this.clock.now();
-    const { gap, movedAt } = this.paces.get(line) ?? { gap: 0, movedAt: now };
-    this.paces.set(line, { gap: gap === 0 ? now - movedAt : gap + (now - movedAt - gap) * smoothing, movedAt: now });
+    const { gap, movedAt } = this.paces.get(queue) ?? { gap: 0, movedAt: now };
+    this.paces.set(queue, { gap: gap === 0 ? now - movedAt : gap + (now - movedAt - gap) * smoothing, movedAt: now });
   }
 
   review(): void {
     const now = this.clock.now();
-    for (const line of [this.urgent, this.ordinary]) {
+    for (const queue of [this.urgent, this.ordinary]) {
       let place = 0;
-      for (const w of line) {
-        const wait = this.waitOf(line, place);
-        if (place > 0 && now + wait > w.until) w.fail(new Mishap('line-late', 'no server will come free in time', 'no', wait));
+      for (const w of queue) {
+        const wait = this.waitOf(queue, place);
+        if (place > 0 && now + wait > w.until) w.fail(new RpcError('queue-timeout', 'no server will come free in time', 'no', wait));
         else place++;
       }
     }
@@ -107,12 +107,12 @@
     for (;;) {
       const first = this.run < urgentsPerOrdinary ? [this.urgent, this.ordinary] : [this.ordinary, this.urgent];
       let moved = false;
-      for (const line of first) {
-        for (const w of line) {
+      for (const queue of first) {
+        for (const w of queue) {
           const v = this.tryPick(w);
           if (v === undefined) continue;
-          this.run = line === this.urgent ? this.run + 1 : 0;
-          this.moved(line);
+          this.run = queue === this.urgent ? this.run + 1 : 0;
+          this.moved(queue);
           w.done(v);
           moved = true;
           break;
--- a/packages/steward/src/backend.ts
+++ b/packages/session-owner/src/backend.ts
@@ -11,7 +11,7 @@
   | { readonly kind: 'lost'; readonly text: string }
   | { readonly kind: 'done'; readonly code: number; readonly body: unknown };
 
-export interface Busyness {
+export interface ServerLoad {
   readonly running: number;
   readonly waiting: number;
   readonly places: number;
@@ -38,14 +38,14 @@
 export interface Sink {
   head(head: Head): void;
   bytes(text: string): void;
-  busyness(b: Busyness): void;
+  load(b: ServerLoad): void;
 }
 
 export interface Generate {
   readonly id: string;
   readonly messages: readonly Message[];
   readonly maxTokens: number;
-  readonly inquiry: string;
+  readonly requestId: string;
 }
 
 export interface Act {
@@ -53,18 +53,18 @@
   readonly key: string;
   readonly path: string;
   readonly body: string;
-  readonly inquiry: string;
+  readonly requestId: string;
 }
 
-export interface BusyReport {
+export interface LoadReport {
   readonly busy: number;
-  readonly leaving: boolean;
+  readonly draining: boolean;
 }
 
 export interface Backend {
-  generate(server: Server, g: Generate, onPiece: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
+  generate(server: Server, g: Generate, onChunk: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
   act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
-  /** Sends a request unchanged; `left` is the caller's time in ms. The verdict is `done` only after the server's whole answer. */
+  /** Sends a request unchanged; `left` is the caller's time in ms. The outcome is `done` only after the server's whole answer. */
   pass(server: Server, p: Passing, sink: Sink, gone: AbortSignal, left: number, still: () => boolean): Promise<Ended>;
-  busyness(server: Server, within: number): Promise<BusyReport>;
+  load(server: Server, within: number): Promise<LoadReport>;
 }
--- a/packages/steward/src/verdict.ts
+++ b/packages/session-owner/src/messages.ts
@@ -1,33 +1,33 @@
 import { z } from 'zod';
-import { Mishap } from '@tillerstair/wire';
+import { RpcError } from '@tillerstair/wire';
 
-export const Verdict = z.object({
-  verdict: z.enum(['done', 'refused', 'unknown']),
+export const CallOutcome = z.object({
+  outcome: z.enum(['done', 'refused', 'unknown']),
   status: z.number(),
-  mishap: z.string().optional(),
+  errorCode: z.string().optional(),
   text: z.string().optional(),
   retryAfter: z.number().optional(),
   body: z.unknown().optional(),
 });
-export type Verdict = z.infer<typeof Verdict>;
+export type CallOutcome = z.infer<typeof CallOutcome>;
 
-export const done = (body: unknown, status = 200): Verdict => ({ verdict: 'done', status, body });
+export const done = (body: unknown, status = 200): CallOutcome => ({ outcome: 'done', status, body });
 
-export const refused = (status: number, mishap: string, text: string, retryAfter?: number): Verdict => ({
-  verdict: 'refused',
+export const refused = (status: number, errorCode: string, text: string, retryAfter?: number): CallOutcome => ({
+  outcome: 'refused',
   status,
-  mishap,
+  errorCode,
   text,
   ...(retryAfter === undefined ? {} : { retryAfter }),
 });
 
-export const unknown = (text: string, mishap = 'unknown'): Verdict => ({ verdict: 'unknown', status: 504, mishap, text });
+export const unknown = (text: string, errorCode = 'unknown'): CallOutcome => ({ outcome: 'unknown', status: 504, errorCode, text });
 
-export const ofMishap = (m: Mishap): Verdict =>
-  m.ran === 'no' ? refused(m.code === 'line-full' ? 429 : 503, m.code, m.message, Math.max(1, Math.ceil(m.comeBack / 1000))) : unknown(m.message, m.code);
+export const outcomeOfError = (m: RpcError): CallOutcome =>
+  m.executed === 'no' ? refused(m.code === 'queue-full' ? 429 : 503, m.code, m.message, Math.max(1, Math.ceil(m.retryAfterMs / 1000))) : unknown(m.message, m.code);
 
-/** The front that took a request knows its lane, but this one does not, or not any more: which of them is behind is not known. */
-export const laneUnknown = (path: string): Mishap => new Mishap('lane-unknown', `this front holds no lane for ${path}`, 'no', 300);
+/** The front that took a request knows its route, but this one does not, or not any more: which of them is behind is not known. */
+export const routeUnknown = (path: string): RpcError => new RpcError('route-unknown', `this front holds no route for ${path}`, 'no', 300);
 
 export const ProgramAsk = z.object({
   tenant: z.string(),
@@ -45,14 +45,14 @@
   words: z.string(),
   maxTokens: z.number().int().min(1).optional(),
   key: z.string(),
-  inquiry: z.string().default(''),
+  requestId: z.string().default(''),
 });
 export type TurnAsk = z.infer<typeof TurnAsk>;
 
 export const HistoryAsk = z.object({ tenant: z.string(), pid: z.string(), turn: z.string().optional() });
 export type HistoryAsk = z.infer<typeof HistoryAsk>;
 
-export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string(), inquiry: z.string().default('') });
+export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string(), requestId: z.string().default('') });
 export type CallAsk = z.infer<typeof CallAsk>;
 
 export const ProgramValue = z.object({
@@ -72,7 +72,7 @@
   pool: z.string(),
   server: z.string(),
   cost: z.number(),
-  pieces: z.array(z.string()),
+  chunks: z.array(z.string()),
 });
 export type TurnValue = z.infer<typeof TurnValue>;
 
@@ -91,7 +91,7 @@
 
 const Headers = z.array(z.tuple([z.string(), z.string()]));
 
-/** A request on a pass lane, as it goes to its steward. `left` is in ms; `body` is packed (base64). */
+/** A request on a pass route, as it goes to its owner. `left` is in ms; `body` is packed (base64). */
 export const PassAsk = z.object({
   tenant: z.string(),
   host: z.string(),
@@ -115,7 +115,7 @@
 export const Passed = z.object({ status: z.number(), headers: Headers, body: z.string() });
 export type Passed = z.infer<typeof Passed>;
 
-/** A turn on a pass lane: `input` as sent, packed; `output` the data of its events, a line feed behind each, a byte a character. */
+/** A turn on a pass route: `input` as sent, packed; `output` the data of its events, a line feed behind each, a byte a character. */
 export const PassTurn = z.object({
   t: z.literal('pass'),
   status: z.enum(['reserved', 'done', 'failed', 'void']),
--- a/packages/steward/src/placement.ts
+++ b/packages/session-owner/src/placement.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
-import { slotOf, weightKey, type Lane, type Server } from '@tillerstair/state';
+import { slotOf, weightKey, type Route, type Server } from '@tillerstair/state';
 import type { Clock } from '@tillerstair/wire';
-import type { Backend, Busyness, Message } from './backend.js';
+import type { Backend, ServerLoad, Message } from './backend.js';
 import type { Candidate, PlaceContext, Policy, Seen } from './policies.js';
 import type { Table } from './table.js';
 
@@ -9,9 +9,9 @@
   readonly url: string;
   readonly inflight: number;
   readonly busy: number;
-  readonly told: Busyness | undefined;
-  readonly toldAt: number;
-  readonly leaving: boolean;
+  readonly reported: ServerLoad | undefined;
+  readonly reportedAt: number;
+  readonly draining: boolean;
   readonly badSince: number;
   readonly failures: number;
   readonly pace: number | undefined;
@@ -19,7 +19,7 @@
 }
 
 const fresh = (url: string): Sight => ({
-  url, inflight: 0, busy: 0, told: undefined, toldAt: -Infinity, leaving: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
+  url, inflight: 0, busy: 0, reported: undefined, reportedAt: -Infinity, draining: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
 });
 
 /** A piece of a prompt that a server may hold already: its name with all before it, and its tokens. */
@@ -56,8 +56,8 @@
   readonly pollWithin: number;
   readonly retryBad: number;
   readonly sightWithin: number;
-  /** How long a server's own word of its busyness counts, in ms. */
-  readonly toldFor: number;
+  /** How long a server's own word of its load counts, in ms. */
+  readonly reportValidFor: number;
 }
 
 export class Placement {
@@ -88,17 +88,17 @@
   private seen(s: Server): Seen {
     const v = this.sight(s);
     const since = this.clock.now() - v.badSince;
-    const standing = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
+    const health = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
     const stale = this.bounds.poll > 0 && this.clock.now() - v.polledAt > this.bounds.sightWithin;
-    return { inflight: v.inflight, busy: Math.max(v.busy, this.toldRunning(v)), leaving: v.leaving || stale || this.barred.has(s.id), standing };
+    return { inflight: v.inflight, busy: Math.max(v.busy, this.reportedRunning(v)), draining: v.draining || stale || this.barred.has(s.id), health };
   }
 
-  private toldRunning(v: Sight): number {
-    return v.told && this.clock.now() - v.toldAt < this.bounds.toldFor ? v.told.running + v.told.waiting : 0;
+  private reportedRunning(v: Sight): number {
+    return v.reported && this.clock.now() - v.reportedAt < this.bounds.reportValidFor ? v.reported.running + v.reported.waiting : 0;
   }
 
-  told(s: Server, told: Busyness): void {
-    this.set(s, { told, toldAt: this.clock.now() });
+  reported(s: Server, reported: ServerLoad): void {
+    this.set(s, { reported, reportedAt: this.clock.now() });
   }
 
   private limitOf(s: Server): number {
@@ -122,18 +122,18 @@
     return (s) => (total === 0 ? 0 : (held.get(s.id) ?? 0) / total);
   }
 
-  allowed(server: Server, lane: Lane): boolean {
+  allowed(server: Server, route: Route): boolean {
     const now = this.table()?.state.servers.get(server.id);
-    if (!now || now.url !== server.url || now.pool !== server.pool || now.leaving || this.seen(now).leaving) return false;
-    return lane.shares.some((s) => s.pool === now.pool && s.share > 0);
+    if (!now || now.url !== server.url || now.pool !== server.pool || now.draining || this.seen(now).draining) return false;
+    return route.shares.some((s) => s.pool === now.pool && s.share > 0);
   }
 
-  usable(lane: Lane, skip: ReadonlySet<string>): boolean {
+  usable(route: Route, skip: ReadonlySet<string>): boolean {
     const state = this.table()?.state;
     if (!state) return false;
-    const pools = new Set(lane.shares.filter((s) => s.share > 0).map((s) => s.pool));
+    const pools = new Set(route.shares.filter((s) => s.share > 0).map((s) => s.pool));
     return [...state.servers.values()].some(
-      (s) => pools.has(s.pool) && !skip.has(s.id) && !s.leaving && (this.unasked(s) || (!this.seen(s).leaving && this.seen(s).standing !== 'bad')),
+      (s) => pools.has(s.pool) && !skip.has(s.id) && !s.draining && (this.unasked(s) || (!this.seen(s).draining && this.seen(s).health !== 'bad')),
     );
   }
 
@@ -143,17 +143,17 @@
     return this.bounds.poll > 0 && polledAt === -Infinity && failures === 0 && !this.barred.has(s.id);
   }
 
-  pick(lane: Lane, parts: readonly Part[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
+  pick(route: Route, parts: readonly Part[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
     const state = this.table()?.state;
     if (!state) return undefined;
-    const shares = lane.shares.filter((s) => s.share > 0);
+    const shares = route.shares.filter((s) => s.share > 0);
     const pools = new Map(this.table()?.config?.pools.map((p) => [p.name, p]));
     const total = shares.reduce((n, s) => n + s.share, 0);
     const zone = state.nodes.get(this.self)?.zone ?? '';
     const tokens = parts.reduce((n, p) => n + p.tokens, 0);
     const tie = (id: string): number => slotOf(`${this.self}|${id}`, 1 << 20);
     const ctx: PlaceContext = {
-      lane,
+      route,
       seen: (s) => this.seen(s),
       tokens,
       warmth: this.warmth(parts),
@@ -171,7 +171,7 @@
         .filter((c) => this.sight(c.server).inflight < this.limitOf(c.server));
       return [...ranked].sort((a, b) => b.score - a.score || tie(a.server.id) - tie(b.server.id))[0]?.server;
     };
-    const credit = (pool: string): number => this.credit.get(`${lane.name}|${pool}`) ?? 0;
+    const credit = (pool: string): number => this.credit.get(`${route.name}|${pool}`) ?? 0;
     const order = shares
       .map((s) => ({ pool: s.pool, at: s.pool === stickyPool ? Infinity : credit(s.pool) + s.share / total }))
       .sort((a, b) => b.at - a.at || (a.pool < b.pool ? -1 : 1));
@@ -180,7 +180,7 @@
       if (!server) continue;
       for (const s of shares) {
         const next = credit(s.pool) + s.share / total - (s.pool === pool ? 1 : 0);
-        this.credit.set(`${lane.name}|${s.pool}`, Math.max(-8, Math.min(8, next)));
+        this.credit.set(`${route.name}|${s.pool}`, Math.max(-8, Math.min(8, next)));
       }
       return server;
     }
@@ -232,8 +232,8 @@
         if (onlyNew && this.sight(s).polledAt > -Infinity) return;
         const polledAt = this.clock.now();
         try {
-          const got = await this.backend.busyness(s, this.bounds.pollWithin);
-          this.set(s, { busy: got.busy, leaving: got.leaving, failures: 0, polledAt });
+          const got = await this.backend.load(s, this.bounds.pollWithin);
+          this.set(s, { busy: got.busy, draining: got.draining, failures: 0, polledAt });
         } catch {
           this.set(s, { failures: this.sight(s).failures + 1, badSince: this.clock.now() });
         }
--- a/packages/steward/src/policies.ts
+++ b/packages/session-owner/src/policies.ts
@@ -1,20 +1,20 @@
-import type { Lane, Server } from '@tillerstair/state';
+import type { Route, Server } from '@tillerstair/state';
 
 export interface Seen {
   readonly inflight: number;
   readonly busy: number;
-  readonly leaving: boolean;
-  readonly standing: 'good' | 'doubtful' | 'bad';
+  readonly draining: boolean;
+  readonly health: 'good' | 'doubtful' | 'bad';
 }
 
 export interface Engine {
   readonly places: number;
   readonly memoryTokens: number;
-  readonly pieceTokens: number;
+  readonly blockTokens: number;
 }
 
 export interface PlaceContext {
-  readonly lane: Lane;
+  readonly route: Route;
   seen(server: Server): Seen;
   /** Tokens of the whole prompt; 0 where it is not known. */
   readonly tokens: number;
@@ -37,17 +37,17 @@
   apply(cands: readonly Candidate[], ctx: PlaceContext): readonly Candidate[];
 }
 
-export const leaving: Policy = {
-  name: 'leaving',
-  apply: (cands, ctx) => cands.filter((c) => !c.server.leaving && !ctx.seen(c.server).leaving),
+export const draining: Policy = {
+  name: 'draining',
+  apply: (cands, ctx) => cands.filter((c) => !c.server.draining && !ctx.seen(c.server).draining),
 };
 
-export const standing: Policy = {
-  name: 'standing',
+export const health: Policy = {
+  name: 'health',
   apply: (cands, ctx) => {
-    const good = cands.filter((c) => ctx.seen(c.server).standing === 'good' && !c.server.down);
+    const good = cands.filter((c) => ctx.seen(c.server).health === 'good' && !c.server.down);
     if (good.length > 0) return good;
-    return cands.filter((c) => ctx.seen(c.server).standing !== 'bad');
+    return cands.filter((c) => ctx.seen(c.server).health !== 'bad');
   },
 };
 
@@ -78,8 +78,8 @@
   apply: (cands, ctx) => cands.map((c) => (ctx.engine(c.server) ? c : { ...c, score: c.score + gain * ctx.warmth(c.server) })),
 });
 
-export const busyness = (cost: number): Policy => ({
-  name: 'busyness',
+export const load = (cost: number): Policy => ({
+  name: 'load',
   apply: (cands, ctx) =>
     cands.map((c) => {
       if (ctx.engine(c.server) && ctx.tokens > 0) return c;
@@ -95,9 +95,9 @@
 };
 
 export const chainOf = (withAffinity: boolean): readonly Policy[] => [
-  leaving,
-  standing,
+  draining,
+  health,
   ...(withAffinity ? [batch, affinity(4)] : []),
-  busyness(1),
+  load(1),
   weight,
 ];
