--- a/packages/steward/src/keeper.ts
+++ b/packages/session-owner/src/slot-replicator.ts
@@ -1,24 +1,24 @@
 import {
-  copiesAfter, groupOf, Item, keptOn, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, turnsKeptMs, type Slot,
+  replicasAfter, groupOf, Item, replicasToWrite, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, turnRetentionOf, type Slot,
 } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock, type Log } from '@tillerstair/wire';
+import { RpcError, toRpcError, pause, type Transport, type Clock, type Log } from '@tillerstair/wire';
 import type { Table } from './table.js';
-import { Cost } from './verdict.js';
+import { Cost } from './messages.js';
 
-export interface KeeperParts {
+export interface ReplicatorParts {
   readonly clock: Clock;
-  readonly circuits: Circuits;
+  readonly transport: Transport;
   readonly log: Log;
   readonly table: () => Table | undefined;
   readonly putWithin: number;
-  readonly beat: number;
-  readonly keepMs: number;
+  readonly heartbeatInterval: number;
+  readonly retentionMs: number;
 }
 
-export class SlotKeeper {
+export class SlotReplicator {
   private slot: Slot | undefined;
   private seq = 0;
-  private openTenure = -1;
+  private openEpoch = -1;
   private inside = 0;
   private released = false;
   private held = new Map<string, Item>();
@@ -28,8 +28,8 @@
 
   constructor(
     readonly n: number,
-    readonly since: number,
-    private readonly p: KeeperParts,
+    readonly ownedSinceEpoch: number,
+    private readonly p: ReplicatorParts,
   ) {}
 
   /** Replicas that must hold a write, or reply to a read; out of reach while no state is known. */
@@ -38,7 +38,7 @@
   }
 
   get open(): boolean {
-    return this.slot !== undefined && this.openTenure === this.slot.tenure;
+    return this.slot !== undefined && this.openEpoch === this.slot.ownershipEpoch;
   }
 
   get taking(): boolean {
@@ -53,9 +53,9 @@
   }
 
   tryRelease(): readonly [number, number] | undefined {
-    if (!this.slot || this.slot.handTo === '' || !this.open) return undefined;
+    if (!this.slot || this.slot.transferTarget === '' || !this.open) return undefined;
     if (this.inside === 0) this.released = true;
-    return this.released ? [this.n, this.slot.tenure] : undefined;
+    return this.released ? [this.n, this.slot.ownershipEpoch] : undefined;
   }
 
   get(key: string): unknown {
@@ -73,15 +73,15 @@
   take(slot: Slot): void {
     const old = this.slot;
     this.slot = slot;
-    if (old?.tenure !== slot.tenure || slot.handTo === '') this.released = false;
-    if (old?.tenure === slot.tenure) return;
+    if (old?.ownershipEpoch !== slot.ownershipEpoch || slot.transferTarget === '') this.released = false;
+    if (old?.ownershipEpoch === slot.ownershipEpoch) return;
     this.seq = 0;
-    void this.unseal(slot.tenure);
+    void this.takeOver(slot.ownershipEpoch);
   }
 
   release(): void {
     this.slot = undefined;
-    this.openTenure = -1;
+    this.openEpoch = -1;
     this.forget();
   }
 
@@ -92,40 +92,40 @@
     this.touched = new Map();
   }
 
-  private async unseal(tenure: number): Promise<void> {
-    const { clock, log, beat } = this.p;
-    while (this.slot?.tenure === tenure) {
+  private async takeOver(ownershipEpoch: number): Promise<void> {
+    const { clock, log, heartbeatInterval } = this.p;
+    while (this.slot?.ownershipEpoch === ownershipEpoch) {
       try {
-        if (await this.sealOnce(tenure)) return;
+        if (await this.fenceOnce(ownershipEpoch)) return;
       } catch (e) {
-        log.debug(`Slot ${this.n} is not open yet: ${mishapOf(e).message}.`);
+        log.debug(`Slot ${this.n} is not open yet: ${toRpcError(e).message}.`);
       }
-      await pause(clock, beat / 10);
+      await pause(clock, heartbeatInterval / 10);
     }
   }
 
-  private async sealOnce(tenure: number): Promise<boolean> {
+  private async fenceOnce(ownershipEpoch: number): Promise<boolean> {
     const slot = this.slot;
     if (!slot) return true;
     const seen = new Map<string, Map<string, Item>>();
     await new Promise<void>((done) => {
-      let left = slot.copies.length;
+      let left = slot.replicas.length;
       const one = () => {
         left--;
         if (left <= 0 || seen.size >= this.quorum) done();
       };
       if (left === 0) done();
-      for (const id of slot.copies)
-        void this.sealed(id, tenure)
+      for (const id of slot.replicas)
+        void this.fenced(id, ownershipEpoch)
           .then((items) => {
             seen.set(id, items);
           })
           .catch(() => undefined)
           .finally(one);
     });
-    if (seen.size < this.quorum) throw new Mishap('unavailable', `${seen.size} of ${slot.copies.length} copies sealed`);
+    if (seen.size < this.quorum) throw new RpcError('unavailable', `${seen.size} of ${slot.replicas.length} replicas fenced`);
     const views = [...seen.values()];
-    const merged = new Map<string, Item>(this.openTenure >= 0 ? this.held : []);
+    const merged = new Map<string, Item>(this.openEpoch >= 0 ? this.held : []);
     for (const view of views)
       for (const item of view.values()) {
         const old = merged.get(item.key);
@@ -138,21 +138,21 @@
       });
       return same.length < this.quorum;
     });
-    if (this.slot?.tenure !== tenure) return true;
-    const again = uneven.map((item) => ({ key: item.key, tenure, seq: ++this.seq, value: item.value }));
-    for (const page of pagesOf(again)) await this.spread(tenure, page);
-    if (this.slot?.tenure !== tenure) return true;
+    if (this.slot?.ownershipEpoch !== ownershipEpoch) return true;
+    const again = uneven.map((item) => ({ key: item.key, ownershipEpoch, seq: ++this.seq, value: item.value }));
+    for (const page of pagesOf(again)) await this.spread(ownershipEpoch, page);
+    if (this.slot?.ownershipEpoch !== ownershipEpoch) return true;
     for (const item of again) merged.set(item.key, item);
     this.forget();
     for (const item of merged.values()) this.hold(item);
-    this.openTenure = tenure;
-    this.p.log.debug(`Slot ${this.n} is open at tenure ${tenure} with ${merged.size} items.`);
+    this.openEpoch = ownershipEpoch;
+    this.p.log.debug(`Slot ${this.n} is open at ownership epoch ${ownershipEpoch} with ${merged.size} items.`);
     return true;
   }
 
-  private async sealed(id: string, tenure: number): Promise<Map<string, Item>> {
+  private async fenced(id: string, ownershipEpoch: number): Promise<Map<string, Item>> {
     const items = new Map<string, Item>();
-    for await (const page of pagesFrom((after) => this.ask(id, 'store/seal', { slot: this.n, tenure, after })))
+    for await (const page of pagesFrom((after) => this.ask(id, 'store/fence', { slot: this.n, ownershipEpoch, after })))
       for (const item of page) items.set(item.key, item);
     return items;
   }
@@ -174,16 +174,16 @@
   }
 
   private ask(id: string, kind: string, body: unknown): Promise<unknown> {
-    const mate = this.p.table()?.state.nodes.get(id);
-    if (!mate) return Promise.reject(new Mishap('away', `copy ${id} is away`));
-    return this.p.circuits.call(mate.addr, kind, body, { within: this.p.putWithin });
+    const member = this.p.table()?.state.nodes.get(id);
+    if (!member) return Promise.reject(new RpcError('away', `copy ${id} is away`));
+    return this.p.transport.call(member.addr, kind, body, { within: this.p.putWithin });
   }
 
-  private spread(tenure: number, items: readonly Item[]): Promise<void> {
+  private spread(ownershipEpoch: number, items: readonly Item[]): Promise<void> {
     const slot = this.slot;
-    if (slot?.tenure !== tenure) return Promise.reject(new Mishap('not-steward', 'the slot has moved on'));
-    const targets = keptOn(slot);
-    const groups = [slot.copies, copiesAfter(slot)];
+    if (slot?.ownershipEpoch !== ownershipEpoch) return Promise.reject(new RpcError('not-owner', 'the slot has moved on'));
+    const targets = replicasToWrite(slot);
+    const groups = [slot.replicas, replicasAfter(slot)];
     const missed: string[] = [];
     const good: string[] = [];
     const acks = (): number => Math.min(...groups.map((g) => g.filter((id) => good.includes(id)).length));
@@ -192,18 +192,18 @@
       const settle = () => {
         if (acks() >= this.quorum) done();
         if (left > 0) return;
-        if (acks() < this.quorum) fail(new Mishap('unavailable', `${good.length} of ${targets.length} copies synced`));
+        if (acks() < this.quorum) fail(new RpcError('unavailable', `${good.length} of ${targets.length} replicas synced`));
         if (good.length > 0) for (const id of missed) void this.hint(good, id, items);
       };
       for (const id of targets)
-        this.ask(id, 'store/put', { slot: this.n, tenure, items })
+        this.ask(id, 'store/put', { slot: this.n, ownershipEpoch, items })
           .then(
             () => {
               good.push(id);
             },
             (e: unknown) => {
-              if (mishapOf(e).code !== 'lower-tenure') missed.push(id);
-              else if (this.slot?.tenure === tenure) this.openTenure = -1;
+              if (toRpcError(e).code !== 'stale-epoch') missed.push(id);
+              else if (this.slot?.ownershipEpoch === ownershipEpoch) this.openEpoch = -1;
             },
           )
           .finally(() => {
@@ -219,17 +219,17 @@
         await this.ask(id, 'store/hint', { to, slot: this.n, items });
         return;
       } catch (e) {
-        this.p.log.debug(`Hint for ${to} was not kept by ${id}: ${mishapOf(e).message}.`);
+        this.p.log.debug(`Hint for ${to} was not kept by ${id}: ${toRpcError(e).message}.`);
       }
     }
   }
 
   async put(key: string, value: unknown): Promise<void> {
     const slot = this.slot;
-    if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
-    const item: Item = { key, tenure: slot.tenure, seq: ++this.seq, value };
-    await this.spread(slot.tenure, [item]);
-    if (this.openTenure === item.tenure) this.hold(item);
+    if (!slot || !this.open) throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
+    const item: Item = { key, ownershipEpoch: slot.ownershipEpoch, seq: ++this.seq, value };
+    await this.spread(slot.ownershipEpoch, [item]);
+    if (this.openEpoch === item.ownershipEpoch) this.hold(item);
   }
 
   async putSoon(key: string, value: unknown, tries: number): Promise<void> {
@@ -238,27 +238,27 @@
         return await this.put(key, value);
       } catch (e) {
         if (n >= tries || !this.slot) throw e;
-        await pause(this.p.clock, this.p.beat / 10);
+        await pause(this.p.clock, this.p.heartbeatInterval / 10);
       }
     }
   }
 
   async confirmMissing(key: string): Promise<boolean> {
     const slot = this.slot;
-    if (!slot || !this.open) throw new Mishap('unavailable', `slot ${this.n} is being taken over`);
+    if (!slot || !this.open) throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
     const reads = await Promise.allSettled(
-      slot.copies.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, tenure: slot.tenure, key }))),
+      slot.replicas.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, ownershipEpoch: slot.ownershipEpoch, key }))),
     );
     const good = reads.flatMap((r) => (r.status === 'fulfilled' ? [r.value.item] : []));
-    if (good.length < this.quorum) throw new Mishap('unavailable', 'too few copies confirm');
-    if (this.slot?.tenure !== slot.tenure) throw new Mishap('unavailable', 'the slot has moved on');
+    if (good.length < this.quorum) throw new RpcError('unavailable', 'too few replicas confirm');
+    if (this.slot?.ownershipEpoch !== slot.ownershipEpoch) throw new RpcError('unavailable', 'the slot has moved on');
     return good.every((item) => item === null);
   }
 
   expire(): number {
     const now = this.p.clock.now();
-    const keepMs = Math.max(this.p.keepMs * 0.9, turnsKeptMs(this.p.table()?.config));
-    const old = new Set([...this.touched].filter(([, at]) => now - at > keepMs).map(([g]) => g));
+    const retentionMs = Math.max(this.p.retentionMs * 0.9, turnRetentionOf(this.p.table()?.config));
+    const old = new Set([...this.touched].filter(([, at]) => now - at > retentionMs).map(([g]) => g));
     if (old.size === 0) return 0;
     const kept = [...this.held.values()].filter((i) => !old.has(groupOf(i.key)));
     const touched = [...this.touched].filter(([g]) => !old.has(g));
--- a/packages/steward/src/streams.ts
+++ b/packages/session-owner/src/streams.ts
@@ -1,12 +1,12 @@
-import type { Config, Lane, Server } from '@tillerstair/state';
-import { Mishap, mishapOf } from '@tillerstair/wire';
+import type { Config, Route, Server } from '@tillerstair/state';
+import { RpcError, toRpcError } from '@tillerstair/wire';
 import type { Ended, Head } from './backend.js';
 import { Events } from './events.js';
-import type { SlotKeeper } from './keeper.js';
+import type { SlotReplicator } from './slot-replicator.js';
 import { partsOf, type Part } from './placement.js';
-import type { EmitPiece } from './turns.js';
-import type { Steward } from './steward.js';
-import { done, laneUnknown, ofMishap, passPath, PassTurn, refused, unknown, unpacked, type PassAsk, type Verdict } from './verdict.js';
+import type { EmitChunk } from './turns.js';
+import type { SessionOwner } from './session-owner.js';
+import { done, routeUnknown, outcomeOfError, passPath, PassTurn, refused, unknown, unpacked, type PassAsk, type CallOutcome } from './messages.js';
 
 const gone404 = 404;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
@@ -14,9 +14,9 @@
 export const streamProgram = (ask: PassAsk): string => `x-${named(ask.program === '' ? `a-${ask.attempt}` : ask.program)}`;
 const turnKey = (pid: string, attempt: string): string => `p/${pid}/t/${named(attempt)}`;
 
-/** The slot key of a streamed request's steward; empty when any front may carry it. */
-export const streamSlotKey = (ask: PassAsk, lane: Lane): string =>
-  ask.program === '' && ask.after === '' && (lane.pass?.keptMs ?? 0) === 0 ? '' : `p/${streamProgram(ask)}`;
+/** The slot key of a streamed request's owner; empty when any front may carry it. */
+export const streamSlotKey = (ask: PassAsk, route: Route): string =>
+  ask.program === '' && ask.after === '' && (route.pass?.turnRetentionMs ?? 0) === 0 ? '' : `p/${streamProgram(ask)}`;
 
 interface Ancestor {
   readonly attempt: string;
@@ -30,14 +30,14 @@
   readonly kept: boolean;
   readonly body: Uint8Array;
   readonly parts: readonly Part[];
-  readonly keeper: SlotKeeper | undefined;
+  readonly replicator: SlotReplicator | undefined;
   readonly key: string;
   readonly end: number;
   readonly tries: number;
   readonly resumable: boolean;
   readonly events: Events;
-  readonly emit: EmitPiece;
-  /** Whether the head of an answer went to the caller, how many pieces, and whether some were bytes of no event. */
+  readonly emit: EmitChunk;
+  /** Whether the head of an answer went to the caller, how many chunks, and whether some were bytes of no event. */
   readonly out: { headed: boolean; n: number; plain: boolean };
 }
 
@@ -45,24 +45,24 @@
   private readonly running = new Set<string>();
   private readonly reserving = new Map<string, number>();
 
-  constructor(private readonly s: Steward) {}
+  constructor(private readonly s: SessionOwner) {}
 
-  async stream(ask: PassAsk, emit: EmitPiece, gone: AbortSignal): Promise<Verdict> {
-    const { config } = this.s.requireFresh();
+  async stream(ask: PassAsk, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> {
+    const { config } = this.s.requireLease();
     if (!config) return refused(503, 'not-ready', 'no configuration yet', 1);
     const path = passPath(ask);
-    const lane = this.s.findLane('pass', path);
-    if (!lane?.pass) throw laneUnknown(path);
-    const slotKey = streamSlotKey(ask, lane);
-    const keeper = slotKey === '' ? undefined : this.s.keeper(slotKey);
+    const route = this.s.findRoute('pass', path);
+    if (!route?.pass) throw routeUnknown(path);
+    const slotKey = streamSlotKey(ask, route);
+    const replicator = slotKey === '' ? undefined : this.s.replicator(slotKey);
     const key = turnKey(streamProgram(ask), ask.attempt);
     if (this.running.has(key)) return refused(409, 'running', 'this try is under way');
     this.running.add(key);
-    const leave = keeper?.enter();
+    const leave = replicator?.enter();
     try {
-      return await this.go(ask, lane, config, keeper, key, emit, gone);
+      return await this.go(ask, route, config, replicator, key, emit, gone);
     } catch (e) {
-      return ofMishap(mishapOf(e));
+      return outcomeOfError(toRpcError(e));
     } finally {
       leave?.();
       this.running.delete(key);
@@ -70,34 +70,34 @@
   }
 
   private async go(
-    ask: PassAsk, lane: Lane, config: Config, keeper: SlotKeeper | undefined, key: string, emit: EmitPiece, gone: AbortSignal,
-  ): Promise<Verdict> {
-    const rules = lane.pass;
-    if (!rules) throw laneUnknown(passPath(ask));
-    const kept = rules.keptMs > 0;
-    if (keeper?.get(key) !== undefined) {
-      const old = PassTurn.safeParse(keeper.get(key));
+    ask: PassAsk, route: Route, config: Config, replicator: SlotReplicator | undefined, key: string, emit: EmitChunk, gone: AbortSignal,
+  ): Promise<CallOutcome> {
+    const rules = route.pass;
+    if (!rules) throw routeUnknown(passPath(ask));
+    const kept = rules.turnRetentionMs > 0;
+    if (replicator?.get(key) !== undefined) {
+      const old = PassTurn.safeParse(replicator.get(key));
       if (!old.success || old.data.status !== 'void') return unknown('this try was under way before; it is not run again');
     }
-    const chain = kept && ask.after !== '' && keeper ? await this.chain(keeper, ask) : [];
-    if ('verdict' in chain) return chain;
+    const chain = kept && ask.after !== '' && replicator ? await this.chain(replicator, ask) : [];
+    if ('outcome' in chain) return chain;
     const body = Buffer.concat([...chain.flatMap(({ turn }) => [unpacked(turn.input), Buffer.from(turn.output, 'latin1')]), unpacked(ask.body)]);
     const foreign = chain.filter((a) => !a.own);
-    if (keeper)
-      await Promise.all(foreign.map((a) => keeper.put(turnKey(streamProgram(ask), a.attempt), { ...a.turn, cost: 0 } satisfies PassTurn)));
+    if (replicator)
+      await Promise.all(foreign.map((a) => replicator.put(turnKey(streamProgram(ask), a.attempt), { ...a.turn, cost: 0 } satisfies PassTurn)));
     const run: Run = {
-      ask, path: passPath(ask), kept, body, keeper, key, emit, parts: partsOf(ask.parts), end: this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs),
+      ask, path: passPath(ask), kept, body, replicator, key, emit, parts: partsOf(ask.parts), end: this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs),
       tries: rules.tries, resumable: rules.resumable, events: new Events(), out: { headed: false, n: 0, plain: false },
     };
     return this.tryServers(run, config, gone);
   }
 
-  private async chain(keeper: SlotKeeper, ask: PassAsk): Promise<readonly Ancestor[] | Verdict> {
+  private async chain(replicator: SlotReplicator, ask: PassAsk): Promise<readonly Ancestor[] | CallOutcome> {
     const out: Ancestor[] = [];
     const away = new Map<string, PassTurn>();
     for (let at = ask.after; at !== ''; ) {
       const key = turnKey(streamProgram(ask), at);
-      const mine = PassTurn.safeParse(keeper.get(key));
+      const mine = PassTurn.safeParse(replicator.get(key));
       const turn = mine.success ? mine.data : away.get(at);
       if (!turn) {
         const found = await this.s.findTurn(named(at));
@@ -114,17 +114,17 @@
     return out.reverse();
   }
 
-  private pieceTokens(config: Config, server: Server): number {
-    return config.pools.find((p) => p.name === server.pool)?.engine?.pieceTokens ?? 1;
+  private blockTokens(config: Config, server: Server): number {
+    return config.pools.find((p) => p.name === server.pool)?.engine?.blockTokens ?? 1;
   }
 
   private root(run: Run): string {
     return streamProgram(run.ask);
   }
 
-  private async tryServers(run: Run, config: Config, gone: AbortSignal): Promise<Verdict> {
+  private async tryServers(run: Run, config: Config, gone: AbortSignal): Promise<CallOutcome> {
     const { clock } = this.s.p;
-    const { ask, keeper } = run;
+    const { ask, replicator } = run;
     const root = this.root(run);
     const skip = new Set<string>();
     let noted = false;
@@ -132,25 +132,25 @@
     let lost = '';
     let cost = 0;
     const reserved: PassTurn = { t: 'pass', status: 'reserved', after: ask.after, cost: ask.most, input: '', output: '' };
-    const end = async (v: Verdict): Promise<Verdict> => {
+    const end = async (v: CallOutcome): Promise<CallOutcome> => {
       if (noted) await this.settle(run, { ...reserved, status: lost === '' ? 'void' : 'failed', cost }).catch(() => undefined);
       return v;
     };
-    const giveUp = (v: Verdict): Promise<Verdict> => end(lost !== '' ? unknown(lost, 'broken-off') : v);
+    const giveUp = (v: CallOutcome): Promise<CallOutcome> => end(lost !== '' ? unknown(lost, 'broken-off') : v);
     for (;;) {
       const left = run.end - clock.now();
-      if (left <= 0) return giveUp(refused(503, 'line-late', 'no server came free in time', 0.3));
+      if (left <= 0) return giveUp(refused(503, 'queue-timeout', 'no server came free in time', 0.3));
       if (offered >= run.tries) return giveUp(refused(503, 'no-server', 'the servers tried did not run it', 0.2));
-      if (!noted && keeper && this.overBudget(run, root)) return refused(402, 'budget-spent', 'the budget is spent');
-      const server = await this.s.place('pass', run.path, run.parts, '', skip, left, gone).catch((e: unknown) => mishapOf(e));
-      if (server instanceof Mishap) return giveUp(ofMishap(server));
+      if (!noted && replicator && this.overBudget(run, root)) return refused(402, 'budget-spent', 'the budget is spent');
+      const server = await this.s.place('pass', run.path, run.parts, '', skip, left, gone).catch((e: unknown) => toRpcError(e));
+      if (server instanceof RpcError) return giveUp(outcomeOfError(server));
       let ok = true;
       try {
-        if (!noted && keeper) {
+        if (!noted && replicator) {
           if (this.overBudget(run, root)) return refused(402, 'budget-spent', 'the budget is spent');
           this.reserving.set(root, (this.reserving.get(root) ?? 0) + ask.most);
           try {
-            await keeper.put(run.key, reserved);
+            await replicator.put(run.key, reserved);
           } finally {
             this.free(root, ask.most);
           }
@@ -159,7 +159,7 @@
         if (gone.aborted) return await giveUp(refused(503, 'gone', 'the caller is gone', 1));
         if (!this.s.mayRun(server, 'pass', run.path)) {
           skip.add(server.id);
-          if (!this.s.fresh) return await giveUp(refused(503, 'not-ready', 'the control link is down', 1));
+          if (!this.s.leaseValid) return await giveUp(refused(503, 'not-ready', 'the control link is down', 1));
           continue;
         }
         const ended = await this.send(run, server, gone);
@@ -167,7 +167,7 @@
         if (ended.kind !== 'never-left') offered++;
         skip.add(server.id);
         if (ended.kind === 'never-left' || ended.kind === 'declined') continue;
-        cost = run.events.count * this.pieceTokens(config, server);
+        cost = run.events.count * this.blockTokens(config, server);
         if (ended.kind === 'done') return await this.whole(run, ended.code, cost);
         lost = ended.text;
         if (run.resumable && !run.events.unnamed && !run.out.plain && !gone.aborted && offered < run.tries && run.end > clock.now()) {
@@ -189,12 +189,12 @@
   }
 
   private overBudget(run: Run, root: string): boolean {
-    const { ask, keeper } = run;
-    if (!keeper || ask.budget === null) return false;
-    return keeper.spent(root) + (this.reserving.get(root) ?? 0) + ask.most > ask.budget;
+    const { ask, replicator } = run;
+    if (!replicator || ask.budget === null) return false;
+    return replicator.spent(root) + (this.reserving.get(root) ?? 0) + ask.most > ask.budget;
   }
 
-  private async whole(run: Run, code: number, cost: number): Promise<Verdict> {
+  private async whole(run: Run, code: number, cost: number): Promise<CallOutcome> {
     const good = isSuccess(code);
     const turn: PassTurn = {
       t: 'pass', status: good ? 'done' : 'failed', after: run.ask.after, cost,
@@ -205,14 +205,14 @@
       try {
         await settled;
       } catch (e) {
-        return unknown(`the turn ran but could not be kept: ${mishapOf(e).message}`);
+        return unknown(`the turn ran but could not be kept: ${toRpcError(e).message}`);
       }
     } else void settled.catch(() => undefined);
-    return done({ end: { pieces: run.out.n } });
+    return done({ end: { chunks: run.out.n } });
   }
 
   private settle(run: Run, turn: PassTurn): Promise<void> {
-    return run.keeper ? run.keeper.putSoon(run.key, turn, 20) : Promise.resolve();
+    return run.replicator ? run.replicator.putSoon(run.key, turn, 20) : Promise.resolve();
   }
 
   private async send(run: Run, server: Server, gone: AbortSignal): Promise<Ended> {
@@ -246,7 +246,7 @@
         const whole = plain ? text : events.take(text);
         if (whole !== '') say(whole);
       },
-      busyness: (b: { running: number; waiting: number; places: number }) => this.s.placement.told(server, b),
+      load: (b: { running: number; waiting: number; places: number }) => this.s.placement.reported(server, b),
     };
     const resume = events.lastId === '' ? ask.resume : events.lastId;
     const ended = await backend
--- a/packages/env/src/daemon.ts
+++ b/packages/settings/src/daemon.ts
@@ -1,9 +1,9 @@
 import cac from 'cac';
 import type { Server } from 'node:http';
 import { z } from 'zod';
-import { FolderTaken, JournalCorrupt } from '@tillerstair/journal';
+import { FolderInUseError, JournalCorrupt } from '@tillerstair/journal';
 import { logTo, sendJson, serveHttp, type Log, type Page } from '@tillerstair/wire';
-import { BadEnv, readEnv } from './env.js';
+import { InvalidSettingsError, readSettings } from './settings.js';
 
 export const version = '0.1.0';
 
@@ -36,7 +36,7 @@
   readonly about: string;
   readonly schema: z.ZodType<T>;
   readonly flags: readonly (readonly [string, string])[];
-  start(env: T): Promise<Running<T>>;
+  start(daemonSettings: T): Promise<Running<T>>;
 }
 
 export const runDaemon = async <T>(spec: DaemonSpec<T>): Promise<void> => {
@@ -50,12 +50,12 @@
   const { options } = cli.parse(process.argv, { run: false });
   if (options['help'] || options['version']) return;
   const file: unknown = options['settings'];
-  const read = (): T => readEnv(spec.schema, typeof file === 'string' ? file : undefined, collect(options));
+  const read = (): T => readSettings(spec.schema, typeof file === 'string' ? file : undefined, collect(options));
   await live(spec.name, read, (settings) => spec.start(settings));
 };
 
 const findingsText = (e: unknown): string => {
-  if (e instanceof BadEnv) return e.findings.map((f) => `${f.place}: ${f.text}`).join('; ');
+  if (e instanceof InvalidSettingsError) return e.findings.map((f) => `${f.place}: ${f.text}`).join('; ');
   return e instanceof Error ? e.message : String(e);
 };
 
@@ -92,12 +92,12 @@
   try {
     running = await start(read());
   } catch (e) {
-    if (e instanceof BadEnv) {
+    if (e instanceof InvalidSettingsError) {
       for (const f of e.findings) process.stderr.write(`${name}: ${f.place}: ${f.text}\n`);
       process.exit(2);
     }
     process.stderr.write(`${name}: cannot start: ${e instanceof Error ? e.message : String(e)}\n`);
-    process.exit(e instanceof FolderTaken || e instanceof JournalCorrupt ? 3 : 1);
+    process.exit(e instanceof FolderInUseError || e instanceof JournalCorrupt ? 3 : 1);
   }
   reload = () => reloadSettings(name, read, running);
   if (reloadWanted) reload();
@@ -127,7 +127,7 @@
       return sendJson(res, r.ready ? 200 : 503, r);
     }
     if (more) return more(req, res, url);
-    sendJson(res, 404, { ran: 'no', mishap: 'no-such-page' });
+    sendJson(res, 404, { executed: 'no', errorCode: 'no-such-page' });
   });
 
 export const closeHttp = (server: Server): Promise<void> =>
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export * from './settings.js';
+export * from './daemon.js';
--- a/packages/env/src/env.ts
+++ b/packages/settings/src/settings.ts
@@ -8,7 +8,7 @@
   readonly text: string;
 }
 
-export class BadEnv extends Error {
+export class InvalidSettingsError extends Error {
   constructor(readonly findings: readonly Finding[]) {
     super(findings.map((f) => `${f.place}: ${f.text}`).join('\n'));
   }
@@ -28,9 +28,9 @@
   .strictObject({
     serveWithin: ms(1000, 120000, 12000),
     inForceWithin: ms(100, 60000, 2000),
-    leavingWithin: ms(300, 60000, 3000),
-    beat: ms(20, 60000, 1000),
-    silent: ms(60, 180000, 3000),
+    drainingWithin: ms(300, 60000, 3000),
+    heartbeatInterval: ms(20, 60000, 1000),
+    failureTimeout: ms(60, 180000, 3000),
   })
   .prefault({});
 
@@ -47,31 +47,31 @@
   seeds: z.array(addr).length(3, { message: 'must be three addresses' }),
 };
 
-export const ControlEnv = z.strictObject({
+export const ControlSettings = z.strictObject({
   ...Common,
   ...Linked,
   data: z.string().min(1),
   slots: z.number().int().min(8).max(4096).default(64),
   losses: z.number().int().min(1).max(7).default(1),
-  founds: z.boolean().default(true),
+  mayBootstrap: z.boolean().default(true),
   journalLongAt: z.number().int().min(65536).default(4 << 20),
 });
-export type ControlEnv = z.infer<typeof ControlEnv>;
+export type ControlSettings = z.infer<typeof ControlSettings>;
 
-export const StoreEnv = z.strictObject({
+export const StoreSettings = z.strictObject({
   ...Common,
   ...Linked,
   data: z.string().min(1),
   journalLongAt: z.number().int().min(65536).default(32 << 20),
-  keepMs: z.number().int().min(60000).default(3600000),
+  retentionMs: z.number().int().min(60000).default(3600000),
   hintsMost: z.number().int().min(100).default(100000),
 });
-export type StoreEnv = z.infer<typeof StoreEnv>;
+export type StoreSettings = z.infer<typeof StoreSettings>;
 
-export const AgentEnv = z.strictObject({ ...Common, ...Linked, proxy: addr, stopWithin: ms(100, 600000, 5000) });
-export type AgentEnv = z.infer<typeof AgentEnv>;
+export const AgentSettings = z.strictObject({ ...Common, ...Linked, proxy: addr, stopWithin: ms(100, 600000, 5000) });
+export type AgentSettings = z.infer<typeof AgentSettings>;
 
-export const ProxyEnv = z.strictObject({
+export const ProxySettings = z.strictObject({
   ...Common,
   addr,
   listen: addr.optional(),
@@ -79,10 +79,10 @@
   bodyMost: z.number().int().min(1024).default(1 << 20),
   affinity: z.boolean().default(true),
   asksServers: z.boolean().default(true),
-  keepMs: z.number().int().min(60000).default(3600000),
+  retentionMs: z.number().int().min(60000).default(3600000),
   stopWithin: ms(100, 600000, 5000),
 });
-export type ProxyEnv = z.infer<typeof ProxyEnv>;
+export type ProxySettings = z.infer<typeof ProxySettings>;
 
 const flagValue = (path: string, v: unknown): unknown => {
   if (path === 'seeds') return String(v).split(',');
@@ -103,7 +103,7 @@
   into.set(head, Object.fromEntries(inner));
 };
 
-export const readEnv = <T>(schema: z.ZodType<T>, file: string | undefined, flags: ReadonlyMap<string, unknown>): T => {
+export const readSettings = <T>(schema: z.ZodType<T>, file: string | undefined, flags: ReadonlyMap<string, unknown>): T => {
   const all = new Map<string, unknown>();
   const findings: Finding[] = [];
   if (file !== undefined) {
@@ -125,6 +125,6 @@
       const from = flags.has(path) ? `--${path}` : file ?? 'flags';
       findings.push({ place: `${from}${path && !flags.has(path) ? ` ${path}` : ''}`, text: i.message });
     }
-  if (findings.length > 0 || !got.success) throw new BadEnv(findings);
+  if (findings.length > 0 || !got.success) throw new InvalidSettingsError(findings);
   return got.data;
 };
--- a/packages/sim/src/config-calls.ts
+++ b/packages/sim/src/config-calls.ts
@@ -44,7 +44,7 @@
   put(text: string, send: SendOperation): Promise<Outcome | undefined> {
     const { base, version = base + 1 } = Change.parse(JSON.parse(text));
     const digest = digestOf(text);
-    const what = { kind: 'change' as const, order: digest, base, version, content: digest };
+    const what = { kind: 'change' as const, changeId: digest, base, version, content: digest };
     return this.record(what, () => send({ method: 'PUT', path: '/v1/config', body: text }), (o) => answerToChange(o?.status ?? 0));
   }
 
--- a/packages/sim/src/faults-machine.ts
+++ b/packages/sim/src/faults-machine.ts
@@ -1,5 +1,5 @@
 /** Faults of machines and their processes: killed, without power, frozen, slow, restarted in order. */
-import { opKeyOf } from '@tillerstair/steward';
+import { opKeyOf } from '@tillerstair/session-owner';
 import { rootOf, slotOf } from '@tillerstair/state';
 import type { Machine } from './machine.js';
 import { pickOf, type Fault, type FaultContext, type FaultTable, type MachineKind } from './storm-fault.js';
@@ -45,7 +45,7 @@
 
 const stopInOrder = async (c: FaultContext, m: Machine): Promise<void> => {
   const end = m.stopInOrder().catch(() => undefined);
-  await Promise.race([end, c.storm.wait(6 * c.w.bounds.beat)]);
+  await Promise.race([end, c.storm.wait(6 * c.w.bounds.heartbeatInterval)]);
   if (m.up) m.kill();
 };
 
@@ -58,7 +58,7 @@
       await stopInOrder(c, m);
       await c.storm.wait(100 + c.rng() * 900);
       c.tools.restart(m);
-      await c.storm.wait(2 * c.w.bounds.silent);
+      await c.storm.wait(2 * c.w.bounds.failureTimeout);
     }
   };
   if (kind !== 'front') return c.tools.losesDisk(work);
@@ -97,7 +97,7 @@
     const s = w.committed;
     const key = t.kind === 'call' ? opKeyOf(t.tenant, t.key) : `p/${rootOf(t.program)}`;
     const slot = s?.slots[slotOf(key, s.slots.length)];
-    const keepsIt = (m: Machine): boolean => m.front?.p.id === slot?.steward || m.store?.id === slot?.copies[Math.floor(c.rng() * 3)];
+    const keepsIt = (m: Machine): boolean => m.front?.p.id === slot?.owner || m.store?.id === slot?.replicas[Math.floor(c.rng() * 3)];
     const hit = w.machines.filter((m) => m.up && (whole ? m.kind !== 'front' : keepsIt(m)));
     for (const m of hit) m.kill('power');
     tools.after(500 + c.rng() * 3000, () => hit.forEach((m) => tools.restart(m)));
--- a/packages/sim/src/faults-members.ts
+++ b/packages/sim/src/faults-members.ts
@@ -19,9 +19,9 @@
   if (!old) return '';
   const started = c.tools.losesDisk(async () => {
     c.w.add(kind).start();
-    await c.storm.wait(2 * c.w.bounds.silent);
+    await c.storm.wait(2 * c.w.bounds.failureTimeout);
     if (!old.up) c.tools.restart(old);
-    await Promise.race([old.stopInOrder().catch(() => undefined), c.storm.wait(2 * c.w.bounds.silent)]);
+    await Promise.race([old.stopInOrder().catch(() => undefined), c.storm.wait(2 * c.w.bounds.failureTimeout)]);
     if (old.up) old.kill('power');
     c.w.remove(old);
     await c.tools.whole(kind);
@@ -31,7 +31,7 @@
 
 const isEmpty = (c: FaultContext, id: string): boolean => {
   const s = c.w.committed;
-  return s !== undefined && s.retiring.has(id) && s.slots.every((x) => x.filling.length === 0 && !x.copies.includes(id));
+  return s !== undefined && s.retiring.has(id) && s.slots.every((x) => x.joiningReplicas.length === 0 && !x.replicas.includes(id));
 };
 
 const askUntilTaken = async (c: FaultContext, method: string, path: string): Promise<void> => {
@@ -72,7 +72,7 @@
 
 /** A machine is added and goes again without a word. */
 const addAndKill = (kind: MachineKind): Fault => (c) => {
-  const spares = c.w.of(kind).length - (kind === 'control' ? (c.w.committed?.voters.now.length ?? Infinity) : 0);
+  const spares = c.w.of(kind).length - (kind === 'control' ? (c.w.committed?.voters.current.length ?? Infinity) : 0);
   if (spares >= mostSpares) return '';
   const m = c.w.add(kind);
   m.start();
@@ -90,7 +90,7 @@
   if (!m || c.w.of('front').length < 3) return '';
   c.storm.track(
     (async () => {
-      await Promise.race([m.stopInOrder().catch(() => undefined), c.storm.wait(6 * c.w.bounds.beat)]);
+      await Promise.race([m.stopInOrder().catch(() => undefined), c.storm.wait(6 * c.w.bounds.heartbeatInterval)]);
       if (m.up) m.kill();
       c.w.remove(m);
     })(),
@@ -131,9 +131,9 @@
 /** Some machines read changed bounds while they run, and the old ones again later. */
 const reload: Fault = (c) => {
   const { outer } = c.w;
-  const beat = outer.beat * (0.7 + c.rng() * 0.3);
+  const heartbeatInterval = outer.heartbeatInterval * (0.7 + c.rng() * 0.3);
   const some = c.w.machines.filter((m) => m.up && c.rng() < 0.3);
-  for (const m of some) m.life.do(() => m.reload({ ...outer, beat }));
+  for (const m of some) m.life.do(() => m.reload({ ...outer, heartbeatInterval }));
   c.tools.after(c.span, () => {
     for (const m of some) m.life.do(() => m.reload(outer));
   });
--- a/packages/sim/src/faults-server.ts
+++ b/packages/sim/src/faults-server.ts
@@ -2,7 +2,7 @@
 import type { SimFaults } from './sim-backend.js';
 import type { Fault, FaultContext, FaultTable } from './storm-fault.js';
 
-const leavingMs = 4000;
+const drainingMs = 4000;
 
 /** One server is in trouble for a time. */
 const trouble = (f: Partial<SimFaults>): Fault => (c) => {
@@ -74,8 +74,8 @@
       await comes(c, id);
       c.storm.leave(c.server);
       await c.storm.wait(c.span);
-      await persist(c, 'POST', `/v1/servers/${id}/leaving`);
-      await c.storm.wait(leavingMs);
+      await persist(c, 'POST', `/v1/servers/${id}/draining`);
+      await c.storm.wait(drainingMs);
       await persist(c, 'DELETE', `/v1/servers/${id}`);
     })(),
   );
@@ -88,7 +88,7 @@
   c.storm.track(
     (async () => {
       await comes(c, id);
-      await c.storm.wait(leavingMs / 2);
+      await c.storm.wait(drainingMs / 2);
       c.w.servers.set(id, how);
       await c.storm.wait(c.span);
       await persist(c, 'DELETE', `/v1/servers/${id}`);
@@ -107,7 +107,7 @@
 };
 
 export const serverFaults: FaultTable = new Map<string, Fault>([
-  ['lose-verdicts', trouble({ loseEvery: 3 })],
+  ['lose-outcomes', trouble({ loseEvery: 3 })],
   ['cut-streams', trouble({ cutEvery: 3 })],
   ['tear-events', trouble({ cutEvery: 2, tears: true })],
   ['lie', trouble({ lies: true })],
--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -2,8 +2,8 @@
 import { ControlNode } from '@tillerstair/control';
 import { Front } from '@tillerstair/proxy';
 import { replicationFor } from '@tillerstair/state';
-import { openStoreDisk, StoreNode, type Shelf } from '@tillerstair/store';
-import { DiskKeep, reloadableBounds, type OuterBounds, type ReloadableBounds } from '@tillerstair/zen';
+import { openStoreDisk, StoreNode, type ReplicaStore } from '@tillerstair/store';
+import { DiskElectionStore, reloadableBounds, type OuterBounds, type ReloadableBounds } from '@tillerstair/zen';
 import { noLog, type Log } from '@tillerstair/wire';
 import { Life } from './sim-clock.js';
 import { SimPlatter } from './sim-disk.js';
@@ -15,7 +15,7 @@
   proxyLife = new Life();
   control: ControlNode | undefined;
   store: StoreNode | undefined;
-  shelf: Shelf | undefined;
+  replicaStore: ReplicaStore | undefined;
   front: Front | undefined;
   agent: Agent | undefined;
   up = false;
@@ -69,8 +69,8 @@
   private async begin(life: Life, proxyLife: Life): Promise<void> {
     const w = this.world;
     const clock = life.clock(w.clock);
-    const circuits = w.net.circuits(this.addr, life);
-    const common = { seeds: this.seeds, clock, circuits, bounds: this.settings.bounds, log: this.log('zen') };
+    const transport = w.net.transport(this.addr, life);
+    const common = { seeds: this.seeds, clock, transport, bounds: this.settings.bounds, log: this.log('zen') };
     const { zone } = this;
     if (this.kind === 'front') {
       await this.beginProxy(proxyLife);
@@ -80,31 +80,31 @@
     const disk = this.platter.disk(clock, life);
     const freshId = (): string => `${this.kind.charAt(0)}${w.freshId()}`;
     const pace = { clock, syncWithin: w.bounds.syncWithin, retryEvery: w.bounds.diskRetryEvery, log: this.log('disk') };
-    const mate = { kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
+    const member = { kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
     if (this.kind === 'control') {
-      const keep = await DiskKeep.open(disk, freshId, w.longAt, pace);
-      const me = { id: keep.kept.id, ...mate };
-      const node = new ControlNode({ ...common, me, keep, slots: w.slots, replication: replicationFor(w.losses), list: w.list?.reader(this.addr, life) });
+      const electionStore = await DiskElectionStore.open(disk, freshId, w.longAt, pace);
+      const me = { id: electionStore.persisted.id, ...member };
+      const node = new ControlNode({ ...common, me, electionStore, slots: w.slots, replication: replicationFor(w.losses), list: w.list?.reader(this.addr, life) });
       await node.start();
       this.control = node;
       return;
     }
-    const { keep, shelf } = await openStoreDisk({
-      disk, clock, pace: { ...pace, syncWithin: w.bounds.silent }, freshId, longAt: w.longAt,
-      bounds: { journalLongAt: w.longAt, keepMs: w.keepMs, hintsMost: w.hintsMost },
+    const { electionStore, replicaStore } = await openStoreDisk({
+      disk, clock, pace: { ...pace, syncWithin: w.bounds.failureTimeout }, freshId, longAt: w.longAt,
+      bounds: { journalLongAt: w.longAt, retentionMs: w.retentionMs, hintsMost: w.hintsMost },
     });
-    const me = { id: keep.kept.id, ...mate };
-    const node = new StoreNode({ ...common, me, keep, shelf });
+    const me = { id: electionStore.persisted.id, ...member };
+    const node = new StoreNode({ ...common, me, electionStore, replicaStore });
     await node.start();
     this.store = node;
-    this.shelf = shelf;
+    this.replicaStore = replicaStore;
   }
 
   private async beginAgent(life: Life): Promise<void> {
     const w = this.world;
     const agent = new Agent({
-      seeds: this.seeds, clock: life.clock(w.clock), circuits: w.net.circuits(this.addr, life), bounds: this.settings.bounds, log: this.log('zen'), addr: this.addr,
-      http: '', zone: this.zone, name: this.name, proxy: `${this.addr}/feed`, stopWithin: 5 * this.settings.bounds.beat, loop: w.net.circuits(`${this.addr}/loop`, life),
+      seeds: this.seeds, clock: life.clock(w.clock), transport: w.net.transport(this.addr, life), bounds: this.settings.bounds, log: this.log('zen'), addr: this.addr,
+      http: '', zone: this.zone, name: this.name, proxy: `${this.addr}/feed`, stopWithin: 5 * this.settings.bounds.heartbeatInterval, loop: w.net.transport(`${this.addr}/loop`, life),
     });
     await agent.start();
     this.agent = agent;
@@ -113,14 +113,14 @@
   private async beginProxy(life: Life): Promise<void> {
     const w = this.world;
     const clock = life.clock(w.clock);
-    const { beat, silent, grace } = this.settings.bounds;
+    const { heartbeatInterval, failureTimeout, readLease } = this.settings.bounds;
     const front = new Front({
-      id: `f${w.freshId()}`, clock, circuits: w.net.circuits(`${this.addr}/data`, life), backend: w.servers.backend(life, this.addr),
-      bounds: { beat, putWithin: silent / 2, grace, poll: beat / 4, keepMs: w.keepMs, stopWithin: 5 * beat }, log: this.log('proxy'), affinity: true,
+      id: `f${w.freshId()}`, clock, transport: w.net.transport(`${this.addr}/data`, life), backend: w.servers.backend(life, this.addr),
+      bounds: { heartbeatInterval, putWithin: failureTimeout / 2, readLease, poll: heartbeatInterval / 4, retentionMs: w.retentionMs, stopWithin: 5 * heartbeatInterval }, log: this.log('proxy'), affinity: true,
     });
-    const feed = w.net.circuits(`${this.addr}/feed`, life);
-    await feed.serve(async (inq) =>
-      inq.kind === 'front/hello' ? { id: front.p.id, addr: `${this.addr}/data`, http: '' } : front.feed(inq.body),
+    const feed = w.net.transport(`${this.addr}/feed`, life);
+    await feed.serve(async (rpc) =>
+      rpc.kind === 'front/hello' ? { id: front.p.id, addr: `${this.addr}/data`, http: '' } : front.feed(rpc.body),
     );
     await front.start();
     this.front = front;
--- a/packages/sim/src/model-history.ts
+++ b/packages/sim/src/model-history.ts
@@ -2,7 +2,7 @@
  * What clients and nodes of a model run said, checked against what was really committed.
  * A finding names the rule that was broken, so that runs can be counted by rule.
  */
-import { markOf, newer, type Mark, type State } from '@tillerstair/state';
+import { versionOf, newer, type StateVersion, type State } from '@tillerstair/state';
 
 /** Rules that hold after every step of a run. */
 export const modelRules = [
@@ -39,7 +39,7 @@
   readonly acknowledged: number;
 }
 
-const keyOf = (m: Mark): string => `${m.term}.${m.version}`;
+const keyOf = (m: StateVersion): string => `${m.term}.${m.version}`;
 
 const fingerprintOf = (s: State): string =>
   JSON.stringify([s.clusterId, s.config?.version, s.config?.digest, s.voters, [...s.nodes.keys()].sort(), [...s.servers.keys()].sort()]);
@@ -78,7 +78,7 @@
     if (this.seen.has(s)) return;
     this.seen.add(s);
     this.checks++;
-    const mark = markOf(s);
+    const mark = versionOf(s);
     const key = keyOf(mark);
     const fingerprint = fingerprintOf(s);
     const known = this.fingerprints.get(key);
@@ -91,8 +91,8 @@
     if (master !== undefined && master !== s.master) this.broken('one master a term', `term ${s.term}: ${master} and ${s.master}`);
     this.masters.set(s.term, s.master);
     const { newest } = this;
-    if (newest && !newer(mark, markOf(newest))) {
-      this.broken('committed state is kept', `${by} commits ${key} after ${keyOf(markOf(newest))}`);
+    if (newest && !newer(mark, versionOf(newest))) {
+      this.broken('committed state is kept', `${by} commits ${key} after ${keyOf(versionOf(newest))}`);
       return;
     }
     this.advance(by, s);
--- a/packages/sim/src/model-nodes.ts
+++ b/packages/sim/src/model-nodes.ts
@@ -1,6 +1,6 @@
 /** What each control has promised and stored, seen from outside: checks that nothing of it is taken back. */
 import { inflateSync } from 'node:zlib';
-import { markOf, newer, type Mark, type State } from '@tillerstair/state';
+import { versionOf, newer, type StateVersion, type State } from '@tillerstair/state';
 import { Accepted, Payload, Publish, Validate } from '@tillerstair/zen';
 import { z } from 'zod';
 import type { Machine } from './machine.js';
@@ -12,27 +12,27 @@
 const syncedAfterMs = 10;
 
 interface Held {
-  readonly mark: Mark;
-  readonly since: number;
+  readonly mark: StateVersion;
+  readonly ownedSinceEpoch: number;
 }
 
-const markText = (m: Mark): string => `${m.term}.${m.version}`;
+const markText = (m: StateVersion): string => `${m.term}.${m.version}`;
 
-const publishedMark = (packed: string): Mark => {
+const publishedMark = (packed: string): StateVersion => {
   const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
   if ('diff' in payload) return payload.diff.to;
   const head = new Map(payload.full).get('head') ?? '{}';
-  return markOf(z.object({ term: z.number(), version: z.number() }).parse(JSON.parse(head)));
+  return versionOf(z.object({ term: z.number(), version: z.number() }).parse(JSON.parse(head)));
 };
 
 /** Follows the controls of a run by the identity that stands on their disks. */
 export class ModelNodes {
   private readonly votes = new Map<string, string>();
-  private readonly promisedTerms = new Map<string, number>();
-  private readonly acknowledged = new Map<string, Mark>();
-  private readonly stored = new Map<string, Mark>();
+  private readonly grantedTerms = new Map<string, number>();
+  private readonly acknowledged = new Map<string, StateVersion>();
+  private readonly stored = new Map<string, StateVersion>();
   private readonly held = new Map<string, Held>();
-  private readonly applied = new Map<Machine, { readonly life: object; readonly mark: Mark }>();
+  private readonly applied = new Map<Machine, { readonly life: object; readonly mark: StateVersion }>();
   private readonly identities = new Map<Machine, string>();
 
   constructor(private readonly history: ModelHistory) {}
@@ -59,17 +59,17 @@
     const before = this.votes.get(key);
     if (before !== undefined && before !== from.id) this.history.broken('one vote a term', `${to} votes for ${before} and ${from.id} in term ${term}`);
     this.votes.set(key, from.id);
-    this.promisedTerms.set(to, Math.max(term, this.promisedTerms.get(to) ?? 0));
+    this.grantedTerms.set(to, Math.max(term, this.grantedTerms.get(to) ?? 0));
   }
 
   private accepted(a: Answered): void {
-    if (Accepted.parse(a.answer).verdict !== 'accepted') return;
+    if (Accepted.parse(a.answer).outcome !== 'accepted') return;
     const { packed, term } = Publish.parse(a.body);
     const { to } = Addressed.parse(a.body);
     const mark = publishedMark(packed);
-    if (newer(mark, this.acknowledged.get(to) ?? markOf(undefined))) this.acknowledged.set(to, mark);
-    if (newer(mark, this.stored.get(to) ?? markOf(undefined))) this.stored.set(to, mark);
-    this.promisedTerms.set(to, Math.max(term, this.promisedTerms.get(to) ?? 0));
+    if (newer(mark, this.acknowledged.get(to) ?? versionOf(undefined))) this.acknowledged.set(to, mark);
+    if (newer(mark, this.stored.get(to) ?? versionOf(undefined))) this.stored.set(to, mark);
+    this.grantedTerms.set(to, Math.max(term, this.grantedTerms.get(to) ?? 0));
   }
 
   /** Looks at a control that is up. */
@@ -81,32 +81,32 @@
     if (before !== undefined && before !== id && this.acknowledged.has(before))
       this.history.broken('terms and versions never go back', `${m.addr} forgot who it was: ${before} is ${id} now`);
     this.identities.set(m, id);
-    const mark = markOf(control.zen.accepted);
+    const mark = versionOf(control.zen.accepted);
     const least = this.acknowledged.get(id);
     if (least && newer(least, mark)) this.history.broken('terms and versions never go back', `${m.addr} holds ${markText(mark)}, had stored ${markText(least)}`);
-    const promised = this.promisedTerms.get(id) ?? 0;
-    if (control.zen.term < promised) this.history.broken('terms and versions never go back', `${m.addr} is in term ${control.zen.term}, had promised ${promised}`);
+    const granted = this.grantedTerms.get(id) ?? 0;
+    if (control.zen.term < granted) this.history.broken('terms and versions never go back', `${m.addr} is in term ${control.zen.term}, had promised ${granted}`);
     this.observeApplied(m, control.zen.applied);
     this.observeStored(m, id, mark, now);
   }
 
   private observeApplied(m: Machine, s: State | undefined): void {
-    const mark = markOf(s);
+    const mark = versionOf(s);
     const before = this.applied.get(m);
     if (before?.life === m.life && newer(before.mark, mark))
       this.history.broken('terms and versions never go back', `${m.addr} applies ${markText(mark)} after ${markText(before.mark)}`);
     this.applied.set(m, { life: m.life, mark });
   }
 
-  private observeStored(m: Machine, id: string, mark: Mark, now: number): void {
+  private observeStored(m: Machine, id: string, mark: StateVersion, now: number): void {
     const held = this.held.get(id);
-    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1 || m.platter.full || m.platter.stalled) this.held.set(id, { mark, since: now });
-    else if (now - held.since > syncedAfterMs && newer(mark, this.stored.get(id) ?? markOf(undefined))) this.stored.set(id, mark);
+    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1 || m.platter.full || m.platter.stalled) this.held.set(id, { mark, ownedSinceEpoch: now });
+    else if (now - held.ownedSinceEpoch > syncedAfterMs && newer(mark, this.stored.get(id) ?? versionOf(undefined))) this.stored.set(id, mark);
   }
 
   /** Whether the disk that holds this identity has the state. */
   stores(id: string, s: State): boolean {
     const mark = this.stored.get(id);
-    return mark !== undefined && !newer(markOf(s), mark);
+    return mark !== undefined && !newer(versionOf(s), mark);
   }
 }
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -11,7 +11,7 @@
 import { seededRng, World } from './world.js';
 
 /** Short bounds, so that a run of a minute of them stays cheap. */
-const bounds = { serveWithin: 2400, leavingWithin: 600, beat: 200, silent: 600 };
+const bounds = { serveWithin: 2400, drainingWithin: 600, heartbeatInterval: 200, failureTimeout: 600 };
 const mostControls = 7;
 /** Once all troubles have ended, reads and changes succeed within this time. */
 const healedWithinMs = 60000;
@@ -19,7 +19,7 @@
 const slowDiskMs = 120;
 
 const Read = z.object({ version: z.number(), text: z.string() });
-const WrongBase = z.object({ mishap: z.literal('wrong-base'), current: z.number() });
+const WrongBase = z.object({ errorCode: z.literal('wrong-base'), current: z.number() });
 
 type Answer = () => void;
 
@@ -44,7 +44,7 @@
     this.w.net.onAnswer = (a) => this.nodes.answered(a);
     this.w.net.fate = () => ({
       lost: this.chance(this.network.lost),
-      lateBy: this.chance(this.network.late) ? this.rng() * bounds.silent : 0,
+      lateBy: this.chance(this.network.late) ? this.rng() * bounds.failureTimeout : 0,
       repeats: this.chance(this.network.repeated) ? 1 : 0,
     });
   }
@@ -88,7 +88,7 @@
     const s = this.history.newest;
     if (!s) return false;
     const kept = new Set(this.w.machines.filter((x) => x !== m).map((x) => this.nodes.identityOf(x)));
-    return [s.voters.now, s.voters.next].every((group) => group.filter((id) => kept.has(id) && this.nodes.stores(id, s)).length * 2 > group.length);
+    return [s.voters.current, s.voters.next].every((group) => group.filter((id) => kept.has(id) && this.nodes.stores(id, s)).length * 2 > group.length);
   }
 
   private at(n: number): Machine {
@@ -230,7 +230,7 @@
 
   private replacePlanned(m: Machine): void {
     this.w.add('control').start();
-    this.later(bounds.silent * 4, () => {
+    this.later(bounds.failureTimeout * 4, () => {
       const { control } = m;
       if (!control || !this.w.machines.includes(m) || !this.mayLoseDisk(m)) return;
       const end = (): void => {
@@ -239,9 +239,9 @@
         this.w.remove(m);
       };
       m.life.do(() => void control.stop().catch(() => undefined));
-      this.later(bounds.silent, () => {
+      this.later(bounds.failureTimeout, () => {
         if (this.mayLoseDisk(m)) end();
-        else if (this.w.machines.includes(m)) this.kill(m, 'process', bounds.beat);
+        else if (this.w.machines.includes(m)) this.kill(m, 'process', bounds.heartbeatInterval);
       });
     });
   }
@@ -321,7 +321,7 @@
       return this.history.committedVersion >= last.version;
     });
     this.read(askAt());
-    await this.pass(bounds.silent);
+    await this.pass(bounds.failureTimeout);
   }
 }
 
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -1,13 +1,13 @@
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, BusyReport, Passing } from '@tillerstair/steward';
-import type { RanRecord } from '@tillerstair/checker';
+import type { Act, Backend, Ended, Generate, LoadReport, Passing } from '@tillerstair/session-owner';
+import type { ExecutionRecord } from '@tillerstair/checker';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
 import { passRun, type Passed } from './sim-pass.js';
 
 export interface SimFaults {
   readonly refuses: boolean;
-  readonly leaving: boolean;
+  readonly draining: boolean;
   readonly loseEvery: number;
   readonly cutEvery: number;
   readonly slow: number;
@@ -23,14 +23,14 @@
   readonly dark: boolean;
   /** Resets connections as soon as a request is on them. */
   readonly resets: boolean;
-  /** Runs requests and fails them: calls of pass lanes with a status of its own, all else without a whole answer. */
+  /** Runs requests and fails them: calls of pass routes with a status of its own, all else without a whole answer. */
   readonly errs: boolean;
 }
 
-const healthy: SimFaults = { refuses: false, leaving: false, loseEvery: 0, cutEvery: 0, slow: 1, declines: false, tears: false, lies: false, mute: false, dark: false, resets: false, errs: false };
+const healthy: SimFaults = { refuses: false, draining: false, loseEvery: 0, cutEvery: 0, slow: 1, declines: false, tears: false, lies: false, mute: false, dark: false, resets: false, errs: false };
 
 export class SimServers {
-  readonly ran: RanRecord[] = [];
+  readonly executed: ExecutionRecord[] = [];
   private readonly faults = new Map<string, SimFaults>();
   private readonly busy = new Map<string, number>();
   asked = 0;
@@ -45,7 +45,7 @@
 
   /** Ends every trouble of a server, except that it may go on leaving. */
   heal(id: string): void {
-    this.set(id, { ...healthy, leaving: this.of(id).leaving });
+    this.set(id, { ...healthy, draining: this.of(id).draining });
   }
 
   set(id: string, f: Partial<SimFaults>): void {
@@ -60,8 +60,8 @@
     this.busy.set(s.id, (this.busy.get(s.id) ?? 0) + by);
   }
 
-  private note(s: Server, ran: Omit<RanRecord, 'server' | 'pool' | 'at'>): void {
-    this.ran.push({ ...ran, server: s.id, pool: s.pool, at: this.clock.now(), said: ran.kind === 'pass' ? ran.said : ran.said.slice(-60) });
+  private note(s: Server, executed: Omit<ExecutionRecord, 'server' | 'pool' | 'at'>): void {
+    this.executed.push({ ...executed, server: s.id, pool: s.pool, at: this.clock.now(), said: executed.kind === 'pass' ? executed.said : executed.said.slice(-60) });
   }
 
   backend(life: Life, front = ''): Backend {
@@ -87,13 +87,13 @@
       return f.resets ? gate({ kind: 'lost', text: 'the connection was reset' }) : undefined;
     };
     return {
-      generate: async (s: Server, g: Generate, onPiece, gone, within, still): Promise<Ended> => {
+      generate: async (s: Server, g: Generate, onChunk, gone, within, still): Promise<Ended> => {
         const f = this.of(s.id);
         const back = await leave(s, still, gone, within);
         if (back) return back;
         const nth = ++this.served;
         const began = clock.now();
-        const ran = { kind: 'generate' as const, key: '', attempt: g.inquiry, program: g.id.split('/')[0] ?? '', began, said: g.messages.at(-1)?.text ?? '' };
+        const executed = { kind: 'generate' as const, key: '', attempt: g.requestId, program: g.id.split('/')[0] ?? '', began, said: g.messages.at(-1)?.text ?? '' };
         const total = Math.min(g.maxTokens, 4 + Math.floor(this.rng() * 12));
         const cutAt = f.cutEvery > 0 && nth % f.cutEvery === 0 ? Math.floor(total / 2) : -1;
         let reply = '';
@@ -102,16 +102,16 @@
           await pause(clock, 5 * f.slow);
           if (gone.aborted || life.dead || n === cutAt) {
             this.enter(s, -1);
-            this.note(s, { ...ran, reply, complete: false, tokens: n });
+            this.note(s, { ...executed, reply, complete: false, tokens: n });
             return gate({ kind: 'lost', text: 'the stream stopped' });
           }
           const text = `${s.id}.${nth}.${n} `;
           reply += text;
           const at = n;
-          life.do(() => onPiece(at, text));
+          life.do(() => onChunk(at, text));
         }
         this.enter(s, -1);
-        this.note(s, { ...ran, reply, complete: true, tokens: total });
+        this.note(s, { ...executed, reply, complete: true, tokens: total });
         if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0)) return gate({ kind: 'lost', text: 'the end was lost' });
         return gate({ kind: 'done', code: 200, body: total });
       },
@@ -124,8 +124,8 @@
         this.enter(s, 1);
         await pause(clock, (10 + this.rng() * 30) * f.slow);
         this.enter(s, -1);
-        this.note(s, { kind: 'act', key: a.key, attempt: a.inquiry, program: '', began, said: a.path, reply: '', complete: true, tokens: 0 });
-        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0)) return gate({ kind: 'lost', text: 'the verdict was lost' });
+        this.note(s, { kind: 'act', key: a.key, attempt: a.requestId, program: '', began, said: a.path, reply: '', complete: true, tokens: 0 });
+        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0)) return gate({ kind: 'lost', text: 'the outcome was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
       pass: async (s: Server, p: Passing, sink, gone, left, still): Promise<Ended> => {
@@ -135,21 +135,21 @@
         const nth = ++this.served;
         const began = clock.now();
         this.enter(s, 1);
-        const ran: Passed = await passRun({ by: s.id, nth, faults: f, clock, rng: this.rng, life, gone }, p, sink);
+        const executed: Passed = await passRun({ by: s.id, nth, faults: f, clock, rng: this.rng, life, gone }, p, sink);
         this.enter(s, -1);
-        this.note(s, { kind: 'pass', attempt: p.attempt, began, said: Buffer.from(p.body).toString('latin1'), ...ran });
-        if (!ran.complete) return gate({ kind: 'lost', text: 'the answer stopped' });
+        this.note(s, { kind: 'pass', attempt: p.attempt, began, said: Buffer.from(p.body).toString('latin1'), ...executed });
+        if (!executed.complete) return gate({ kind: 'lost', text: 'the answer stopped' });
         if (f.lies) return gate({ kind: 'lost', text: 'the server spoke of another try' });
         if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the answer was lost' });
         return gate({ kind: 'done', code: 200, body: null });
       },
-      busyness: async (s: Server, within: number): Promise<BusyReport> => {
+      load: async (s: Server, within: number): Promise<LoadReport> => {
         const f = this.of(s.id);
         this.polls++;
         await pause(frontClock, 0.5);
         if (f.dark) await pause(frontClock, within);
         if (refuses(s) || f.dark) throw new Error('refused');
-        return { busy: this.busy.get(s.id) ?? 0, leaving: f.leaving };
+        return { busy: this.busy.get(s.id) ?? 0, draining: f.draining };
       },
     };
   }
--- a/packages/sim/src/sim-clock.ts
+++ b/packages/sim/src/sim-clock.ts
@@ -1,4 +1,4 @@
-import type { Beat, Clock } from '@tillerstair/wire';
+import type { TimerHandle, Clock } from '@tillerstair/wire';
 
 interface Timer {
   readonly at: number;
@@ -62,7 +62,7 @@
     return this.time;
   }
 
-  after(ms: number, run: () => void): Beat {
+  after(ms: number, run: () => void): TimerHandle {
     const t: Timer = { at: this.time + Math.max(0, ms), seq: ++this.seq, run, stopped: false };
     this.heap.push(t);
     return {
@@ -151,7 +151,7 @@
       now: () => base.now() * this.rate,
       after: (ms, run) => {
         let stopped = false;
-        const beat = base.after(ms / this.rate, () => {
+        const timer = base.after(ms / this.rate, () => {
           this.do(() => {
             if (!stopped) run();
           });
@@ -159,7 +159,7 @@
         return {
           stop: () => {
             stopped = true;
-            beat.stop();
+            timer.stop();
           },
         };
       },
--- a/packages/sim/src/sim-list.ts
+++ b/packages/sim/src/sim-list.ts
@@ -34,13 +34,13 @@
   }
 
   put(v: Partial<Listed> & Pick<Listed, 'id' | 'pool'>): number {
-    return this.change((servers) => servers.set(v.id, { url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, leaving: false, ...v }));
+    return this.change((servers) => servers.set(v.id, { url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, draining: false, ...v }));
   }
 
   mark(id: string): number {
     return this.change((servers) => {
       const old = servers.get(id);
-      if (old) servers.set(id, { ...old, leaving: true });
+      if (old) servers.set(id, { ...old, draining: true });
     });
   }
 
--- a/packages/sim/src/sim-net.ts
+++ b/packages/sim/src/sim-net.ts
@@ -1,4 +1,4 @@
-import { CircuitLost, CircuitRefused, Mishap, mishapOf, TooLate, type CallBounds, type Circuits, type Clock, type Handler } from '@tillerstair/wire';
+import { ConnectionLostError, ConnectionRefusedError, RpcError, toRpcError, RequestTimeoutError, type CallBounds, type Transport, type Clock, type Handler } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
 
 interface Host {
@@ -47,7 +47,7 @@
 
 const delivered: Fate = { lost: false, lateBy: 0, repeats: 0 };
 
-const headOf = (kind: string, part: 'body' | 'piece' | 'verdict'): number =>
+const headOf = (kind: string, part: 'body' | 'chunk' | 'response'): number =>
   `{"id":10000,${part === 'body' ? `"kind":"${kind}",` : ''}"${part}":}\n`.length;
 
 export class SimNet {
@@ -62,7 +62,7 @@
   apart: (from: string, to: string) => number = () => 0;
   readonly largest = new Map<string, number>();
 
-  private weigh(kind: string, text: string, from: string, to: string, part: 'body' | 'piece' | 'verdict'): void {
+  private weigh(kind: string, text: string, from: string, to: string, part: 'body' | 'chunk' | 'response'): void {
     this.heard?.({ from, to, kind, bytes: Buffer.byteLength(text) + headOf(kind, part) });
     if (text.length > (this.largest.get(kind) ?? 0)) this.largest.set(kind, text.length);
   }
@@ -154,7 +154,7 @@
       const gone = new AbortController();
       const onGone = (): void => {
         gone.abort();
-        finish(() => fail(new Mishap('gone', 'the caller is gone', 'unknown')));
+        finish(() => fail(new RpcError('gone', 'the caller is gone', 'unknown')));
       };
       const finish = (f: () => void): void => {
         mine.do(() => {
@@ -171,13 +171,13 @@
         to,
         reset: () => {
           gone.abort();
-          finish(() => fail(new CircuitLost(to)));
+          finish(() => fail(new ConnectionLostError(to)));
         },
       };
       this.open.add(open);
       const late = this.clock.after(bounds.within, () => {
         gone.abort();
-        finish(() => fail(new TooLate(to)));
+        finish(() => fail(new RequestTimeoutError(to)));
       });
       bounds.gone?.addEventListener('abort', onGone, { once: true });
       const back = (f: () => void, host: Host): void => {
@@ -188,27 +188,27 @@
       };
       this.carry(from, to, () => {
         const cut = this.cuts.get(`${from}>${to}`);
-        if (cut === 'refuse') finish(() => fail(new CircuitRefused(to)));
-        if (cut === 'reset') finish(() => fail(new CircuitLost(to)));
+        if (cut === 'refuse') finish(() => fail(new ConnectionRefusedError(to)));
+        if (cut === 'reset') finish(() => fail(new ConnectionLostError(to)));
         if (cut !== undefined) return;
         const host = this.hosts.get(to);
         if (!host || host.life.dead) {
-          finish(() => fail(new CircuitRefused(to)));
+          finish(() => fail(new ConnectionRefusedError(to)));
           return;
         }
         const watch = (): void => {
           if (over) return;
-          if (host.life.dead) finish(() => fail(new CircuitLost(to)));
+          if (host.life.dead) finish(() => fail(new ConnectionLostError(to)));
           else this.clock.after(20, watch);
         };
         this.clock.after(20, watch);
         host.life.do(() => {
-          const emit = (piece: unknown): void => {
-            const text = JSON.stringify(piece);
-            this.weigh(`${kind} piece`, text, to, from, 'piece');
+          const emit = (chunk: unknown): void => {
+            const text = JSON.stringify(chunk);
+            this.weigh(`${kind} chunk`, text, to, from, 'chunk');
             back(() => {
               mine.do(() => {
-                if (!over) bounds.onPiece?.(JSON.parse(text));
+                if (!over) bounds.onChunk?.(JSON.parse(text));
               });
             }, host);
           };
@@ -216,12 +216,12 @@
             (v) => {
               const text = JSON.stringify(v ?? null);
               this.onAnswer?.({ by: to, caller: from, kind, body: wire, answer: v });
-              this.weigh(kind, text, to, from, 'verdict');
+              this.weigh(kind, text, to, from, 'response');
               back(() => finish(() => done(JSON.parse(text))), host);
             },
             (e: unknown) => {
-              const m = mishapOf(e);
-              back(() => finish(() => fail(new Mishap(m.code, m.message, m.ran))), host);
+              const m = toRpcError(e);
+              back(() => finish(() => fail(new RpcError(m.code, m.message, m.executed))), host);
             },
           );
         });
@@ -229,7 +229,7 @@
     });
   }
 
-  circuits(self: string, life: Life): Circuits {
+  transport(self: string, life: Life): Transport {
     const heard: ((to: string) => void)[] = [];
     this.listeners.push({ self, hear: (to) => life.do(() => heard.forEach((h) => h(to))) });
     return {
--- a/packages/sim/src/sim-pass.ts
+++ b/packages/sim/src/sim-pass.ts
@@ -1,4 +1,4 @@
-import type { Passing, Sink } from '@tillerstair/steward';
+import type { Passing, Sink } from '@tillerstair/session-owner';
 import { slotOf } from '@tillerstair/state';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
--- a/packages/sim/src/storm-config.ts
+++ b/packages/sim/src/storm-config.ts
@@ -1,4 +1,4 @@
-import { passLanes } from './pass.js';
+import { passRoutes } from './pass.js';
 
 export interface StormConfig {
   readonly base: number;
@@ -17,11 +17,11 @@
   return JSON.stringify({
     base,
     pools: [...turnPools.map((name) => ({ name, kind: 'model' })), { name: callPool, kind: 'service' }],
-    lanes: [
+    routes: [
       { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: turnPools.map((pool, i) => ({ pool, share: 1 + ((variant + i * variant) % 3) })) },
       call('hold', '/hold', { acting: true }),
       call('alarm', '/alarm', { acting: true, urgent: true }),
-      ...passLanes(turnPools, callPool, usualDeadlineMs - (variant % 4) * 500),
+      ...passRoutes(turnPools, callPool, usualDeadlineMs - (variant % 4) * 500),
       ...Array.from({ length: extra }, (_, i) => call(`x${i}`, `/x/${i}`)),
     ],
     budgets: { program: 1000, turn: 16 },
@@ -39,7 +39,7 @@
 export const badConfigs = (sound: string, base: number): readonly BadConfig[] => [
   { flaw: 'cut short', text: sound.slice(0, Math.floor(sound.length / 2)) },
   { flaw: 'unknown pool', text: sound.replace('"pool":"shop"', '"pool":"nowhere"') },
-  { flaw: 'two lanes at one place', text: sound.replace('/alarm', '/hold') },
+  { flaw: 'two routes at one place', text: sound.replace('/alarm', '/hold') },
   { flaw: 'no weight', text: sound.replace('"share":1', '"share":0') },
   { flaw: 'no deadline', text: sound.replace('"deadlineMs":8000', '"deadlineMs":null') },
   { flaw: 'an old version', text: sound.replace('{', `{"version":${base},`) },
--- a/packages/sim/src/storm-fault.ts
+++ b/packages/sim/src/storm-fault.ts
@@ -1,5 +1,5 @@
 /** What the faults of storms share: what a storm lets them do, and the tools that they are built of. */
-import type { ToldRecord } from '@tillerstair/checker';
+import type { ReplyRecord } from '@tillerstair/checker';
 import type { Outcome } from '@tillerstair/control';
 import type { Machine } from './machine.js';
 import type { CutManner } from './sim-net.js';
@@ -24,7 +24,7 @@
   readonly w: World;
   readonly spec: { readonly seed: number };
   /** Called for each answer that a caller got, while set. */
-  onDone: ((t: ToldRecord) => void) | undefined;
+  onDone: ((t: ReplyRecord) => void) | undefined;
   /** Called for each change that an operator sends, while set; `acknowledged` is called with its answer. */
   onChange: ((at: Machine | undefined, answered: Promise<Outcome | undefined>) => void) | undefined;
   readonly lostAnswers: LostAnswers;
@@ -133,7 +133,7 @@
     return 'disk';
   }
 
-  /** Waits until all copies and votes stand on machines that there are. */
+  /** Waits until all replicas and votes stand on machines that there are. */
   async whole(kind: MachineKind): Promise<void> {
     const { w } = this.storm;
     for (let n = 0; n < 600; n++) {
@@ -141,8 +141,8 @@
       const s = w.committed;
       if (!s) continue;
       const ids = w.of(kind).map((m) => (kind === 'store' ? m.store?.id : m.control?.id) ?? 'none');
-      if (kind === 'store' && s.slots.every((x) => x.filling.length === 0 && x.copies.every((id) => ids.includes(id)))) return;
-      if (kind === 'control' && s.voters.now.every((id) => ids.includes(id)) && s.voters.now.join() === s.voters.next.join()) return;
+      if (kind === 'store' && s.slots.every((x) => x.joiningReplicas.length === 0 && x.replicas.every((id) => ids.includes(id)))) return;
+      if (kind === 'control' && s.voters.current.every((id) => ids.includes(id)) && s.voters.current.join() === s.voters.next.join()) return;
     }
     throw new Error(`${kind}s were not whole again in time`);
   }
--- a/packages/sim/src/storm-pass.ts
+++ b/packages/sim/src/storm-pass.ts
@@ -1,41 +1,41 @@
 import type { PassRecord } from '@tillerstair/checker';
-import { passAt, type PassWish } from './pass.js';
+import { passAt, type PassSpec } from './pass.js';
 import type { Storm } from './storm.js';
 
 const allBytes = Array.from({ length: 256 }, (_, i) => String.fromCharCode(i)).join('');
 const tries = 3;
 
-/** Sends a wish again, as a new try each time, until it is done or would be run again. */
-const persist = async (s: Storm, wish: PassWish, twins: number): Promise<PassRecord | undefined> => {
+/** Sends a request again, as a new try each time, until it is done or would be run again. */
+const persist = async (s: Storm, spec: PassSpec, twins: number): Promise<PassRecord | undefined> => {
   for (let k = 0; k < tries; k++) {
-    if (s.w.rng() < twins) s.trackPass(passAt(s.w, wish));
-    const told = await passAt(s.w, wish);
-    if (told.told === 'done') return told;
-    if (told.status === 402) return undefined;
+    if (s.w.rng() < twins) s.trackPass(passAt(s.w, spec));
+    const reported = await passAt(s.w, spec);
+    if (reported.reported === 'done') return reported;
+    if (reported.status === 402) return undefined;
     await s.wait(100 + s.w.rng() * 900);
   }
   return undefined;
 };
 
-const later = async (s: Storm, wish: PassWish): Promise<void> => {
+const later = async (s: Storm, spec: PassSpec): Promise<void> => {
   await s.wait(s.w.rng() * 50000);
-  await passAt(s.w, wish);
+  await passAt(s.w, spec);
 };
 
-/** What a program does on pass lanes: turns that go on from one another, branches and helpers, and calls between them. */
+/** What a program does on pass routes: turns that go on from one another, branches and helpers, and calls between them. */
 export const passChat = async (s: Storm, n: number): Promise<void> => {
   const { w } = s;
   const program = `y${n}`;
   const budget = n % 3 === 0 ? 30 : 200;
-  const turn: PassWish = { path: '/turn/x', program, budget, most: 10 };
+  const turn: PassSpec = { path: '/turn/x', program, budget, most: 10 };
   let after = '';
   for (let i = 0; i < 3; i++) {
-    const told = await persist(s, { ...turn, after, body: `${n}-${i} ${i === 1 ? allBytes : ''}` }, 0.1);
-    if (told) {
-      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, after: told.attempt, body: 'branch' }));
-      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, program: `${program}h`, after: told.attempt, body: 'helper' }));
-      if (w.rng() < 0.2) s.trackPass(later(s, { ...turn, program: `${program}l`, after: told.attempt, body: 'later' }));
-      after = told.attempt;
+    const reported = await persist(s, { ...turn, after, body: `${n}-${i} ${i === 1 ? allBytes : ''}` }, 0.1);
+    if (reported) {
+      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, after: reported.attempt, body: 'branch' }));
+      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, program: `${program}h`, after: reported.attempt, body: 'helper' }));
+      if (w.rng() < 0.2) s.trackPass(later(s, { ...turn, program: `${program}l`, after: reported.attempt, body: 'later' }));
+      after = reported.attempt;
     }
     await Promise.all([
       persist(s, { path: '/keyed/x', key: `q${n}-${i}`, body: `${n}-${i}` }, 0.3),
--- a/packages/sim/src/storm-plan.ts
+++ b/packages/sim/src/storm-plan.ts
@@ -34,14 +34,14 @@
 /** Draws the sizes, zones and bounds of one seed's deployment; every tenth has eight fronts. */
 export const deploymentOf = (seed: number): WorldSizes => {
   const rng = seededRng(seed * 6007 + 3);
-  const beat = between(rng, 600, 1300);
-  const silent = Math.round(beat * (2.5 + rng()));
+  const heartbeatInterval = between(rng, 600, 1300);
+  const failureTimeout = Math.round(heartbeatInterval * (2.5 + rng()));
   const controls = [3, 5, 5, 7][between(rng, 0, 3)] ?? 5;
   return {
     controls,
     stores: between(rng, 3, 5),
     fronts: seed % wholeFleetEvery === 0 ? 8 : between(rng, 2, 4),
     zones: between(rng, 1, 4),
-    outer: { serveWithin: 12000, leavingWithin: 3000, beat, silent },
+    outer: { serveWithin: 12000, drainingWithin: 3000, heartbeatInterval, failureTimeout },
   };
 };
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -1,4 +1,4 @@
-import { noRecords, type ConfigRecord, type LeavingRecord, type Records, type RestartRecord, type ToldRecord } from '@tillerstair/checker';
+import { noRecords, type ConfigRecord, type DrainingRecord, type Records, type RestartRecord, type ReplyRecord } from '@tillerstair/checker';
 import type { Operation, Outcome } from '@tillerstair/control';
 import { z } from 'zod';
 import { ConfigCalls } from './config-calls.js';
@@ -21,7 +21,7 @@
 const Current = z.object({ current: z.number() });
 const stormServers = [['m1', 'models'], ['m2', 'models'], ['n1', 'others'], ['s1', 'shop'], ['s2', 'shop']] as const;
 
-const toldBy = (r: Outcome | undefined): ConfigRecord['told'] => {
+const reportedBy = (r: Outcome | undefined): ConfigRecord['reported'] => {
   if (r?.status === 200) return 'done';
   return r === undefined || r.status === 504 || r.status === 0 ? 'unknown' : 'refused';
 };
@@ -30,7 +30,7 @@
   readonly w: World;
   readonly configs: ConfigRecord[] = [];
   readonly configCalls: ConfigCalls;
-  readonly leavings: LeavingRecord[] = [];
+  readonly drainings: DrainingRecord[] = [];
   readonly restarts: RestartRecord[] = [];
   readonly log: string[] = [];
   readonly struck = new Set<string>();
@@ -40,7 +40,7 @@
   readonly lostAnswers: LostAnswers = { share: 0 };
   private readonly going = new Set<Promise<unknown>>();
   private readonly passing = new Set<Promise<unknown>>();
-  private readonly ownLeavings = new Set<LeavingRecord>();
+  private readonly ownDrainings = new Set<DrainingRecord>();
   private version = 1;
   private extra = 0;
   private n = 0;
@@ -77,7 +77,7 @@
     const first = stormConfig({ base: 0, turnPools: ['models'], callPool: 'shop', extra: 0 });
     await w.bringUp(() => first, stormServers);
     await w.clock.finish('the first configuration again', this.configCalls.put(first, this.sendTo(w.master)), 20000);
-    this.configs.push({ version: 1, text: first, turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: w.clock.now() });
+    this.configs.push({ version: 1, text: first, turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, reported: 'done', reportedAt: w.clock.now() });
     const end = w.clock.now() + spec.ms;
     let next = 0;
     let nextAt = w.clock.now() + (spec.plan[0]?.gap ?? Infinity);
@@ -95,16 +95,16 @@
       await w.clock.run(40 + w.rng() * 120);
     }
     await this.faults.calm();
-    for (const l of this.ownLeavings) this.endLeaving(l);
+    for (const l of this.ownDrainings) this.endDraining(l);
     for (const [id] of stormServers) {
       w.servers.heal(id);
-      w.servers.set(id, { leaving: false });
+      w.servers.set(id, { draining: false });
     }
     await w.clock.until('calm', () => w.readyFronts().length >= w.of('front').filter((m) => m.up).length - w.drained.size && w.slotsOpen(), 60000);
     await w.clock.until('callers', () => this.going.size === 0 && this.passing.size === 0, 240000);
     const readBack = await this.held();
     return {
-      ...noRecords, told: w.told, ran: w.servers.ran, passes: w.passes, configs: this.configs, configCalls: this.configCalls.calls, leavings: this.leavings, restarts: this.restarts, readBack, perTurn: 16,
+      ...noRecords, reported: w.reported, executed: w.servers.executed, passes: w.passes, configs: this.configs, configCalls: this.configCalls.calls, drainings: this.drainings, restarts: this.restarts, readBack, perTurn: 16,
     };
   }
 
@@ -116,8 +116,8 @@
     this.track(this.chat(this.n++));
   }
 
-  private note(t: ToldRecord): ToldRecord {
-    if (t.told === 'done') this.onDone?.(t);
+  private note(t: ReplyRecord): ReplyRecord {
+    if (t.reported === 'done') this.onDone?.(t);
     return t;
   }
 
@@ -128,7 +128,7 @@
   private async chat(n: number): Promise<void> {
     const { w } = this;
     const p = this.note(await w.program(n % 3 === 0 ? 30 : 120));
-    if (p.told !== 'done') return;
+    if (p.reported !== 'done') return;
     let program = p.program;
     let after: string | null = null;
     for (let i = 0; i < 3; i++) {
@@ -137,24 +137,24 @@
         const prior: string | null = after;
         if (w.rng() < 0.1) this.track(w.turn(program, prior, words, `t${n}-${i}`));
         const t = this.note(await w.turn(program, prior, words, `t${n}-${i}`));
-        if (t.told === 'done') {
+        if (t.reported === 'done') {
           after = t.turn;
           this.track(this.later(program, t.turn));
           break;
         }
-        if (t.told === 'partial') break;
+        if (t.reported === 'partial') break;
         await this.wait(100 + w.rng() * 900);
       }
       const key = `o${n}-${i}`;
       for (let k = 0; k < 4; k++) {
         const c = w.call(key, '/hold', { n, i });
         if (w.rng() < 0.3) this.track(w.call(key, '/hold', { n, i }));
-        if (this.note(await c).told === 'done') break;
+        if (this.note(await c).reported === 'done') break;
         await this.wait(100 + w.rng() * 1500);
       }
       if (i === 0 && w.rng() < 0.2) {
         const helper = await w.program(30, undefined, program);
-        if (helper.told === 'done') {
+        if (helper.reported === 'done') {
           program = helper.program;
           after = null;
         }
@@ -169,16 +169,16 @@
 
   leave(id: string): boolean {
     const { w } = this;
-    if (this.leavings.some((l) => l.server === id && l.until === Infinity)) return false;
+    if (this.drainings.some((l) => l.server === id && l.until === Infinity)) return false;
     const at = w.clock.now();
     const record = { server: id, at, until: Infinity };
     this.track(
       (async () => {
-        const r = await this.operate(w.master, 'POST', `/v1/servers/${id}/leaving`);
-        if (r?.status === 200) this.leavings.push(record);
+        const r = await this.operate(w.master, 'POST', `/v1/servers/${id}/draining`);
+        if (r?.status === 200) this.drainings.push(record);
         await this.wait(6000);
-        const n = this.leavings.indexOf(record);
-        if (n >= 0) this.leavings[n] = { ...record, until: w.clock.now() };
+        const n = this.drainings.indexOf(record);
+        if (n >= 0) this.drainings[n] = { ...record, until: w.clock.now() };
         const pool = id.startsWith('m') ? 'models' : 'shop';
         for (let k = 0; k < 20; k++) {
           const put = await this.operate(w.master, 'PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
@@ -192,19 +192,19 @@
 
   ownLeave(id: string): boolean {
     const { w } = this;
-    if (this.leavings.some((l) => l.server === id && l.until === Infinity)) return false;
+    if (this.drainings.some((l) => l.server === id && l.until === Infinity)) return false;
     const record = { server: id, at: w.clock.now(), until: Infinity };
-    this.leavings.push(record);
-    this.ownLeavings.add(record);
-    w.servers.set(id, { leaving: true });
-    w.clock.after(7000, () => this.endLeaving(record));
+    this.drainings.push(record);
+    this.ownDrainings.add(record);
+    w.servers.set(id, { draining: true });
+    w.clock.after(7000, () => this.endDraining(record));
     return true;
   }
 
-  private endLeaving(record: LeavingRecord): void {
-    if (!this.ownLeavings.delete(record)) return;
-    this.leavings[this.leavings.indexOf(record)] = { ...record, until: this.w.clock.now() };
-    this.w.servers.set(record.server, { leaving: false });
+  private endDraining(record: DrainingRecord): void {
+    if (!this.ownDrainings.delete(record)) return;
+    this.drainings[this.drainings.indexOf(record)] = { ...record, until: this.w.clock.now() };
+    this.w.servers.set(record.server, { draining: false });
   }
 
   async operate(at: Machine | undefined, method: string, path: string, body = ''): Promise<Outcome | undefined> {
@@ -223,31 +223,31 @@
     this.extra = Math.min(600, this.extra + grow);
     const text = stormConfig({ base, turnPools, callPool: 'shop', extra: this.extra, variant: Math.floor(w.rng() * 30) }) + ' '.repeat(Math.floor(w.rng() * 1000));
     const at = to ?? (w.rng() < 0.5 ? w.master : this.pick(this.faults.up('control')));
-    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools: ['shop'], sentAt: w.clock.now(), told: 'unknown', toldAt: Infinity };
+    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools: ['shop'], sentAt: w.clock.now(), reported: 'unknown', reportedAt: Infinity };
     const n = this.configs.push(row) - 1;
     this.track(this.configCalls.read(this.sendTo(this.pick(this.faults.up('control')))));
     const r = await this.sendChange(at, text);
-    const told = toldBy(r);
-    this.noteTold(n, told);
-    if (told !== 'done' && r?.status === 409) this.version = Math.max(this.version, Current.safeParse(r.body).data?.current ?? 0);
+    const reported = reportedBy(r);
+    this.noteReported(n, reported);
+    if (reported !== 'done' && r?.status === 409) this.version = Math.max(this.version, Current.safeParse(r.body).data?.current ?? 0);
     await this.resendOne();
   }
 
   /** Keeps what an operator was told of a change; of several calls for one change, the strongest answer counts. */
-  private noteTold(n: number, told: ConfigRecord['told']): void {
+  private noteReported(n: number, reported: ConfigRecord['reported']): void {
     const row = this.configs[n];
-    if (!row || row.told === 'done' || (row.toldAt !== Infinity && row.told === 'unknown' && told === 'refused')) return;
-    this.configs[n] = { ...row, told, toldAt: this.w.clock.now() };
-    if (told === 'done') this.version = Math.max(this.version, row.version);
+    if (!row || row.reported === 'done' || (row.reportedAt !== Infinity && row.reported === 'unknown' && reported === 'refused')) return;
+    this.configs[n] = { ...row, reported, reportedAt: this.w.clock.now() };
+    if (reported === 'done') this.version = Math.max(this.version, row.version);
   }
 
   /** Sends a change again, to any control, that was taken or may have been. */
   private async resendOne(): Promise<void> {
-    const old = this.pick(this.configs.filter((c) => c.told !== 'refused'));
+    const old = this.pick(this.configs.filter((c) => c.reported !== 'refused'));
     if (!old) return;
     const n = this.configs.findIndex((c) => c.text === old.text);
     const r = await this.configCalls.put(old.text, this.sendTo(this.pick(this.faults.up('control'))));
-    this.noteTold(n, toldBy(r));
+    this.noteReported(n, reportedBy(r));
   }
 
   /** Sends a change as an operator does: where the answer is lost, again, to other machines first. */
@@ -281,7 +281,7 @@
 
   async allDown(how: 'process' | 'power' = 'power'): Promise<void> {
     const { w } = this;
-    const before = Math.max(0, ...this.configs.filter((c) => c.told === 'done').map((c) => c.version));
+    const before = Math.max(0, ...this.configs.filter((c) => c.reported === 'done').map((c) => c.version));
     const stoppedAt = w.clock.now();
     w.net.mend();
     for (const m of w.machines) m.kill(how);
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -1,8 +1,8 @@
 import type { Outcome } from '@tillerstair/control';
-import type { PassRecord, ToldRecord } from '@tillerstair/checker';
+import type { PassRecord, ReplyRecord } from '@tillerstair/checker';
 import type { Front } from '@tillerstair/proxy';
 import { rootOf, type State } from '@tillerstair/state';
-import { opKeyOf, type EmitPiece, type Verdict } from '@tillerstair/steward';
+import { opKeyOf, type EmitChunk, type CallOutcome } from '@tillerstair/session-owner';
 import { zenBounds, type OuterBounds, type ZenBounds } from '@tillerstair/zen';
 import { z } from 'zod';
 import { Machine } from './machine.js';
@@ -37,7 +37,7 @@
   readonly zones?: number;
 }
 
-const usualOuter: OuterBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 };
+const usualOuter: OuterBounds = { serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 };
 
 export class World {
   readonly rng;
@@ -53,10 +53,10 @@
   readonly losses: number;
   readonly longAt = 1 << 16;
   hintsMost = 10000;
-  keepMs = 3600000;
+  retentionMs = 3600000;
   list: SimList | undefined;
   readonly machines: Machine[] = [];
-  readonly told: ToldRecord[] = [];
+  readonly reported: ReplyRecord[] = [];
   readonly passes: PassRecord[] = [];
   trace: ((line: string) => void) | undefined;
   skewed = false;
@@ -131,7 +131,7 @@
   }
 
   readyFronts(): readonly Machine[] {
-    return this.of('front').filter((m) => m.up && !m.life.frozen && m.front?.steward.readiness().ready === true);
+    return this.of('front').filter((m) => m.up && !m.life.frozen && m.front?.owner.readiness().ready === true);
   }
 
   async operate(method: string, path: string, body = '', at?: Machine, within = 20000): Promise<Outcome> {
@@ -155,17 +155,17 @@
   }
 
   private knowAll(servers: number): boolean {
-    return this.of('front').every((m) => m.front?.steward.current?.state.servers.size === servers);
+    return this.of('front').every((m) => m.front?.owner.current?.state.servers.size === servers);
   }
 
   slotsOpen(): boolean {
     const s = this.committed;
-    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.steward) && slot.filling.length === 0);
+    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.owner) && slot.joiningReplicas.length === 0);
   }
 
   slotsServed(): boolean {
     const s = this.committed;
-    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.steward));
+    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.owner));
   }
 
   private front(at?: Machine): Machine | undefined {
@@ -174,26 +174,26 @@
     return up[Math.floor(this.rng() * up.length)];
   }
 
-  private ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onPiece: EmitPiece): Promise<Verdict> {
-    return this.inquire(at, (front, emit, gone) => front.deliver({ kind, slotKey, body, within: 120000 }, emit, gone), onPiece);
+  private ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onChunk: EmitChunk): Promise<CallOutcome> {
+    return this.sendAsCaller(at, (front, emit, gone) => front.forward({ kind, slotKey, body, within: 120000 }, emit, gone), onChunk);
   }
 
-  /** Runs an inquiry at a front as its caller hears it: nothing more comes from a front that died. */
-  async inquire(at: Machine | undefined, ask: (front: Front, emit: EmitPiece, gone: AbortSignal) => Promise<Verdict>, onPiece: EmitPiece): Promise<Verdict> {
+  /** Runs a request at a front as its caller hears it: nothing more comes from a front that died. */
+  async sendAsCaller(at: Machine | undefined, ask: (front: Front, emit: EmitChunk, gone: AbortSignal) => Promise<CallOutcome>, onChunk: EmitChunk): Promise<CallOutcome> {
     const m = this.front(at);
     const front = m?.front;
-    if (!front) return { verdict: 'refused', status: 0, mishap: 'no-front' };
+    if (!front) return { outcome: 'refused', status: 0, errorCode: 'no-front' };
     const life = m.proxyLife;
     const gone = new AbortController();
-    const run = ask(front, (n, text) => life.do(() => onPiece(n, text)), gone.signal);
+    const run = ask(front, (n, text) => life.do(() => onChunk(n, text)), gone.signal);
     return new Promise((done) => {
       let over = false;
-      const end = (v: Verdict): void => {
+      const end = (v: CallOutcome): void => {
         if (over) return;
         over = true;
         done(v);
       };
-      const lost: Verdict = { verdict: 'unknown', status: 0, mishap: 'front-lost' };
+      const lost: CallOutcome = { outcome: 'unknown', status: 0, errorCode: 'front-lost' };
       const watch = (): void => {
         if (over) return;
         if (life.dead) end(lost);
@@ -208,16 +208,16 @@
     });
   }
 
-  private record(t: Partial<ToldRecord> & Pick<ToldRecord, 'kind' | 'from'>, v: Verdict): ToldRecord {
-    const row: ToldRecord = {
-      tenant: 't', program: '', key: '', attempt: '', turn: '', after: '', to: this.clock.now(), told: v.verdict, mishap: v.mishap ?? '',
-      pieces: [], text: '', tokens: 0, sent: '', retryAfter: v.retryAfter ?? 0, ...t,
+  private record(t: Partial<ReplyRecord> & Pick<ReplyRecord, 'kind' | 'from'>, v: CallOutcome): ReplyRecord {
+    const row: ReplyRecord = {
+      tenant: 't', program: '', key: '', attempt: '', turn: '', after: '', to: this.clock.now(), reported: v.outcome, errorCode: v.errorCode ?? '',
+      chunks: [], text: '', tokens: 0, sent: '', retryAfter: v.retryAfter ?? 0, ...t,
     };
-    this.told.push(row);
+    this.reported.push(row);
     return row;
   }
 
-  async program(budget: number, at?: Machine, parent?: string): Promise<ToldRecord> {
+  async program(budget: number, at?: Machine, parent?: string): Promise<ReplyRecord> {
     const from = this.clock.now();
     const pid = parent === undefined ? `p-${this.freshId()}` : `${rootOf(parent)}~${this.freshId()}`;
     const ask = { tenant: 't', pid, budget, ...(parent === undefined ? {} : { parent }) };
@@ -225,35 +225,35 @@
     return this.record({ kind: 'program', from, program: pid, sent: String(budget) }, v);
   }
 
-  async turn(program: string, after: string | null, words: string, key: string, at?: Machine): Promise<ToldRecord> {
+  async turn(program: string, after: string | null, words: string, key: string, at?: Machine): Promise<ReplyRecord> {
     const from = this.clock.now();
-    const pieces: number[] = [];
+    const chunks: number[] = [];
     let text = '';
     const attempt = `i${++this.ids}`;
     const sent = words.padEnd(60, ' ');
-    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key, inquiry: attempt };
+    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key, requestId: attempt };
     const v = await this.ask('front/turn', `p/${rootOf(program)}`, ask, at, (n, t) => {
-      pieces.push(n);
+      chunks.push(n);
       text += t;
     });
     const end = End.safeParse(v.body);
-    const told = v.verdict === 'done' ? 'done' : pieces.length > 0 ? 'partial' : v.verdict;
+    const reported = v.outcome === 'done' ? 'done' : chunks.length > 0 ? 'partial' : v.outcome;
     const more = end.success ? { turn: end.data.end.turn, tokens: end.data.end.tokens } : {};
-    return this.record({ kind: 'turn', from, program, key, attempt, after: after ?? '', sent, pieces: [...pieces], text, told, ...more }, v);
+    return this.record({ kind: 'turn', from, program, key, attempt, after: after ?? '', sent, chunks: [...chunks], text, reported, ...more }, v);
   }
 
-  async fetch(program: string, turn: string, at?: Machine): Promise<ToldRecord> {
+  async fetch(program: string, turn: string, at?: Machine): Promise<ReplyRecord> {
     const from = this.clock.now();
     const v = await this.ask('front/history', `p/${rootOf(program)}`, { tenant: 't', pid: program, turn }, at, () => undefined);
     const got = z.object({ text: z.string() }).safeParse(v.body);
     return this.record({ kind: 'fetch', from, program, turn, text: got.success ? got.data.text : '' }, v);
   }
 
-  async call(key: string, path: string, body: unknown, at?: Machine): Promise<ToldRecord> {
+  async call(key: string, path: string, body: unknown, at?: Machine): Promise<ReplyRecord> {
     const from = this.clock.now();
     const text = JSON.stringify(body);
     const attempt = `i${++this.ids}`;
-    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text, inquiry: attempt }, at, () => undefined);
+    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text, requestId: attempt }, at, () => undefined);
     const did = Did.safeParse(v.body);
     return this.record({ kind: 'call', from, key, attempt, sent: text, text: did.success ? `${did.data.by} ${did.data.key}` : '' }, v);
   }
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -3,31 +3,31 @@
 import split2 from 'split2';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
-import type { ToldRecord } from '@tillerstair/checker';
+import type { ReplyRecord } from '@tillerstair/checker';
 
-export interface Told extends ToldRecord {
+export interface CallerRecord extends ReplyRecord {
   readonly front: string;
   readonly status: number;
   readonly firstMs: number;
   readonly retryAfter: number;
 }
 
-const Piece = z.object({ n: z.number(), text: z.string() });
-const End = z.object({ end: z.object({ turn: z.string(), pieces: z.number(), tokens: z.number(), digest: z.string() }) });
-const Line = z.union([End, Piece, z.object({ partial: z.literal(true), mishap: z.string().optional() })]);
-const Refusal = z.object({ ran: z.enum(['no', 'unknown']), mishap: z.string().optional() });
+const Chunk = z.object({ n: z.number(), text: z.string() });
+const End = z.object({ end: z.object({ turn: z.string(), chunks: z.number(), tokens: z.number(), digest: z.string() }) });
+const Line = z.union([End, Chunk, z.object({ partial: z.literal(true), errorCode: z.string().optional() })]);
+const Refusal = z.object({ executed: z.enum(['no', 'unknown']), errorCode: z.string().optional() });
 const Made = z.object({ program: z.string() });
 const Fetched = z.object({ turn: z.string(), text: z.string(), tokens: z.number() });
 const Did = z.object({ did: z.string(), key: z.string().nullable(), by: z.string() });
 
-const blank = { program: '', key: '', attempt: '', turn: '', after: '', mishap: '', pieces: [], text: '', tokens: 0, sent: '', firstMs: 0, retryAfter: 0 };
+const blank = { program: '', key: '', attempt: '', turn: '', after: '', errorCode: '', chunks: [], text: '', tokens: 0, sent: '', firstMs: 0, retryAfter: 0 };
 
 export class Caller {
   private static readonly agent = new Agent({ connections: 256, pipelining: 1, connect: { timeout: 1000 } });
 
   constructor(
     readonly tenant: string,
-    private readonly record: (t: Told) => void,
+    private readonly record: (t: CallerRecord) => void,
     private readonly within = 20000,
   ) {}
 
@@ -35,8 +35,8 @@
     return Caller.agent.destroy();
   }
 
-  private done(base: Partial<Told> & Pick<Told, 'kind' | 'front' | 'from' | 'status' | 'told'>): Told {
-    const t: Told = { ...blank, tenant: this.tenant, to: Date.now(), ...base };
+  private done(base: Partial<CallerRecord> & Pick<CallerRecord, 'kind' | 'front' | 'from' | 'status' | 'reported'>): CallerRecord {
+    const t: CallerRecord = { ...blank, tenant: this.tenant, to: Date.now(), ...base };
     this.record(t);
     return t;
   }
@@ -52,36 +52,36 @@
     });
   }
 
-  private refusal(status: number, raw: unknown): { told: 'refused' | 'unknown'; mishap: string } {
+  private refusal(status: number, raw: unknown): { reported: 'refused' | 'unknown'; errorCode: string } {
     const got = Refusal.safeParse(raw);
-    if (!got.success) return { told: 'unknown', mishap: `status ${status} without a word` };
-    return { told: got.data.ran === 'no' ? 'refused' : 'unknown', mishap: got.data.mishap === 'internal' ? JSON.stringify(raw) : got.data.mishap ?? '' };
+    if (!got.success) return { reported: 'unknown', errorCode: `status ${status} without a word` };
+    return { reported: got.data.executed === 'no' ? 'refused' : 'unknown', errorCode: got.data.errorCode === 'internal' ? JSON.stringify(raw) : got.data.errorCode ?? '' };
   }
 
-  async program(front: string, budget: number, parent?: string): Promise<Told> {
+  async program(front: string, budget: number, parent?: string): Promise<CallerRecord> {
     const from = Date.now();
     const base = { kind: 'program' as const, front, from, sent: String(budget) };
     try {
       const res = await this.post(front, '/v1/programs', parent === undefined ? { budget } : { parent }, '');
       const raw: unknown = await res.body.json();
       const made = Made.safeParse(raw);
-      if (res.statusCode === 201 && made.success) return this.done({ ...base, status: 201, told: 'done', program: made.data.program });
+      if (res.statusCode === 201 && made.success) return this.done({ ...base, status: 201, reported: 'done', program: made.data.program });
       return this.done({ ...base, status: res.statusCode, ...this.refusal(res.statusCode, raw) });
     } catch (e) {
       return this.done({ ...base, status: 0, ...this.lost(e) });
     }
   }
 
-  private lost(e: unknown): { told: 'refused' | 'unknown'; mishap: string } {
+  private lost(e: unknown): { reported: 'refused' | 'unknown'; errorCode: string } {
     const code = e !== null && typeof e === 'object' && 'code' in e ? String(e.code) : '';
-    return { told: code === 'ECONNREFUSED' ? 'refused' : 'unknown', mishap: code || String(e) };
+    return { reported: code === 'ECONNREFUSED' ? 'refused' : 'unknown', errorCode: code || String(e) };
   }
 
-  async turn(front: string, program: string, after: string | null, words: string, key: string, maxTokens?: number): Promise<Told> {
+  async turn(front: string, program: string, after: string | null, words: string, key: string, maxTokens?: number): Promise<CallerRecord> {
     const from = Date.now();
     const attempt = randomUUID();
     const base = { kind: 'turn' as const, front, from, program, key, attempt, after: after ?? '', sent: words };
-    const pieces: number[] = [];
+    const chunks: number[] = [];
     let text = '';
     let firstMs = 0;
     try {
@@ -97,20 +97,20 @@
       for await (const row of rows) {
         const line = Line.parse(JSON.parse(String(row)));
         if ('end' in line)
-          return this.done({ ...base, status: 200, told: 'done', turn: line.end.turn, tokens: line.end.tokens, pieces, text, firstMs });
-        if ('partial' in line) return this.done({ ...base, status: 200, told: 'partial', mishap: line.mishap ?? '', pieces, text, firstMs });
+          return this.done({ ...base, status: 200, reported: 'done', turn: line.end.turn, tokens: line.end.tokens, chunks, text, firstMs });
+        if ('partial' in line) return this.done({ ...base, status: 200, reported: 'partial', errorCode: line.errorCode ?? '', chunks, text, firstMs });
         firstMs ||= Date.now() - from;
-        pieces.push(line.n);
+        chunks.push(line.n);
         text += line.text;
       }
-      return this.done({ ...base, status: 200, told: 'partial', mishap: 'cut', pieces, text, firstMs });
+      return this.done({ ...base, status: 200, reported: 'partial', errorCode: 'cut', chunks, text, firstMs });
     } catch (e) {
-      if (pieces.length > 0) return this.done({ ...base, status: 200, told: 'partial', mishap: 'cut', pieces, text, firstMs });
+      if (chunks.length > 0) return this.done({ ...base, status: 200, reported: 'partial', errorCode: 'cut', chunks, text, firstMs });
       return this.done({ ...base, status: 0, ...this.lost(e) });
     }
   }
 
-  async fetch(front: string, program: string, turn: string): Promise<Told> {
+  async fetch(front: string, program: string, turn: string): Promise<CallerRecord> {
     const from = Date.now();
     const base = { kind: 'fetch' as const, front, from, program, turn };
     try {
@@ -119,14 +119,14 @@
       });
       const raw: unknown = await res.body.json();
       const got = Fetched.safeParse(raw);
-      if (res.statusCode === 200 && got.success) return this.done({ ...base, status: 200, told: 'done', text: got.data.text, tokens: got.data.tokens });
+      if (res.statusCode === 200 && got.success) return this.done({ ...base, status: 200, reported: 'done', text: got.data.text, tokens: got.data.tokens });
       return this.done({ ...base, status: res.statusCode, ...this.refusal(res.statusCode, raw) });
     } catch (e) {
       return this.done({ ...base, status: 0, ...this.lost(e) });
     }
   }
 
-  async call(front: string, path: string, body: unknown, key: string): Promise<Told> {
+  async call(front: string, path: string, body: unknown, key: string): Promise<CallerRecord> {
     const from = Date.now();
     const attempt = randomUUID();
     const base = { kind: 'call' as const, front, from, key, attempt, sent: JSON.stringify(body) };
@@ -135,7 +135,7 @@
       const raw: unknown = await res.body.json();
       const did = Did.safeParse(raw);
       const retryAfter = Number(res.headers['retry-after'] ?? 0);
-      if (res.statusCode === 200 && did.success) return this.done({ ...base, status: 200, told: 'done', text: `${did.data.by} ${did.data.key ?? ''}` });
+      if (res.statusCode === 200 && did.success) return this.done({ ...base, status: 200, reported: 'done', text: `${did.data.by} ${did.data.key ?? ''}` });
       return this.done({ ...base, status: res.statusCode, retryAfter, ...this.refusal(res.statusCode, raw) });
     } catch (e) {
       return this.done({ ...base, status: 0, ...this.lost(e) });
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -3,7 +3,7 @@
 import { readBody, sendJson, serveHttp } from '@tillerstair/wire';
 
 export const Faults = z.object({
-  leaving: z.boolean().optional(),
+  draining: z.boolean().optional(),
   cutAfter: z.number().optional(),
   loseEnd: z.number().optional(),
   slow: z.number().optional(),
@@ -33,12 +33,12 @@
 
   async start(): Promise<void> {
     this.http = await serveHttp(this.addr, async (req, res, url) => {
-      if (url.pathname === '/load') return sendJson(res, 200, { busy: this.busy, leaving: this.faults.leaving ?? false });
+      if (url.pathname === '/load') return sendJson(res, 200, { busy: this.busy, draining: this.faults.draining ?? false });
       if (url.pathname === '/faults') {
         this.set(Faults.parse(JSON.parse(await readBody(req, 4096))));
         return sendJson(res, 200, this.faults);
       }
-      if (url.pathname !== this.path) return sendJson(res, 404, { ran: 'no' });
+      if (url.pathname !== this.path) return sendJson(res, 404, { executed: 'no' });
       await this.serve(req, res);
     });
   }
--- a/packages/stand-ins/src/ledger.ts
+++ b/packages/stand-ins/src/ledger.ts
@@ -1,8 +1,8 @@
 import { appendFileSync } from 'node:fs';
 import type { IncomingMessage } from 'node:http';
-import type { RanRecord } from '@tillerstair/checker';
+import type { ExecutionRecord } from '@tillerstair/checker';
 
-export interface Ran extends RanRecord {
+export interface Executed extends ExecutionRecord {
   readonly id: string;
   readonly cached: number;
   readonly prompt: number;
@@ -16,16 +16,16 @@
 export const saidOf = (text: string): string => text.slice(-60);
 
 export class Ledger {
-  private readonly rows: Ran[] = [];
+  private readonly rows: Executed[] = [];
 
   constructor(private readonly file?: string) {}
 
-  add(row: Ran): void {
+  add(row: Executed): void {
     this.rows.push(row);
     if (this.file !== undefined) appendFileSync(this.file, `${JSON.stringify(row)}\n`);
   }
 
-  all(): readonly Ran[] {
+  all(): readonly Executed[] {
     return this.rows;
   }
 }
--- a/packages/stand-ins/src/model.ts
+++ b/packages/stand-ins/src/model.ts
@@ -51,7 +51,7 @@
 
   protected async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const g = Generate.parse(JSON.parse(await readBody(req, 16 << 20)));
-    if (this.busy >= this.spec.slots * 4) return sendJson(res, 503, { ran: 'no' });
+    if (this.busy >= this.spec.slots * 4) return sendJson(res, 503, { executed: 'no' });
     const gone = new AbortController();
     res.on('close', () => gone.abort());
     this.busy++;
@@ -84,7 +84,7 @@
         res.destroy();
         return;
       }
-      res.end(`${JSON.stringify({ id: g.id, end: true, pieces: tokens })}\n`);
+      res.end(`${JSON.stringify({ id: g.id, end: true, chunks: tokens })}\n`);
     } finally {
       this.busy--;
       this.ledger.add({
--- a/packages/state/src/compiled.ts
+++ b/packages/state/src/compiled.ts
@@ -9,13 +9,13 @@
     z.object({
       name: z.string(),
       kind: z.enum(['model', 'service']),
-      circuits: z.number(),
+      connections: z.number(),
       remembersKeys: z.boolean(),
       check: z.string(),
-      engine: z.object({ places: z.number(), memoryTokens: z.number(), pieceTokens: z.number() }).optional(),
+      engine: z.object({ places: z.number(), memoryTokens: z.number(), blockTokens: z.number() }).optional(),
     }),
   ),
-  lanes: z.array(
+  routes: z.array(
     z.object({
       name: z.string(),
       match: z.object({ kind: z.enum(['turn', 'call', 'pass']), host: z.string(), path: z.string() }),
@@ -28,7 +28,7 @@
           deadlineMs: z.number(),
           aimMs: z.number(),
           rank: z.number(),
-          keptMs: z.number(),
+          turnRetentionMs: z.number(),
           resumable: z.boolean(),
           pauseMs: z.number(),
         })
@@ -38,7 +38,7 @@
   ),
   tuning: z.boolean(),
   budgets: z.object({ program: z.number(), turn: z.number() }),
-  bounds: z.object({ turnMs: z.number(), callMs: z.number(), line: z.number(), perServer: z.number() }),
+  bounds: z.object({ turnMs: z.number(), callMs: z.number(), queue: z.number(), perServer: z.number() }),
   limits: z.object({ headerBytes: z.number(), bodyBytes: z.number(), headerWaitMs: z.number(), idleMs: z.number() }),
 });
 
@@ -55,12 +55,12 @@
 
 const longest = new WeakMap<Config, number>();
 
-/** Twice the longest time that a lane keeps its turns for, in ms; 0 without a configuration. */
-export const turnsKeptMs = (config: Config | undefined): number => {
+/** Twice the longest time that a route keeps its turns for, in ms; 0 without a configuration. */
+export const turnRetentionOf = (config: Config | undefined): number => {
   if (!config) return 0;
   const old = longest.get(config);
   if (old !== undefined) return old;
-  const ms = 2 * Math.max(0, ...config.lanes.map((l) => l.pass?.keptMs ?? 0));
+  const ms = 2 * Math.max(0, ...config.routes.map((l) => l.pass?.turnRetentionMs ?? 0));
   longest.set(config, ms);
   return ms;
 };
--- a/packages/state/src/config.ts
+++ b/packages/state/src/config.ts
@@ -13,11 +13,11 @@
   deadlineMs: number().strict().moreThan(0).required(),
   aimMs: number().strict().min(0).default(0),
   rank: whole(0, 1000).default(0),
-  keptMs: number().strict().min(0).default(0),
+  turnRetentionMs: number().strict().min(0).default(0),
   resumable: boolean().strict().default(false),
   pauseMs: number().strict().min(0).default(0),
 }).noUnknown().strict();
-const Lane = object({
+const Route = object({
   name: name(),
   match: object({
     kind: string().strict().oneOf(['turn', 'call', 'pass']).required(),
@@ -32,12 +32,12 @@
 const Engine = object({
   places: whole(1, 100000).required(),
   memoryTokens: number().strict().moreThan(0).required(),
-  pieceTokens: number().strict().moreThan(0).required(),
+  blockTokens: number().strict().moreThan(0).required(),
 }).noUnknown().strict();
 const Pool = object({
   name: name(),
   kind: string().strict().oneOf(['model', 'service']).required(),
-  circuits: whole(0, 1e6).default(0),
+  connections: whole(0, 1e6).default(0),
   remembersKeys: boolean().strict().default(false),
   check: string().strict().matches(/^(\/[!-~]*)?$/, { message: '${path} must be a path' }).default(''),
   engine: Engine.optional().default(undefined),
@@ -47,9 +47,9 @@
   base: whole(0, Number.MAX_SAFE_INTEGER).required(),
   version: whole(1, Number.MAX_SAFE_INTEGER).optional(),
   origin: string().strict().optional(),
-  order: string().strict().optional(),
+  changeId: string().strict().optional(),
   pools: array().of(Pool.required()).min(1).required(),
-  lanes: array().of(Lane.required()).min(1).max(100000).required(),
+  routes: array().of(Route.required()).min(1).max(100000).required(),
   tuning: boolean().strict().default(true),
   budgets: object({
     program: whole(1, 1e9).default(100000),
@@ -58,9 +58,9 @@
   bounds: object({
     turnMs: whole(100, 3600000).default(60000),
     callMs: whole(10, 600000).default(5000),
-    line: whole(1, 100000).default(256),
+    queue: whole(1, 100000).default(256),
     perServer: whole(1, 10000).default(16),
-  }).noUnknown().strict().default({ turnMs: 60000, callMs: 5000, line: 256, perServer: 16 }),
+  }).noUnknown().strict().default({ turnMs: 60000, callMs: 5000, queue: 256, perServer: 16 }),
   limits: object({
     headerBytes: whole(1, 1 << 30).default(limits.headerBytes),
     bodyBytes: whole(1, 1 << 30).default(limits.bodyBytes),
@@ -70,7 +70,7 @@
 }).noUnknown().strict();
 
 export type Config = InferType<typeof File>;
-export type Lane = Config['lanes'][number];
+export type Route = Config['routes'][number];
 export interface Finding {
   readonly place: string;
   readonly text: string;
@@ -80,9 +80,9 @@
   readonly findings: readonly Finding[];
 }
 
-const matchOf = (l: Lane): string => `${l.match.kind} ${l.match.host}${l.match.path}`;
+const matchOf = (l: Route): string => `${l.match.kind} ${l.match.host}${l.match.path}`;
 
-const lanes = (c: Config): readonly Finding[] => {
+const routes = (c: Config): readonly Finding[] => {
   const out: Finding[] = [];
   const pools = new Map<string, string>();
   c.pools.forEach((p, i) => {
@@ -92,27 +92,27 @@
   if (c.version !== undefined && c.version <= c.base) out.push({ place: 'version', text: `version must be above the base ${c.base}` });
   const seen = new Set<string>();
   const matches = new Map<string, string>();
-  c.lanes.forEach((l, i) => {
-    if (seen.has(l.name)) out.push({ place: `lanes[${i}].name`, text: `lane ${l.name} is named twice` });
+  c.routes.forEach((l, i) => {
+    if (seen.has(l.name)) out.push({ place: `routes[${i}].name`, text: `route ${l.name} is named twice` });
     seen.add(l.name);
     const m = matchOf(l);
-    if (l.match.kind === 'pass' && !l.pass) out.push({ place: `lanes[${i}].pass`, text: 'a pass lane says how its requests are carried' });
-    if (l.match.kind === 'pass' && !l.match.path.endsWith('/')) out.push({ place: `lanes[${i}].match.path`, text: 'the path of a pass lane ends with /' });
-    if (l.match.kind !== 'pass' && (l.pass || l.match.host !== '')) out.push({ place: `lanes[${i}].match`, text: 'only a pass lane has a host and rules of carrying' });
+    if (l.match.kind === 'pass' && !l.pass) out.push({ place: `routes[${i}].pass`, text: 'a pass route says how its requests are carried' });
+    if (l.match.kind === 'pass' && !l.match.path.endsWith('/')) out.push({ place: `routes[${i}].match.path`, text: 'the path of a pass route ends with /' });
+    if (l.match.kind !== 'pass' && (l.pass || l.match.host !== '')) out.push({ place: `routes[${i}].match`, text: 'only a pass route has a host and rules of carrying' });
     const other = matches.get(m);
-    if (other !== undefined) out.push({ place: `lanes[${i}].match`, text: `lane ${other} already takes ${m}` });
+    if (other !== undefined) out.push({ place: `routes[${i}].match`, text: `route ${other} already takes ${m}` });
     matches.set(m, l.name);
     const want = l.match.kind === 'turn' ? 'model' : 'service';
     const named = new Set<string>();
     l.shares.forEach((s, j) => {
-      const place = `lanes[${i}].shares[${j}].pool`;
+      const place = `routes[${i}].shares[${j}].pool`;
       const kind = pools.get(s.pool);
       if (kind === undefined) out.push({ place, text: `pool ${s.pool} is not in this file` });
-      else if (l.match.kind !== 'pass' && kind !== want) out.push({ place, text: `a ${l.match.kind} lane needs a ${want} pool, ${s.pool} is a ${kind} pool` });
+      else if (l.match.kind !== 'pass' && kind !== want) out.push({ place, text: `a ${l.match.kind} route needs a ${want} pool, ${s.pool} is a ${kind} pool` });
       if (named.has(s.pool)) out.push({ place, text: `pool ${s.pool} is named twice` });
       named.add(s.pool);
     });
-    if (l.shares.every((s) => s.share === 0)) out.push({ place: `lanes[${i}].shares`, text: 'at least one share must be above 0' });
+    if (l.shares.every((s) => s.share === 0)) out.push({ place: `routes[${i}].shares`, text: 'at least one share must be above 0' });
   });
   return out;
 };
@@ -146,10 +146,23 @@
   return checkValue(doc.toJS());
 };
 
+/** Keys of earlier files that have another name now; each is an unknown key with a finding of its own. */
+const renamedKeys: ReadonlyMap<string, string> = new Map([['lanes', 'routes']]);
+
+const renamedKeyFindings = (value: unknown): readonly Finding[] =>
+  value !== null && typeof value === 'object' && !Array.isArray(value)
+    ? Object.keys(value).flatMap((key) => {
+        const now = renamedKeys.get(key);
+        return now === undefined ? [] : [{ place: key, text: `unknown key; it is called ${now} now` }];
+      })
+    : [];
+
 const checkValue = (value: unknown): Checked => {
+  const renamed = renamedKeyFindings(value);
+  if (renamed.length > 0) return { config: undefined, findings: renamed };
   try {
     const config = File.cast(File.validateSync(value, { abortEarly: false, strict: true }));
-    const findings = lanes(config);
+    const findings = routes(config);
     return { config: findings.length === 0 ? config : undefined, findings };
   } catch (e) {
     return { config: undefined, findings: yupFindings(e).map((f) => ({ ...f, place: f.place || 'file' })) };
@@ -158,17 +171,17 @@
 
 export const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 32);
 
-export type LaneKind = 'turn' | 'call' | 'pass';
-export type Lanes = ReadonlyMap<string, Lane>;
+export type RouteKind = 'turn' | 'call' | 'pass';
+export type Routes = ReadonlyMap<string, Route>;
 
-export const lanesOf = (config: Config): Lanes => new Map(config.lanes.map((l) => [matchOf(l), l]));
+export const routesOf = (config: Config): Routes => new Map(config.routes.map((l) => [matchOf(l), l]));
 
-export const laneFor = (table: Lanes, kind: LaneKind, path: string): Lane | undefined => {
+export const routeFor = (table: Routes, kind: RouteKind, path: string): Route | undefined => {
   const exact = table.get(`${kind} ${path}`);
   if (exact) return exact;
   for (let at = path.lastIndexOf('/'); at >= 0; at = at === 0 ? -1 : path.lastIndexOf('/', at - 1)) {
-    const lane = table.get(`${kind} ${path.slice(0, at + 1)}`) ?? (at > 0 ? table.get(`${kind} ${path.slice(0, at)}`) : undefined);
-    if (lane) return lane;
+    const route = table.get(`${kind} ${path.slice(0, at + 1)}`) ?? (at > 0 ? table.get(`${kind} ${path.slice(0, at)}`) : undefined);
+    if (route) return route;
   }
   return undefined;
 };
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -2,17 +2,17 @@
 
 export const Item = z.object({
   key: z.string(),
-  tenure: z.number(),
+  ownershipEpoch: z.number(),
   seq: z.number(),
   value: z.unknown(),
 }).readonly();
 export type Item = z.infer<typeof Item>;
 
-export const newerItem = (a: Item, b: Item): boolean => a.tenure > b.tenure || (a.tenure === b.tenure && a.seq > b.seq);
-export const sameItem = (a: Item, b: Item): boolean => a.tenure === b.tenure && a.seq === b.seq;
+export const newerItem = (a: Item, b: Item): boolean => a.ownershipEpoch > b.ownershipEpoch || (a.ownershipEpoch === b.ownershipEpoch && a.seq > b.seq);
+export const sameItem = (a: Item, b: Item): boolean => a.ownershipEpoch === b.ownershipEpoch && a.seq === b.seq;
 
-export const Put = z.object({ slot: z.number(), tenure: z.number(), items: z.array(Item) });
-export const Seal = z.object({ slot: z.number(), tenure: z.number(), after: z.string().default('') });
+export const Put = z.object({ slot: z.number(), ownershipEpoch: z.number(), items: z.array(Item) });
+export const Fence = z.object({ slot: z.number(), ownershipEpoch: z.number(), after: z.string().default('') });
 export const Paged = z.object({ items: z.array(Item), next: z.string() });
 export type Paged = z.infer<typeof Paged>;
 
@@ -42,7 +42,7 @@
   return out;
 };
 
-export const Read = z.object({ slot: z.number(), tenure: z.number(), key: z.string() });
+export const Read = z.object({ slot: z.number(), ownershipEpoch: z.number(), key: z.string() });
 export const ReadBack = z.object({ item: Item.nullable() });
 /** `slots` are those for which who asks counts the store as a replica. */
 export const FindTurn = z.object({ turn: z.string(), slots: z.array(z.number()).default([]) });
--- a/packages/state/src/margin.ts
+++ b/packages/state/src/margin.ts
@@ -1,7 +1,7 @@
 /** How many more losses the cluster bears now: of voting controls, and of stores for each slot. */
 import { z } from 'zod';
 import { lossesBorne, Replication } from './replication.js';
-import { copiesAfter, type Slot, type State } from './state.js';
+import { replicasAfter, type Slot, type State } from './state.js';
 
 /** Whether a node is in touch now, as far as who asks can tell. */
 export type IsLive = (id: string) => boolean;
@@ -13,15 +13,15 @@
 
 /** The losses of stores that a slot still bears, in both groups that take writes; below zero its quorum is gone. */
 export const slotMargin = (s: State, slot: Slot, isLive: IsLive): number =>
-  Math.min(liveIn(slot.copies, isLive), liveIn(copiesAfter(slot), isLive)) - s.replication.quorum;
+  Math.min(liveIn(slot.replicas, isLive), liveIn(replicasAfter(slot), isLive)) - s.replication.quorum;
 
 /** The losses of voting controls that still leave a majority; below zero it is gone. */
 export const voterMargin = (s: State, isLive: IsLive): number => {
   const marginOf = (group: readonly string[]): number => liveIn(group, isLive) - (Math.floor(group.length / 2) + 1);
-  return Math.min(marginOf(s.voters.now), marginOf(s.voters.next));
+  return Math.min(marginOf(s.voters.current), marginOf(s.voters.next));
 };
 
-export const SlotMargin = z.object({ slot: z.number(), replicas: z.number(), live: z.number(), filling: z.number(), margin: z.number() }).readonly();
+export const SlotMargin = z.object({ slot: z.number(), replicas: z.number(), live: z.number(), joiningReplicas: z.number(), margin: z.number() }).readonly();
 export type SlotMargin = z.infer<typeof SlotMargin>;
 
 /** What is still borne: `voters` and the least of all `slots` say how many more losses at once are. */
@@ -38,9 +38,9 @@
 export const marginReport = (s: State, isLive: IsLive): MarginReport => {
   const live = liveNodes(s, isLive);
   const slots = s.slots.map((slot, n) => ({
-    slot: n, replicas: slot.copies.length, live: liveIn(slot.copies, live), filling: slot.filling.length, margin: slotMargin(s, slot, live),
+    slot: n, replicas: slot.replicas.length, live: liveIn(slot.replicas, live), joiningReplicas: slot.joiningReplicas.length, margin: slotMargin(s, slot, live),
   }));
-  const { now, next } = s.voters;
+  const { current: now, next } = s.voters;
   return {
     replication: s.replication,
     voters: { voting: next.length, live: liveIn(next, live), changing: now.join() !== next.join(), margin: voterMargin(s, live) },
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -1,16 +1,16 @@
 import { withTaken } from './taken.js';
-import { copiesAfter, type ConfigRecord, type Mate, type Server, type State } from './state.js';
+import { replicasAfter, type ConfigRecord, type Member, type Server, type State } from './state.js';
 
 export type Action =
-  | { readonly kind: 'join'; readonly mate: Mate }
+  | { readonly kind: 'join'; readonly member: Member }
   | { readonly kind: 'leave'; readonly id: string }
   | { readonly kind: 'config'; readonly record: ConfigRecord }
   | { readonly kind: 'server'; readonly server: Server }
   | { readonly kind: 'server-gone'; readonly id: string }
-  | { readonly kind: 'server-mark'; readonly id: string; readonly leaving?: boolean; readonly down?: boolean }
-  | { readonly kind: 'voters'; readonly out: string; readonly in: Mate | undefined }
-  | { readonly kind: 'filled'; readonly store: string; readonly slot: number; readonly tenure: number }
-  | { readonly kind: 'handed'; readonly slot: number; readonly tenure: number }
+  | { readonly kind: 'server-mark'; readonly id: string; readonly draining?: boolean; readonly down?: boolean }
+  | { readonly kind: 'voters'; readonly out: string; readonly in: Member | undefined }
+  | { readonly kind: 'filled'; readonly store: string; readonly slot: number; readonly ownershipEpoch: number }
+  | { readonly kind: 'transferred'; readonly slot: number; readonly ownershipEpoch: number }
   | { readonly kind: 'retire'; readonly id: string; readonly on: boolean }
   | { readonly kind: 'weights'; readonly weights: ReadonlyMap<string, number> };
 
@@ -21,16 +21,16 @@
   return out;
 };
 
-const sameMate = (a: Mate | undefined, b: Mate): boolean => JSON.stringify(a) === JSON.stringify(b);
+const isSameMember = (a: Member | undefined, b: Member): boolean => JSON.stringify(a) === JSON.stringify(b);
 
 /** The order to empty a store stands for its name until it is taken back, also when it comes back with another disk. */
-const inheritsRetiring = (s: State, mate: Mate): boolean =>
-  mate.kind === 'store' &&
-  mate.name !== '' &&
-  [...s.retiring.values()].includes(mate.name);
+const inheritsRetiring = (s: State, member: Member): boolean =>
+  member.kind === 'store' &&
+  member.name !== '' &&
+  [...s.retiring.values()].includes(member.name);
 
 /** What tells one change of the configuration from others: its sender's order key, or else its digest. */
-export const orderOf = (c: { readonly order?: string | undefined; readonly digest: string }): string => c.order || c.digest;
+export const changeIdOf = (c: { readonly changeId?: string | undefined; readonly digest: string }): string => c.changeId || c.digest;
 
 const withoutRetiring = (retiring: State['retiring'], id: string): State['retiring'] => {
   const name = retiring.get(id) ?? '';
@@ -40,20 +40,20 @@
 export const reduce = (s: State, a: Action): State => {
   switch (a.kind) {
     case 'join': {
-      if (sameMate(s.nodes.get(a.mate.id), a.mate)) return s;
-      const kept = [...s.nodes].filter(([id, m]) => id === a.mate.id || m.addr !== a.mate.addr);
+      if (isSameMember(s.nodes.get(a.member.id), a.member)) return s;
+      const kept = [...s.nodes].filter(([id, m]) => id === a.member.id || m.addr !== a.member.addr);
       return {
         ...s,
-        retiring: inheritsRetiring(s, a.mate) ? withEntry(s.retiring, a.mate.id, a.mate.name) : s.retiring,
-        nodes: new Map(kept).set(a.mate.id, a.mate),
-        voterMates: s.voterMates.has(a.mate.id) ? withEntry(s.voterMates, a.mate.id, a.mate) : s.voterMates,
+        retiring: inheritsRetiring(s, a.member) ? withEntry(s.retiring, a.member.id, a.member.name) : s.retiring,
+        nodes: new Map(kept).set(a.member.id, a.member),
+        votingMembers: s.votingMembers.has(a.member.id) ? withEntry(s.votingMembers, a.member.id, a.member) : s.votingMembers,
       };
     }
     case 'leave':
       if (!s.nodes.has(a.id)) return s;
       return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
     case 'config':
-      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, orderOf(a.record)) };
+      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, changeIdOf(a.record)) };
     case 'server':
       return { ...s, servers: withEntry(s.servers, a.server.id, a.server) };
     case 'server-gone':
@@ -61,31 +61,31 @@
     case 'server-mark': {
       const old = s.servers.get(a.id);
       if (!old) return s;
-      const server = { ...old, leaving: a.leaving ?? old.leaving, down: a.down ?? old.down };
-      if (server.leaving === old.leaving && server.down === old.down) return s;
+      const server = { ...old, draining: a.draining ?? old.draining, down: a.down ?? old.down };
+      if (server.draining === old.draining && server.down === old.down) return s;
       return { ...s, servers: withEntry(s.servers, a.id, server) };
     }
     case 'voters': {
-      if (s.voters.now.join() !== s.voters.next.join()) return s;
-      const rest = s.voters.now.filter((id) => id !== a.out);
+      if (s.voters.current.join() !== s.voters.next.join()) return s;
+      const rest = s.voters.current.filter((id) => id !== a.out);
       const next = a.in && !rest.includes(a.in.id) ? [...rest, a.in.id].sort() : rest;
       if (next.length === 0) return s;
       return {
         ...s,
-        voters: { now: s.voters.now, next },
-        voterMates: a.in ? withEntry(s.voterMates, a.in.id, a.in) : s.voterMates,
+        voters: { current: s.voters.current, next },
+        votingMembers: a.in ? withEntry(s.votingMembers, a.in.id, a.in) : s.votingMembers,
       };
     }
     case 'filled': {
       const old = s.slots[a.slot];
-      if (!old || old.tenure !== a.tenure || !old.filling.includes(a.store)) return s;
-      const slot = { ...old, copies: copiesAfter(old), filling: [], instead: '', tenure: old.tenure + 1 };
+      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !old.joiningReplicas.includes(a.store)) return s;
+      const slot = { ...old, replicas: replicasAfter(old), joiningReplicas: [], replacedReplica: '', ownershipEpoch: old.ownershipEpoch + 1 };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
-    case 'handed': {
+    case 'transferred': {
       const old = s.slots[a.slot];
-      if (!old || old.tenure !== a.tenure || !s.nodes.has(old.handTo)) return s;
-      const slot = { ...old, steward: old.handTo, tenure: old.tenure + 1, since: old.tenure + 1, handTo: '' };
+      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !s.nodes.has(old.transferTarget)) return s;
+      const slot = { ...old, owner: old.transferTarget, ownershipEpoch: old.ownershipEpoch + 1, ownedSinceEpoch: old.ownershipEpoch + 1, transferTarget: '' };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
     case 'retire': {
@@ -98,7 +98,7 @@
 };
 
 export const settleVoters = (s: State): State => {
-  if (s.voters.now.join() === s.voters.next.join()) return s;
-  const voterMates = new Map([...s.voterMates].filter(([id]) => s.voters.next.includes(id)));
-  return { ...s, voters: { now: s.voters.next, next: s.voters.next }, voterMates };
+  if (s.voters.current.join() === s.voters.next.join()) return s;
+  const votingMembers = new Map([...s.votingMembers].filter(([id]) => s.voters.next.includes(id)));
+  return { ...s, voters: { current: s.voters.next, next: s.voters.next }, votingMembers };
 };
--- a/packages/state/src/state.ts
+++ b/packages/state/src/state.ts
@@ -2,7 +2,7 @@
 import { defaultReplication, Replication } from './replication.js';
 import type { TakenChanges } from './taken.js';
 
-export const Mate = z.object({
+export const Member = z.object({
   id: z.string(),
   kind: z.enum(['control', 'store', 'front']),
   addr: z.string(),
@@ -11,16 +11,16 @@
   data: z.string(),
   name: z.string().default(''),
 }).readonly();
-export type Mate = z.infer<typeof Mate>;
+export type Member = z.infer<typeof Member>;
 
 export const Slot = z.object({
-  steward: z.string(),
-  tenure: z.number(),
-  since: z.number(),
-  handTo: z.string(),
-  copies: z.array(z.string()).readonly(),
-  filling: z.array(z.string()).readonly(),
-  instead: z.string(),
+  owner: z.string(),
+  ownershipEpoch: z.number(),
+  ownedSinceEpoch: z.number(),
+  transferTarget: z.string(),
+  replicas: z.array(z.string()).readonly(),
+  joiningReplicas: z.array(z.string()).readonly(),
+  replacedReplica: z.string(),
 }).readonly();
 export type Slot = z.infer<typeof Slot>;
 
@@ -28,7 +28,7 @@
   id: z.string(),
   pool: z.string(),
   url: z.string(),
-  leaving: z.boolean(),
+  draining: z.boolean(),
   down: z.boolean(),
   zone: z.string().default(''),
   places: z.number().default(0),
@@ -40,32 +40,32 @@
   text: z.string(),
   digest: z.string(),
   compiled: z.string(),
-  order: z.string().default(''),
+  changeId: z.string().default(''),
 }).readonly();
 export type ConfigRecord = z.infer<typeof ConfigRecord>;
 
-export const Voters = z.object({
-  now: z.array(z.string()).readonly(),
+export const VotingConfiguration = z.object({
+  current: z.array(z.string()).readonly(),
   next: z.array(z.string()).readonly(),
 }).readonly();
-export type Voters = z.infer<typeof Voters>;
+export type VotingConfiguration = z.infer<typeof VotingConfiguration>;
 
-export const Mark = z.object({ term: z.number(), version: z.number() }).readonly();
-export type Mark = z.infer<typeof Mark>;
+export const StateVersion = z.object({ term: z.number(), version: z.number() }).readonly();
+export type StateVersion = z.infer<typeof StateVersion>;
 
 export const Head = z.object({
   clusterId: z.string(),
   term: z.number(),
   version: z.number(),
   master: z.string(),
-  voters: Voters,
+  voters: VotingConfiguration,
   replication: Replication.default(defaultReplication),
 }).readonly();
 export type Head = z.infer<typeof Head>;
 
 export interface State extends Head {
-  readonly nodes: ReadonlyMap<string, Mate>;
-  readonly voterMates: ReadonlyMap<string, Mate>;
+  readonly nodes: ReadonlyMap<string, Member>;
+  readonly votingMembers: ReadonlyMap<string, Member>;
   readonly retiring: ReadonlyMap<string, string>;
   readonly slots: readonly Slot[];
   readonly config: ConfigRecord | undefined;
@@ -75,17 +75,17 @@
 }
 
 export const emptySlots = (count: number): readonly Slot[] =>
-  Array.from({ length: count }, () => ({ steward: '', tenure: 0, since: 0, handTo: '', copies: [], filling: [], instead: '' }));
+  Array.from({ length: count }, () => ({ owner: '', ownershipEpoch: 0, ownedSinceEpoch: 0, transferTarget: '', replicas: [], joiningReplicas: [], replacedReplica: '' }));
 
-export const foundingState = (clusterId: string, members: readonly Mate[], slots: number, replication: Replication = defaultReplication): State => ({
+export const bootstrapState = (clusterId: string, members: readonly Member[], slots: number, replication: Replication = defaultReplication): State => ({
   clusterId,
   term: 0,
   version: 1,
   master: '',
-  voters: { now: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
+  voters: { current: members.map((m) => m.id).sort(), next: members.map((m) => m.id).sort() },
   replication,
   nodes: new Map(),
-  voterMates: new Map(members.map((m) => [m.id, m])),
+  votingMembers: new Map(members.map((m) => [m.id, m])),
   retiring: new Map(),
   slots: emptySlots(slots),
   config: undefined,
@@ -94,15 +94,15 @@
   weights: new Map(),
 });
 
-export const newer = (a: Mark, b: Mark): boolean => a.term > b.term || (a.term === b.term && a.version > b.version);
-export const sameMark = (a: Mark, b: Mark): boolean => a.term === b.term && a.version === b.version;
-export const markOf = (s: Mark | undefined): Mark =>
+export const newer = (a: StateVersion, b: StateVersion): boolean => a.term > b.term || (a.term === b.term && a.version > b.version);
+export const isSameVersion = (a: StateVersion, b: StateVersion): boolean => a.term === b.term && a.version === b.version;
+export const versionOf = (s: StateVersion | undefined): StateVersion =>
   s ? { term: s.term, version: s.version } : { term: -1, version: 0 };
 
 export const isMajority = (group: readonly string[], yes: ReadonlySet<string>): boolean =>
   group.length > 0 && group.filter((id) => yes.has(id)).length * 2 > group.length;
 
-export const quorum = (v: Voters, yes: ReadonlySet<string>): boolean => isMajority(v.now, yes) && isMajority(v.next, yes);
+export const quorum = (v: VotingConfiguration, yes: ReadonlySet<string>): boolean => isMajority(v.current, yes) && isMajority(v.next, yes);
 
 export const slotOf = (key: string, count: number): number => {
   let h = 0x811c9dc5;
@@ -111,9 +111,9 @@
   return ((h ^ (h >>> 13)) >>> 0) % count;
 };
 
-export const keptOn = (slot: Slot): readonly string[] => [...slot.copies, ...slot.filling];
+export const replicasToWrite = (slot: Slot): readonly string[] => [...slot.replicas, ...slot.joiningReplicas];
 
-export const copiesAfter = (slot: Slot): readonly string[] =>
-  slot.filling.length === 0 ? slot.copies : [...slot.copies.filter((id) => id !== slot.instead), ...slot.filling].sort();
+export const replicasAfter = (slot: Slot): readonly string[] =>
+  slot.joiningReplicas.length === 0 ? slot.replicas : [...slot.replicas.filter((id) => id !== slot.replacedReplica), ...slot.joiningReplicas].sort();
 
 export const weightKey = (pool: string, server: string): string => `${pool}|${server}`;
--- a/packages/state/src/taken.ts
+++ b/packages/state/src/taken.ts
@@ -8,7 +8,7 @@
  */
 export type TakenChanges = ReadonlyMap<number, string>;
 
-export type TakenVerdict = 'taken' | 'not-taken' | 'forgotten';
+export type TakenOutcome = 'taken' | 'not-taken' | 'forgotten';
 
 const blockLength = 32;
 const blocksMost = 64;
@@ -17,21 +17,21 @@
 /** How many of the latest changes are surely remembered; older ones may be forgotten. */
 export const takenLeast = blockLength * (blocksMost - 1);
 
-const keyOf = (order: string): string => createHash('sha256').update(order).digest('base64url').slice(0, keyLength);
+const keyOf = (changeId: string): string => createHash('sha256').update(changeId).digest('base64url').slice(0, keyLength);
 
-const entryOf = (version: number, order: string): string => `${version}=${keyOf(order)}`;
+const entryOf = (version: number, changeId: string): string => `${version}=${keyOf(changeId)}`;
 
 const entriesOf = (block: string): readonly string[] => (block === '' ? [] : block.split(' '));
 
 const newestBlock = (taken: TakenChanges): number => Math.max(0, ...taken.keys());
 
 /** Adds a taken change; the oldest block is forgotten where there are too many. */
-export const withTaken = (taken: TakenChanges, version: number, order: string): TakenChanges => {
+export const withTaken = (taken: TakenChanges, version: number, changeId: string): TakenChanges => {
   const last = newestBlock(taken);
   const entries = entriesOf(taken.get(last) ?? '');
   const fits = entries.length < blockLength;
   const block = fits ? last : last + 1;
-  const next = new Map(taken).set(block, [...(fits ? entries : []), entryOf(version, order)].join(' '));
+  const next = new Map(taken).set(block, [...(fits ? entries : []), entryOf(version, changeId)].join(' '));
   next.delete(block - blocksMost);
   return next;
 };
@@ -43,8 +43,8 @@
 };
 
 /** Whether the change that made this version under this order key was taken; a version older than the record is in doubt. */
-export const takenVerdict = (taken: TakenChanges, version: number, order: string): TakenVerdict => {
-  const entry = entryOf(version, order);
+export const takenOutcome = (taken: TakenChanges, version: number, changeId: string): TakenOutcome => {
+  const entry = entryOf(version, changeId);
   if ([...taken.values()].some((block) => entriesOf(block).includes(entry))) return 'taken';
   return version < coveredFrom(taken) ? 'forgotten' : 'not-taken';
 };
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,4 @@
 export * from './open.js';
-export * from './shelf.js';
+export * from './replica-store.js';
 export * from './node.js';
 export * from './start.js';
--- a/packages/store/src/main.ts
+++ b/packages/store/src/main.ts
@@ -1,11 +1,11 @@
 #!/usr/bin/env node
-import { runDaemon, StoreEnv } from '@tillerstair/env';
+import { runDaemon, StoreSettings } from '@tillerstair/settings';
 import { startStore } from './start.js';
 
 void runDaemon({
   name: 'store-node',
-  about: 'Keeps copies of programs\' history, budgets and operation keys.',
-  schema: StoreEnv,
+  about: 'Keeps replicas of programs\' history, budgets and operation keys.',
+  schema: StoreSettings,
   flags: [
     ['addr', 'Own address, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
@@ -16,5 +16,5 @@
     ['data', 'Data folder'],
     ['log', 'debug, info, warn or error'],
   ],
-  start: (env) => startStore(env),
+  start: (settings) => startStore(settings),
 });
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,14 +1,14 @@
 import pLimit from 'p-limit';
-import { beliefOf, compiledOf, FindTurn, Hand, Hint, keptOn, pagesFrom, Put, Read, Seal, turnsKeptMs, type Belief, type State } from '@tillerstair/state';
-import { lasting, Mishap, mishapOf, pause, type Inquiry } from '@tillerstair/wire';
+import { nodeViewOf, compiledOf, FindTurn, Hand, Hint, replicasToWrite, pagesFrom, Put, Read, Fence, turnRetentionOf, type NodeView, type State } from '@tillerstair/state';
+import { lasting, RpcError, toRpcError, pause, type RpcRequest } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
-import type { Shelf } from './shelf.js';
+import type { ReplicaStore } from './replica-store.js';
 
 export interface StoreParts extends Omit<ZenParts, 'slots' | 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'> {
-  readonly shelf: Shelf;
+  readonly replicaStore: ReplicaStore;
 }
 
-const pagesPerBeat = 16;
+const pagesPerHeartbeat = 16;
 
 export class StoreNode {
   readonly zen: ZenNode;
@@ -34,7 +34,7 @@
   }
 
   async start(): Promise<void> {
-    await this.p.circuits.serve((inq) => this.handle(inq));
+    await this.p.transport.serve((rpc) => this.handle(rpc));
     this.zen.start();
     void this.repair();
     void this.refill();
@@ -44,104 +44,104 @@
     this.gone.abort();
     this.wake();
     await this.zen.stop();
-    await this.p.circuits.close();
+    await this.p.transport.close();
   }
 
   /** Whether this store is still a replica of the slot, as far as it knows; data of other slots may have been dropped. */
   private keeps(slot: number): boolean {
     const known = this.newest?.slots[slot];
-    return known === undefined || keptOn(known).includes(this.p.me.id);
+    return known === undefined || replicasToWrite(known).includes(this.p.me.id);
   }
 
-  belief(): Belief {
-    const b = beliefOf(this.p.me.id, 'store', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
-    const c = this.p.shelf.counts();
+  nodeView(): NodeView {
+    const b = nodeViewOf(this.p.me.id, 'store', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
+    const c = this.p.replicaStore.counts();
     return { ...b, facts: [...b.facts, ['own hints', String(c.hints)]] };
   }
 
-  async handle(inq: Inquiry): Promise<unknown> {
-    const { shelf } = this.p;
-    switch (inq.kind) {
+  async handle(rpc: RpcRequest): Promise<unknown> {
+    const { replicaStore } = this.p;
+    switch (rpc.kind) {
       case 'store/put': {
-        const { slot, tenure, items } = Put.parse(inq.body);
-        await shelf.write(slot, tenure, items);
+        const { slot, ownershipEpoch, items } = Put.parse(rpc.body);
+        await replicaStore.write(slot, ownershipEpoch, items);
         return {};
       }
-      case 'store/seal': {
-        const { slot, tenure, after } = Seal.parse(inq.body);
-        return shelf.seal(slot, tenure, after);
+      case 'store/fence': {
+        const { slot, ownershipEpoch, after } = Fence.parse(rpc.body);
+        return replicaStore.fence(slot, ownershipEpoch, after);
       }
       case 'store/read': {
-        const { slot, tenure, key } = Read.parse(inq.body);
-        return { item: await shelf.read(slot, tenure, key) };
+        const { slot, ownershipEpoch, key } = Read.parse(rpc.body);
+        return { item: await replicaStore.read(slot, ownershipEpoch, key) };
       }
       case 'store/pull': {
-        const { slot, tenure, after } = Seal.parse(inq.body);
-        return shelf.pull(slot, tenure, after);
+        const { slot, ownershipEpoch, after } = Fence.parse(rpc.body);
+        return replicaStore.pull(slot, ownershipEpoch, after);
       }
       case 'store/find': {
-        const { turn, slots } = FindTurn.parse(inq.body);
-        if (slots.some((n) => !this.keeps(n))) throw new Mishap('moved', 'another store keeps one of these slots now');
-        await shelf.synced();
-        return { items: shelf.find(turn) };
+        const { turn, slots } = FindTurn.parse(rpc.body);
+        if (slots.some((n) => !this.keeps(n))) throw new RpcError('moved', 'another store keeps one of these slots now');
+        await replicaStore.synced();
+        return { items: replicaStore.find(turn) };
       }
       case 'store/hint': {
-        const { to, slot, items } = Hint.parse(inq.body);
-        await shelf.hint(to, slot, items);
+        const { to, slot, items } = Hint.parse(rpc.body);
+        await replicaStore.hint(to, slot, items);
         return {};
       }
       case 'store/hand': {
-        const { slot, items } = Hand.parse(inq.body);
-        await shelf.hand(slot, items);
+        const { slot, items } = Hand.parse(rpc.body);
+        await replicaStore.hand(slot, items);
         return {};
       }
       default:
-        if (inq.kind.startsWith('zen/')) return this.zen.handle(inq);
-        throw new Mishap('unknown-kind', `no such inquiry: ${inq.kind}`);
+        if (rpc.kind.startsWith('zen/')) return this.zen.handle(rpc);
+        throw new RpcError('unknown-kind', `no such request: ${rpc.kind}`);
     }
   }
 
   private async repair(): Promise<void> {
     const { clock, bounds, log } = this.p;
     while (!this.gone.signal.aborted) {
-      await pause(clock, bounds.beat / 2, this.gone.signal);
+      await pause(clock, bounds.heartbeatInterval / 2, this.gone.signal);
       const s = this.zen.applied;
-      if (!s || !this.p.shelf.writable || this.gone.signal.aborted) continue;
+      if (!s || !this.p.replicaStore.writable || this.gone.signal.aborted) continue;
       try {
         await this.handOver(s);
-        await this.p.shelf.dropOld(turnsKeptMs(compiledOf(s.config)));
-        await this.p.shelf.forgetSlots((n) => {
+        await this.p.replicaStore.dropOld(turnRetentionOf(compiledOf(s.config)));
+        await this.p.replicaStore.forgetSlots((n) => {
           const slot = this.newest?.slots[n];
-          return slot && slot.copies.length > 0 && !keptOn(slot).includes(this.p.me.id) ? slot.tenure : -1;
+          return slot && slot.replicas.length > 0 && !replicasToWrite(slot).includes(this.p.me.id) ? slot.ownershipEpoch : -1;
         });
       } catch (e) {
-        log.warn(`Repair stopped: ${mishapOf(e).message}.`);
+        log.warn(`Repair stopped: ${toRpcError(e).message}.`);
       }
     }
   }
 
   private async handOver(s: State): Promise<void> {
-    const { shelf, circuits, bounds, log } = this.p;
-    for (const to of shelf.hintTargets()) {
-      const mate = s.nodes.get(to);
-      const holds = s.slots.some((x) => keptOn(x).includes(to));
-      if (!mate && holds) continue;
+    const { replicaStore, transport, bounds, log } = this.p;
+    for (const to of replicaStore.hintTargets()) {
+      const member = s.nodes.get(to);
+      const holds = s.slots.some((x) => replicasToWrite(x).includes(to));
+      if (!member && holds) continue;
       let count = 0;
-      for (const h of shelf.hintsFor(to)) {
+      for (const h of replicaStore.hintsFor(to)) {
         const slot = s.slots[h.slot];
-        const wanted = slot !== undefined && keptOn(slot).includes(to);
-        if (wanted && mate) {
+        const wanted = slot !== undefined && replicasToWrite(slot).includes(to);
+        if (wanted && member) {
           try {
-            await circuits.call(mate.addr, 'store/hand', { slot: h.slot, items: h.items }, { within: bounds.silent });
+            await transport.call(member.addr, 'store/hand', { slot: h.slot, items: h.items }, { within: bounds.failureTimeout });
           } catch (e) {
-            log.debug(`Handing over to ${mate.addr} failed: ${mishapOf(e).message}.`);
+            log.debug(`Handing over to ${member.addr} failed: ${toRpcError(e).message}.`);
             break;
           }
         }
-        await shelf.handed(h.n);
+        await replicaStore.handed(h.n);
         count++;
       }
-      if (count > 0) log.info(`Handed ${count} hints to ${mate?.addr ?? to}.`);
+      if (count > 0) log.info(`Handed ${count} hints to ${member?.addr ?? to}.`);
     }
   }
 
@@ -151,50 +151,50 @@
       const early = new AbortController();
       this.wake = () => early.abort();
       this.newest?.slots.forEach((slot, n) => {
-        if (!slot.filling.includes(me.id) || this.refilling.get(n) === slot.tenure) return;
-        this.refilling.set(n, slot.tenure);
-        void this.refillUntilFull(n, slot.tenure);
+        if (!slot.joiningReplicas.includes(me.id) || this.refilling.get(n) === slot.ownershipEpoch) return;
+        this.refilling.set(n, slot.ownershipEpoch);
+        void this.refillUntilFull(n, slot.ownershipEpoch);
       });
-      await pause(clock, bounds.beat / 2, early.signal);
+      await pause(clock, bounds.heartbeatInterval / 2, early.signal);
     }
   }
 
-  private async refillUntilFull(n: number, tenure: number): Promise<void> {
+  private async refillUntilFull(n: number, ownershipEpoch: number): Promise<void> {
     const { clock, bounds, log } = this.p;
     while (!this.gone.signal.aborted) {
       const s = this.newest;
       const slot = s?.slots[n];
-      if (!s || slot?.tenure !== tenure) return;
+      if (!s || slot?.ownershipEpoch !== ownershipEpoch) return;
       try {
-        return await this.few(() => this.refillOne(s, n, tenure, slot.copies));
+        return await this.few(() => this.refillOne(s, n, ownershipEpoch, slot.replicas));
       } catch (e) {
-        log.debug(`Refill of slot ${n} waits: ${mishapOf(e).message}.`);
+        log.debug(`Refill of slot ${n} waits: ${toRpcError(e).message}.`);
       }
-      await pause(clock, bounds.beat / 16, this.gone.signal);
+      await pause(clock, bounds.heartbeatInterval / 16, this.gone.signal);
     }
   }
 
-  private async refillOne(s: State, slot: number, tenure: number, sources: readonly string[]): Promise<void> {
-    const { circuits, shelf, bounds, me, log } = this.p;
+  private async refillOne(s: State, slot: number, ownershipEpoch: number, sources: readonly string[]): Promise<void> {
+    const { transport, replicaStore, bounds, me, log } = this.p;
     const { quorum } = s.replication;
     let pulled = 0;
     for (const id of sources) {
-      const mate = s.nodes.get(id);
-      if (!mate || pulled === quorum) continue;
+      const member = s.nodes.get(id);
+      if (!member || pulled === quorum) continue;
       try {
         const ask = async (after: string): Promise<unknown> => {
-          if (after !== '') await pause(this.p.clock, bounds.beat / pagesPerBeat, this.gone.signal);
-          return circuits.call(mate.addr, 'store/pull', { slot, tenure, after }, { within: bounds.silent });
+          if (after !== '') await pause(this.p.clock, bounds.heartbeatInterval / pagesPerHeartbeat, this.gone.signal);
+          return transport.call(member.addr, 'store/pull', { slot, ownershipEpoch, after }, { within: bounds.failureTimeout });
         };
-        for await (const page of pagesFrom(ask)) await shelf.hand(slot, page);
+        for await (const page of pagesFrom(ask)) await replicaStore.hand(slot, page);
         pulled++;
       } catch (e) {
-        log.debug(`Pulling slot ${slot} from ${mate.addr} failed: ${mishapOf(e).message}.`);
+        log.debug(`Pulling slot ${slot} from ${member.addr} failed: ${toRpcError(e).message}.`);
       }
     }
-    if (pulled < quorum) throw new Mishap('unavailable', `${pulled} of ${quorum} replicas that are needed reply`);
+    if (pulled < quorum) throw new RpcError('unavailable', `${pulled} of ${quorum} replicas that are needed reply`);
     const master = this.zen.masterSeen;
-    if (!master) throw new Mishap('unavailable', 'no master is known');
-    await circuits.call(master.addr, 'control/filled', { store: me.id, slot, tenure }, { within: bounds.silent });
+    if (!master) throw new RpcError('unavailable', 'no master is known');
+    await transport.call(master.addr, 'control/filled', { store: me.id, slot, ownershipEpoch }, { within: bounds.failureTimeout });
   }
 }
--- a/packages/store/src/open.ts
+++ b/packages/store/src/open.ts
@@ -1,21 +1,21 @@
 /** Opens what a store keeps on disk: its identity and state of the cluster, and its replicas. */
 import { isDiskTrouble, untilDiskTakes, type Disk, type JournalPace } from '@tillerstair/journal';
 import type { Clock } from '@tillerstair/wire';
-import { DiskKeep } from '@tillerstair/zen';
-import { Shelf, shelfLog, type ShelfBounds } from './shelf.js';
+import { DiskElectionStore } from '@tillerstair/zen';
+import { ReplicaStore, replicaStoreLog, type ReplicaStoreBounds } from './replica-store.js';
 
 export interface StoreDiskParts {
   readonly disk: Disk;
   readonly clock: Clock;
   readonly pace: JournalPace;
-  readonly bounds: ShelfBounds;
+  readonly bounds: ReplicaStoreBounds;
   readonly freshId: () => string;
   readonly longAt: number;
 }
 
 export interface StoreDisk {
-  readonly keep: DiskKeep;
-  readonly shelf: Shelf;
+  readonly electionStore: DiskElectionStore;
+  readonly replicaStore: ReplicaStore;
 }
 
 /**
@@ -23,16 +23,16 @@
  * first: a store that goes on under the old one would count as a replica of what it no longer holds.
  */
 export const openStoreDisk = async (p: StoreDiskParts): Promise<StoreDisk> => {
-  const openKeep = (): Promise<DiskKeep> => DiskKeep.open(p.disk, p.freshId, p.longAt, p.pace);
-  const openShelf = (): Promise<Shelf> => Shelf.open(p.disk, p.clock, p.bounds, p.pace);
-  const keep = await openKeep();
+  const openKeep = (): Promise<DiskElectionStore> => DiskElectionStore.open(p.disk, p.freshId, p.longAt, p.pace);
+  const openReplicaStore = (): Promise<ReplicaStore> => ReplicaStore.open(p.disk, p.clock, p.bounds, p.pace);
+  const electionStore = await openKeep();
   try {
-    return { keep, shelf: await openShelf() };
+    return { electionStore, replicaStore: await openReplicaStore() };
   } catch (e) {
     if (isDiskTrouble(e)) throw e;
-    p.pace.log?.warn(`${shelfLog} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${shelfLog}.damaged, starting as a new store.`);
-    await keep.forget(p.disk);
-    await untilDiskTakes(p.pace, shelfLog, () => p.disk.setAside(shelfLog));
-    return { keep: await openKeep(), shelf: await openShelf() };
+    p.pace.log?.warn(`${replicaStoreLog} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${replicaStoreLog}.damaged, starting as a new store.`);
+    await electionStore.forget(p.disk);
+    await untilDiskTakes(p.pace, replicaStoreLog, () => p.disk.setAside(replicaStoreLog));
+    return { electionStore: await openKeep(), replicaStore: await openReplicaStore() };
   }
 };
--- a/packages/store/src/shelf.ts
+++ b/packages/store/src/replica-store.ts
@@ -1,14 +1,14 @@
 import { z } from 'zod';
 import { groupOf, Item, newerItem, pageBytes, type Item as ItemT, type Paged } from '@tillerstair/state';
 import { hostPace, Journal, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
-import { Mishap, type Clock } from '@tillerstair/wire';
+import { RpcError, type Clock } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
-  z.object({ t: z.literal('put'), slot: z.number(), tenure: z.number(), items: z.array(Item) }),
-  z.object({ t: z.literal('seal'), slot: z.number(), tenure: z.number() }),
+  z.object({ t: z.literal('put'), slot: z.number(), ownershipEpoch: z.number(), items: z.array(Item) }),
+  z.object({ t: z.literal('fence'), slot: z.number(), ownershipEpoch: z.number() }),
   z.object({ t: z.literal('drop'), slot: z.number(), groups: z.array(z.string()) }),
   z.object({ t: z.literal('hint'), n: z.number(), to: z.string(), slot: z.number(), items: z.array(Item) }),
-  z.object({ t: z.literal('handed'), n: z.number() }),
+  z.object({ t: z.literal('transferred'), n: z.number() }),
 ]);
 type Rec = z.infer<typeof Rec>;
 
@@ -19,7 +19,7 @@
   return kind === 'p' && section === 't' ? turn : '';
 };
 
-export const shelfLog = 'store.log';
+export const replicaStoreLog = 'store.log';
 
 export interface HintRecord {
   readonly n: number;
@@ -28,34 +28,34 @@
   readonly items: readonly ItemT[];
 }
 
-interface SlotShelf {
-  sealed: number;
+interface SlotReplica {
+  fenced: number;
   readonly items: Map<string, ItemT>;
   readonly touched: Map<string, number>;
 }
 
 interface SlotSnapshot {
   readonly slot: number;
-  readonly sealed: number;
+  readonly fenced: number;
   readonly items: readonly ItemT[];
 }
 
 function* recordsOf(slots: readonly SlotSnapshot[], hints: readonly HintRecord[]): Generator<Rec> {
-  for (const { slot, sealed, items } of slots) {
-    if (sealed > 0) yield { t: 'seal', slot, tenure: sealed };
-    for (const item of items) yield { t: 'put', slot, tenure: 0, items: [item] };
+  for (const { slot, fenced, items } of slots) {
+    if (fenced > 0) yield { t: 'fence', slot, ownershipEpoch: fenced };
+    for (const item of items) yield { t: 'put', slot, ownershipEpoch: 0, items: [item] };
   }
   for (const hint of hints) yield { t: 'hint', ...hint, items: [...hint.items] };
 }
 
-export interface ShelfBounds {
+export interface ReplicaStoreBounds {
   readonly journalLongAt: number;
-  readonly keepMs: number;
+  readonly retentionMs: number;
   readonly hintsMost: number;
 }
 
-export class Shelf implements JournalOwner {
-  private readonly slots = new Map<number, SlotShelf>();
+export class ReplicaStore implements JournalOwner {
+  private readonly slots = new Map<number, SlotReplica>();
   private readonly byTurn = new Map<string, { readonly slot: number; readonly key: string }>();
   private readonly hints = new Map<number, HintRecord>();
   private hintSeq = 0;
@@ -63,13 +63,13 @@
   private constructor(
     private readonly journal: Journal,
     private readonly clock: Clock,
-    private readonly bounds: ShelfBounds,
+    private readonly bounds: ReplicaStoreBounds,
   ) {
     journal.recoverFrom(() => this.whole());
   }
 
-  static async open(disk: Disk, clock: Clock, bounds: ShelfBounds, pace: JournalPace = { ...hostPace, clock }): Promise<Shelf> {
-    return Journal.openFor(disk, shelfLog, pace, (journal) => new Shelf(journal, clock, bounds));
+  static async open(disk: Disk, clock: Clock, bounds: ReplicaStoreBounds, pace: JournalPace = { ...hostPace, clock }): Promise<ReplicaStore> {
+    return Journal.openFor(disk, replicaStoreLog, pace, (journal) => new ReplicaStore(journal, clock, bounds));
   }
 
   /** Takes a record that was read from the log. */
@@ -82,10 +82,10 @@
     return this.journal.writable;
   }
 
-  private slot(n: number): SlotShelf {
+  private slot(n: number): SlotReplica {
     const old = this.slots.get(n);
     if (old) return old;
-    const made: SlotShelf = { sealed: 0, items: new Map(), touched: new Map() };
+    const made: SlotReplica = { fenced: 0, items: new Map(), touched: new Map() };
     this.slots.set(n, made);
     return made;
   }
@@ -94,7 +94,7 @@
     switch (r.t) {
       case 'put': {
         const s = this.slot(r.slot);
-        s.sealed = Math.max(s.sealed, r.tenure);
+        s.fenced = Math.max(s.fenced, r.ownershipEpoch);
         for (const item of r.items) {
           const old = s.items.get(item.key);
           if (!old || newerItem(item, old)) s.items.set(item.key, item);
@@ -104,9 +104,9 @@
         }
         return;
       }
-      case 'seal': {
+      case 'fence': {
         const s = this.slot(r.slot);
-        s.sealed = Math.max(s.sealed, r.tenure);
+        s.fenced = Math.max(s.fenced, r.ownershipEpoch);
         for (const g of s.touched.keys()) s.touched.set(g, this.clock.now());
         return;
       }
@@ -126,7 +126,7 @@
         this.hints.set(r.n, r);
         this.hintSeq = Math.max(this.hintSeq, r.n);
         return;
-      case 'handed':
+      case 'transferred':
         this.hints.delete(r.n);
         return;
     }
@@ -134,7 +134,7 @@
 
   /**
    * Memory changes before the disk does. A record whose append failed may be on disk, so it stays in memory: an item may be
-   * held without being acknowledged, a seal too many refuses no more than one that was acknowledged would.
+   * held without being acknowledged, a fence too many refuses no more than one that was acknowledged would.
    */
   private async put(r: Rec): Promise<void> {
     this.journal.mustBeWritable();
@@ -145,33 +145,33 @@
 
   /** All that is held now: references are taken at once, the records are made as they are written. */
   private whole(): Iterable<Rec> {
-    const slots = [...this.slots].map(([slot, s]): SlotSnapshot => ({ slot, sealed: s.sealed, items: [...s.items.values()] }));
+    const slots = [...this.slots].map(([slot, s]): SlotSnapshot => ({ slot, fenced: s.fenced, items: [...s.items.values()] }));
     const hints = [...this.hints.values()];
     return { [Symbol.iterator]: () => recordsOf(slots, hints) };
   }
 
-  private fence(slot: number, tenure: number): SlotShelf {
+  private slotAtEpoch(slot: number, ownershipEpoch: number): SlotReplica {
     const s = this.slot(slot);
-    if (tenure < s.sealed) throw new Mishap('lower-tenure', `slot ${slot} is sealed at tenure ${s.sealed}`);
+    if (ownershipEpoch < s.fenced) throw new RpcError('stale-epoch', `slot ${slot} is fenced at ownership epoch ${s.fenced}`);
     return s;
   }
 
-  async write(slot: number, tenure: number, items: readonly ItemT[]): Promise<void> {
-    this.fence(slot, tenure);
-    await this.put({ t: 'put', slot, tenure, items: [...items] });
+  async write(slot: number, ownershipEpoch: number, items: readonly ItemT[]): Promise<void> {
+    this.slotAtEpoch(slot, ownershipEpoch);
+    await this.put({ t: 'put', slot, ownershipEpoch, items: [...items] });
   }
 
-  async seal(slot: number, tenure: number, after: string): Promise<Paged> {
-    const s = this.fence(slot, tenure);
+  async fence(slot: number, ownershipEpoch: number, after: string): Promise<Paged> {
+    const s = this.slotAtEpoch(slot, ownershipEpoch);
     if (after === '') {
-      if (s.sealed < tenure) await this.put({ t: 'seal', slot, tenure });
+      if (s.fenced < ownershipEpoch) await this.put({ t: 'fence', slot, ownershipEpoch });
       else await this.synced();
     }
     return this.page(s, after);
   }
 
-  private page(s: SlotShelf, after: string): Paged {
-    if (after !== '' && !s.items.has(after)) throw new Mishap('page-gone', 'the page asked for has aged away; begin anew');
+  private page(s: SlotReplica, after: string): Paged {
+    if (after !== '' && !s.items.has(after)) throw new RpcError('page-gone', 'the page asked for has aged away; begin anew');
     const items: ItemT[] = [];
     let bytes = 0;
     let found = after === '';
@@ -189,11 +189,11 @@
 
   /** Resolves once everything held now is on disk. */
   synced(): Promise<void> {
-    return this.journal.append({ t: 'seal', slot: 0, tenure: 0 });
+    return this.journal.append({ t: 'fence', slot: 0, ownershipEpoch: 0 });
   }
 
-  async read(slot: number, tenure: number, key: string): Promise<ItemT | null> {
-    return this.fence(slot, tenure).items.get(key) ?? null;
+  async read(slot: number, ownershipEpoch: number, key: string): Promise<ItemT | null> {
+    return this.slotAtEpoch(slot, ownershipEpoch).items.get(key) ?? null;
   }
 
   /** The turn so named and, after it, those that it goes on from, as far as they are held here; the newest first. */
@@ -209,9 +209,9 @@
     return out;
   }
 
-  pull(slot: number, tenure: number, after: string): Paged {
+  pull(slot: number, ownershipEpoch: number, after: string): Paged {
     const s = this.slot(slot);
-    if (s.sealed < tenure) throw new Mishap('not-sealed', `slot ${slot} is not sealed at tenure ${tenure} yet`);
+    if (s.fenced < ownershipEpoch) throw new RpcError('not-fenced', `slot ${slot} is not fenced at ownership epoch ${ownershipEpoch} yet`);
     return this.page(s, after);
   }
 
@@ -221,12 +221,12 @@
       const old = s.items.get(i.key);
       return !old || newerItem(i, old);
     });
-    if (fresh.length > 0) await this.put({ t: 'put', slot, tenure: 0, items: fresh });
+    if (fresh.length > 0) await this.put({ t: 'put', slot, ownershipEpoch: 0, items: fresh });
     else await this.synced();
   }
 
   async hint(to: string, slot: number, items: readonly ItemT[]): Promise<void> {
-    if (this.hints.size >= this.bounds.hintsMost) throw new Mishap('hints-full', `${this.hints.size} hints are held already`);
+    if (this.hints.size >= this.bounds.hintsMost) throw new RpcError('hints-full', `${this.hints.size} hints are held already`);
     await this.put({ t: 'hint', n: ++this.hintSeq, to, slot, items: [...items] });
   }
 
@@ -239,16 +239,16 @@
   }
 
   async handed(n: number): Promise<void> {
-    await this.put({ t: 'handed', n });
+    await this.put({ t: 'transferred', n });
   }
 
   /** Drops what nobody touched for as long as things are kept, and for `leastMs`. */
   async dropOld(leastMs = 0): Promise<number> {
     const now = this.clock.now();
-    const keepMs = Math.max(this.bounds.keepMs, leastMs);
+    const retentionMs = Math.max(this.bounds.retentionMs, leastMs);
     let dropped = 0;
     for (const [slot, s] of this.slots) {
-      const groups = [...s.touched].filter(([, at]) => now - at > keepMs).map(([g]) => g);
+      const groups = [...s.touched].filter(([, at]) => now - at > retentionMs).map(([g]) => g);
       if (groups.length === 0) continue;
       dropped += groups.length;
       await this.put({ t: 'drop', slot, groups });
@@ -258,7 +258,7 @@
 
   async forgetSlots(outAt: (slot: number) => number): Promise<void> {
     for (const [slot, s] of this.slots)
-      if (s.items.size > 0 && outAt(slot) >= s.sealed)
+      if (s.items.size > 0 && outAt(slot) >= s.fenced)
         await this.put({ t: 'drop', slot, groups: [...new Set([...s.items.keys()].map(groupOf))] });
   }
 
--- a/packages/wire/src/clock.ts
+++ b/packages/wire/src/clock.ts
@@ -1,10 +1,10 @@
 import { setMaxListeners } from 'node:events';
 
-export interface Beat { stop(): void }
+export interface TimerHandle { stop(): void }
 
 export interface Clock {
   now(): number;
-  after(ms: number, run: () => void): Beat;
+  after(ms: number, run: () => void): TimerHandle;
 }
 
 export const hostClock: Clock = {
@@ -21,12 +21,12 @@
 export const pause = (clock: Clock, ms: number, gone?: AbortSignal): Promise<void> =>
   new Promise((done) => {
     if (gone?.aborted) return done();
-    const beat = clock.after(ms, () => {
+    const timer = clock.after(ms, () => {
       gone?.removeEventListener('abort', early);
       done();
     });
     const early = () => {
-      beat.stop();
+      timer.stop();
       done();
     };
     gone?.addEventListener('abort', early, { once: true });
@@ -34,14 +34,14 @@
 
 export const within = <T>(clock: Clock, ms: number, work: Promise<T>, late: () => Error): Promise<T> =>
   new Promise((done, fail) => {
-    const beat = clock.after(ms, () => fail(late()));
+    const timer = clock.after(ms, () => fail(late()));
     work.then(
       (v) => {
-        beat.stop();
+        timer.stop();
         done(v);
       },
       (e: unknown) => {
-        beat.stop();
+        timer.stop();
         fail(e);
       },
     );
--- a/packages/wire/src/http.ts
+++ b/packages/wire/src/http.ts
@@ -44,15 +44,15 @@
 export const serveHttp = (addr: string, page: Page): Promise<Server> => {
   const server = createServer((req, res) => {
     const url = urlOf(req.url ?? '/');
-    if (!url) return sendJson(res, 400, { ran: 'no', mishap: 'bad-path', text: 'the path cannot be read' });
+    if (!url) return sendJson(res, 400, { executed: 'no', errorCode: 'bad-path', text: 'the path cannot be read' });
     page(req, res, url).catch((e: unknown) => {
       if (e instanceof BodyTooLarge) {
-        sendJson(res, 413, { ran: 'no', mishap: 'body-too-large', text: e.message });
+        sendJson(res, 413, { executed: 'no', errorCode: 'body-too-large', text: e.message });
         return;
       }
       const text = e instanceof Error ? e.message : String(e);
       if (res.headersSent) res.destroy();
-      else sendJson(res, 500, { ran: 'unknown', mishap: 'internal', text });
+      else sendJson(res, 500, { executed: 'unknown', errorCode: 'internal', text });
     });
   });
   const { host, port } = splitAddr(addr);
--- a/packages/wire/src/line.ts
+++ b/packages/wire/src/task-queue.ts
@@ -1,12 +1,12 @@
 import { dispatch, spawn, start, stop } from 'nact';
-import { Mishap } from './mishap.js';
+import { RpcError } from './errors.js';
 
 type Task = () => Promise<void>;
 
 const system = start();
 let made = 0;
 
-export class Line {
+export class TaskQueue {
   private readonly actor;
   private depth = 0;
   private closed = false;
@@ -27,7 +27,7 @@
   }
 
   run<T>(work: () => Promise<T>): Promise<T> {
-    if (this.closed) return Promise.reject(new Mishap('closed', 'the line is closed'));
+    if (this.closed) return Promise.reject(new RpcError('closed', 'the line is closed'));
     this.depth++;
     return new Promise<T>((done, fail) => {
       const task: Task = () =>
--- a/packages/wire/src/tcp.ts
+++ b/packages/wire/src/tcp.ts
@@ -1,24 +1,24 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import split2 from 'split2';
 import { z } from 'zod';
-import type { CallBounds, Circuits, Handler } from './circuits.js';
-import { hostClock, type Beat } from './clock.js';
-import { CircuitLost, CircuitRefused, Mishap, mishapOf, TooLate } from './mishap.js';
+import type { CallBounds, Transport, Handler } from './transport.js';
+import { hostClock, type TimerHandle } from './clock.js';
+import { ConnectionLostError, ConnectionRefusedError, RpcError, toRpcError, RequestTimeoutError } from './errors.js';
 
 const Hello = z.object({ hello: z.string(), to: z.string() });
 const Ask = z.object({ id: z.number(), kind: z.string(), body: z.unknown() });
 const Cancel = z.object({ id: z.number(), cancel: z.literal(true) });
 const Back = z.object({
   id: z.number(),
-  piece: z.unknown().optional(),
-  verdict: z.unknown().optional(),
-  mishap: z.object({ code: z.string(), text: z.string(), ran: z.enum(['no', 'unknown', 'yes']) }).optional(),
+  chunk: z.unknown().optional(),
+  response: z.unknown().optional(),
+  error: z.object({ code: z.string(), text: z.string(), executed: z.enum(['no', 'unknown', 'yes']) }).optional(),
 });
 
 interface Waiting {
   done(v: unknown): void;
   fail(e: Error): void;
-  piece(p: unknown): void;
+  chunk(p: unknown): void;
 }
 
 interface Outgoing {
@@ -28,14 +28,14 @@
   heardAt: number;
 }
 
-const goneBefore = (): Mishap => new Mishap('gone', 'the caller is gone', 'no');
+const goneBefore = (): RpcError => new RpcError('gone', 'the caller is gone', 'no');
 
 export const splitAddr = (addr: string): { host: string; port: number } => {
   const at = addr.lastIndexOf(':');
   return { host: addr.slice(0, at).replace(/^\[|\]$/g, ''), port: Number(addr.slice(at + 1)) };
 };
 
-export class TcpCircuits implements Circuits {
+export class TcpTransport implements Transport {
   private readonly out = new Map<string, Outgoing>();
   private readonly incoming = new Set<Socket>();
   private server: Server | undefined;
@@ -95,12 +95,12 @@
         const { id, kind, body } = Ask.parse(v);
         const ctl = new AbortController();
         running.set(id, ctl);
-        void handler({ from, kind, body }, (piece) => say({ id, piece }), ctl.signal)
+        void handler({ from, kind, body }, (chunk) => say({ id, chunk }), ctl.signal)
           .then(
-            (verdict) => say({ id, verdict: verdict ?? null }),
+            (response) => say({ id, response: response ?? null }),
             (e: unknown) => {
-              const m = mishapOf(e);
-              say({ id, mishap: { code: m.code, text: m.message, ran: m.ran } });
+              const m = toRpcError(e);
+              say({ id, error: { code: m.code, text: m.message, executed: m.executed } });
             },
           )
           .finally(() => running.delete(id));
@@ -117,32 +117,32 @@
     socket.setNoDelay(true);
     const waiting = new Map<number, Waiting>();
     const ready = new Promise<void>((done, fail) => {
-      const beat = hostClock.after(this.openWithin, () => socket.destroy());
+      const timer = hostClock.after(this.openWithin, () => socket.destroy());
       socket.once('connect', () => {
-        beat.stop();
+        timer.stop();
         socket.write(`${JSON.stringify({ hello: this.self, to })}\n`);
         done();
       });
       socket.once('close', () => {
-        beat.stop();
-        fail(new CircuitRefused(to));
+        timer.stop();
+        fail(new ConnectionRefusedError(to));
       });
     });
     ready.catch(() => undefined);
-    const circuit: Outgoing = { socket, ready, waiting, heardAt: hostClock.now() };
+    const connection: Outgoing = { socket, ready, waiting, heardAt: hostClock.now() };
     socket.on('data', () => {
-      circuit.heardAt = hostClock.now();
+      connection.heardAt = hostClock.now();
     });
-    this.out.set(to, circuit);
+    this.out.set(to, connection);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
-      if (this.out.get(to) === circuit) this.out.delete(to);
-      for (const w of waiting.values()) w.fail(new CircuitLost(to));
+      if (this.out.get(to) === connection) this.out.delete(to);
+      for (const w of waiting.values()) w.fail(new ConnectionLostError(to));
       waiting.clear();
       for (const heard of this.lostHeard) heard(to);
     });
-    void this.listenBack(circuit);
-    return circuit;
+    void this.listenBack(connection);
+    return connection;
   }
 
   private async listenBack({ socket, waiting }: Outgoing): Promise<void> {
@@ -154,9 +154,9 @@
         const back = Back.parse(JSON.parse(String(text)));
         const w = waiting.get(back.id);
         if (!w) continue;
-        if (back.mishap) w.fail(new Mishap(back.mishap.code, back.mishap.text, back.mishap.ran));
-        else if (back.verdict !== undefined) w.done(back.verdict);
-        else w.piece(back.piece);
+        if (back.error) w.fail(new RpcError(back.error.code, back.error.text, back.error.executed));
+        else if (back.response !== undefined) w.done(back.response);
+        else w.chunk(back.chunk);
       }
     } catch {
       socket.destroy();
@@ -165,38 +165,38 @@
 
   async call(to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
     if (bounds.gone?.aborted) throw goneBefore();
-    const circuit = this.open(to);
-    await circuit.ready;
+    const connection = this.open(to);
+    await connection.ready;
     if (bounds.gone?.aborted) throw goneBefore();
-    if (circuit.socket.destroyed) throw new CircuitRefused(to);
+    if (connection.socket.destroyed) throw new ConnectionRefusedError(to);
     const id = ++this.seq;
     const stop = new Set<() => void>();
     try {
       return await new Promise<unknown>((done, fail) => {
         const cancel = () => {
-          circuit.socket.write(`${JSON.stringify({ id, cancel: true })}\n`);
+          connection.socket.write(`${JSON.stringify({ id, cancel: true })}\n`);
         };
         const sentAt = hostClock.now();
-        const beat: Beat = hostClock.after(bounds.within, () => {
+        const timer: TimerHandle = hostClock.after(bounds.within, () => {
           cancel();
-          if (circuit.heardAt < sentAt && hostClock.now() - circuit.heardAt > this.openWithin) circuit.socket.destroy();
-          fail(new TooLate(to));
+          if (connection.heardAt < sentAt && hostClock.now() - connection.heardAt > this.openWithin) connection.socket.destroy();
+          fail(new RequestTimeoutError(to));
         });
-        stop.add(() => beat.stop());
+        stop.add(() => timer.stop());
         if (bounds.gone) {
           const gone = bounds.gone;
           const onGone = () => {
             cancel();
-            fail(new Mishap('gone', 'the caller is gone', 'unknown'));
+            fail(new RpcError('gone', 'the caller is gone', 'unknown'));
           };
           gone.addEventListener('abort', onGone, { once: true });
           stop.add(() => gone.removeEventListener('abort', onGone));
         }
-        circuit.waiting.set(id, { done, fail, piece: bounds.onPiece ?? (() => undefined) });
-        circuit.socket.write(`${JSON.stringify({ id, kind, body })}\n`);
+        connection.waiting.set(id, { done, fail, chunk: bounds.onChunk ?? (() => undefined) });
+        connection.socket.write(`${JSON.stringify({ id, kind, body })}\n`);
       });
     } finally {
-      circuit.waiting.delete(id);
+      connection.waiting.delete(id);
       for (const s of stop) s();
     }
   }
--- a/packages/wire/src/circuits.ts
+++ b/packages/wire/src/transport.ts
@@ -1,19 +1,19 @@
-export interface Inquiry {
+export interface RpcRequest {
   readonly from: string;
   readonly kind: string;
   readonly body: unknown;
 }
 
-export type Emit = (piece: unknown) => void;
-export type Handler = (inquiry: Inquiry, emit: Emit, gone: AbortSignal) => Promise<unknown>;
+export type Emit = (chunk: unknown) => void;
+export type Handler = (request: RpcRequest, emit: Emit, gone: AbortSignal) => Promise<unknown>;
 
 export interface CallBounds {
   readonly within: number;
-  readonly onPiece?: Emit;
+  readonly onChunk?: Emit;
   readonly gone?: AbortSignal;
 }
 
-export interface Circuits {
+export interface Transport {
   readonly self: string;
   call(to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown>;
   serve(handler: Handler): Promise<void>;
--- a/packages/zen/src/bounds.ts
+++ b/packages/zen/src/bounds.ts
@@ -8,8 +8,8 @@
 
 /** Times used inside a cluster, in whole milliseconds (`joinTries` and `pingsFromAnotherMaster` are counts). */
 export interface ZenBounds {
-  readonly beat: number;
-  readonly silent: number;
+  readonly heartbeatInterval: number;
+  readonly failureTimeout: number;
   readonly pingWait: number;
   readonly joinWait: number;
   readonly joinTries: number;
@@ -18,10 +18,10 @@
   readonly syncWithin: number;
   /** How long to wait between attempts to write to a disk that failed. */
   readonly diskRetryEvery: number;
-  readonly foundingStill: number;
+  readonly bootstrapStillFor: number;
   readonly replaceAfter: number;
-  readonly grace: number;
-  readonly markWithin: number;
+  readonly readLease: number;
+  readonly drainingCommitWithin: number;
   readonly listEvery: number;
   readonly pingsFromAnotherMaster: number;
 }
@@ -29,26 +29,26 @@
 /** What a deployment states, in milliseconds. */
 export interface OuterBounds {
   readonly serveWithin: number;
-  readonly leavingWithin: number;
-  readonly beat: number;
-  readonly silent: number;
+  readonly drainingWithin: number;
+  readonly heartbeatInterval: number;
+  readonly failureTimeout: number;
 }
 
 /** Derives the inner times from the outer bounds. */
 export const zenBounds = (o: OuterBounds): ZenBounds => ({
-  beat: wholeMs(o.beat),
-  silent: wholeMs(o.silent),
+  heartbeatInterval: wholeMs(o.heartbeatInterval),
+  failureTimeout: wholeMs(o.failureTimeout),
   pingWait: wholeMs(o.serveWithin / 24),
   joinWait: wholeMs(o.serveWithin / 8),
   joinTries: 3,
-  publishWait: wholeMs(o.silent / 2),
-  syncWithin: wholeMs(o.silent / 2),
-  diskRetryEvery: wholeMs(o.beat / 4),
-  foundingStill: wholeMs(o.serveWithin / 6),
-  replaceAfter: wholeMs(o.silent * 2),
-  grace: wholeMs((o.leavingWithin * 5) / 6),
-  markWithin: wholeMs(o.leavingWithin / 6),
-  listEvery: wholeMs(o.leavingWithin / 6),
+  publishWait: wholeMs(o.failureTimeout / 2),
+  syncWithin: wholeMs(o.failureTimeout / 2),
+  diskRetryEvery: wholeMs(o.heartbeatInterval / 4),
+  bootstrapStillFor: wholeMs(o.serveWithin / 6),
+  replaceAfter: wholeMs(o.failureTimeout * 2),
+  readLease: wholeMs((o.drainingWithin * 5) / 6),
+  drainingCommitWithin: wholeMs(o.drainingWithin / 6),
+  listEvery: wholeMs(o.drainingWithin / 6),
   pingsFromAnotherMaster: 1,
 });
 
@@ -64,11 +64,11 @@
   let current = zenBounds(outer);
   return {
     bounds: {
-      get beat() {
-        return current.beat;
+      get heartbeatInterval() {
+        return current.heartbeatInterval;
       },
-      get silent() {
-        return current.silent;
+      get failureTimeout() {
+        return current.failureTimeout;
       },
       get pingWait() {
         return current.pingWait;
@@ -88,17 +88,17 @@
       get diskRetryEvery() {
         return current.diskRetryEvery;
       },
-      get foundingStill() {
-        return current.foundingStill;
+      get bootstrapStillFor() {
+        return current.bootstrapStillFor;
       },
       get replaceAfter() {
         return current.replaceAfter;
       },
-      get grace() {
-        return current.grace;
+      get readLease() {
+        return current.readLease;
       },
-      get markWithin() {
-        return current.markWithin;
+      get drainingCommitWithin() {
+        return current.drainingCommitWithin;
       },
       get listEvery() {
         return current.listEvery;
--- a/packages/zen/src/keep.ts
+++ b/packages/zen/src/election-store.ts
@@ -1,40 +1,40 @@
 import { z } from 'zod';
-import { Diff, diffOf, Entries, flatten, markOf, Mate, newer, patch, unflatten, type Mark, type State } from '@tillerstair/state';
+import { Diff, diffOf, Entries, flatten, versionOf, Member, newer, patch, unflatten, type StateVersion, type State } from '@tillerstair/state';
 import { hostPace, isDiskTrouble, Journal, untilDiskTakes, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
 import { pause } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
   z.object({ t: z.literal('id'), id: z.string() }),
-  z.object({ t: z.literal('promise'), term: z.number(), to: z.string() }),
-  z.object({ t: z.literal('vote'), members: z.array(Mate) }),
+  z.object({ t: z.literal('vote'), term: z.number(), to: z.string() }),
+  z.object({ t: z.literal('bootstrap-vote'), members: z.array(Member) }),
   z.object({ t: z.literal('full'), state: Entries }),
   z.object({ t: z.literal('diff'), diff: Diff }),
 ]);
 type Rec = z.infer<typeof Rec>;
 
-export interface Kept {
+export interface PersistentState {
   readonly id: string;
   readonly term: number;
-  readonly promisedTo: string;
-  readonly vote: readonly Mate[];
+  readonly votedFor: string;
+  readonly bootstrapVote: readonly Member[];
   readonly accepted: State | undefined;
 }
 
-const blank: Kept = { id: '', term: 0, promisedTo: '', vote: [], accepted: undefined };
+const blank: PersistentState = { id: '', term: 0, votedFor: '', bootstrapVote: [], accepted: undefined };
 
 /** The log does not prove that it is whole: what it says last must not be counted on. */
 export class LogNotWhole extends Error {}
 
 const logName = 'zen.log';
 
-const take = (k: Kept, r: Rec): Kept => {
+const take = (k: PersistentState, r: Rec): PersistentState => {
   switch (r.t) {
     case 'id':
       return { ...k, id: r.id };
-    case 'promise':
-      return { ...k, term: r.term, promisedTo: r.to };
     case 'vote':
-      return { ...k, vote: r.members };
+      return { ...k, term: r.term, votedFor: r.to };
+    case 'bootstrap-vote':
+      return { ...k, bootstrapVote: r.members };
     case 'full':
       return { ...k, accepted: unflatten(new Map(r.state)) };
     case 'diff':
@@ -48,27 +48,27 @@
   return next;
 };
 
-const mustFollow = (before: Kept, after: Kept): void => {
+const mustFollow = (before: PersistentState, after: PersistentState): void => {
   if (after.term < before.term) throw new LogNotWhole(`term ${after.term} follows term ${before.term}`);
-  if (after.term === before.term && before.promisedTo !== '' && after.promisedTo !== before.promisedTo)
+  if (after.term === before.term && before.votedFor !== '' && after.votedFor !== before.votedFor)
     throw new LogNotWhole(`term ${after.term} is promised to two`);
   if (after.accepted && after.accepted.term > after.term) throw new LogNotWhole(`a state of term ${after.accepted.term} was accepted in term ${after.term}`);
   const went = before.accepted && after.accepted !== before.accepted;
-  if (went && !newer(markOf(after.accepted), markOf(before.accepted))) throw new LogNotWhole('an older state follows a newer one');
+  if (went && !newer(versionOf(after.accepted), versionOf(before.accepted))) throw new LogNotWhole('an older state follows a newer one');
 };
 
 /** What a log says, if each of its records follows from those before it. */
 class Replay implements JournalOwner {
-  kept: Kept = blank;
+  persisted: PersistentState = blank;
 
   constructor(readonly journal: Journal) {}
 
   restore(raw: unknown): void {
     const record = Rec.parse(raw);
-    if (this.kept.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
-    const after = take(this.kept, record);
-    mustFollow(this.kept, after);
-    this.kept = after;
+    if (this.persisted.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
+    const after = take(this.persisted, record);
+    mustFollow(this.persisted, after);
+    this.persisted = after;
   }
 }
 
@@ -89,32 +89,32 @@
   }
 };
 
-export interface Keep {
-  readonly kept: Kept;
+export interface ElectionStore {
+  readonly persisted: PersistentState;
   /** Whether the disk takes what is to be kept; without it nothing may be promised, voted or accepted. */
   readonly writable: boolean;
-  promise(term: number, to: string): Promise<void>;
-  vote(members: readonly Mate[]): Promise<void>;
+  recordVote(term: number, to: string): Promise<void>;
+  bootstrapVote(members: readonly Member[]): Promise<void>;
   accept(state: State): Promise<void>;
   synced(): Promise<void>;
 }
 
-export class DiskKeep implements Keep {
+export class DiskElectionStore implements ElectionStore {
   private last: Promise<void> = Promise.resolve();
 
   private constructor(
     private readonly journal: Journal,
-    public kept: Kept,
+    public persisted: PersistentState,
     private readonly longAt: number,
   ) {
     journal.recoverFrom(() => this.whole());
   }
 
-  static async open(disk: Disk, freshId: () => string, longAt: number, pace: JournalPace = hostPace): Promise<DiskKeep> {
-    const { journal, kept } = await openOrStartAnew(disk, pace);
-    const keep = new DiskKeep(journal, kept, longAt);
-    if (!kept.id) await keep.start(freshId(), pace);
-    return keep;
+  static async open(disk: Disk, freshId: () => string, longAt: number, pace: JournalPace = hostPace): Promise<DiskElectionStore> {
+    const { journal, persisted } = await openOrStartAnew(disk, pace);
+    const electionStore = new DiskElectionStore(journal, persisted, longAt);
+    if (!persisted.id) await electionStore.start(freshId(), pace);
+    return electionStore;
   }
 
   private async start(id: string, pace: JournalPace): Promise<void> {
@@ -137,20 +137,20 @@
    * a promise that may be on disk is not given again, a state that may be on disk is held as if it were. Nobody is told of
    * either, and the journal takes no more before the disk holds just what memory holds.
    */
-  private async put(r: Rec, next = take(this.kept, r)): Promise<void> {
+  private async put(r: Rec, next = take(this.persisted, r)): Promise<void> {
     this.journal.mustBeWritable();
-    this.kept = next;
+    this.persisted = next;
     this.last = this.journal.append(r);
     await this.last;
     if (this.journal.long(this.longAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
   private whole(): readonly Rec[] {
-    const { id, term, promisedTo, vote, accepted } = this.kept;
+    const { id, term, votedFor, bootstrapVote, accepted } = this.persisted;
     return [
       { t: 'id', id },
-      { t: 'promise', term, to: promisedTo },
-      ...(vote.length > 0 ? [{ t: 'vote' as const, members: [...vote] }] : []),
+      { t: 'vote', term, to: votedFor },
+      ...(bootstrapVote.length > 0 ? [{ t: 'bootstrap-vote' as const, members: [...bootstrapVote] }] : []),
       ...(accepted ? [{ t: 'full' as const, state: [...flatten(accepted)] }] : []),
     ];
   }
@@ -160,40 +160,40 @@
     this.journal.mustBeWritable();
   }
 
-  promise(term: number, to: string): Promise<void> {
-    return this.put({ t: 'promise', term, to });
+  recordVote(term: number, to: string): Promise<void> {
+    return this.put({ t: 'vote', term, to });
   }
 
-  vote(members: readonly Mate[]): Promise<void> {
-    return this.put({ t: 'vote', members: [...members] });
+  bootstrapVote(members: readonly Member[]): Promise<void> {
+    return this.put({ t: 'bootstrap-vote', members: [...members] });
   }
 
   accept(state: State): Promise<void> {
-    const old = this.kept.accepted;
-    const next = { ...this.kept, accepted: state };
+    const old = this.persisted.accepted;
+    const next = { ...this.persisted, accepted: state };
     if (!old || old.clusterId !== state.clusterId) return this.put({ t: 'full', state: [...flatten(state)] }, next);
     return this.put({ t: 'diff', diff: diffOf(old, state) }, next);
   }
 }
 
-export class MemoryKeep implements Keep {
-  kept: Kept;
+export class MemoryElectionStore implements ElectionStore {
+  persisted: PersistentState;
   readonly writable = true;
 
   constructor(id: string) {
-    this.kept = { ...blank, id };
+    this.persisted = { ...blank, id };
   }
 
-  async promise(term: number, to: string): Promise<void> {
-    this.kept = { ...this.kept, term, promisedTo: to };
+  async recordVote(term: number, to: string): Promise<void> {
+    this.persisted = { ...this.persisted, term, votedFor: to };
   }
 
-  async vote(members: readonly Mate[]): Promise<void> {
-    this.kept = { ...this.kept, vote: members };
+  async bootstrapVote(members: readonly Member[]): Promise<void> {
+    this.persisted = { ...this.persisted, bootstrapVote: members };
   }
 
   async accept(state: State): Promise<void> {
-    this.kept = { ...this.kept, accepted: state };
+    this.persisted = { ...this.persisted, accepted: state };
   }
 
   async synced(): Promise<void> {
@@ -201,4 +201,4 @@
   }
 }
 
-export const acceptedMark = (k: Keep): Mark => markOf(k.kept.accepted);
+export const acceptedVersion = (k: ElectionStore): StateVersion => versionOf(k.persisted.accepted);
--- a/packages/zen/src/index.ts
+++ b/packages/zen/src/index.ts
@@ -1,10 +1,10 @@
 export * from './bounds.js';
 export * from './messages.js';
-export * from './keep.js';
+export * from './election-store.js';
 export * from './elect.js';
 export * from './node.js';
 export type { Committed, MasterView } from './master-types.js';
 export * from './receiver.js';
-export * from './found.js';
+export * from './bootstrap.js';
 export * from './pace.js';
 export * from './quorum-read.js';
--- a/packages/zen/src/master-types.ts
+++ b/packages/zen/src/master-types.ts
@@ -1,7 +1,7 @@
-import type { Mate, State } from '@tillerstair/state';
-import type { Circuits, Clock, Log } from '@tillerstair/wire';
+import type { Member, State } from '@tillerstair/state';
+import type { Transport, Clock, Log } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
-import type { Keep } from './keep.js';
+import type { ElectionStore } from './election-store.js';
 
 /** What a master is made of, and what the rest of a control may ask of it. */
 
@@ -21,10 +21,10 @@
 }
 
 export interface MasterParts {
-  readonly me: Mate;
+  readonly me: Member;
   readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly keep: Keep;
+  readonly transport: Transport;
+  readonly electionStore: ElectionStore;
   readonly bounds: ZenBounds;
   readonly log: Log;
   readonly settle: (s: State) => State;
@@ -43,11 +43,11 @@
   decide(change: Change): Promise<Committed>;
   confirm(): Promise<State>;
   inForce(c: Committed): Promise<void>;
-  silentFor(id: string): number;
+  unresponsiveFor(id: string): number;
   /** Whether the node replied within the last two heartbeats. */
   heard(id: string): boolean;
   /** Pings the nodes now; resolves with the ids of those that replied in this term within one heartbeat. */
-  reach(mates: readonly Mate[]): Promise<ReadonlySet<string>>;
+  reach(peers: readonly Member[]): Promise<ReadonlySet<string>>;
   /** Whether the node has acknowledged that the newest committed state is on its disk. */
   synced(id: string): boolean;
 }
--- a/packages/zen/src/messages.ts
+++ b/packages/zen/src/messages.ts
@@ -1,59 +1,59 @@
 import { z } from 'zod';
-import { Mishap, type Inquiry } from '@tillerstair/wire';
-import { Diff, Entries, Mark, Mate, Voters } from '@tillerstair/state';
+import { RpcError, type RpcRequest } from '@tillerstair/wire';
+import { Diff, Entries, StateVersion, Member, VotingConfiguration } from '@tillerstair/state';
 
-export const Ping = z.object({ from: Mate, known: z.array(Mate), clusterId: z.string() });
+export const Ping = z.object({ from: Member, known: z.array(Member), clusterId: z.string() });
 export type Ping = z.infer<typeof Ping>;
 
-export const Pong = z.object({
-  from: Mate,
+export const PingResponse = z.object({
+  from: Member,
   eligible: z.boolean(),
   canWin: z.boolean(),
-  master: Mate.optional(),
+  master: Member.optional(),
   term: z.number(),
   clusterId: z.string(),
   joinedBefore: z.boolean(),
-  accepted: Mark,
-  voters: Voters.optional(),
-  known: z.array(Mate),
+  accepted: StateVersion,
+  voters: VotingConfiguration.optional(),
+  known: z.array(Member),
 });
-export type Pong = z.infer<typeof Pong>;
+export type PingResponse = z.infer<typeof PingResponse>;
 
-export const Join = z.object({ from: Mate, term: z.number(), accepted: Mark, clusterId: z.string() });
+export const Join = z.object({ from: Member, term: z.number(), accepted: StateVersion, clusterId: z.string() });
 export type Join = z.infer<typeof Join>;
 
-const Addressed = z.object({ from: Mate, to: z.string() });
+const Addressed = z.object({ from: Member, to: z.string() });
 const addressed: ReadonlySet<string> = new Set(['zen/validate', 'zen/publish', 'zen/commit', 'zen/node-ping']);
 
-export const mustBeFor = (me: Mate, inq: Inquiry, learn: (from: Mate) => void): void => {
-  if (!addressed.has(inq.kind)) return;
-  const { from, to } = Addressed.parse(inq.body);
+export const mustBeFor = (me: Member, rpc: RpcRequest, learn: (from: Member) => void): void => {
+  if (!addressed.has(rpc.kind)) return;
+  const { from, to } = Addressed.parse(rpc.body);
   learn(from);
-  if (to !== me.id) throw new Mishap('other-node', `${to} is another node, this is ${me.id}`);
+  if (to !== me.id) throw new RpcError('other-node', `${to} is another node, this is ${me.id}`);
 };
 
-export const Validate = z.object({ from: Mate, term: z.number(), clusterId: z.string(), have: Mark });
-export const Promised = z.object({ accepted: Mark, state: Entries.optional() });
-export type Promised = z.infer<typeof Promised>;
+export const Validate = z.object({ from: Member, term: z.number(), clusterId: z.string(), have: StateVersion });
+export const ValidateResponse = z.object({ accepted: StateVersion, state: Entries.optional() });
+export type ValidateResponse = z.infer<typeof ValidateResponse>;
 
 export const Publish = z.object({
-  from: Mate,
+  from: Member,
   term: z.number(),
   clusterId: z.string(),
   packed: z.string(),
 });
 export const Payload = z.union([z.object({ diff: Diff }), z.object({ full: Entries })]);
 export type Payload = z.infer<typeof Payload>;
-export const Accepted = z.object({ verdict: z.enum(['accepted', 'need-full']) });
-export const Commit = z.object({ from: Mate, mark: Mark });
+export const Accepted = z.object({ outcome: z.enum(['accepted', 'need-full']) });
+export const Commit = z.object({ from: Member, stateVersion: StateVersion });
 
-export const NodePing = z.object({ from: Mate, term: z.number(), clusterId: z.string() });
-export const NodePong = z.object({ term: z.number(), applied: Mark, report: z.unknown() });
+export const NodePing = z.object({ from: Member, term: z.number(), clusterId: z.string() });
+export const NodePingResponse = z.object({ term: z.number(), applied: StateVersion, report: z.unknown() });
 
-export const MasterPing = z.object({ from: Mate, term: z.number(), applied: Mark, report: z.unknown() });
-export const MasterPong = z.object({ leading: z.boolean(), listed: z.boolean(), term: z.number(), committed: Mark, age: z.number(), told: z.unknown().optional() });
+export const MasterPing = z.object({ from: Member, term: z.number(), applied: StateVersion, report: z.unknown() });
+export const MasterPingResponse = z.object({ leading: z.boolean(), listed: z.boolean(), term: z.number(), committed: StateVersion, age: z.number(), reported: z.unknown().optional() });
 
-export const FoundVote = z.object({ from: Mate, members: z.array(Mate) });
+export const BootstrapVote = z.object({ from: Member, members: z.array(Member) });
 export const Voted = z.object({ yes: z.boolean() });
 export type MasterPing = z.infer<typeof MasterPing>;
 export type NodePing = z.infer<typeof NodePing>;
