--- a/packages/zen/src/node.ts
+++ b/packages/zen/src/node.ts
@@ -1,15 +1,15 @@
-import { markOf, newer, quorum, reduce, type Mate, type Replication, type State } from '@tillerstair/state';
-import { CircuitRefused, Mishap, mishapOf, pause, type Circuits, type Clock, type Inquiry, type Log, lasting } from '@tillerstair/wire';
+import { versionOf, newer, quorum, reduce, type Member, type Replication, type State } from '@tillerstair/state';
+import { ConnectionRefusedError, RpcError, toRpcError, pause, type Transport, type Clock, type RpcRequest, type Log, lasting } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
-import { gatherPromises } from './candidate.js';
+import { gatherVotes } from './candidate.js';
 import { elect, type Self } from './elect.js';
-import { Founder } from './found.js';
+import { Bootstrapper } from './bootstrap.js';
 import { joinMaster } from './joiner.js';
-import { acceptedMark, type Keep } from './keep.js';
+import { acceptedVersion, type ElectionStore } from './election-store.js';
 import { sayLeave } from './leave.js';
 import { Master } from './master.js';
 import type { MasterView } from './master-types.js';
-import { Commit, Join, MasterPing, MasterPong, mustBeFor, NodePing, Ping, Pong } from './messages.js';
+import { Commit, Join, MasterPing, MasterPingResponse, mustBeFor, NodePing, Ping, PingResponse } from './messages.js';
 import { Pinger, type Round } from './pinger.js';
 import { ReadLease } from './read-lease.js';
 import { Receiver } from './receiver.js';
@@ -17,24 +17,24 @@
 import { grantVote } from './vote.js';
 
 export interface ZenParts {
-  readonly me: Mate;
+  readonly me: Member;
   readonly seeds: readonly string[];
   readonly clock: Clock;
-  readonly circuits: Circuits;
-  readonly keep: Keep;
+  readonly transport: Transport;
+  readonly electionStore: ElectionStore;
   readonly bounds: ZenBounds;
   readonly log: Log;
   readonly slots: number;
   /** Replicas and write quorum of every slot, used when the cluster is bootstrapped. */
   readonly replication?: Replication;
-  /** Whether this node may help to found a cluster; not when the installation has run before. */
-  readonly founds?: boolean;
+  /** Whether this node may help to bootstrap a cluster; not when the installation has run before. */
+  readonly mayBootstrap?: boolean;
   readonly settle?: (s: State) => State;
   readonly onApplied?: (s: State) => Promise<void>;
   readonly report?: () => unknown;
   readonly onReport?: (id: string, report: unknown) => void;
-  readonly tell?: () => unknown;
-  readonly onTold?: (told: unknown, askedAt: number) => void;
+  readonly listReport?: () => unknown;
+  readonly onListReport?: (reported: unknown, askedAt: number) => void;
   readonly onLead?: (m: MasterView) => void;
 }
 
@@ -47,10 +47,10 @@
 export class ZenNode {
   private readonly gone = lasting();
   private readonly pinger: Pinger;
-  private readonly founder: Founder;
+  private readonly bootstrapper: Bootstrapper;
   private pending: Map<string, PendingJoin> | undefined;
-  private joining: Mate | undefined;
-  private following: Mate | undefined;
+  private joining: Member | undefined;
+  private following: Member | undefined;
   private wake: () => void = () => undefined;
   private master: Master | undefined;
   private readonly receiver: Receiver;
@@ -61,12 +61,12 @@
 
   constructor(private readonly p: ZenParts) {
     this.seeds = p.seeds;
-    this.pinger = new Pinger(p.clock, p.circuits, p.bounds, () => this.seeds);
-    this.founder = new Founder(p.clock, p.circuits, p.keep, p.bounds, p.log, p.slots, p.replication);
+    this.pinger = new Pinger(p.clock, p.transport, p.bounds, () => this.seeds);
+    this.bootstrapper = new Bootstrapper(p.clock, p.transport, p.electionStore, p.bounds, p.log, p.slots, p.replication);
     this.receiver = new Receiver({
-      keep: p.keep,
+      electionStore: p.electionStore,
       onApplied: async (s) => {
-        this.pinger.learn([...s.voterMates.values(), ...s.nodes.values()], p.me);
+        this.pinger.learn([...s.votingMembers.values(), ...s.nodes.values()], p.me);
         await p.onApplied?.(s);
       },
       knows: (id) => this.joining?.id === id || this.following?.id === id,
@@ -77,12 +77,12 @@
         if (this.following && this.following.id !== from.id) this.following = from;
       },
     });
-    p.circuits.onLost((addr) => {
-      this.master?.circuitLost(addr);
+    p.transport.onLost((addr) => {
+      this.master?.connectionLost(addr);
       if (this.following?.addr === addr) this.wake();
     });
-    const old = p.keep.kept.accepted;
-    if (old) this.pinger.learn([...old.voterMates.values(), ...old.nodes.values()], p.me);
+    const old = p.electionStore.persisted.accepted;
+    if (old) this.pinger.learn([...old.votingMembers.values(), ...old.nodes.values()], p.me);
   }
 
   get applied(): State | undefined {
@@ -93,20 +93,20 @@
     return this.master?.lost.aborted ? undefined : this.master;
   }
 
-  get masterSeen(): Mate | undefined {
+  get masterSeen(): Member | undefined {
     return this.leading ? this.p.me : this.following;
   }
 
   get term(): number {
-    return this.p.keep.kept.term;
+    return this.p.electionStore.persisted.term;
   }
 
   get clusterId(): string {
-    return this.p.keep.kept.accepted?.clusterId ?? '';
+    return this.p.electionStore.persisted.accepted?.clusterId ?? '';
   }
 
   get accepted(): State | undefined {
-    return this.p.keep.kept.accepted;
+    return this.p.electionStore.persisted.accepted;
   }
 
   /** Uses other seed addresses from the next ping round on; nothing under way is disturbed. */
@@ -120,7 +120,7 @@
 
   start(): void {
     this.ended = this.run();
-    if (this.p.me.kind === 'front') void this.keepFresh();
+    if (this.p.me.kind === 'front') void this.keepLease();
   }
 
   async stop(): Promise<void> {
@@ -139,48 +139,48 @@
         if (chosen.id === this.p.me.id) await this.lead();
         else await this.follow(chosen);
       } catch (e) {
-        this.p.log.warn(`Round ended: ${mishapOf(e).message}.`);
-        await pause(this.p.clock, this.p.bounds.beat / 10, this.gone.signal);
+        this.p.log.warn(`Round ended: ${toRpcError(e).message}.`);
+        await pause(this.p.clock, this.p.bounds.heartbeatInterval / 10, this.gone.signal);
       }
     }
     this.dropPending();
   }
 
   private self(): Self {
-    const { me, keep } = this.p;
-    const acc = keep.kept.accepted;
+    const { me, electionStore } = this.p;
+    const acc = electionStore.persisted.accepted;
     return {
-      mate: me,
-      writable: keep.writable,
-      canWin: keep.writable && acc !== undefined && (acc.voters.now.includes(me.id) || acc.voters.next.includes(me.id)),
+      member: me,
+      writable: electionStore.writable,
+      canWin: electionStore.writable && acc !== undefined && (acc.voters.current.includes(me.id) || acc.voters.next.includes(me.id)),
       joinedBefore: acc !== undefined && acc.version > 1,
-      accepted: markOf(acc),
+      accepted: versionOf(acc),
       voters: acc?.voters,
     };
   }
 
-  private async findMaster(): Promise<Mate | undefined> {
-    const { me, keep, log } = this.p;
-    if (!keep.writable) return this.waitForDisk();
+  private async findMaster(): Promise<Member | undefined> {
+    const { me, electionStore, log } = this.p;
+    if (!electionStore.writable) return this.waitForDisk();
     if (me.kind === 'control') this.pending ??= new Map();
     const round = await this.pinger.round(() => this.ping(), this.gone.signal);
     if (this.gone.signal.aborted) return undefined;
-    this.freshen(round);
-    const mine = round.pongs.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
-    if (me.kind === 'control' && !keep.kept.accepted && this.p.founds !== false) {
-      const view = { me, seeds: this.seeds, pongs: round.pongs, heardOf: this.pinger.heardOf() };
-      if (await this.founder.round(view)) return undefined;
+    this.renewLease(round);
+    const mine = round.pingResponses.filter((g) => !this.clusterId || !g.clusterId || g.clusterId === this.clusterId);
+    if (me.kind === 'control' && !electionStore.persisted.accepted && this.p.mayBootstrap !== false) {
+      const view = { me, seeds: this.seeds, pingResponses: round.pingResponses, heardOf: this.pinger.heardOf() };
+      if (await this.bootstrapper.round(view)) return undefined;
     }
     const choice = elect(this.self(), mine);
     if (choice.kind === 'none') {
       log.debug(`No master yet: ${choice.why}.`);
       this.misses = Math.min(this.misses + 1, 5);
-      await pause(this.p.clock, (this.p.bounds.beat / 20) * this.misses, this.gone.signal);
+      await pause(this.p.clock, (this.p.bounds.heartbeatInterval / 20) * this.misses, this.gone.signal);
       return undefined;
     }
     this.misses = 0;
-    log.info(`Elected ${choice.mate.addr} (${choice.by}).`);
-    return choice.mate;
+    log.info(`Elected ${choice.member.addr} (${choice.by}).`);
+    return choice.member;
   }
 
   /** A node that cannot sync a vote neither stands for election nor joins; it only answers pings. */
@@ -193,31 +193,31 @@
     return { from: this.p.me, known: this.pinger.controls(), clusterId: this.clusterId };
   }
 
-  private async keepFresh(): Promise<void> {
+  private async keepLease(): Promise<void> {
     const { clock, bounds } = this.p;
     while (!this.gone.signal.aborted) {
-      await pause(clock, bounds.beat / 4, this.gone.signal);
-      if (this.following && clock.now() - this.freshAt > bounds.grace / 2)
-        this.freshen(await this.pinger.round(() => this.ping(), this.gone.signal));
+      await pause(clock, bounds.heartbeatInterval / 4, this.gone.signal);
+      if (this.following && clock.now() - this.leaseRenewedAt > bounds.readLease / 2)
+        this.renewLease(await this.pinger.round(() => this.ping(), this.gone.signal));
     }
   }
 
-  get freshAt(): number {
-    return this.lease.freshAt;
+  get leaseRenewedAt(): number {
+    return this.lease.leaseRenewedAt;
   }
 
-  private freshen(round: Round): void {
+  private renewLease(round: Round): void {
     this.lease.renewFromRound(round, this.applied, this.p.me.id);
   }
 
   private dropPending(): void {
-    for (const j of this.pending?.values() ?? []) j.fail(new Mishap('not-master', 'another control was elected'));
+    for (const j of this.pending?.values() ?? []) j.fail(new RpcError('not-master', 'another control was elected'));
     this.pending = undefined;
   }
 
   private async lead(): Promise<void> {
-    const { me, keep, bounds, clock, log } = this.p;
-    const acc = keep.kept.accepted;
+    const { me, electionStore, bounds, clock, log } = this.p;
+    const acc = electionStore.persisted.accepted;
     if (!acc) return;
     const joined = (): ReadonlySet<string> => new Set([me.id, ...(this.pending?.keys() ?? [])]);
     const end = clock.now() + bounds.joinWait;
@@ -227,20 +227,20 @@
     }
     const joins = [...(this.pending?.values() ?? [])];
     const askedAt = clock.now();
-    const term = Math.max(keep.kept.term, ...joins.map((j) => j.join.term)) + 1;
-    await keep.promise(term, me.id);
-    const asking = { me, clock, circuits: this.p.circuits, bounds };
-    const { promised, newest } = await gatherPromises(asking, acc, term, joins.map((j) => j.join.from));
-    const yes = new Set([me.id, ...promised]);
-    if (keep.kept.term !== term || !quorum(acc.voters, yes) || !quorum(newest.voters, yes)) {
+    const term = Math.max(electionStore.persisted.term, ...joins.map((j) => j.join.term)) + 1;
+    await electionStore.recordVote(term, me.id);
+    const asking = { me, clock, transport: this.p.transport, bounds };
+    const { granted, newest } = await gatherVotes(asking, acc, term, joins.map((j) => j.join.from));
+    const yes = new Set([me.id, ...granted]);
+    if (electionStore.persisted.term !== term || !quorum(acc.voters, yes) || !quorum(newest.voters, yes)) {
       log.info(`Won no majority in term ${term}.`);
       return this.dropPending();
     }
-    log.info(`Master in term ${term} with ${yes.size} promises.`);
-    const joiners = new Map(joins.flatMap((j) => (promised.has(j.join.from.id) ? [[j.join.from.id, j] as const] : [])));
+    log.info(`Master in term ${term} with ${yes.size} votes.`);
+    const joiners = new Map(joins.flatMap((j) => (granted.has(j.join.from.id) ? [[j.join.from.id, j] as const] : [])));
     const master = new Master(
       {
-        me, clock, circuits: this.p.circuits, keep, bounds, log,
+        me, clock, transport: this.p.transport, electionStore, bounds, log,
         settle: this.p.settle ?? ((s) => s),
         apply: (s) => this.receiver.apply(s),
         onReport: this.p.onReport ?? (() => undefined),
@@ -259,11 +259,11 @@
       if (!master.lost.aborted)
         await new Promise<void>((done) => master.lost.addEventListener('abort', () => done(), { once: true }));
     } catch (e) {
-      for (const j of early?.values() ?? []) j.fail(mishapOf(e));
-      master.stepDown(mishapOf(e).message);
+      for (const j of early?.values() ?? []) j.fail(toRpcError(e));
+      master.stepDown(toRpcError(e).message);
     } finally {
       this.master = undefined;
-      if (!keep.writable) tellSteppedDown(this.p, master.committed);
+      if (!electionStore.writable) tellSteppedDown(this.p, master.committed);
     }
   }
 
@@ -273,14 +273,14 @@
     return pause(this.p.clock, ms, early.signal);
   }
 
-  private async follow(master: Mate): Promise<void> {
-    const { me, circuits, bounds, clock, keep, log } = this.p;
+  private async follow(master: Member): Promise<void> {
+    const { me, transport, bounds, clock, electionStore, log } = this.p;
     this.dropPending();
     this.joining = master;
     try {
       const ping: Ping = { from: me, known: [], clusterId: this.clusterId };
-      const join: Join = { from: me, term: keep.kept.term, accepted: acceptedMark(keep), clusterId: this.clusterId };
-      await joinMaster({ me, clock, circuits, bounds }, master, ping, join);
+      const join: Join = { from: me, term: electionStore.persisted.term, accepted: acceptedVersion(electionStore), clusterId: this.clusterId };
+      await joinMaster({ me, clock, transport, bounds }, master, ping, join);
       this.following = master;
     } finally {
       this.joining = undefined;
@@ -289,11 +289,11 @@
     await this.watchMaster();
     log.info('Lost the master.');
     this.following = undefined;
-    if (keep.kept.accepted === undefined) await pause(clock, bounds.beat / 10, this.gone.signal);
+    if (electionStore.persisted.accepted === undefined) await pause(clock, bounds.heartbeatInterval / 10, this.gone.signal);
   }
 
   private async watchMaster(): Promise<void> {
-    const { me, circuits, bounds, clock } = this.p;
+    const { me, transport, bounds, clock } = this.p;
     let good = clock.now();
     let refused = 0;
     let unlisted = 0;
@@ -302,29 +302,29 @@
       if (!master) return;
       const sent = clock.now();
       try {
-        const ping: MasterPing = { from: me, term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null };
-        const pong = MasterPong.parse(await circuits.call(master.addr, 'zen/master-ping', ping, { within: bounds.silent }));
-        unlisted = pong.listed ? 0 : unlisted + 1;
-        if (!pong.leading || pong.term < this.term || unlisted >= 2) return;
+        const ping: MasterPing = { from: me, term: this.term, applied: versionOf(this.applied), report: this.p.report?.() ?? null };
+        const pingResponse = MasterPingResponse.parse(await transport.call(master.addr, 'zen/master-ping', ping, { within: bounds.failureTimeout }));
+        unlisted = pingResponse.listed ? 0 : unlisted + 1;
+        if (!pingResponse.leading || pingResponse.term < this.term || unlisted >= 2) return;
         good = clock.now();
         refused = 0;
-        if (pong.listed && !newer(pong.committed, markOf(this.applied))) {
-          this.lease.renew(sent - pong.age);
-          this.p.onTold?.(pong.told, sent);
+        if (pingResponse.listed && !newer(pingResponse.committed, versionOf(this.applied))) {
+          this.lease.renew(sent - pingResponse.age);
+          this.p.onListReport?.(pingResponse.reported, sent);
         }
       } catch (e) {
-        if (e instanceof CircuitRefused) refused++;
+        if (e instanceof ConnectionRefusedError) refused++;
       }
-      if (refused >= 2 || clock.now() - good > bounds.silent) return;
-      await this.nudge(refused === 1 ? bounds.beat / 10 : bounds.beat);
+      if (refused >= 2 || clock.now() - good > bounds.failureTimeout) return;
+      await this.nudge(refused === 1 ? bounds.heartbeatInterval / 10 : bounds.heartbeatInterval);
     }
   }
 
-  private pong(): Pong {
+  private pingResponse(): PingResponse {
     const self = this.self();
     return {
       from: this.p.me,
-      eligible: this.p.me.kind === 'control' && this.p.keep.writable,
+      eligible: this.p.me.kind === 'control' && this.p.electionStore.writable,
       canWin: self.canWin,
       master: this.masterSeen,
       term: this.term,
@@ -336,62 +336,62 @@
     };
   }
 
-  async handle(inq: Inquiry): Promise<unknown> {
-    mustBeFor(this.p.me, inq, (from) => this.pinger.learn([from], this.p.me));
-    switch (inq.kind) {
+  async handle(rpc: RpcRequest): Promise<unknown> {
+    mustBeFor(this.p.me, rpc, (from) => this.pinger.learn([from], this.p.me));
+    switch (rpc.kind) {
       case 'zen/ping': {
-        const ping = Ping.parse(inq.body);
+        const ping = Ping.parse(rpc.body);
         this.pinger.learn([ping.from], this.p.me);
-        return this.pong();
+        return this.pingResponse();
       }
-      case 'zen/found':
-        return this.founder.onVote(this.p.me, inq.body);
+      case 'zen/bootstrap':
+        return this.bootstrapper.onVote(this.p.me, rpc.body);
       case 'zen/join':
-        return this.onJoin(Join.parse(inq.body));
+        return this.onJoin(Join.parse(rpc.body));
       case 'zen/validate':
-        return grantVote(this.p.keep, this.joining?.id, inq.body);
+        return grantVote(this.p.electionStore, this.joining?.id, rpc.body);
       case 'zen/publish':
-        return this.receiver.onPublish(inq.body);
+        return this.receiver.onPublish(rpc.body);
       case 'zen/commit':
-        return this.receiver.onCommit(Commit.parse(inq.body).mark);
+        return this.receiver.onCommit(Commit.parse(rpc.body).stateVersion);
       case 'zen/node-ping':
-        return this.onNodePing(NodePing.parse(inq.body));
+        return this.onNodePing(NodePing.parse(rpc.body));
       case 'zen/master-ping': {
-        const ping = MasterPing.parse(inq.body);
+        const ping = MasterPing.parse(rpc.body);
         const m = this.master;
         if (m && ping.term > m.term) m.stepDown(`${ping.from.addr} is in term ${ping.term}`);
-        if (m && !m.lost.aborted) return { ...m.onMasterPing(ping), told: this.p.tell?.() };
-        return { leading: false, listed: false, term: this.term, committed: markOf(undefined), age: 0 };
+        if (m && !m.lost.aborted) return { ...m.onMasterPing(ping), reported: this.p.listReport?.() };
+        return { leading: false, listed: false, term: this.term, committed: versionOf(undefined), age: 0 };
       }
       case 'zen/stepped-down': {
-        const { id } = Ping.pick({ from: true }).parse(inq.body).from;
+        const { id } = Ping.pick({ from: true }).parse(rpc.body).from;
         if (this.following?.id === id) this.wake();
         return {};
       }
       case 'zen/leave': {
-        const { id } = Ping.pick({ from: true }).parse(inq.body).from;
+        const { id } = Ping.pick({ from: true }).parse(rpc.body).from;
         await this.leading?.submit((s) => reduce(s, { kind: 'leave', id }));
         return {};
       }
       default:
-        throw new Mishap('unknown-kind', `no such inquiry: ${inq.kind}`);
+        throw new RpcError('unknown-kind', `no such request: ${rpc.kind}`);
     }
   }
 
   private onNodePing(ping: NodePing): unknown {
     if (ping.clusterId === this.clusterId) this.master?.onAnotherMaster(ping.term, ping.from.addr);
-    return { term: this.term, applied: markOf(this.applied), report: this.p.report?.() ?? null };
+    return { term: this.term, applied: versionOf(this.applied), report: this.p.report?.() ?? null };
   }
 
   private onJoin(join: Join): Promise<{ term: number }> {
     if (join.clusterId && join.clusterId !== this.clusterId)
-      throw new Mishap('other-cluster', `this is cluster ${this.clusterId}`);
+      throw new RpcError('other-cluster', `this is cluster ${this.clusterId}`);
     const m = this.master;
     if (m && !m.lost.aborted) return m.onJoin(join);
     const pending = this.pending;
-    if (!pending) throw new Mishap('not-master', 'this node follows another');
+    if (!pending) throw new RpcError('not-master', 'this node follows another');
     return new Promise((done, fail) => {
-      pending.get(join.from.id)?.fail(new Mishap('superseded', 'a later join replaced this one'));
+      pending.get(join.from.id)?.fail(new RpcError('superseded', 'a later join replaced this one'));
       pending.set(join.from.id, { join, done, fail });
       this.wake();
     });
--- a/packages/zen/src/pace.ts
+++ b/packages/zen/src/pace.ts
@@ -20,7 +20,7 @@
   clock,
   log,
   get syncWithin() {
-    return bounds.silent;
+    return bounds.failureTimeout;
   },
   get retryEvery() {
     return bounds.diskRetryEvery;
--- a/packages/zen/src/pinger.ts
+++ b/packages/zen/src/pinger.ts
@@ -1,26 +1,26 @@
-import type { Mate } from '@tillerstair/state';
-import { pause, within, type Circuits, type Clock, TooLate } from '@tillerstair/wire';
+import type { Member } from '@tillerstair/state';
+import { pause, within, type Transport, type Clock, RequestTimeoutError } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
-import { Pong, type Ping } from './messages.js';
+import { PingResponse, type Ping } from './messages.js';
 
 export interface Round {
   readonly at: number;
-  readonly pongs: readonly Pong[];
+  readonly pingResponses: readonly PingResponse[];
 }
 
 export class Pinger {
-  private readonly learned = new Map<string, Mate>();
+  private readonly learned = new Map<string, Member>();
   private readonly askedFor = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
-    private readonly circuits: Circuits,
+    private readonly transport: Transport,
     private readonly bounds: ZenBounds,
     private readonly seeds: () => readonly string[],
   ) {}
 
-  learn(mates: Iterable<Mate>, me: Mate): void {
-    for (const m of mates) {
+  learn(peers: Iterable<Member>, me: Member): void {
+    for (const m of peers) {
       if (m.addr === me.addr) continue;
       this.learned.delete(m.addr);
       this.learned.set(m.addr, m);
@@ -36,11 +36,11 @@
     this.learned.delete(addr);
   }
 
-  heardOf(): readonly Mate[] {
+  heardOf(): readonly Member[] {
     return [...this.learned.values()];
   }
 
-  controls(): Mate[] {
+  controls(): Member[] {
     return [...this.learned.values()].filter((m) => m.kind === 'control');
   }
 
@@ -48,7 +48,7 @@
   async round(ping: () => Ping, gone: AbortSignal): Promise<Round> {
     const at = this.clock.now();
     const me = ping().from;
-    const pongs = new Map<string, Pong>();
+    const pingResponses = new Map<string, PingResponse>();
     const asked = new Set<string>([me.addr]);
     const end = at + this.bounds.pingWait;
     const early = new AbortController();
@@ -60,14 +60,14 @@
         const back = await within(
           this.clock,
           left,
-          this.circuits.call(addr, 'zen/ping', ping(), { within: left }),
-          () => new TooLate(addr),
+          this.transport.call(addr, 'zen/ping', ping(), { within: left }),
+          () => new RequestTimeoutError(addr),
         );
-        const pong = Pong.parse(back);
+        const pingResponse = PingResponse.parse(back);
         this.askedFor.delete(addr);
-        pongs.set(pong.from.id, pong);
-        this.learn([pong.from], me);
-        this.learn(pong.known, me);
+        pingResponses.set(pingResponse.from.id, pingResponse);
+        this.learn([pingResponse.from], me);
+        this.learn(pingResponse.known, me);
         spread();
       } catch {
         const misses = (this.askedFor.get(addr) ?? 0) + 1;
@@ -88,6 +88,6 @@
     };
     spread();
     if (open > 0) await pause(this.clock, this.bounds.pingWait, AbortSignal.any([gone, early.signal]));
-    return { at, pongs: [...pongs.values()] };
+    return { at, pingResponses: [...pingResponses.values()] };
   }
 }
--- a/packages/zen/src/quorum-read.ts
+++ b/packages/zen/src/quorum-read.ts
@@ -1,13 +1,13 @@
-import { quorum, type Mate, type State } from '@tillerstair/state';
-import { Mishap, mishapOf, pause, type Circuits, type Clock } from '@tillerstair/wire';
+import { quorum, type Member, type State } from '@tillerstair/state';
+import { RpcError, toRpcError, pause, type Transport, type Clock } from '@tillerstair/wire';
 import type { ZenBounds } from './bounds.js';
-import { NodePong } from './messages.js';
+import { NodePingResponse } from './messages.js';
 
 /** What a quorum read needs to know of the master on whose behalf it asks. */
 export interface QuorumReadParts {
-  readonly me: Mate;
+  readonly me: Member;
   readonly clock: Clock;
-  readonly circuits: Circuits;
+  readonly transport: Transport;
   readonly bounds: ZenBounds;
   readonly term: number;
   readonly lost: AbortSignal;
@@ -41,10 +41,10 @@
   /** Waits for the round under way, though not for long, and then starts the one that all callers since share. */
   private async begin(): Promise<State> {
     const { clock, bounds, lost } = this.p;
-    await this.orSooner(this.running, bounds.beat / 4);
+    await this.orSooner(this.running, bounds.heartbeatInterval / 4);
     this.next = undefined;
-    if (lost.aborted) throw new Mishap('not-master', 'this control is no longer master');
-    const round = this.round(clock.now() + bounds.beat);
+    if (lost.aborted) throw new RpcError('not-master', 'this control is no longer master');
+    const round = this.round(clock.now() + bounds.heartbeatInterval);
     this.running = round.catch(() => undefined);
     return round;
   }
@@ -57,41 +57,41 @@
 
   private async round(end: number): Promise<State> {
     const state = this.p.committed();
-    if (!state) throw new Mishap('not-master', 'nothing is committed yet');
+    if (!state) throw new RpcError('not-master', 'nothing is committed yet');
     const confirmed = new Set([this.p.me.id]);
-    const others = [...state.voterMates.values()].filter((mate) => mate.id !== this.p.me.id);
+    const others = [...state.votingMembers.values()].filter((member) => member.id !== this.p.me.id);
     const over = new AbortController();
     await new Promise<void>((done) => {
       const check = (): void => {
         if (quorum(state.voters, confirmed)) done();
       };
       check();
-      const asked = others.map(async (mate) => {
-        if (!(await this.ask(mate, state.clusterId, end, over.signal))) return;
-        confirmed.add(mate.id);
+      const asked = others.map(async (member) => {
+        if (!(await this.ask(member, state.clusterId, end, over.signal))) return;
+        confirmed.add(member.id);
         check();
       });
       void Promise.all(asked).then(() => done());
     });
     over.abort();
     if (this.p.lost.aborted || this.p.deposed() || !quorum(state.voters, confirmed))
-      throw new Mishap('unavailable', 'no majority confirms this master');
+      throw new RpcError('unavailable', 'no majority confirms this master');
     return state;
   }
 
   /** Asks one voter until it answers, the round is over or its time is up. */
-  private async ask(mate: Mate, clusterId: string, end: number, over: AbortSignal): Promise<boolean> {
-    const { clock, circuits, bounds, me, term, lost } = this.p;
+  private async ask(member: Member, clusterId: string, end: number, over: AbortSignal): Promise<boolean> {
+    const { clock, transport, bounds, me, term, lost } = this.p;
     while (clock.now() < end && !lost.aborted && !over.aborted) {
       try {
-        const body = { from: me, to: mate.id, term, clusterId };
-        const pong = NodePong.parse(await circuits.call(mate.addr, 'zen/node-ping', body, { within: end - clock.now() }));
-        if (pong.term > term) this.p.onLaterTerm(pong.term, mate.addr);
-        return pong.term === term;
+        const body = { from: me, to: member.id, term, clusterId };
+        const pingResponse = NodePingResponse.parse(await transport.call(member.addr, 'zen/node-ping', body, { within: end - clock.now() }));
+        if (pingResponse.term > term) this.p.onLaterTerm(pingResponse.term, member.addr);
+        return pingResponse.term === term;
       } catch (e) {
-        if (mishapOf(e).code === 'other-node') return false;
+        if (toRpcError(e).code === 'other-node') return false;
       }
-      await pause(clock, bounds.beat / 4, over);
+      await pause(clock, bounds.heartbeatInterval / 4, over);
     }
     return false;
   }
--- a/packages/zen/src/read-lease.ts
+++ b/packages/zen/src/read-lease.ts
@@ -1,5 +1,5 @@
 /** The read lease of a member: until when it may serve from the state that it has applied. */
-import { markOf, newer, quorum, type State } from '@tillerstair/state';
+import { versionOf, newer, quorum, type State } from '@tillerstair/state';
 import type { Round } from './pinger.js';
 
 /**
@@ -10,7 +10,7 @@
   private at = -Infinity;
 
   /** Clock time, in ms, at which the state applied here was surely the newest. */
-  get freshAt(): number {
+  get leaseRenewedAt(): number {
     return this.at;
   }
 
@@ -22,7 +22,7 @@
   /** Renews the lease if a majority of the voters answered in this round and none of those holds a newer state. */
   renewFromRound(round: Round, applied: State | undefined, ownId: string): void {
     if (!applied || !applied.nodes.has(ownId)) return;
-    const notNewer = new Set(round.pongs.filter((g) => !newer(g.accepted, markOf(applied))).map((g) => g.from.id));
+    const notNewer = new Set(round.pingResponses.filter((g) => !newer(g.accepted, versionOf(applied))).map((g) => g.from.id));
     if (quorum(applied.voters, notNewer)) this.renew(round.at);
   }
 }
--- a/packages/zen/src/vote.ts
+++ b/packages/zen/src/vote.ts
@@ -1,20 +1,20 @@
 /** A vote for a candidate: a promise to follow nobody else in its term, given only once it is on disk. */
-import { flatten, markOf, newer } from '@tillerstair/state';
-import { Mishap } from '@tillerstair/wire';
-import type { Keep } from './keep.js';
-import { Validate, type Promised } from './messages.js';
+import { flatten, versionOf, newer } from '@tillerstair/state';
+import { RpcError } from '@tillerstair/wire';
+import type { ElectionStore } from './election-store.js';
+import { Validate, type ValidateResponse } from './messages.js';
 
-export const grantVote = async (keep: Keep, joiningId: string | undefined, body: unknown): Promise<Promised> => {
+export const grantVote = async (electionStore: ElectionStore, joiningId: string | undefined, body: unknown): Promise<ValidateResponse> => {
   const v = Validate.parse(body);
-  if (joiningId !== v.from.id) throw new Mishap('not-joining', 'this node is not joining you');
-  const clusterId = keep.kept.accepted?.clusterId ?? '';
-  if (clusterId && clusterId !== v.clusterId) throw new Mishap('other-cluster', `this is cluster ${clusterId}`);
-  const { term, promisedTo } = keep.kept;
-  if (v.term < term || (v.term === term && promisedTo !== v.from.id && promisedTo !== ''))
-    throw new Mishap('stale-term', `term ${term} is promised to ${promisedTo}`);
-  if (v.term !== term || promisedTo !== v.from.id) await keep.promise(v.term, v.from.id);
-  else await keep.synced();
-  const acc = keep.kept.accepted;
-  const ahead = acc && newer(markOf(acc), v.have);
-  return { accepted: markOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
+  if (joiningId !== v.from.id) throw new RpcError('not-joining', 'this node is not joining you');
+  const clusterId = electionStore.persisted.accepted?.clusterId ?? '';
+  if (clusterId && clusterId !== v.clusterId) throw new RpcError('other-cluster', `this is cluster ${clusterId}`);
+  const { term, votedFor } = electionStore.persisted;
+  if (v.term < term || (v.term === term && votedFor !== v.from.id && votedFor !== ''))
+    throw new RpcError('stale-term', `term ${term} is promised to ${votedFor}`);
+  if (v.term !== term || votedFor !== v.from.id) await electionStore.recordVote(v.term, v.from.id);
+  else await electionStore.synced();
+  const acc = electionStore.persisted.accepted;
+  const ahead = acc && newer(versionOf(acc), v.have);
+  return { accepted: versionOf(acc), ...(ahead ? { state: [...flatten(acc)] } : {}) };
 };
--- a/tests/src/answers.test.ts
+++ b/tests/src/answers.test.ts
@@ -5,12 +5,12 @@
 import { z } from 'zod';
 import { HttpBackend, ownDialect } from '@tillerstair/proxy';
 import { Server } from '@tillerstair/state';
-import type { Ended, Passing } from '@tillerstair/steward';
+import type { Ended, Passing } from '@tillerstair/session-owner';
 import { hostClock } from '@tillerstair/wire';
 
 const answers = suite('answers and connections of servers, byte by byte');
 const Bound = z.object({ port: z.number() });
-const dialect = { ...ownDialect, seal: 'x-seal' };
+const dialect = { ...ownDialect, madeByServer: 'x-seal' };
 const never = new AbortController().signal;
 
 interface Asked {
@@ -65,7 +65,7 @@
 const answerOf = (attempt: string, body: string, status = '200 OK', more = 'X-Seal: s\r\n'): string =>
   `HTTP/1.1 ${status}\r\nX-Request-Id: ${attempt}\r\n${more}Content-Length: ${body.length}\r\n\r\n${body}`;
 
-const client = (connections = 1): HttpBackend => new HttpBackend({ connectWithin: 2000, circuits: () => connections }, dialect);
+const client = (connections = 1): HttpBackend => new HttpBackend({ connectWithin: 2000, connections: () => connections }, dialect);
 
 interface Got {
   readonly ended: Ended;
@@ -82,7 +82,7 @@
 
 const send = async (backend: HttpBackend, server: RawServer, attempt: string, { left = 20000, gone = never, path = '/x', onBytes = () => undefined }: Sent = {}): Promise<Got> => {
   const passing: Passing = { attempt, method: 'POST', path, headers: [['X-Request-Id', attempt]], body: Buffer.from('b'), resume: '' };
-  const to = Server.parse({ id: 's', pool: 'p', url: `http://127.0.0.1:${server.port}`, leaving: false, down: false });
+  const to = Server.parse({ id: 's', pool: 'p', url: `http://127.0.0.1:${server.port}`, draining: false, down: false });
   let status = 0;
   let body = '';
   const sink = {
@@ -93,7 +93,7 @@
       body += text;
       onBytes();
     },
-    busyness: () => undefined,
+    load: () => undefined,
   };
   const ended = await backend.pass(to, passing, sink, gone, left, () => true);
   return { ended, status, body };
@@ -240,9 +240,9 @@
 answers('a request withdrawn just before it would leave spares the connection', async () => {
   await withServer(good, async (server, backend) => {
     assert.is((await send(backend, server, 'a')).body, 'a');
-    const to = Server.parse({ id: 's', pool: 'p', url: `http://127.0.0.1:${server.port}`, leaving: false, down: false });
+    const to = Server.parse({ id: 's', pool: 'p', url: `http://127.0.0.1:${server.port}`, draining: false, down: false });
     const passing: Passing = { attempt: 'b', method: 'POST', path: '/x', headers: [['X-Request-Id', 'b']], body: Buffer.from('b'), resume: '' };
-    const ended = await backend.pass(to, passing, { head: () => undefined, bytes: () => undefined, busyness: () => undefined }, never, 20000, () => false);
+    const ended = await backend.pass(to, passing, { head: () => undefined, bytes: () => undefined, load: () => undefined }, never, 20000, () => false);
     assert.is(ended.kind, 'declined');
     assert.is((await send(backend, server, 'c')).body, 'c');
     assert.equal(server.asked.map((a) => [a.attempt, a.connection]), [['a', 1], ['c', 1]]);
--- a/tests/src/batch.test.ts
+++ b/tests/src/batch.test.ts
@@ -1,35 +1,35 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Life, seededRng, SimClock, SimServers } from '@tillerstair/sim';
-import { checkConfig, digestOf, foundingState, reduce, type Server, type State } from '@tillerstair/state';
-import { chainOf, partsOf, Placement, tableOf, type Part } from '@tillerstair/steward';
+import { checkConfig, digestOf, bootstrapState, reduce, type Server, type State } from '@tillerstair/state';
+import { chainOf, partsOf, Placement, tableOf, type Part } from '@tillerstair/session-owner';
 
 const batches = suite('placement among servers that run batches');
 
 const places = 4;
 const text = JSON.stringify({
   base: 0,
-  pools: [{ name: 'big', kind: 'model', engine: { places, memoryTokens: 100000, pieceTokens: 1 } }, { name: 'plain', kind: 'service' }],
-  lanes: [
+  pools: [{ name: 'big', kind: 'model', engine: { places, memoryTokens: 100000, blockTokens: 1 } }, { name: 'plain', kind: 'service' }],
+  routes: [
     { name: 'talk', match: { kind: 'pass', path: '/talk/' }, pass: { manner: 'stream', deadlineMs: 1000 }, shares: [{ pool: 'big', share: 1 }] },
     { name: 'do', match: { kind: 'pass', path: '/do/' }, pass: { manner: 'once', deadlineMs: 1000 }, shares: [{ pool: 'plain', share: 1 }] },
   ],
 });
-const [talk, plain] = checkConfig(text).config?.lanes ?? [];
-if (!talk || !plain) throw new Error('no lanes');
+const [talk, plain] = checkConfig(text).config?.routes ?? [];
+if (!talk || !plain) throw new Error('no routes');
 const perPlace = 100000 / places / 25;
 
-const server = (id: string, pool: string, room = 0): Server => ({ id, pool, url: `http://127.0.0.1:1/${id}`, leaving: false, down: false, zone: '', places: room });
+const server = (id: string, pool: string, room = 0): Server => ({ id, pool, url: `http://127.0.0.1:1/${id}`, draining: false, down: false, zone: '', places: room });
 
 const placing = (servers: readonly Server[], zone = '') => {
   const clock = new SimClock();
   const me = { id: 'f', kind: 'front' as const, addr: '', http: '', zone, data: '', name: '' };
   const state: State = servers.reduce<State>((s, v) => reduce(s, { kind: 'server', server: v }), {
-    ...foundingState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '' },
+    ...bootstrapState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), changeId: '' },
   });
   const table = tableOf(state, undefined);
   const sims = new SimServers(clock, seededRng(1));
-  const bounds = { poll: 0, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, toldFor: 500 };
+  const bounds = { poll: 0, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, reportValidFor: 500 };
   const placement = new Placement(clock, sims.backend(new Life()), chainOf(true), bounds, () => table, () => 16, 'f');
   return { clock, placement, at: (id: string) => state.servers.get(id) ?? server(id, 'none') };
 };
@@ -98,12 +98,12 @@
   assert.is(placement.pick(plain, [], '', new Set()), undefined);
 });
 
-batches('a server\'s own word of its busyness counts for a while, then no more', async () => {
+batches('a server\'s own word of its load counts for a while, then no more', async () => {
   const { clock, placement, at } = big('a', 'b');
   const parts = prompt(perPlace / 10);
   const first = placement.pick(talk, parts, '', new Set())?.id ?? '';
   const second = first === 'a' ? 'b' : 'a';
-  placement.told(at(first), { running: 2, waiting: 1, places });
+  placement.reported(at(first), { running: 2, waiting: 1, places });
   assert.is(placement.pick(talk, parts, '', new Set())?.id, second);
   await clock.run(499);
   assert.is(placement.pick(talk, parts, '', new Set())?.id, second);
--- a/tests/src/capacity.test.ts
+++ b/tests/src/capacity.test.ts
@@ -47,7 +47,7 @@
 
 capacity('nodes: the master pings and publishes to each', async () => {
   const s = await small('nodes');
-  near(slope(s, 'master messages a second'), 4, 0.1, 'a ping and a pong each way a second');
+  near(slope(s, 'master messages a second'), 4, 0.1, 'a ping and a ping response each way a second');
   assert.equal(series(s, 'messages of one change'), s.points.map((p) => 4 * (p.size + 7)));
   for (const n of series(s, 'agent messages a second')) near(n, 4, 0.2, 'an agent\'s messages');
   assert.ok(slope(s, 'bytes of one change') > 0);
@@ -61,16 +61,16 @@
   assert.ok(slope(s, 'state bytes') > 80);
 });
 
-capacity('lanes: a change of one lane carries the whole file', async () => {
-  const s = await small('lanes');
+capacity('routes: a change of one route carries the whole file', async () => {
+  const s = await small('routes');
   assert.ok(slope(s, 'bytes of one change a node') > 0);
   assert.equal(series(s, 'messages of one change'), s.points.map(() => 52));
 });
 
-capacity('slots: a front\'s loss is one published table, and two or three seals a slot', async () => {
+capacity('slots: a front\'s loss is one published table, and two or three fences a slot', async () => {
   const s = await small('slots');
   assert.ok(slope(s, 'state bytes') > 100);
-  assert.ok(slope(s, 'seals at the loss of a front') > 0);
+  assert.ok(slope(s, 'fences at the loss of a front') > 0);
 });
 
 capacity('changes: each costs the same messages', async () => {
@@ -86,26 +86,26 @@
 
 capacity('programs, turns and keys: items and puts', async () => {
   const programs = await small('programs');
-  assert.equal(series(programs, 'items held by stewards'), programs.points.map((p) => 2 * p.size));
+  assert.equal(series(programs, 'items held by owners'), programs.points.map((p) => 2 * p.size));
   assert.equal(series(programs, 'items in all stores'), programs.points.map((p) => 6 * p.size));
   assert.equal(series(programs, 'store/put messages'), programs.points.map((p) => 18 * p.size));
   const history = await small('history');
-  assert.equal(series(history, 'items held by stewards'), history.points.map((p) => 1 + p.size));
+  assert.equal(series(history, 'items held by owners'), history.points.map((p) => 1 + p.size));
   assert.equal(series(history, 'store/put messages'), history.points.map((p) => 6 + 12 * p.size));
   const keys = await small('keys');
-  assert.equal(series(keys, 'items held by stewards'), keys.points.map((p) => p.size));
+  assert.equal(series(keys, 'items held by owners'), keys.points.map((p) => p.size));
   assert.equal(series(keys, 'store/put messages'), keys.points.map((p) => 12 * p.size));
 });
 
 const keysOf = (s: State): number => flatten(s).size;
 
 capacity('state keys: one a node, a server, a weight and a slot', () => {
-  const plain = { fronts: 4, servers: 8, slots: 8, lanes: 4 };
+  const plain = { fronts: 4, servers: 8, slots: 8, routes: 4 };
   const keys = keysOf(stateOf(plain));
   assert.equal(keysOf(stateOf({ ...plain, fronts: 5 })) - keys, 1);
   assert.equal(keysOf(stateOf({ ...plain, servers: 9 })) - keys, 2);
   assert.equal(keysOf(stateOf({ ...plain, slots: 16 })) - keys, 8);
-  assert.equal(keysOf(stateOf({ ...plain, lanes: 40 })) - keys, 0);
+  assert.equal(keysOf(stateOf({ ...plain, routes: 40 })) - keys, 0);
 });
 
 capacity.run();
--- a/tests/src/carry.test.ts
+++ b/tests/src/carry.test.ts
@@ -5,10 +5,10 @@
 import * as assert from 'uvu/assert';
 import { z } from 'zod';
 import { carrier, Front, HttpBackend, ownDialect } from '@tillerstair/proxy';
-import { passHost, passLanes } from '@tillerstair/sim';
-import { checkConfig, foundingState, Server, type State } from '@tillerstair/state';
-import type { Ended, Head, Passing } from '@tillerstair/steward';
-import { hostClock, noLog, TcpCircuits } from '@tillerstair/wire';
+import { passHost, passRoutes } from '@tillerstair/sim';
+import { checkConfig, bootstrapState, Server, type State } from '@tillerstair/state';
+import type { Ended, Head, Passing } from '@tillerstair/session-owner';
+import { hostClock, noLog, TcpTransport } from '@tillerstair/wire';
 
 const carry = suite('requests carried over HTTP');
 const Bound = z.object({ port: z.number() });
@@ -20,7 +20,7 @@
   readonly path: string;
   readonly headers: readonly string[];
   readonly body: Buffer;
-  readonly circuit: number;
+  readonly connection: number;
   readonly try: string;
 }
 
@@ -35,14 +35,14 @@
 /** A server that does as `play` says, on a port of its own. */
 const serverUp = async (play: Play) => {
   const seen: Asked[] = [];
-  let circuits = 0;
+  let connections = 0;
   const open = new Map<unknown, number>();
   const http = createServer((req, res) => {
     void readAll(req).then(
       (body) => {
         const attempt = req.headers['x-request-id'];
         const asked = {
-          method: req.method ?? '', path: req.url ?? '', headers: req.rawHeaders, body, circuit: open.get(req.socket) ?? 0, try: typeof attempt === 'string' ? attempt : '',
+          method: req.method ?? '', path: req.url ?? '', headers: req.rawHeaders, body, connection: open.get(req.socket) ?? 0, try: typeof attempt === 'string' ? attempt : '',
         };
         seen.push(asked);
         play(asked, res, req);
@@ -53,8 +53,8 @@
   http.keepAliveTimeout = 60000;
   const closed = new Map<number, Promise<unknown>>();
   http.on('connection', (s) => {
-    open.set(s, ++circuits);
-    closed.set(circuits, once(s, 'close'));
+    open.set(s, ++connections);
+    closed.set(connections, once(s, 'close'));
   });
   http.listen(0, '127.0.0.1');
   await once(http, 'listening');
@@ -63,7 +63,7 @@
     http.closeAllConnections();
     http.close();
   };
-  return { port, seen, closed, close, circuits: () => circuits };
+  return { port, seen, closed, close, connections: () => connections };
 };
 type Up = Awaited<ReturnType<typeof serverUp>>;
 
@@ -72,26 +72,26 @@
   res.end(body);
 };
 
-const serverAt = (id: string, pool: string, port: number): Server => Server.parse({ id, pool, url: `http://127.0.0.1:${port}`, leaving: false, down: false });
+const serverAt = (id: string, pool: string, port: number): Server => Server.parse({ id, pool, url: `http://127.0.0.1:${port}`, draining: false, down: false });
 
 const stateOf = (servers: readonly Server[]): State => {
   const pools = [{ name: 'models', kind: 'model' }, { name: 'shop', kind: 'service' }];
-  const text = JSON.stringify({ base: 0, pools, lanes: passLanes(['models'], 'shop'), budgets: { program: 1000, turn: 16 } });
+  const text = JSON.stringify({ base: 0, pools, routes: passRoutes(['models'], 'shop'), budgets: { program: 1000, turn: 16 } });
   const { config, findings } = checkConfig(text);
   assert.equal(findings, []);
-  const record = { version: 1, text, digest: 'd', compiled: JSON.stringify(config), order: '' };
-  return { ...foundingState('c', [], 8), config: record, servers: new Map(servers.map((s) => [s.id, s])) };
+  const record = { version: 1, text, digest: 'd', compiled: JSON.stringify(config), changeId: '' };
+  return { ...bootstrapState('c', [], 8), config: record, servers: new Map(servers.map((s) => [s.id, s])) };
 };
 
 /** A front before `ups`, each of which stands in both pools. */
 const frontUp = async (...ups: readonly Up[]) => {
-  const backend = new HttpBackend({ connectWithin: 2000, circuits: () => 1 });
+  const backend = new HttpBackend({ connectWithin: 2000, connections: () => 1 });
   const front = new Front({
-    id: 'f', clock: hostClock, circuits: new TcpCircuits('127.0.0.1:1'), backend, log: noLog, affinity: false,
-    bounds: { beat: 1000, putWithin: 1000, grace: 1e6, poll: 0, keepMs: 1e6, stopWithin: 1000 },
+    id: 'f', clock: hostClock, transport: new TcpTransport('127.0.0.1:1'), backend, log: noLog, affinity: false,
+    bounds: { heartbeatInterval: 1000, putWithin: 1000, readLease: 1e6, poll: 0, retentionMs: 1e6, stopWithin: 1000 },
   });
-  front.steward.take(stateOf(ups.flatMap((u, i) => [serverAt(`m${i}`, 'models', u.port), serverAt(`s${i}`, 'shop', u.port)])));
-  front.steward.freshen(hostClock.now());
+  front.owner.take(stateOf(ups.flatMap((u, i) => [serverAt(`m${i}`, 'models', u.port), serverAt(`s${i}`, 'shop', u.port)])));
+  front.owner.renewLease(hostClock.now());
   const carried = carrier(front, ownDialect, () => 1 << 20);
   const http = createServer((req, res) => void carried(req, res));
   http.listen(0, '127.0.0.1');
@@ -155,8 +155,8 @@
 carry('a server is told the time left and who it is meant to be', async () => {
   const server = await serverUp((asked, res) => reply(asked, res, 'x'));
   const front = await frontUp(server);
-  for (const [told, most] of [[['X-Time-Left-Ms', '5000'], 5000], [[], 8000], [['X-Time-Left-Ms', '900000'], 8000]] as const) {
-    await ask(front.port, '/again/x', named('a1', ...told, 'X-Expect-Server', 'forged'));
+  for (const [reported, most] of [[['X-Time-Left-Ms', '5000'], 5000], [[], 8000], [['X-Time-Left-Ms', '900000'], 8000]] as const) {
+    await ask(front.port, '/again/x', named('a1', ...reported, 'X-Expect-Server', 'forged'));
     const headers = server.seen.at(-1)?.headers ?? [];
     const left = Number(valueOf(headers, 'x-time-left-ms'));
     assert.ok(left > 0 && left <= most, `${left}`);
@@ -166,19 +166,19 @@
   await front.close();
 });
 
-carry('a server that did not run a request is followed by the next, as often as the lane says', async () => {
+carry('a server that did not run a request is followed by the next, as often as the route says', async () => {
   for (const path of ['/again/x', '/once/x', '/flow/x'])
     for (const status of [421, 503]) {
       let asked = 0;
       let declines = 1;
       const play: Play = (a, res) => {
-        if (++asked > declines) return reply(a, res, 'ran');
+        if (++asked > declines) return reply(a, res, 'executed');
         res.writeHead(status, ['X-Request-Id', a.try, ...(status === 421 ? [] : ['X-Not-Run', '1'])]);
         res.end('declined');
       };
       const front = await frontUp(await serverUp(play), await serverUp(play), await serverUp(play));
       const heard = await ask(front.port, path, named('a1'));
-      assert.equal([heard.status, String(heard.body), asked], [200, 'ran', 2], `${path} ${status}`);
+      assert.equal([heard.status, String(heard.body), asked], [200, 'executed', 2], `${path} ${status}`);
       asked = 0;
       declines = 9;
       assert.equal([(await ask(front.port, path, named('a2'))).status, asked], [503, 2], `${path} ${status}`);
@@ -201,7 +201,7 @@
     }
 });
 
-carry('a caller that leaves a stream closes the circuit to its server', async () => {
+carry('a caller that leaves a stream closes the connection to its server', async () => {
   const server = await serverUp((a, res) => {
     res.writeHead(200, ['X-Request-Id', a.try, 'Content-Type', 'text/event-stream']);
     res.write('id: 0\ndata: x\n\n');
@@ -230,25 +230,25 @@
     bytes: (text: string) => {
       body += text;
     },
-    busyness: () => undefined,
+    load: () => undefined,
   };
   const ended = await backend.pass(serverAt('s', 'shop', server.port), p, sink, never, 20000, () => true);
   return { ended, head: heads[0], body };
 };
 
-const client = (): HttpBackend => new HttpBackend({ connectWithin: 2000, circuits: () => 1 });
+const client = (): HttpBackend => new HttpBackend({ connectWithin: 2000, connections: () => 1 });
 
-carry('requests in a row share one circuit', async () => {
+carry('requests in a row share one connection', async () => {
   const server = await serverUp((a, res) => reply(a, res, a.try));
   const backend = client();
   for (let i = 0; i < 6; i++) assert.is((await passTo(backend, server, `a${i}`)).body, `a${i}`);
   await Promise.all(Array.from({ length: 6 }, (_, i) => passTo(backend, server, `b${i}`)));
-  assert.equal([server.seen.length, server.circuits()], [12, 1]);
+  assert.equal([server.seen.length, server.connections()], [12, 1]);
   await backend.close();
   server.close();
 });
 
-carry('an answer to another try never reaches the caller, and its circuit is thrown away', async () => {
+carry('an answer to another try never reaches the caller, and its connection is thrown away', async () => {
   const server = await serverUp((a, res) => {
     if (a.try !== 'wrong') return reply(a, res, a.try);
     res.writeHead(200, ['X-Request-Id', 'other']);
@@ -259,7 +259,7 @@
   assert.equal([got.ended.kind, got.head, got.body], ['lost', undefined, '']);
   await server.closed.get(1);
   assert.is((await passTo(backend, server, 'right')).body, 'right');
-  assert.ok((server.seen.at(-1)?.circuit ?? 0) > 1);
+  assert.ok((server.seen.at(-1)?.connection ?? 0) > 1);
   await backend.close();
   server.close();
   const front = await frontUp(await serverUp((_a, res) => {
--- a/tests/src/config-history.test.ts
+++ b/tests/src/config-history.test.ts
@@ -9,8 +9,8 @@
 const unclear: ConfigAnswer = { kind: 'unclear' };
 const notRun: ConfigAnswer = { kind: 'no-effect' };
 
-const change = (order: string, base: number, version: number, calledAt: number, answeredAt: number, answer: ConfigAnswer): ConfigCall => ({
-  what: { kind: 'change', order, base, version, content: order }, calledAt, answeredAt, answer,
+const change = (changeId: string, base: number, version: number, calledAt: number, answeredAt: number, answer: ConfigAnswer): ConfigCall => ({
+  what: { kind: 'change', changeId, base, version, content: changeId }, calledAt, answeredAt, answer,
 });
 const read = (calledAt: number, answeredAt: number, version: number, content: string): ConfigCall => ({
   what: { kind: 'read' }, calledAt, answeredAt, answer: { kind: 'value', version, content },
@@ -52,9 +52,9 @@
 
 sound.forEach(([what, calls]) => {
   history(`sound: ${what}`, () => {
-    const verdict = configHistory(calls);
-    assert.equal(verdict.breaches, []);
-    assert.ok(verdict.checked > 0);
+    const outcome = configHistory(calls);
+    assert.equal(outcome.breaches, []);
+    assert.ok(outcome.checked > 0);
   });
 });
 
--- a/tests/src/control-model.test.ts
+++ b/tests/src/control-model.test.ts
@@ -5,7 +5,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { checkControlModel, ModelHistory, replayModel, type ModelRun } from '@tillerstair/sim';
-import { ConfigRecord, foundingState, type Mate, type State } from '@tillerstair/state';
+import { ConfigRecord, bootstrapState, type Member, type State } from '@tillerstair/state';
 
 const regressions: ReadonlyMap<string, ModelRun> = new Map([
   [
@@ -37,15 +37,15 @@
     assert.equal(await replayModel(run), []);
   });
 
-const mate: Mate = { id: 'a', kind: 'control', addr: 'control-0', http: '', zone: '', data: '', name: '' };
+const member: Member = { id: 'a', kind: 'control', addr: 'control-0', http: '', zone: '', data: '', name: '' };
 const stateAt = (term: number, version: number, master: string, configVersion: number, digest: string): State => ({
-  ...foundingState('cluster', [mate], 1), term, version, master,
+  ...bootstrapState('cluster', [member], 1), term, version, master,
   config: ConfigRecord.parse({ version: configVersion, text: '', digest, compiled: '' }),
 });
-const rulesBroken = (tell: (h: ModelHistory) => void): readonly string[] => {
+const rulesBroken = (listReport: (h: ModelHistory) => void): readonly string[] => {
   const history = new ModelHistory();
   history.committed('a', stateAt(1, 5, 'a', 3, 'three'));
-  tell(history);
+  listReport(history);
   return history.findings.map((f) => f.rule);
 };
 const change = { version: 4, base: 3, digest: 'four', text: '' };
--- a/tests/src/cut-off.test.ts
+++ b/tests/src/cut-off.test.ts
@@ -82,7 +82,7 @@
 
   private async other(): Promise<void> {
     const at = this.pick(this.w.of('control'));
-    const path = this.pick(['GET /v1/status', 'GET /v1/stores/nobody/empty', 'POST /v1/servers/nobody/leaving', 'POST /v1/stores/front-0/empty', 'DELETE /v1/servers/nobody']);
+    const path = this.pick(['GET /v1/status', 'GET /v1/stores/nobody/empty', 'POST /v1/servers/nobody/draining', 'POST /v1/stores/front-0/empty', 'DELETE /v1/servers/nobody']);
     const [method = '', where = ''] = path?.split(' ') ?? [];
     if (at) await this.send(at)({ method, path: where, body: '' });
   }
@@ -157,20 +157,20 @@
         const target = w.of('control').find((m) => (m === w.master) === (role === 'master'));
         if (!target) throw new Error('no control');
         const r = await cutRun(w, seed, target, way);
-        const verdict = configHistory(r.calls);
-        assert.equal(verdict.breaches, [], `seed ${seed}`);
-        assert.ok(verdict.checked > 50);
-        const { beat, silent, grace } = w.bounds;
+        const outcome = configHistory(r.calls);
+        assert.equal(outcome.breaches, [], `seed ${seed}`);
+        assert.ok(outcome.checked > 50);
+        const { heartbeatInterval, failureTimeout, readLease } = w.bounds;
         const atTarget = duringCut(r).filter((a) => a.at === target);
         assert.ok(atTarget.length > 10);
         for (const a of atTarget) {
           const what = `seed ${seed}: ${a.operation.method} ${a.operation.path} got ${a.status} from ${a.from - r.cutAt} to ${a.to - r.cutAt}`;
           assert.ok(a.status === 503 || a.status === 504, what);
           if (!isChange(a) && a.operation.method === 'GET') assert.is(a.status, 503, what);
-          assert.ok(a.to - a.from <= silent + beat, what);
-          if (role === 'master' && a.operation.method === 'GET') assert.ok(a.to - a.from <= beat * 1.5, what);
+          assert.ok(a.to - a.from <= failureTimeout + heartbeatInterval, what);
+          if (role === 'master' && a.operation.method === 'GET') assert.ok(a.to - a.from <= heartbeatInterval * 1.5, what);
         }
-        for (const a of r.answered) assert.ok(a.to - a.from <= silent * 2 + grace, `${a.operation.method} ${a.operation.path} took ${a.to - a.from}`);
+        for (const a of r.answered) assert.ok(a.to - a.from <= failureTimeout * 2 + readLease, `${a.operation.method} ${a.operation.path} took ${a.to - a.from}`);
         const elsewhere = duringCut(r).filter((a) => a.at !== target && isChange(a) && a.status === 200);
         assert.ok(elsewhere.length > 5, `seed ${seed}: ${elsewhere.length} changes while the control was cut off`);
       }
@@ -207,13 +207,13 @@
       calls.put(configText(2, 'models', 'shop', 3), toOld),
       calls.put(configText(0), toOld),
       calls.read(toOld),
-      toOld({ method: 'POST', path: '/v1/config/prepare', body: JSON.stringify({ base: 2, version: 3, order: 'an order' }) }),
+      toOld({ method: 'POST', path: '/v1/config/prepare', body: JSON.stringify({ base: 2, version: 3, changeId: 'an order' }) }),
       toOld({ method: 'GET', path: '/v1/status', body: '' }),
       toOld({ method: 'GET', path: '/v1/stores/nobody/empty', body: '' }),
-      toOld({ method: 'POST', path: '/v1/servers/nobody/leaving', body: '' }),
+      toOld({ method: 'POST', path: '/v1/servers/nobody/draining', body: '' }),
       toOld({ method: 'POST', path: '/v1/stores/front-0/empty', body: '' }),
     ];
-    const got = await w.clock.finish('late calls', Promise.all(late), w.bounds.beat * 1.5);
+    const got = await w.clock.finish('late calls', Promise.all(late), w.bounds.heartbeatInterval * 1.5);
     for (const [n, o] of got.entries()) assert.is(o?.status, 503, `call ${n}: ${JSON.stringify(o)}`);
     assert.is((await w.clock.finish('put', put, 10000))?.status, 200);
     assert.equal(configHistory(calls.calls).breaches, []);
@@ -249,7 +249,7 @@
       calls.put(next, toOld),
       calls.read(toOld),
       toOld({ method: 'GET', path: '/v1/stores/nobody/empty', body: '' }),
-      toOld({ method: 'POST', path: '/v1/servers/nobody/leaving', body: '' }),
+      toOld({ method: 'POST', path: '/v1/servers/nobody/draining', body: '' }),
     ]), 30000);
     for (const got of late) assert.ok(got?.status === 503 || got?.status === 504, JSON.stringify(got));
     assert.equal(configHistory(calls.calls).breaches, []);
--- a/tests/src/disk-faults.test.ts
+++ b/tests/src/disk-faults.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Machine, World } from '@tillerstair/sim';
-import { Pong } from '@tillerstair/zen';
+import { PingResponse } from '@tillerstair/zen';
 import { configText, five, small, worldUp } from './util.js';
 
 const disk = suite('disks that are full or stall');
@@ -37,7 +37,7 @@
       await meet(w, old);
       await w.clock.until('another master', () => w.master !== undefined && w.master !== old, 12000);
       const took = w.clock.now() - since;
-      assert.ok(took < w.bounds.silent, `seed ${seed}: took ${took}`);
+      assert.ok(took < w.bounds.failureTimeout, `seed ${seed}: took ${took}`);
       const now = masterOf(w);
       const during = await change(w, version(now), now);
       assert.is(during.status, 200, `seed ${seed}: ${JSON.stringify(during)}`);
@@ -45,7 +45,7 @@
       await w.clock.run(Math.max(0, since + 6000 - w.clock.now()));
       old.platter[how] = false;
       const master = masterOf(w);
-      await w.clock.until('the old one to follow', () => old.control?.zen.masterSeen?.id === master.control?.id && version(old) === version(master), w.bounds.silent);
+      await w.clock.until('the old one to follow', () => old.control?.zen.masterSeen?.id === master.control?.id && version(old) === version(master), w.bounds.failureTimeout);
       assert.is((await change(w, version(master))).status, 200);
       await w.clock.until('the newest state', () => w.of('control').every((m) => version(m) === version(master)), 2000);
       assert.is(old.control?.id, id);
@@ -74,7 +74,7 @@
       assert.is(version(follower), before);
       await w.clock.run(4000);
       follower.platter[how] = false;
-      await w.clock.until('caught up', () => version(follower) === version(master), w.bounds.silent);
+      await w.clock.until('caught up', () => version(follower) === version(master), w.bounds.failureTimeout);
       assert.is(w.master, master);
     }
   });
@@ -87,12 +87,12 @@
     if (!other) throw new Error('controls are needed');
     for (const m of [old, other]) m.platter.full = true;
     await meet(w, old);
-    await w.clock.until('another master', () => w.master !== undefined && w.master !== old, w.bounds.silent);
+    await w.clock.until('another master', () => w.master !== undefined && w.master !== old, w.bounds.failureTimeout);
     assert.is.not(w.master, other);
     const now = masterOf(w);
     assert.is((await change(w, version(now), now)).status, 200);
     for (const m of [old, other]) m.platter.full = false;
-    await w.clock.until('all the same', () => w.of('control').every((m) => version(m) === version(now)), w.bounds.silent);
+    await w.clock.until('all the same', () => w.of('control').every((m) => version(m) === version(now)), w.bounds.failureTimeout);
   }
 });
 
@@ -102,8 +102,8 @@
   const node = follower?.control?.zen;
   const from = w.master?.control?.zen.masterSeen;
   if (!follower || !node || !from) throw new Error('a follower is needed');
-  const ask = async () => Pong.parse(await node.handle({ from: from.addr, kind: 'zen/ping', body: { from, known: [], clusterId: node.clusterId } }));
-  const said = (p: Pong) => [p.eligible, p.canWin];
+  const ask = async () => PingResponse.parse(await node.handle({ from: from.addr, kind: 'zen/ping', body: { from, known: [], clusterId: node.clusterId } }));
+  const said = (p: PingResponse) => [p.eligible, p.canWin];
   assert.equal(said(await ask()), [true, true]);
   follower.platter.full = true;
   assert.is((await change(w, 1)).status, 200);
@@ -162,7 +162,7 @@
     await w.clock.until('a master', () => w.master !== undefined && version(masterOf(w)) === held, 9000);
     await w.clock.until('a voter again', () => {
       const fresh = old.control?.id ?? '';
-      return fresh !== id && w.committed?.voters.now.includes(fresh) === true && version(old) === held;
+      return fresh !== id && w.committed?.voters.current.includes(fresh) === true && version(old) === held;
     }, 12000);
     assert.ok(old.platter.list().includes('zen.log.damaged'));
   }
@@ -172,7 +172,7 @@
   const turn = w.turn(pid, null, `words ${n}`, `k-${n}`);
   const call = w.call(`c-${n}`, '/hold', { n });
   const both = await w.clock.finish('work', Promise.all([turn, call]), 20000);
-  return both.map((r) => r.told);
+  return both.map((r) => r.reported);
 };
 
 for (const how of ['full', 'stalled'] as const satisfies readonly Trouble[])
@@ -190,16 +190,16 @@
         assert.equal(await work(w, root, n), ['done', 'done'], `seed ${seed}, ${n}`);
         slowest.push(w.clock.now() - t0);
       }
-      assert.ok(Math.max(...slowest) < w.bounds.silent, `seed ${seed}: ${slowest.join()}`);
+      assert.ok(Math.max(...slowest) < w.bounds.failureTimeout, `seed ${seed}: ${slowest.join()}`);
       await w.clock.run(4000);
       store.platter[how] = false;
       assert.ok(store.up && store.startFailed === '');
       const held = (m: Machine): string => {
-        const shelf = m.shelf;
-        const slots = Array.from({ length: w.slots }, (_, slot) => shelf?.pull(slot, 0, '').items.map((i) => `${i.key} ${i.tenure}.${i.seq}`) ?? []);
+        const replicaStore = m.replicaStore;
+        const slots = Array.from({ length: w.slots }, (_, slot) => replicaStore?.pull(slot, 0, '').items.map((i) => `${i.key} ${i.ownershipEpoch}.${i.seq}`) ?? []);
         return JSON.stringify(slots.flat().sort());
       };
-      await w.clock.until('hints handed over', () => w.of('store').every((m) => m.shelf?.counts().hints === 0 && held(m) === held(store)), 8000);
+      await w.clock.until('hints handed over', () => w.of('store').every((m) => m.replicaStore?.counts().hints === 0 && held(m) === held(store)), 8000);
       assert.equal(await work(w, pid, 99), ['done', 'done']);
     }
   });
@@ -220,7 +220,7 @@
     store.platter.full = false;
     await w.clock.until('back', () => store.store?.zen.masterSeen !== undefined, 8000);
     assert.is(store.store?.id, id);
-    await w.clock.until('whole', () => w.slotsOpen() && store.shelf?.writable === true, 20000);
+    await w.clock.until('whole', () => w.slotsOpen() && store.replicaStore?.writable === true, 20000);
     assert.is(store.startFailed, '');
   }
 });
--- a/tests/src/docs.test.ts
+++ b/tests/src/docs.test.ts
@@ -29,7 +29,7 @@
   await fleet.build();
   fleet.start();
   await until('a master', 30000, async () => (await fleet.operator.any('GET', '/v1/status')).status === 200);
-  const shape = { base: 0, turnPools: [house.modelPool], callPools: [house.servicePool], extraLanes: 0, note: 'first' };
+  const shape = { base: 0, turnPools: [house.modelPool], callPools: [house.servicePool], extraRoutes: 0, note: 'first' };
   assert.is((await fleet.operator.any('PUT', '/v1/config', configFor(house, shape))).status, 200);
   await fleet.register();
   await until('fronts', 30000, () => fleet.ready('front'));
--- a/tests/src/doors.test.ts
+++ b/tests/src/doors.test.ts
@@ -6,9 +6,9 @@
 import { freePorts } from '@tillerstair/fleet';
 import { Front, HttpBackend } from '@tillerstair/proxy';
 import { limitsOf, openDoor, type Limits } from '@tillerstair/platform';
-import { passLanes } from '@tillerstair/sim';
-import { checkConfig, foundingState } from '@tillerstair/state';
-import { hostClock, noLog, TcpCircuits } from '@tillerstair/wire';
+import { passRoutes } from '@tillerstair/sim';
+import { checkConfig, bootstrapState } from '@tillerstair/state';
+import { hostClock, noLog, TcpTransport } from '@tillerstair/wire';
 
 const doors = suite('doors for clients');
 const usual: Limits = { headerBytes: 16384, headerWaitMs: 3000, idleMs: 15000 };
@@ -130,18 +130,18 @@
 
 doors('a front has a default before its first configuration, and then that one\'s limits', () => {
   const front = new Front({
-    id: 'f', clock: hostClock, circuits: new TcpCircuits('127.0.0.1:1'), backend: new HttpBackend({ connectWithin: 2000, circuits: () => 1 }), log: noLog, affinity: false,
-    bounds: { beat: 1000, putWithin: 1000, grace: 1e6, poll: 0, keepMs: 1e6, stopWithin: 1000 },
+    id: 'f', clock: hostClock, transport: new TcpTransport('127.0.0.1:1'), backend: new HttpBackend({ connectWithin: 2000, connections: () => 1 }), log: noLog, affinity: false,
+    bounds: { heartbeatInterval: 1000, putWithin: 1000, readLease: 1e6, poll: 0, retentionMs: 1e6, stopWithin: 1000 },
   });
   const before = limitsOf(front);
   assert.ok(before.idleMs >= 10000 && before.headerBytes >= 16384);
   for (const [version, idleMs] of [[1, 21000], [2, 9000]] as const) {
     const pools = [{ name: 'models', kind: 'model' }, { name: 'shop', kind: 'service' }];
     const limits = { headerBytes: 20000, bodyBytes: 1000, headerWaitMs: 2000, idleMs };
-    const text = JSON.stringify({ base: version - 1, pools, lanes: passLanes(['models'], 'shop'), budgets: { program: 1000, turn: 16 }, limits });
+    const text = JSON.stringify({ base: version - 1, pools, routes: passRoutes(['models'], 'shop'), budgets: { program: 1000, turn: 16 }, limits });
     const { config, findings } = checkConfig(text);
     assert.equal(findings, []);
-    front.steward.take({ ...foundingState('c', [], 8), version, config: { version, text, digest: `d${version}`, compiled: JSON.stringify(config), order: '' } });
+    front.owner.take({ ...bootstrapState('c', [], 8), version, config: { version, text, digest: `d${version}`, compiled: JSON.stringify(config), changeId: '' } });
     assert.equal(limitsOf(front), limits);
   }
 });
--- a/tests/src/events.test.ts
+++ b/tests/src/events.test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { seededRng } from '@tillerstair/sim';
-import { Events } from '@tillerstair/steward';
+import { Events } from '@tillerstair/session-owner';
 
 const events = suite('events of a stream');
 
--- a/tests/src/hostile.test.ts
+++ b/tests/src/hostile.test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { ask, freePorts } from '@tillerstair/fleet';
-import { sendJson, serveHttp, splitAddr, TcpCircuits } from '@tillerstair/wire';
+import { sendJson, serveHttp, splitAddr, TcpTransport } from '@tillerstair/wire';
 
 const hostile = suite('hostile input');
 
@@ -36,10 +36,10 @@
   await new Promise<void>((done) => server.close(() => done()));
 });
 
-hostile('inner lines that are wrong, huge or cut short end their circuit and no other', async () => {
+hostile('inner lines that are wrong, huge or cut short end their connection and no other', async () => {
   const [p = 0, q = 0] = await freePorts(2);
-  const [a, b] = [new TcpCircuits(`127.0.0.1:${p}`), new TcpCircuits(`127.0.0.1:${q}`, `127.0.0.1:${q}`, 1000, 1 << 16)];
-  await b.serve(async (inq) => inq.body);
+  const [a, b] = [new TcpTransport(`127.0.0.1:${p}`), new TcpTransport(`127.0.0.1:${q}`, `127.0.0.1:${q}`, 1000, 1 << 16)];
+  await b.serve(async (rpc) => rpc.body);
   const hello = `{"hello":"127.0.0.1:1","to":"${b.self}"}\n`;
   const wrong = ['nonsense\n', '{}\n', `${hello}[]\n`, `${hello}{"id":"x"}\n`, `${hello}{"id":1,"kind":3}\n`, `${hello}{"id":1,"kind":"k","body":"${'x'.repeat(1 << 17)}`];
   for (const bytes of wrong) assert.is(await rawly(b.self, bytes), '', bytes.slice(0, 60));
--- a/tests/src/house.test.ts
+++ b/tests/src/house.test.ts
@@ -6,7 +6,7 @@
 
 const house = suite('house rules');
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-const daemons = ['wire', 'journal', 'zen', 'state', 'control', 'store', 'steward', 'proxy', 'agent', 'env'];
+const daemons = ['wire', 'journal', 'zen', 'state', 'control', 'store', 'session-owner', 'proxy', 'agent', 'settings'];
 
 const sources = async (): Promise<ReadonlyMap<string, string>> => {
   const out = new Map<string, string>();
@@ -73,4 +73,29 @@
   assert.equal(hits(own, /from '(\.\.\/|@tillerstair\/[a-z-]+\/)/), []);
 });
 
+/** Words of the earlier house style, withdrawn by the users; docs/glossary.md has the names that took their place. */
+const withdrawnWords = [
+  'circuits?', 'inquir(y|ies)', 'mishaps?', 'mates?', 'verdicts?', 'tenures?', 'stewards?', 'stewardships?', 'lanes?', 'busyness', 'pongs?', 'shelf', 'beliefs?', 'allots?', 'founds', 'founding',
+];
+const withdrawnNames = [
+  'markOf', 'sameMark', 'promisedTo', 'handTo', 'copiesAfter', 'keptOn', 'toldAt', 'ToldRecord', 'SlotKeeper', 'DiskKeep', 'MemoryKeep', 'BadEnv', 'readEnv', 'leavingWithin', 'freshAt', 'freshen',
+];
+const allowedMentions: ReadonlyMap<string, RegExp> = new Map([[join('packages', 'state', 'src', 'config.ts'), /renamedKeys/]]);
+
+house('withdrawn words stand in no name, file or text of the code', async () => {
+  const camel = withdrawnWords.map((w) => w[0]?.toUpperCase() + w.slice(1));
+  const wrong = new RegExp(
+    `(?<![A-Za-z])(${withdrawnWords.join('|')})(?![a-z])|(?<![A-Z])(${camel.join('|')})(?![a-z])|\\b(${withdrawnNames.join('|')})\\b`,
+  );
+  const all = await sources();
+  const others = new Map([...all].filter(([f]) => !f.endsWith('house.test.ts')));
+  const lines = [...others].flatMap(([f, text]) =>
+    text.split('\n').flatMap((line, i) => (wrong.test(line) && !allowedMentions.get(f)?.test(line) ? [`${f}:${i + 1}: ${line.trim()}`] : [])),
+  );
+  assert.equal(lines, []);
+  assert.equal([...others.keys()].filter((f) => wrong.test(f)), []);
+  assert.ok(['laneOf', 'theMate', 'a steward', 'freshAt', 'verdicts'].every((x) => wrong.test(x)));
+  assert.not.ok(['HTTPRoute', 'estimate', 'planes', 'routeOf'].some((x) => wrong.test(x)));
+});
+
 house.run();
--- a/tests/src/journal-chunks.test.ts
+++ b/tests/src/journal-chunks.test.ts
@@ -5,7 +5,7 @@
 import * as assert from 'uvu/assert';
 import { FolderDisk, frame, Journal, JournalCorrupt, Scanner, type Disk, type DiskFile, type JournalPace } from '@tillerstair/journal';
 import { Life, SimClock, SimPlatter, seededRng } from '@tillerstair/sim';
-import { Shelf } from '@tillerstair/store';
+import { ReplicaStore } from '@tillerstair/store';
 
 const chunked = suite('journals in chunks');
 
@@ -64,14 +64,14 @@
         assert.is(scanIn(size, bytes).good, secondAt);
         continue;
       }
-      let told: unknown;
+      let reported: unknown;
       try {
         scanIn(size, bytes);
       } catch (e) {
-        told = e;
+        reported = e;
       }
-      assert.instance(told, JournalCorrupt, `byte ${at} in chunks of ${size}`);
-      assert.match(String(told), `at byte ${secondAt} `);
+      assert.instance(reported, JournalCorrupt, `byte ${at} in chunks of ${size}`);
+      assert.match(String(reported), `at byte ${secondAt} `);
     }
   }
 });
@@ -101,9 +101,9 @@
   }
 });
 
-const bounds = { journalLongAt: 1 << 30, keepMs: 1e9, hintsMost: 10 };
+const bounds = { journalLongAt: 1 << 30, retentionMs: 1e9, hintsMost: 10 };
 const longText = 'x'.repeat(100 << 10);
-const longItem = (n: number, seq: number) => ({ key: `o/t/${n}`, tenure: 1, seq, value: `${seq} ${longText}` });
+const longItem = (n: number, seq: number) => ({ key: `o/t/${n}`, ownershipEpoch: 1, seq, value: `${seq} ${longText}` });
 const longItems = 12;
 
 /** A disk that calls `onChunk` after each chunk of the first file that is written anew. */
@@ -113,21 +113,21 @@
     setAside: (name) => disk.setAside(name),
     open: async (name) => {
       const file: DiskFile = await disk.open(name);
-      const told = function* (chunks: Iterable<Buffer>): Generator<Buffer> {
+      const reported = function* (chunks: Iterable<Buffer>): Generator<Buffer> {
         for (const chunk of chunks) {
           yield chunk;
           onChunk(chunk);
         }
       };
-      return { ...file, replace: (chunks) => file.replace(replaced++ === 0 ? told(chunks) : chunks) };
+      return { ...file, replace: (chunks) => file.replace(replaced++ === 0 ? reported(chunks) : chunks) };
     },
   };
 };
 
-const held = (shelf: Shelf): ReadonlyMap<string, number> => {
+const held = (replicaStore: ReplicaStore): ReadonlyMap<string, number> => {
   const seqs = new Map<string, number>();
   for (let after = ''; ; ) {
-    const page = shelf.pull(1, 0, after);
+    const page = replicaStore.pull(1, 0, after);
     for (const i of page.items) seqs.set(i.key, i.seq);
     if (page.next === '') return seqs;
     after = page.next;
@@ -145,14 +145,14 @@
     if (chunks.length === 1) onFirst();
   });
   const small = { ...bounds, journalLongAt: 1 << 20 };
-  const shelf = await clock.finish('open', Shelf.open(disk, clock, small), 1000);
-  await clock.finish('hint', shelf.hint('b', 1, [longItem(0, 1)]), 1000);
+  const replicaStore = await clock.finish('open', ReplicaStore.open(disk, clock, small), 1000);
+  await clock.finish('hint', replicaStore.hint('b', 1, [longItem(0, 1)]), 1000);
   onFirst = () => {
-    later.push(shelf.handed(1), shelf.hint('c', 1, [longItem(0, 1)]));
-    for (let n = 0; n < longItems; n++) later.push(shelf.write(1, 1, [longItem(n, 9)]));
-    later.push(shelf.write(1, 1, [longItem(longItems, 9)]));
+    later.push(replicaStore.handed(1), replicaStore.hint('c', 1, [longItem(0, 1)]));
+    for (let n = 0; n < longItems; n++) later.push(replicaStore.write(1, 1, [longItem(n, 9)]));
+    later.push(replicaStore.write(1, 1, [longItem(longItems, 9)]));
   };
-  for (let n = 0; n < longItems; n++) await clock.finish('write', shelf.write(1, 1, [longItem(n, 1)]), 1000);
+  for (let n = 0; n < longItems; n++) await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
   await clock.run(100);
   assert.ok(chunks.length > 2, `${chunks.length} chunks`);
   assert.is(later.length, longItems + 3);
@@ -163,7 +163,7 @@
   assert.equal(written.flat().flatMap((r) => (r.t === 'hint' ? [r.to] : [])), ['b']);
   await clock.finish('later', Promise.all(later), 1000);
   platter.powerLoss();
-  const again = await clock.finish('again', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+  const again = await clock.finish('again', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
   assert.equal([...held(again).values()], Array.from({ length: longItems + 1 }, () => 9));
   assert.equal([...again.hintTargets()], ['c']);
 });
@@ -174,10 +174,10 @@
     const clock = new SimClock();
     const platter = new SimPlatter(seededRng(step));
     const life = new Life();
-    const shelf = await clock.finish('open', Shelf.open(platter.disk(clock, life), clock, bounds), 1000);
-    for (let n = 0; n < longItems; n++) await clock.finish('write', shelf.write(1, 1, [longItem(n, 1)]), 1000);
+    const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, life), clock, bounds), 1000);
+    for (let n = 0; n < longItems; n++) await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
     platter.full = true;
-    const refused = await clock.finish('refused', shelf.write(1, 1, [longItem(0, 2)]).then(() => 'done', () => 'refused'), 5000);
+    const refused = await clock.finish('refused', replicaStore.write(1, 1, [longItem(0, 2)]).then(() => 'done', () => 'refused'), 5000);
     assert.is(refused, 'refused');
     await clock.run(2000);
     platter.full = false;
@@ -186,12 +186,12 @@
     });
     await clock.run(5000);
     if (!life.dead) {
-      assert.is(shelf.writable, true);
+      assert.is(replicaStore.writable, true);
       recovered++;
     }
     platter.powerLoss();
     platter.crashAtStep = -1;
-    const again = await clock.finish('again', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+    const again = await clock.finish('again', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
     const seqs = held(again);
     for (let n = 0; n < longItems; n++) assert.ok((seqs.get(`o/t/${n}`) ?? 0) >= 1, `step ${step}: item ${n}`);
   }
--- a/tests/src/journal-memory-child.ts
+++ b/tests/src/journal-memory-child.ts
@@ -1,6 +1,6 @@
 /** Run by journal-memory.test.ts in a process of its own: opens a store's log, writes until it is rewritten, tells its memory. */
 import { FolderDisk } from '@tillerstair/journal';
-import { Shelf } from '@tillerstair/store';
+import { ReplicaStore } from '@tillerstair/store';
 import { hostClock } from '@tillerstair/wire';
 
 const writesAtOnce = 100;
@@ -14,9 +14,9 @@
 const main = async (): Promise<void> => {
   const startMb = process.memoryUsage().rss / mb;
   const disk = await FolderDisk.take(dir);
-  const shelf = await Shelf.open(disk, hostClock, { journalLongAt: longAt, keepMs: 1e9, hintsMost: 10 });
+  const replicaStore = await ReplicaStore.open(disk, hostClock, { journalLongAt: longAt, retentionMs: 1e9, hintsMost: 10 });
   const openedMb = peakMb();
-  const opened = shelf.counts();
+  const opened = replicaStore.counts();
   let seq = 10;
   let most = opened.bytes;
   let last = opened.bytes;
@@ -26,9 +26,9 @@
     for (let n = 0; n < Number(keys); n += writesAtOnce)
       await Promise.all(Array.from({ length: writesAtOnce }, (_, i) => {
         const key = `o/t/${n + i}`;
-        return shelf.write(1, 1, [{ key, tenure: 1, seq, value: `${seq}`.padEnd(Number(valueBytes), 'é') }]);
+        return replicaStore.write(1, 1, [{ key, ownershipEpoch: 1, seq, value: `${seq}`.padEnd(Number(valueBytes), 'é') }]);
       }));
-    last = shelf.counts().bytes;
+    last = replicaStore.counts().bytes;
   }
   await disk.free();
   process.stdout.write(JSON.stringify({ startMb, openedMb, rewrittenMb: peakMb(), items: opened.items, mostBytes: most, leftBytes: last }));
--- a/tests/src/journal.test.ts
+++ b/tests/src/journal.test.ts
@@ -3,9 +3,9 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { FolderDisk, FolderTaken, Journal, JournalCorrupt } from '@tillerstair/journal';
+import { FolderDisk, FolderInUseError, Journal, JournalCorrupt } from '@tillerstair/journal';
 import { Life, SimClock, SimPlatter, seededRng } from '@tillerstair/sim';
-import { Shelf } from '@tillerstair/store';
+import { ReplicaStore } from '@tillerstair/store';
 
 const journal = suite('journal and disk');
 
@@ -46,9 +46,9 @@
     const bytes = await readFile(path);
     bytes[12] = (bytes[12] ?? 0) ^ 1;
     await writeFile(path, bytes);
-    const mishap = await Journal.open(disk, 'a.log').then(() => undefined, (e: unknown) => e);
-    assert.instance(mishap, JournalCorrupt);
-    assert.match(String(mishap), 'byte 0');
+    const errorCode = await Journal.open(disk, 'a.log').then(() => undefined, (e: unknown) => e);
+    assert.instance(errorCode, JournalCorrupt);
+    assert.match(String(errorCode), 'byte 0');
     await disk.free();
   }));
 
@@ -56,7 +56,7 @@
   folder(async (dir) => {
     const disk = await FolderDisk.take(dir);
     const second = await FolderDisk.take(dir).then(() => undefined, (e: unknown) => e);
-    assert.instance(second, FolderTaken);
+    assert.instance(second, FolderInUseError);
     await disk.free();
     await writeFile(join(dir, 'lock'), '999999999 1');
     const third = await FolderDisk.take(dir);
@@ -78,7 +78,7 @@
     const clock = new SimClock();
     const platter = new SimPlatter(seededRng(step));
     const life = new Life();
-    const shelf = await clock.finish('open', Shelf.open(platter.disk(clock, life), clock, { journalLongAt: 600, keepMs: 1e9, hintsMost: 10 }), 1000);
+    const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, life), clock, { journalLongAt: 600, retentionMs: 1e9, hintsMost: 10 }), 1000);
     platter.crashAtStep = step;
     platter.onCrash = () => {
       life.dead = true;
@@ -86,17 +86,17 @@
     const acked: string[] = [];
     for (let n = 0; n < 40; n++) {
       const key = `o/t/${n % 8}`;
-      void shelf.write(1, 1, [{ key, tenure: 1, seq: n + 1, value: n }]).then(
+      void replicaStore.write(1, 1, [{ key, ownershipEpoch: 1, seq: n + 1, value: n }]).then(
         () => acked.push(`${key} ${n + 1}`),
         () => undefined,
       );
       if (n % 3 === 0) await clock.run(0.5);
     }
     await clock.run(50);
-    if (!life.dead && shelf.counts().bytes < 3000) rewrites++;
+    if (!life.dead && replicaStore.counts().bytes < 3000) rewrites++;
     platter.powerLoss();
     platter.crashAtStep = -1;
-    const again = await clock.finish('reopen', Shelf.open(platter.disk(clock, new Life()), clock, { journalLongAt: 600, keepMs: 1e9, hintsMost: 10 }), 1000);
+    const again = await clock.finish('reopen', ReplicaStore.open(platter.disk(clock, new Life()), clock, { journalLongAt: 600, retentionMs: 1e9, hintsMost: 10 }), 1000);
     const held = new Map(again.pull(1, 0, '').items.map((i) => [i.key, i.seq]));
     for (const a of acked) {
       const at = a.lastIndexOf(' ');
@@ -106,24 +106,24 @@
   assert.ok(rewrites > 0, 'no run reached the end of a rewrite');
 });
 
-journal('a store refuses tenures below its seal, after power loss too', async () => {
+journal('a store refuses ownership epochs below its fence, after power loss too', async () => {
   const clock = new SimClock();
   const platter = new SimPlatter(seededRng(3));
-  const bounds = { journalLongAt: 1 << 20, keepMs: 1e9, hintsMost: 10 };
-  const shelf = await clock.finish('open', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  await clock.finish('seal', shelf.seal(4, 7, ''), 1000);
+  const bounds = { journalLongAt: 1 << 20, retentionMs: 1e9, hintsMost: 10 };
+  const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+  await clock.finish('fence', replicaStore.fence(4, 7, ''), 1000);
   platter.powerLoss();
-  const again = await clock.finish('reopen', Shelf.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  const writing = again.write(4, 6, [{ key: 'o/t/x', tenure: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
+  const again = await clock.finish('reopen', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+  const writing = again.write(4, 6, [{ key: 'o/t/x', ownershipEpoch: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
   const low = await clock.finish('write', writing, 1000);
-  assert.match(low, 'sealed at tenure 7');
+  assert.match(low, 'fenced at ownership epoch 7');
 });
 
 journal('a lock that does not say when its holder began holds nobody off, one that does and lives does', () =>
   folder(async (dir) => {
     await writeFile(join(dir, 'lock'), `${process.pid} `);
     const disk = await FolderDisk.take(dir);
-    const again = await FolderDisk.take(dir).then(() => 'taken', (e: unknown) => (e instanceof FolderTaken ? 'held' : String(e)));
+    const again = await FolderDisk.take(dir).then(() => 'taken', (e: unknown) => (e instanceof FolderInUseError ? 'held' : String(e)));
     assert.is(again, 'held');
     await disk.free();
   }),
--- a/tests/src/list.test.ts
+++ b/tests/src/list.test.ts
@@ -1,9 +1,9 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { listInto, foundingState } from '@tillerstair/state';
+import { listInto, bootstrapState } from '@tillerstair/state';
 import { ListPoll, ListReader } from '@tillerstair/control';
 import { Life, SimClock, SimList, World, type Machine, type WorldSizes } from '@tillerstair/sim';
-import { noLog, type Circuits } from '@tillerstair/wire';
+import { noLog, type Transport } from '@tillerstair/wire';
 import { ListWatch } from '@tillerstair/agent';
 import { assertNoBreach, configText, five, recordsOf, servers } from './util.js';
 
@@ -17,7 +17,7 @@
 }
 
 const known = (w: World): readonly (readonly string[])[] =>
-  w.readyFronts().map((m) => [...(m.front?.steward.current?.state.servers.keys() ?? [])].sort());
+  w.readyFronts().map((m) => [...(m.front?.owner.current?.state.servers.keys() ?? [])].sort());
 
 const listUp = async (seed: number, sizes: WorldSizes = five, lag = 0): Promise<Listing> => {
   const w = new World(seed, sizes);
@@ -44,7 +44,7 @@
 const everyFront = (w: World) => (i: number): Machine | undefined => w.of('front')[i % w.of('front').length];
 
 const began = (w: World, server: string, from: number, to = Infinity): number =>
-  w.servers.ran.filter((r) => r.server === server && r.began >= from && r.began < to).length;
+  w.servers.executed.filter((r) => r.server === server && r.began >= from && r.began < to).length;
 
 const assertLeft = ({ w }: Listing, server: string, at: number): void => {
   assert.is(began(w, server, at + drain), 0);
@@ -52,7 +52,7 @@
 };
 
 const frontsKnow = (w: World, server: string): boolean =>
-  w.of('front').some((m) => m.front?.steward.current?.state.servers.get(server)?.leaving === true);
+  w.of('front').some((m) => m.front?.owner.current?.state.servers.get(server)?.draining === true);
 
 list('servers become known, with their zone and places, and vanish when gone', async () => {
   for (const seed of seeds) {
@@ -60,7 +60,7 @@
     const at = shown.put({ id: 's3', pool: 'shop', zone: 'zone-2', places: 7 });
     await w.clock.until('s3', () => known(w).every((ids) => ids.includes('s3')), 700);
     const s3 = w.committed?.servers.get('s3');
-    assert.equal([s3?.zone, s3?.places, s3?.leaving], ['zone-2', 7, false]);
+    assert.equal([s3?.zone, s3?.places, s3?.draining], ['zone-2', 7, false]);
     await press(w, 'a', 1500, everyFront(w));
     assert.ok(began(w, 's3', at) > 0);
     const gone = shown.drop('s3');
@@ -84,7 +84,7 @@
     const { w, shown } = up;
     const at = shown.mark('s1');
     await w.clock.run(at - w.clock.now() + 700);
-    for (const m of w.of('front')) assert.is(m.front?.steward.current?.state.servers.get('s1')?.leaving, true);
+    for (const m of w.of('front')) assert.is(m.front?.owner.current?.state.servers.get('s1')?.draining, true);
     const from = await press(w, 'm', 3500, everyFront(w));
     assert.is(began(w, 's1', from), 0);
     assert.ok(began(w, 's2', from) > 20);
@@ -98,7 +98,7 @@
   await w.clock.run(1000);
   shown.put({ id: 's1', pool: 'shop' });
   await w.clock.run(2000);
-  assert.is(w.committed?.servers.get('s1')?.leaving, true);
+  assert.is(w.committed?.servers.get('s1')?.draining, true);
 });
 
 const atMaster = async (what: string, harm: (w: World, master: Machine) => void): Promise<void> => {
@@ -117,7 +117,7 @@
     assertLeft(up, 's1', at);
     assert.ok(began(w, 's2', at + drain) > 20, 'the other server goes on');
     assert.ok(began(w, 's2', at, at + drain) > 20, 'it did so the whole time');
-    assert.is(w.committed?.servers.get('s1')?.leaving, true);
+    assert.is(w.committed?.servers.get('s1')?.draining, true);
   }
   assert.is(blind, seeds.length);
 };
@@ -212,7 +212,7 @@
   }
 });
 
-list('a master that alone cannot reach the list keeps no leaving server in use', async () => {
+list('a master that alone cannot reach the list keeps no draining server in use', async () => {
   for (const seed of seeds) {
     const up = await listUp(seed);
     const { w, shown } = up;
@@ -247,7 +247,7 @@
     const at = shown.mark('s1');
     await press(w, 'l', 5000, () => lone);
     assertLeft(up, 's1', at);
-    assert.is(began(w, 's1', at + w.bounds.grace + 1), 0);
+    assert.is(began(w, 's1', at + w.bounds.readLease + 1), 0);
     assert.ok(began(w, 's1', at) > 0);
   }
 });
@@ -286,7 +286,7 @@
     shown.drop('s1');
     const from = await press(w, 'i', 3000, everyFront(w));
     assert.ok(began(w, 's9', from) > 10);
-    assert.is(w.committed?.servers.get('s9')?.leaving, false);
+    assert.is(w.committed?.servers.get('s9')?.draining, false);
     assertLeft(up, 's1', at);
   }
 });
@@ -330,8 +330,8 @@
   for (let i = 0; i < 5; i++) {
     const t0 = clock.now();
     const reply = await clock.finish('reply', reader.reply(), 130);
-    assert.ok((reply.told?.age ?? Infinity) <= 500);
-    assert.is(reply.told?.readAge, null);
+    assert.ok((reply.reported?.age ?? Infinity) <= 500);
+    assert.is(reply.reported?.readAge, null);
     await clock.run(370 - (clock.now() - t0));
   }
 });
@@ -343,13 +343,13 @@
   const reader = new ListReader(clock, shown.reader('c', new Life()), { listEvery: 500 }, noLog);
   const old = await clock.finish('old', reader.read(), 1000);
   shown.put({ id: 'b', pool: 'p' });
-  const b = { id: 'b', pool: 'p', url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, leaving: false };
-  let committed = listInto(foundingState('c', [], 1), [...old.servers, b]);
+  const b = { id: 'b', pool: 'p', url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, draining: false };
+  let committed = listInto(bootstrapState('c', [], 1), [...old.servers, b]);
   let submits = 0;
   const over = new AbortController();
   const poll = new ListPoll(clock, reader);
   void poll.run({
-    term: 4, lost: over.signal, committed, committedAt: 0, silentFor: () => 0, heard: () => true, synced: () => true, reach: async () => new Set<string>(),
+    term: 4, lost: over.signal, committed, committedAt: 0, unresponsiveFor: () => 0, heard: () => true, synced: () => true, reach: async () => new Set<string>(),
     inForce: async () => undefined, confirm: async () => committed,
     decide: () => Promise.reject(new Error('a poll asks for no proof')),
     submit: async (change) => {
@@ -358,37 +358,37 @@
       return { state: committed, at: clock.now() };
     },
   });
-  assert.equal(poll.told(4), { age: null, readAge: null });
+  assert.equal(poll.reported(4), { age: null, readAge: null });
   await clock.run(3000);
   over.abort();
   assert.is(submits, 0);
-  assert.ok((poll.told(4).readAge ?? Infinity) < 600);
-  assert.equal(poll.told(5), { age: null, readAge: null });
+  assert.ok((poll.reported(4).readAge ?? Infinity) < 600);
+  assert.equal(poll.reported(5), { age: null, readAge: null });
 });
 
 list('freshness counts from the asking, and is none until it is known whether there is a list', () => {
   const clock = new SimClock();
-  const circuits: Circuits = {
+  const transport: Transport = {
     self: 'f', call: async () => null, serve: async () => undefined, onLost: () => undefined, close: async () => undefined,
   };
-  const watch = (): ListWatch => new ListWatch(clock, circuits, new World(1, { controls: 0, stores: 0, fronts: 0 }).bounds, noLog, 'f');
+  const watch = (): ListWatch => new ListWatch(clock, transport, new World(1, { controls: 0, stores: 0, fronts: 0 }).bounds, noLog, 'f');
   const one = watch();
-  assert.is(one.freshAt, -Infinity);
-  one.onTold({ age: null, readAge: null }, 1000);
-  assert.is(one.freshAt, -Infinity);
-  one.onTold({ age: 300, readAge: null }, 1000);
-  assert.is(one.freshAt, 700);
-  one.onTold({ age: 900, readAge: 900 }, 1200);
-  assert.is(one.freshAt, 700);
+  assert.is(one.leaseRenewedAt, -Infinity);
+  one.onListReport({ age: null, readAge: null }, 1000);
+  assert.is(one.leaseRenewedAt, -Infinity);
+  one.onListReport({ age: 300, readAge: null }, 1000);
+  assert.is(one.leaseRenewedAt, 700);
+  one.onListReport({ age: 900, readAge: 900 }, 1200);
+  assert.is(one.leaseRenewedAt, 700);
   const two = watch();
-  two.onTold(undefined, 1000);
-  assert.is(two.freshAt, Infinity);
+  two.onListReport(undefined, 1000);
+  assert.is(two.leaseRenewedAt, Infinity);
 });
 
 list('a reading that says nothing new leaves the state as it is', () => {
-  const one = { id: 'a', pool: 'p', url: 'u', zone: 'z', places: 3, leaving: true };
-  const s = listInto(foundingState('c', [], 1), [one]);
-  assert.is(listInto(s, [{ ...one, leaving: false }]), s);
+  const one = { id: 'a', pool: 'p', url: 'u', zone: 'z', places: 3, draining: true };
+  const s = listInto(bootstrapState('c', [], 1), [one]);
+  assert.is(listInto(s, [{ ...one, draining: false }]), s);
   assert.is(listInto(s, []).servers.size, 0);
 });
 
--- a/tests/src/manifests.test.ts
+++ b/tests/src/manifests.test.ts
@@ -30,7 +30,7 @@
   const { config } = checkConfig(text ?? '');
   assert.is(config?.base, 4);
   assert.equal(config?.pools.map((p) => `${p.name} ${p.kind}`), ['new-models model', 'old-models model']);
-  assert.equal(config?.lanes[0]?.shares.map((s) => `${s.pool} ${s.share}`), ['new-models 7', 'old-models 3']);
+  assert.equal(config?.routes[0]?.shares.map((s) => `${s.pool} ${s.share}`), ['new-models 7', 'old-models 3']);
 });
 
 manifests('what is not supported is a finding with its place, all of them at once', () => {
@@ -45,7 +45,7 @@
     [route(), ['spec.parentRefs[0].name', 'no Gateway door']],
     [`${gateway}---\nkind: TCPRoute\nmetadata: { name: t }\n`, ['TCPRoute/t', 'not supported']],
     [`${gateway}---\nkind: [`, ['line', 'column']],
-    [`${gateway}---\n${route()}---\n${route('', '', 'turn').replace('name: chat', 'name: again')}`, ['lanes[1].match', 'already takes']],
+    [`${gateway}---\n${route()}---\n${route('', '', 'turn').replace('name: chat', 'name: again')}`, ['routes[1].match', 'already takes']],
     [`${gateway}---\n- 3\n`, ['a.yaml document 2']],
     [gateway, ['there is no HTTPRoute']],
   ];
--- a/tests/src/many-changes.test.ts
+++ b/tests/src/many-changes.test.ts
@@ -30,7 +30,7 @@
   const old = lead.committed?.config;
   const base = old?.version ?? 0;
   const text = configText(base, 'models', 'shop', routes + (base % 3));
-  const record = { version: base + 1, text, digest: digestOf(text), compiled: text, order: '' };
+  const record = { version: base + 1, text, digest: digestOf(text), compiled: text, changeId: '' };
   await w.clock.finish('change', lead.submit((s) => reduce(s, { kind: 'config', record })), 2000);
 };
 
--- a/tests/src/members.test.ts
+++ b/tests/src/members.test.ts
@@ -8,14 +8,14 @@
 const seeds = [61, 62, 63];
 
 /** The bounds of the small sites: contactMs 3000, so heartbeats of 500 ms and a failure timeout of 1800 ms. */
-const siteBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 500, silent: 1800 };
+const siteBounds = { serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 500, failureTimeout: 1800 };
 const halfCatchUp = 2400;
 const sizes: WorldSizes = { controls: 3, stores: 3, fronts: 2, outer: siteBounds };
 
 const idOf = (m: Machine | undefined): string => m?.control?.id ?? 'none';
-const votersNow = (w: World): readonly string[] => w.committed?.voters.now ?? [];
+const votersNow = (w: World): readonly string[] => w.committed?.voters.current ?? [];
 
-const settled = (w: World): boolean => w.committed !== undefined && w.committed.voters.now.join() === w.committed.voters.next.join();
+const settled = (w: World): boolean => w.committed !== undefined && w.committed.voters.current.join() === w.committed.voters.next.join();
 
 const listed = (w: World, m: Machine): boolean => w.committed?.nodes.has(idOf(m)) ?? false;
 
@@ -45,7 +45,7 @@
       const old = others(w, spare).find((m) => (m === w.master) === leads);
       const oldId = idOf(old);
       await w.clock.finish('stop', old?.stopInOrder() ?? Promise.resolve(), 3000);
-      await w.clock.until('voted in', () => votersNow(w).includes(idOf(spare)) && settled(w), siteBounds.beat * 3);
+      await w.clock.until('voted in', () => votersNow(w).includes(idOf(spare)) && settled(w), siteBounds.heartbeatInterval * 3);
       assert.not(votersNow(w).includes(oldId));
       assert.is(votersNow(w).length, 3);
     }
--- a/tests/src/never.test.ts
+++ b/tests/src/never.test.ts
@@ -1,63 +1,63 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { slotOf } from '@tillerstair/state';
-import { opKeyOf } from '@tillerstair/steward';
-import { acts, assertNoBreach, configText, five, recordsOf, small, stewardOf, worldUp } from './util.js';
+import { opKeyOf } from '@tillerstair/session-owner';
+import { acts, assertNoBreach, configText, five, recordsOf, small, ownerOf, worldUp } from './util.js';
 
 const never = suite('never-list under failure');
 const seeds = [11, 12, 13, 14];
 
 
-never('a steward killed between intent and run: the key never runs twice', async () => {
+never('an owner killed between intent and run: the key never runs twice', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const key = `k${seed}`;
-    const steward = stewardOf(w, opKeyOf('t', key));
-    const first = w.call(key, '/hold', { n: 1 }, steward);
-    const before = w.servers.ran.length;
+    const owner = ownerOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, owner);
+    const before = w.servers.executed.length;
     await w.clock.run(1 + (seed % 4));
-    steward?.kill();
-    const told = await w.clock.finish('first', first, 30000);
-    assert.is(told.told, 'unknown');
+    owner?.kill();
+    const reported = await w.clock.finish('first', first, 30000);
+    assert.is(reported.reported, 'unknown');
     for (let i = 0; i < 6; i++) {
       await w.clock.run(1000);
       await w.clock.finish('again', w.call(key, '/hold', { n: 1 }), 30000);
     }
-    assert.ok(w.servers.ran.length >= before);
+    assert.ok(w.servers.executed.length >= before);
     assert.ok(acts(w, key) <= 1, `${acts(w, key)} runs`);
     assertNoBreach(recordsOf(w));
   }
 });
 
-never('a steward killed between run and verdict: the retry is told unknown, never run', async () => {
+never('an owner killed between run and outcome: the retry is told unknown, never run', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const key = `v${seed}`;
-    const steward = stewardOf(w, opKeyOf('t', key));
-    const first = w.call(key, '/hold', { n: 1 }, steward);
+    const owner = ownerOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, owner);
     await w.clock.until('it ran', () => acts(w, key) === 1, 5000);
-    steward?.kill();
+    owner?.kill();
     await w.clock.finish('first', first, 30000);
     await w.clock.run(6000);
     const again = await w.clock.finish('again', w.call(key, '/hold', { n: 1 }), 30000);
-    assert.is(again.told, 'unknown');
+    assert.is(again.reported, 'unknown');
     assert.is(acts(w, key), 1);
     assertNoBreach(recordsOf(w));
   }
 });
 
-never('a frozen steward woken after its slot moved cannot run what it held', async () => {
+never('a frozen owner woken after its slot moved cannot run what it held', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const key = `z${seed}`;
-    const steward = stewardOf(w, opKeyOf('t', key));
-    const first = w.call(key, '/hold', { n: 1 }, steward);
+    const owner = ownerOf(w, opKeyOf('t', key));
+    const first = w.call(key, '/hold', { n: 1 }, owner);
     await w.clock.run(0.5 + (seed % 3));
-    steward?.freeze();
+    owner?.freeze();
     await w.clock.run(6000);
-    const other = w.of('front').find((m) => m !== steward);
+    const other = w.of('front').find((m) => m !== owner);
     await w.clock.finish('elsewhere', w.call(key, '/hold', { n: 1 }, other), 30000);
-    steward?.wake();
+    owner?.wake();
     await w.clock.finish('first', first, 30000);
     await w.clock.run(3000);
     await w.clock.finish('last', w.call(key, '/hold', { n: 1 }, other), 30000);
@@ -66,13 +66,13 @@
   }
 });
 
-never('a lost verdict is told unknown and its key is not run again, on any front, after any restart', async () => {
+never('a lost outcome is told unknown and its key is not run again, on any front, after any restart', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     w.servers.set('s1', { loseEvery: 1 });
     w.servers.set('s2', { loseEvery: 1 });
-    const told = await w.clock.finish('lost', w.call('lost', '/hold', { n: 1 }), 30000);
-    assert.is(told.told, 'unknown');
+    const reported = await w.clock.finish('lost', w.call('lost', '/hold', { n: 1 }), 30000);
+    assert.is(reported.reported, 'unknown');
     w.servers.set('s1', { loseEvery: 0 });
     w.servers.set('s2', { loseEvery: 0 });
     for (const m of w.machines) m.kill('power');
@@ -80,30 +80,30 @@
     await w.clock.until('serving', () => w.readyFronts().length === 2 && w.slotsOpen(), 12000);
     await w.clock.run(500);
     const again = await w.clock.finish('again', w.call('lost', '/hold', { n: 1 }), 30000);
-    assert.is(again.told, 'unknown');
+    assert.is(again.reported, 'unknown');
     assert.is(acts(w, 'lost'), 1);
     assertNoBreach(recordsOf(w));
   }
 });
 
-never('a turn done is whole at every front after its steward and one store lose power', async () => {
+never('a turn done is whole at every front after its owner and one store lose power', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, five);
     const p = await w.clock.finish('program', w.program(200), 10000);
     const t = await w.clock.finish('turn', w.turn(p.program, null, `hello #${seed}`, 'k'), 30000);
-    assert.is(t.told, 'done');
-    stewardOf(w, `p/${p.program}`)?.kill('power');
+    assert.is(t.reported, 'done');
+    ownerOf(w, `p/${p.program}`)?.kill('power');
     const store = w.of('store')[seed % 3];
     store?.kill('power');
     store?.platter.wipe();
     await w.clock.run(6000);
     for (const m of w.of('front').filter((x) => x.up)) {
       const f = await w.clock.finish('fetch', w.fetch(p.program, t.turn, m), 30000);
-      assert.is(f.told, 'done', JSON.stringify(f));
+      assert.is(f.reported, 'done', JSON.stringify(f));
       assert.is(f.text, t.text);
     }
     const next = await w.clock.finish('next', w.turn(p.program, t.turn, `more #${seed}b`, 'k2'), 30000);
-    assert.is(next.told, 'done');
+    assert.is(next.reported, 'done');
     assertNoBreach(recordsOf(w));
   }
 });
@@ -117,7 +117,7 @@
         m.platter.delay = [1, 60, 130][(i + n) % 3] ?? 1;
       });
       const first = await w.clock.finish(kind, kind === 'turn' ? w.turn(p.program, null, `q #${n}`, 'k') : w.call('op', '/hold', { n: 1 }), 30000);
-      assert.is(first.told, 'done');
+      assert.is(first.reported, 'done');
       const store = w.of('store').find((m) => m.platter.delay === 1);
       for (const m of [...w.of('front'), ...w.of('store')]) m.kill('power');
       store?.platter.wipe();
@@ -125,71 +125,71 @@
       await w.clock.until('fronts', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
       await w.clock.run(1000);
       const again = await w.clock.finish('again', kind === 'turn' ? w.fetch(p.program, first.turn) : w.call('op', '/hold', { n: 1 }), 30000);
-      assert.is(again.text, first.text, again.mishap);
+      assert.is(again.text, first.text, again.errorCode);
       assert.ok(acts(w, 'op') <= 1);
       assertNoBreach(recordsOf(w));
     }
 });
 
-never('a steward whose slot was sealed by another says unavailable, not missing', async () => {
+never('an owner whose slot was fenced by another says unavailable, not missing', async () => {
   const w = await worldUp(51, small);
   const p = await w.clock.finish('program', w.program(200), 10000);
   const none = await w.clock.finish('fetch', w.fetch(p.program, 't-none'), 10000);
-  assert.is(none.mishap, 'missing');
+  assert.is(none.errorCode, 'missing');
   const slot = slotOf(`p/${p.program}`, w.slots);
-  const tenure = w.committed?.slots[slot]?.tenure ?? 0;
-  await w.clock.finish('seals', Promise.all(w.of('store').map((m) => m.shelf?.seal(slot, tenure + 1, ''))), 1000);
-  const told = await w.clock.finish('fetch', w.fetch(p.program, 't-elsewhere'), 10000);
-  assert.is(told.told, 'refused');
-  assert.is.not(told.mishap, 'missing');
+  const ownershipEpoch = w.committed?.slots[slot]?.ownershipEpoch ?? 0;
+  await w.clock.finish('fences', Promise.all(w.of('store').map((m) => m.replicaStore?.fence(slot, ownershipEpoch + 1, ''))), 1000);
+  const reported = await w.clock.finish('fetch', w.fetch(p.program, 't-elsewhere'), 10000);
+  assert.is(reported.reported, 'refused');
+  assert.is.not(reported.errorCode, 'missing');
 });
 
-never('a stream that loses pieces between two fronts is not told done', async () => {
+never('a stream that loses chunks between two fronts is not told done', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const p = await w.clock.finish('program', w.program(200), 10000);
-    const steward = stewardOf(w, `p/${p.program}`);
-    const other = w.of('front').find((m) => m !== steward);
+    const owner = ownerOf(w, `p/${p.program}`);
+    const other = w.of('front').find((m) => m !== owner);
     const going = w.turn(p.program, null, `l #${seed}`, 'k', other);
-    await w.clock.until('it runs', () => w.told.length > 0 && w.net.messages > 0 && (steward?.front?.steward.sizes().items ?? 0) > 1, 5000);
+    await w.clock.until('it runs', () => w.reported.length > 0 && w.net.messages > 0 && (owner?.front?.owner.sizes().items ?? 0) > 1, 5000);
     await w.clock.run(6);
-    w.net.cut(`${steward?.addr ?? ''}/data`, `${other?.addr ?? ''}/data`);
+    w.net.cut(`${owner?.addr ?? ''}/data`, `${other?.addr ?? ''}/data`);
     await w.clock.run(7);
     w.net.mend();
     const t = await w.clock.finish('turn', going, 30000);
-    assert.is.not(t.told, 'done');
+    assert.is.not(t.reported, 'done');
     assertNoBreach(recordsOf(w));
   }
 });
 
 never('stores that cannot be reached are not held against the servers', async () => {
   const w = await worldUp(52, small);
-  const steward = stewardOf(w, opKeyOf('t', 'cut'));
-  w.net.cutBoth([`${steward?.addr ?? ''}/data`], w.of('store').map((m) => m.addr));
-  const told = await w.clock.finish('call', w.call('cut', '/hold', { n: 1 }, steward), 30000);
-  assert.is(told.told, 'refused');
-  const placement = steward?.front?.steward.placement;
-  const server = steward?.front?.steward.current?.state.servers.get('s1');
+  const owner = ownerOf(w, opKeyOf('t', 'cut'));
+  w.net.cutBoth([`${owner?.addr ?? ''}/data`], w.of('store').map((m) => m.addr));
+  const reported = await w.clock.finish('call', w.call('cut', '/hold', { n: 1 }, owner), 30000);
+  assert.is(reported.reported, 'refused');
+  const placement = owner?.front?.owner.placement;
+  const server = owner?.front?.owner.current?.state.servers.get('s1');
   assert.ok(placement && server);
   assert.equal(placement?.failuresOf('s1') ?? -1, 0);
   assert.equal(placement?.failuresOf('s2') ?? -1, 0);
 });
 
-never('a budget holds over steward changes, with helpers and many turns at once', async () => {
+never('a budget holds over owner changes, with helpers and many turns at once', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, five);
     const p = await w.clock.finish('program', w.program(60), 10000);
     const helper = await w.clock.finish('helper', w.program(60, undefined, p.program), 10000);
-    assert.is(helper.told, 'done');
+    assert.is(helper.reported, 'done');
     const burst = Array.from({ length: 8 }, (_, i) => w.turn(i % 2 ? p.program : helper.program, null, `x #${seed}-${i}`, `b${i}`));
     await w.clock.run(15);
-    stewardOf(w, `p/${p.program}`)?.kill();
+    ownerOf(w, `p/${p.program}`)?.kill();
     await w.clock.finish('burst', Promise.all(burst), 60000);
     for (let i = 0; i < 12; i++) await w.clock.finish('more', w.turn(p.program, null, `y #${seed}-${i}`, `c${i}`), 60000);
-    const spent = w.told.filter((t) => t.kind === 'turn').reduce((n, t) => n + t.pieces.length, 0);
+    const spent = w.reported.filter((t) => t.kind === 'turn').reduce((n, t) => n + t.chunks.length, 0);
     assert.ok(spent <= 60 + 16, `${spent} tokens`);
-    const last = w.told.at(-1);
-    assert.is(last?.mishap, 'budget-spent');
+    const last = w.reported.at(-1);
+    assert.is(last?.errorCode, 'budget-spent');
     assertNoBreach(recordsOf(w));
   }
 });
@@ -202,17 +202,17 @@
     const p = await w.clock.finish('program', w.program(900), 10000);
     for (let i = 0; i < 10; i++) {
       const t = await w.clock.finish('turn', w.turn(p.program, null, `s #${seed}-${i}`, `k${i}`), 30000);
-      if (t.told === 'done' || t.told === 'refused') continue;
+      if (t.reported === 'done' || t.reported === 'refused') continue;
       const again = await w.clock.finish('again', w.turn(p.program, null, `s #${seed}-${i}`, `k${i}`), 30000);
-      assert.is(again.told, 'unknown');
-      assert.is(w.servers.ran.filter((r) => r.said.trim() === `s #${seed}-${i}`).length, 1);
+      assert.is(again.reported, 'unknown');
+      assert.is(w.servers.executed.filter((r) => r.said.trim() === `s #${seed}-${i}`).length, 1);
     }
-    assert.ok(w.told.some((t) => t.told === 'partial'));
+    assert.ok(w.reported.some((t) => t.reported === 'partial'));
     assertNoBreach(recordsOf(w));
   }
 });
 
-never('a leaving server gets nothing new after 3 s, from a cut front and from a woken one', async () => {
+never('a draining server gets nothing new after 3 s, from a cut front and from a woken one', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, five);
     const [a, b] = w.of('front');
@@ -221,7 +221,7 @@
     w.net.cutBoth([a?.addr ?? ''], rest);
     b?.freeze();
     const at = w.clock.now();
-    const mark = await w.operate('POST', '/v1/servers/m1/leaving');
+    const mark = await w.operate('POST', '/v1/servers/m1/draining');
     assert.is(mark.status, 200);
     let woken = false;
     let i = 0;
@@ -235,8 +235,8 @@
       await w.clock.run(100);
     }
     await w.clock.finish('all', Promise.all(going), 60000);
-    assertNoBreach(recordsOf(w, { leavings: [{ server: 'm1', at, until: Infinity }] }));
-    assert.ok(w.servers.ran.some((r) => r.server === 'm2' && r.began > at + 3300));
+    assertNoBreach(recordsOf(w, { drainings: [{ server: 'm1', at, until: Infinity }] }));
+    assert.ok(w.servers.executed.some((r) => r.server === 'm2' && r.began > at + 3300));
   }
 });
 
@@ -252,7 +252,7 @@
     const sentAt = w.clock.now();
     const put = await w.operate('PUT', '/v1/config', configText(1, 'others'), undefined, 30000);
     assert.is(put.status, 200);
-    const toldAt = w.clock.now();
+    const reportedAt = w.clock.now();
     b?.wake();
     const going: Promise<unknown>[] = [];
     for (let i = 0; i < 40; i++) {
@@ -261,18 +261,18 @@
     }
     w.net.mend();
     await w.clock.finish('all', Promise.all(going), 60000);
-    const base = { text: '', sentAt: 0, told: 'done' as const, toldAt: 0, callPools: ['shop'] };
+    const base = { text: '', sentAt: 0, reported: 'done' as const, reportedAt: 0, callPools: ['shop'] };
     assertNoBreach(
       recordsOf(w, {
         readBack: { version: 2, text: '' },
         configs: [
           { ...base, version: 1, turnPools: ['models'] },
-          { ...base, version: 2, turnPools: ['others'], sentAt, toldAt },
+          { ...base, version: 2, turnPools: ['others'], sentAt, reportedAt },
         ],
       }),
     );
-    assert.ok(w.servers.ran.some((r) => r.pool === 'others'));
-    assert.not.ok(w.servers.ran.some((r) => r.pool === 'models' && r.began > toldAt));
+    assert.ok(w.servers.executed.some((r) => r.pool === 'others'));
+    assert.not.ok(w.servers.executed.some((r) => r.pool === 'models' && r.began > reportedAt));
   }
 });
 
@@ -280,7 +280,7 @@
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const both = await w.clock.finish('both', Promise.all(w.of('front').map((m) => w.call('twin', '/hold', { n: 1 }, m))), 30000);
-    assert.equal(both.map((t) => `${t.told} ${t.mishap}`), ['done ', 'done ']);
+    assert.equal(both.map((t) => `${t.reported} ${t.errorCode}`), ['done ', 'done ']);
     assert.is(both[0]?.text, both[1]?.text);
     assert.is(acts(w, 'twin'), 1);
   }
@@ -293,25 +293,25 @@
     const narrow = (base: number, pool: string): string => JSON.stringify({ ...JSON.parse(configText(base, pool)), bounds: { perServer: 1 } });
     assert.is((await w.operate('PUT', '/v1/config', narrow(1, 'models'))).status, 200);
     const p = await w.clock.finish('program', w.program(900), 10000);
-    const front = stewardOf(w, `p/${p.program}`);
+    const front = ownerOf(w, `p/${p.program}`);
     for (const id of ['m1', 'm2']) w.servers.set(id, { slow: 40 });
     const going = Array.from({ length: 12 }, (_, i) => w.turn(p.program, null, `d #${seed}-${i}`, `d${i}`, front));
     await w.clock.run(100);
-    assert.ok((front?.front?.steward.waiting ?? 0) >= 8);
+    assert.ok((front?.front?.owner.waiting ?? 0) >= 8);
     const sentAt = w.clock.now();
     assert.is((await w.operate('PUT', '/v1/config', narrow(2, 'others'))).status, 200);
-    const toldAt = w.clock.now();
-    const told = await w.clock.finish('all', Promise.all(going), 60000);
-    assert.equal(told.filter((t) => t.told !== 'done').map((t) => t.mishap), []);
-    assert.ok(w.servers.ran.filter((r) => r.pool === 'others').length >= 8);
-    assert.not.ok(w.servers.ran.some((r) => r.pool === 'models' && r.began > toldAt));
-    const base = { text: '', told: 'done' as const, callPools: ['shop'] };
-    const configs = [{ ...base, version: 1, turnPools: ['models'], sentAt: -1e9, toldAt: 0 }, { ...base, version: 3, turnPools: ['others'], sentAt, toldAt }];
+    const reportedAt = w.clock.now();
+    const reported = await w.clock.finish('all', Promise.all(going), 60000);
+    assert.equal(reported.filter((t) => t.reported !== 'done').map((t) => t.errorCode), []);
+    assert.ok(w.servers.executed.filter((r) => r.pool === 'others').length >= 8);
+    assert.not.ok(w.servers.executed.some((r) => r.pool === 'models' && r.began > reportedAt));
+    const base = { text: '', reported: 'done' as const, callPools: ['shop'] };
+    const configs = [{ ...base, version: 1, turnPools: ['models'], sentAt: -1e9, reportedAt: 0 }, { ...base, version: 3, turnPools: ['others'], sentAt, reportedAt }];
     assertNoBreach(recordsOf(w, { configs, readBack: { version: 3, text: '' } }));
   }
 });
 
-never('work is not refused while any server of its lane is free, however many have just gone', async () => {
+never('work is not refused while any server of its route is free, however many have just gone', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     for (const id of ['s3', 's4', 's5', 's6']) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool: 'shop', url: 'http://127.0.0.1:1' }));
@@ -320,8 +320,8 @@
     await w.clock.run(600);
     const free = 1 + (seed % 6);
     for (let n = 1; n <= 6; n++) if (n !== free) for (const kind of ['m', 's']) w.servers.set(`${kind}${n}`, { refuses: true });
-    const told = await w.clock.finish('both', Promise.all([w.call(`g${seed}`, '/hold', { n: 1 }), w.turn(p.program, null, `g #${seed}`, 'g')]), 30000);
-    assert.equal(told.map((t) => `${t.kind} ${t.told} ${t.mishap}`), ['call done ', 'turn done ']);
+    const reported = await w.clock.finish('both', Promise.all([w.call(`g${seed}`, '/hold', { n: 1 }), w.turn(p.program, null, `g #${seed}`, 'g')]), 30000);
+    assert.equal(reported.map((t) => `${t.kind} ${t.reported} ${t.errorCode}`), ['call done ', 'turn done ']);
   }
 });
 
--- a/tests/src/operator.test.ts
+++ b/tests/src/operator.test.ts
@@ -4,7 +4,7 @@
 import { freePorts } from '@tillerstair/fleet';
 import { OperatorDesk, operatorPage } from '@tillerstair/platform';
 import { World } from '@tillerstair/sim';
-import { compiledOf, laneFor, lanesOf } from '@tillerstair/state';
+import { compiledOf, routeFor, routesOf } from '@tillerstair/state';
 import { serveHttp } from '@tillerstair/wire';
 import { configText, small } from './util.js';
 
@@ -111,8 +111,8 @@
   const want = { ...whole(4), ways: [r1, way('r3')], depots: [depot('d1', { engine }), depot('d3')], note: { a: [1] } };
   assert.equal(JSON.parse(String(await desk.read())), JSON.parse(text(want)));
   const config = compiledOf(w.committed?.config);
-  assert.equal(config?.lanes.map((l) => l.name), ['r1', 'r3']);
-  assert.is(config?.lanes[0]?.pass?.deadlineMs, 900);
+  assert.equal(config?.routes.map((l) => l.name), ['r1', 'r3']);
+  assert.is(config?.routes[0]?.pass?.deadlineMs, 900);
   const first = await deskOf(await up(47)).change('PATCH', 0, patch);
   assert.is(first.status, 412);
 });
@@ -122,21 +122,21 @@
   assert.is((await deskOf(w).change('PUT', 0, whole(1))).status, 200);
   const config = compiledOf(w.committed?.config);
   if (!config) throw new Error('no configuration');
-  const [a, b] = config.lanes;
-  assert.equal(a?.pass, { manner: 'stream', tries: 1, deadlineMs: 4000, aimMs: 200, rank: 0, keptMs: 0, resumable: true, pauseMs: 250 });
+  const [a, b] = config.routes;
+  assert.equal(a?.pass, { manner: 'stream', tries: 1, deadlineMs: 4000, aimMs: 200, rank: 0, turnRetentionMs: 0, resumable: true, pauseMs: 250 });
   assert.is(a?.urgent, true);
   assert.equal(a?.shares, [{ pool: 'd1', share: 1 }]);
   assert.is(b?.pass?.manner, 'keyed');
-  assert.is(b?.pass?.keptMs, 60000);
+  assert.is(b?.pass?.turnRetentionMs, 60000);
   assert.is(b?.pass?.rank, 3);
   assert.is(b?.urgent, false);
   assert.equal(b?.shares, [{ pool: 'd1', share: 90 }, { pool: 'd2', share: 10 }]);
   assert.equal(config.pools, [
-    { name: 'd1', kind: 'model', circuits: 240, remembersKeys: false, check: '/health', engine: { places: 32, memoryTokens: 994921, pieceTokens: 20 } },
-    { name: 'd2', kind: 'service', circuits: 240, remembersKeys: true, check: '/health' },
+    { name: 'd1', kind: 'model', connections: 240, remembersKeys: false, check: '/health', engine: { places: 32, memoryTokens: 994921, blockTokens: 20 } },
+    { name: 'd2', kind: 'service', connections: 240, remembersKeys: true, check: '/health' },
   ]);
   assert.equal(config.limits, { headerBytes: 16384, bodyBytes: 4194304, headerWaitMs: 3000, idleMs: 15000 });
-  assert.is(laneFor(lanesOf(config), 'pass', 'a.example/r2/x/y')?.name, 'r2');
+  assert.is(routeFor(routesOf(config), 'pass', 'a.example/r2/x/y')?.name, 'r2');
   assert.not.match(w.committed?.config?.compiled ?? '', 'cacheTokens');
 });
 
@@ -189,14 +189,14 @@
   assert.ok((put.retryAfter ?? 0) > 0);
   const read = await w.clock.finish('GET', desk.read(), 30000);
   assert.is(typeof read === 'string' ? 200 : read.status, 503);
-  const late = new OperatorDesk(async () => ({ status: 504, body: { ran: 'unknown' } }));
+  const late = new OperatorDesk(async () => ({ status: 504, body: { executed: 'unknown' } }));
   assert.is((await late.change('PUT', '1', text(whole(2)))).status, 504);
 });
 
 operator('a store is emptied by its name; unknown ones and too few are told apart', async () => {
   const w = await up(52, { controls: 3, stores: 4, fronts: 2 });
   await w.operate('PUT', '/v1/config', configText(0));
-  await w.clock.until('copies', () => w.committed?.slots.every((s) => s.copies.length === 3) ?? false, 20000);
+  await w.clock.until('replicas', () => w.committed?.slots.every((s) => s.replicas.length === 3) ?? false, 20000);
   const desk = deskOf(w);
   const name = 'store-number-1';
   assert.is((await desk.retire('POST', 'nobody')).status, 404);
@@ -208,7 +208,7 @@
   assert.is((await desk.retire('POST', name)).status, 200);
   assert.is((await desk.retire('POST', 'store-number-2')).status, 409);
   const id = w.at('store-1').store?.id ?? 'none';
-  await w.clock.until('emptied', () => w.committed?.slots.every((s) => !s.copies.includes(id) && s.filling.length === 0) ?? false, 6000);
+  await w.clock.until('emptied', () => w.committed?.slots.every((s) => !s.replicas.includes(id) && s.joiningReplicas.length === 0) ?? false, 6000);
   assert.ok(w.clock.now() - at < 6000);
   assert.equal((await desk.retire('GET', name)).body, { state: 'delivered' });
   w.at('store-1').kill('power');
@@ -224,7 +224,7 @@
   const asked: string[] = [];
   const outcomes = new Map<string, Outcome>([
     ['PUT /v1/config', { status: 409, body: {} }],
-    ['GET /v1/config', { status: 200, body: { version: 4, text: text({ origin: '{"edition":4}' }), order: '' } }],
+    ['GET /v1/config', { status: 200, body: { version: 4, text: text({ origin: '{"edition":4}' }), changeId: '' } }],
     ['POST /v1/config/prepare', { status: 409, body: {} }],
     ['POST /v1/stores/a%20b/empty', { status: 200, body: { done: false } }],
     ['GET /v1/stores/a%20b/empty', { status: 503, body: {} }],
--- a/tests/src/orders.test.ts
+++ b/tests/src/orders.test.ts
@@ -4,7 +4,7 @@
 import type { Operation, Outcome } from '@tillerstair/control';
 import { OperatorDesk } from '@tillerstair/platform';
 import { ConfigCalls, seededRng, World, type Machine } from '@tillerstair/sim';
-import { diffOf, flatten, foundingState, reduce, takenLeast, takenVerdict, unflatten, withTaken, type State, type TakenChanges } from '@tillerstair/state';
+import { diffOf, flatten, bootstrapState, reduce, takenLeast, takenOutcome, unflatten, withTaken, type State, type TakenChanges } from '@tillerstair/state';
 import { small } from './util.js';
 
 const orders = suite('orders that are sent again');
@@ -39,7 +39,7 @@
 
   send(o: Order, at: Machine | undefined = this.w.master): Promise<Outcome | undefined> {
     const node = at?.control;
-    const what = { kind: 'change' as const, order: `${o.method} ${o.base} ${o.body}`, base: o.base, version: o.version, content: undefined };
+    const what = { kind: 'change' as const, changeId: `${o.method} ${o.base} ${o.body}`, base: o.base, version: o.version, content: undefined };
     const desk = new OperatorDesk(async (x: Operation) => (await node?.operate(x)) ?? { status: 504, body: null });
     return this.calls.record(what, () => desk.change(o.method, String(o.base), o.body), answerOf);
   }
@@ -61,11 +61,11 @@
   return new Desks(w);
 };
 
-const recordOf = (version: number) => ({ version, text: '', digest: `d${version}`, compiled: '', order: `order ${version}` });
+const recordOf = (version: number) => ({ version, text: '', digest: `d${version}`, compiled: '', changeId: `order ${version}` });
 
 orders('the record of taken changes is bounded, exact within its bound, and in doubt beyond', () => {
   const count = takenLeast + 500;
-  let s: State = foundingState('x', [], 8);
+  let s: State = bootstrapState('x', [], 8);
   let most = 0;
   for (let v = 1; v <= count; v++) {
     const next = reduce(s, { kind: 'config', record: recordOf(v * 3) });
@@ -78,21 +78,21 @@
   const back = unflatten(flatten(s));
   assert.equal(back.taken, s.taken);
   for (let v = 1; v <= count; v++) {
-    const verdict = takenVerdict(back.taken, v * 3, `order ${v * 3}`);
-    assert.is.not(verdict, 'not-taken', `version ${v * 3}`);
-    if (v > count - takenLeast) assert.is(verdict, 'taken', `version ${v * 3}`);
+    const outcome = takenOutcome(back.taken, v * 3, `order ${v * 3}`);
+    assert.is.not(outcome, 'not-taken', `version ${v * 3}`);
+    if (v > count - takenLeast) assert.is(outcome, 'taken', `version ${v * 3}`);
   }
-  assert.is(takenVerdict(back.taken, 3, 'order 3'), 'forgotten');
-  assert.is(takenVerdict(back.taken, count * 3, 'another'), 'not-taken');
-  assert.is(takenVerdict(back.taken, count * 3 + 1, `order ${count * 3}`), 'not-taken');
+  assert.is(takenOutcome(back.taken, 3, 'order 3'), 'forgotten');
+  assert.is(takenOutcome(back.taken, count * 3, 'another'), 'not-taken');
+  assert.is(takenOutcome(back.taken, count * 3 + 1, `order ${count * 3}`), 'not-taken');
 });
 
 orders('a version that begins or ends as another is told apart', () => {
   const taken: TakenChanges = withTaken(withTaken(new Map(), 1, 'a'), 21, 'b');
-  assert.is(takenVerdict(taken, 1, 'a'), 'taken');
-  assert.is(takenVerdict(taken, 1, 'b'), 'not-taken');
-  assert.is(takenVerdict(taken, 2, 'b'), 'not-taken');
-  assert.is(takenVerdict(new Map(), 1, 'a'), 'not-taken');
+  assert.is(takenOutcome(taken, 1, 'a'), 'taken');
+  assert.is(takenOutcome(taken, 1, 'b'), 'not-taken');
+  assert.is(takenOutcome(taken, 2, 'b'), 'not-taken');
+  assert.is(takenOutcome(new Map(), 1, 'a'), 'not-taken');
 });
 
 orders('hundreds of changes, eight under way, patches among them: each that was taken is acknowledged again anywhere', async () => {
--- a/tests/src/overload.test.ts
+++ b/tests/src/overload.test.ts
@@ -1,33 +1,33 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { ToldRecord } from '@tillerstair/checker';
+import type { ReplyRecord } from '@tillerstair/checker';
 import { small, worldUp } from './util.js';
 import { stormConfig } from '@tillerstair/sim';
 
 const overload = suite('more work than there are servers for');
 const capacity = 32;
 
-const offer = async (times: number): Promise<{ done: readonly ToldRecord[]; refused: readonly ToldRecord[] }> => {
+const offer = async (times: number): Promise<{ done: readonly ReplyRecord[]; refused: readonly ReplyRecord[] }> => {
   const w = await worldUp(81, small);
   const text = stormConfig({ base: 1, turnPools: ['models'], callPool: 'shop', extra: 0 });
-  const bounds = { callMs: 4000, perServer: 2, line: 200 };
+  const bounds = { callMs: 4000, perServer: 2, queue: 200 };
   assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...JSON.parse(text), bounds }))).status, 200);
   for (const id of ['s1', 's2']) w.servers.set(id, { slow: 10 });
-  const going: Promise<ToldRecord>[] = [];
+  const going: Promise<ReplyRecord>[] = [];
   for (let i = 0; i < times * capacity * 15; i++) {
     going.push(w.call(`k${i}`, i % 5 === 0 ? '/alarm' : '/hold', { i }));
     await w.clock.run(1000 / (times * capacity));
   }
-  const told = await w.clock.finish('all', Promise.all(going), 60000);
-  assert.ok(told.every((t) => t.told === 'done' || t.told === 'refused'));
-  return { done: told.filter((t) => t.told === 'done'), refused: told.filter((t) => t.told === 'refused') };
+  const reported = await w.clock.finish('all', Promise.all(going), 60000);
+  assert.ok(reported.every((t) => t.reported === 'done' || t.reported === 'refused'));
+  return { done: reported.filter((t) => t.reported === 'done'), refused: reported.filter((t) => t.reported === 'refused') };
 };
 
-const tookOf = (rows: readonly ToldRecord[], q: number): number => {
+const tookOf = (rows: readonly ReplyRecord[], q: number): number => {
   const took = rows.map((t) => t.to - t.from).sort((a, b) => a - b);
   return took[Math.floor(took.length * q)] ?? 0;
 };
-const urgent = (t: ToldRecord): boolean => Number(t.key.slice(1)) % 5 === 0;
+const urgent = (t: ReplyRecord): boolean => Number(t.key.slice(1)) % 5 === 0;
 
 overload('as much is done at four times the load, refusals come at once and say when to come back', async () => {
   const once = await offer(1);
--- a/tests/src/steward.test.ts
+++ b/tests/src/ownership.test.ts
@@ -2,16 +2,16 @@
 import * as assert from 'uvu/assert';
 import type { Machine, World } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
-import { opKeyOf } from '@tillerstair/steward';
-import { acts, assertNoBreach, configText, recordsOf, small, stewardOf, worldUp } from './util.js';
+import { opKeyOf } from '@tillerstair/session-owner';
+import { acts, assertNoBreach, configText, recordsOf, small, ownerOf, worldUp } from './util.js';
 
-const stewards = suite('stewardships that break and come back');
+const owners = suite('ownerships that break and come back');
 
 const slotAt = (w: World, key: string) => {
   const s = w.committed;
   return s?.slots[slotOf(key, s.slots.length)];
 };
-const stewardAs = (m: Machine, key: string): string => m.front?.steward.stewardOf(m.front.steward.slotFor(key)) ?? '';
+const ownerAs = (m: Machine, key: string): string => m.front?.owner.ownerOf(m.front.owner.slotFor(key)) ?? '';
 
 const oneAtATime = async (w: World): Promise<void> => {
   await w.operate('DELETE', '/v1/servers/s2');
@@ -20,35 +20,35 @@
   await w.clock.run(1500);
 };
 
-stewards('a front that missed the loss of its slot looks again before it runs what waited in line', async () => {
+owners('a front that missed the loss of its slot looks again before it runs what waited in line', async () => {
   for (const seed of [61, 62, 63]) {
     const w = await worldUp(seed, small);
     await oneAtATime(w);
     const key = `line${seed}`;
-    const a = stewardOf(w, opKeyOf('t', key));
+    const a = ownerOf(w, opKeyOf('t', key));
     const b = w.of('front').find((m) => m !== a);
-    if (!a || !b) throw new Error('no steward');
+    if (!a || !b) throw new Error('no owner');
     w.servers.set('s1', { slow: 400 });
-    const filler = ['x', 'y', 'z'].map((n) => `f${seed}${n}`).find((k) => stewardOf(w, opKeyOf('t', k)) === a);
+    const filler = ['x', 'y', 'z'].map((n) => `f${seed}${n}`).find((k) => ownerOf(w, opKeyOf('t', k)) === a);
     const busy = w.call(filler ?? `f${seed}`, '/hold', { n: 0 }, a);
     await w.clock.run(50);
     const first = w.call(key, '/hold', { n: 1 }, a);
     await w.clock.run(200);
-    assert.ok((a.front?.steward.waiting ?? 0) > 0, 'it waits in line');
-    const tenure = slotAt(w, opKeyOf('t', key))?.tenure ?? 0;
+    assert.ok((a.front?.owner.waiting ?? 0) > 0, 'it waits in line');
+    const ownershipEpoch = slotAt(w, opKeyOf('t', key))?.ownershipEpoch ?? 0;
     a.proxyLife.frozen = true;
-    await w.clock.until('taken over', () => stewardAs(b, opKeyOf('t', key)) === b.front?.p.id, 20000);
+    await w.clock.until('taken over', () => ownerAs(b, opKeyOf('t', key)) === b.front?.p.id, 20000);
     w.servers.set('s1', { slow: 1 });
     const elsewhere = await w.clock.finish('elsewhere', w.call(key, '/hold', { n: 1 }, b), 60000);
-    assert.is(elsewhere.told, 'done', elsewhere.mishap);
+    assert.is(elsewhere.reported, 'done', elsewhere.errorCode);
     assert.is(acts(w, key), 1);
     b.kill();
     await w.clock.until('dismissed', () => a.agent?.node === undefined, 10000);
     a.proxyLife.wake();
     await w.clock.until('adopted again', () => a.agent?.node !== undefined, 10000);
     w.net.cut(`${a.addr}/loop`, `${a.addr}/feed`);
-    await w.clock.until('steward again', () => stewardOf(w, opKeyOf('t', key)) === a, 20000);
-    assert.ok((slotAt(w, opKeyOf('t', key))?.tenure ?? 0) >= tenure + 2);
+    await w.clock.until('owner again', () => ownerOf(w, opKeyOf('t', key)) === a, 20000);
+    assert.ok((slotAt(w, opKeyOf('t', key))?.ownershipEpoch ?? 0) >= ownershipEpoch + 2);
     await w.clock.run(1200);
     w.net.mend();
     await w.clock.run(40000);
@@ -59,7 +59,7 @@
   }
 });
 
-stewards('who asked a steward that froze hears from the next one as soon as there is one', async () => {
+owners('who asked an owner that froze hears from the next one as soon as there is one', async () => {
   for (const seed of [71, 72, 73]) {
     const w = await worldUp(seed, small);
     const p = await w.clock.finish('program', w.program(200), 10000);
@@ -68,13 +68,13 @@
       [opKeyOf('t', key), (m: Machine) => w.call(key, '/hold', { n: 1 }, m)],
       [`p/${p.program}`, (m: Machine) => w.turn(p.program, null, `q #${seed}`, 'k', m)],
     ] as const) {
-      const a = stewardOf(w, slotKey);
+      const a = ownerOf(w, slotKey);
       const b = w.of('front').find((m) => m !== a);
-      if (!a || !b) throw new Error('no steward');
+      if (!a || !b) throw new Error('no owner');
       a.freeze();
       const from = w.clock.now();
-      const told = await w.clock.finish('told', ask(b), 30000);
-      assert.is(told.told, 'done', told.mishap);
+      const reported = await w.clock.finish('reported', ask(b), 30000);
+      assert.is(reported.reported, 'done', reported.errorCode);
       assert.ok(w.clock.now() - from < 7000, `${w.clock.now() - from} ms`);
       a.wake();
       await w.clock.until('all back', () => w.readyFronts().length === 2, 20000);
@@ -84,4 +84,4 @@
   }
 });
 
-stewards.run();
+owners.run();
--- a/tests/src/pass-turn.test.ts
+++ b/tests/src/pass-turn.test.ts
@@ -3,9 +3,9 @@
 import type { PassRecord } from '@tillerstair/checker';
 import { outputOf } from '@tillerstair/checker';
 import { eventsIn, passAt, type World } from '@tillerstair/sim';
-import { assertNoBreach, passed, passText, passUp, recordsOf, restart, runsOf, small, stewardOf } from './util.js';
+import { assertNoBreach, passed, passText, passUp, recordsOf, restart, runsOf, small, ownerOf } from './util.js';
 
-const turns = suite('streams on pass lanes');
+const turns = suite('streams on pass routes');
 const seeds = [21, 22, 23];
 const models = ['m1', 'm2'];
 const allBytes = Array.from({ length: 256 }, (_, i) => String.fromCharCode(i)).join('');
@@ -20,7 +20,7 @@
     const b = await turn(w, allBytes, a.attempt);
     const [c, d] = await w.clock.finish('branches', Promise.all(['c', 'd'].map((body) => passAt(w, { path: '/turn/x', body, after: b.attempt, program: 'pro' }))), 30000);
     const e = await turn(w, `${allBytes}e`, d?.attempt);
-    assert.equal([a, b, c, d, e].map((t) => t?.told), ['done', 'done', 'done', 'done', 'done']);
+    assert.equal([a, b, c, d, e].map((t) => t?.reported), ['done', 'done', 'done', 'done', 'done']);
     const chain = `${a.input}${outputOf(a.body)}${b.input}${outputOf(b.body)}`;
     assert.is(runsOf(w, c?.attempt ?? '')[0]?.said, `${chain}c`);
     assert.is(runsOf(w, e.attempt)[0]?.said, `${chain}d${outputOf(d?.body ?? '')}${allBytes}e`);
@@ -29,15 +29,15 @@
   }
 });
 
-turns('a chain goes on after its steward is killed, a store is wiped, and everything stopped', async () => {
+turns('a chain goes on after its owner is killed, a store is wiped, and everything stopped', async () => {
   for (const seed of seeds) {
     const w = await passUp(seed, small);
     let last = await turn(w, 'one');
-    stewardOf(w, 'p/x-pro')?.kill();
+    ownerOf(w, 'p/x-pro')?.kill();
     w.start(w.of('front').filter((m) => !m.up));
     await w.clock.until('serving', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
     last = await turn(w, 'two', last.attempt);
-    assert.is(last.told, 'done', last.mishap);
+    assert.is(last.reported, 'done', last.errorCode);
     const store = w.of('store')[seed % 3];
     store?.kill('power');
     store?.platter.wipe();
@@ -45,10 +45,10 @@
     await w.clock.run(4000);
     await w.clock.until('whole', () => w.slotsOpen(), 20000);
     last = await turn(w, 'three', last.attempt);
-    assert.is(last.told, 'done', last.mishap);
+    assert.is(last.reported, 'done', last.errorCode);
     await restart(w);
     last = await turn(w, 'four', last.attempt);
-    assert.is(last.told, 'done', last.mishap);
+    assert.is(last.reported, 'done', last.errorCode);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -59,12 +59,12 @@
     const a = await turn(w, 'a');
     const b = await turn(w, 'b', a.attempt);
     const c = await turn(w, 'c', b.attempt, 'helper');
-    assert.is(c.told, 'done', c.mishap);
+    assert.is(c.reported, 'done', c.errorCode);
     await restart(w);
     const d = await turn(w, 'd', b.attempt, 'late');
     const e = await turn(w, 'e', c.attempt, 'later');
     const f = await turn(w, 'f', e.attempt, 'later');
-    assert.equal([d, e, f].map((t) => `${t.told} ${t.mishap}`), ['done ', 'done ', 'done ']);
+    assert.equal([d, e, f].map((t) => `${t.reported} ${t.errorCode}`), ['done ', 'done ', 'done ']);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -73,17 +73,17 @@
   for (const missed of [0, 1, 2]) {
     const w = await passUp(31, small);
     const a = await turn(w, 'a');
-    const steward = stewardOf(w, 'p/x-pro');
+    const owner = ownerOf(w, 'p/x-pro');
     const store = w.of('store')[missed];
     for (const id of models) w.servers.set(id, { slow: 10 });
-    const going = passAt(w, { path: '/turn/x', body: 'b', after: a.attempt, program: 'pro' }, steward);
+    const going = passAt(w, { path: '/turn/x', body: 'b', after: a.attempt, program: 'pro' }, owner);
     await w.clock.run(30);
-    w.net.cutBoth([`${steward?.addr ?? ''}/data`], [store?.addr ?? '']);
+    w.net.cutBoth([`${owner?.addr ?? ''}/data`], [store?.addr ?? '']);
     const b = await w.clock.finish('turn', going, 30000);
-    assert.is(b.told, 'done', b.mishap);
+    assert.is(b.reported, 'done', b.errorCode);
     w.net.mend();
     const other = await turn(w, 'c', b.attempt, 'helper');
-    assert.is(other.told, 'done', `${other.status} ${other.mishap}`);
+    assert.is(other.reported, 'done', `${other.status} ${other.errorCode}`);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -92,11 +92,11 @@
   const w = await passUp(32, small);
   await turn(w, 'a');
   const none = await turn(w, 'b', 'r-none');
-  assert.equal([none.told, none.status], ['refused', 404]);
+  assert.equal([none.reported, none.status], ['refused', 404]);
   const stores = w.of('store').slice(1);
   for (const m of stores) m.kill();
-  const unsure = await passed(w, { path: '/turn/x', body: 'b', after: 'r-none', program: 'pro' }, stewardOf(w, 'p/x-pro'));
-  assert.equal([unsure.told, unsure.status], ['refused', 503]);
+  const unsure = await passed(w, { path: '/turn/x', body: 'b', after: 'r-none', program: 'pro' }, ownerOf(w, 'p/x-pro'));
+  assert.equal([unsure.reported, unsure.status], ['refused', 503]);
   w.start(stores);
   await w.clock.run(6000);
   assert.is((await turn(w, 'b', 'r-none')).status, 404);
@@ -110,11 +110,11 @@
     const going = passAt(w, { path: '/turn/x', body: 'a', program: 'pro', attempt: 'run' });
     await w.clock.run(60);
     const early = await turn(w, 'b', 'run', program);
-    assert.equal([early.told, early.status], ['refused', 503], program);
-    assert.is((await w.clock.finish('going', going, 30000)).told, 'partial');
+    assert.equal([early.reported, early.status], ['refused', 503], program);
+    assert.is((await w.clock.finish('going', going, 30000)).reported, 'partial');
     await w.clock.run(500);
     const late = await turn(w, 'c', 'run', program);
-    assert.equal([late.told, late.status], ['refused', 404], program);
+    assert.equal([late.reported, late.status], ['refused', 404], program);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -122,45 +122,45 @@
 turns('a try that comes twice runs once', async () => {
   for (const path of ['/turn/x', '/flow/x']) {
     const w = await passUp(34, small);
-    const wish = { path, body: 'a', program: 'pro', attempt: 'same' };
-    const both = await w.clock.finish('both', Promise.all([passAt(w, wish), passAt(w, wish)]), 30000);
-    assert.equal(both.map((t) => t.told).sort(), ['done', 'refused']);
-    assert.is((await passed(w, wish)).told, 'unknown');
+    const spec = { path, body: 'a', program: 'pro', attempt: 'same' };
+    const both = await w.clock.finish('both', Promise.all([passAt(w, spec), passAt(w, spec)]), 30000);
+    assert.equal(both.map((t) => t.reported).sort(), ['done', 'refused']);
+    assert.is((await passed(w, spec)).reported, 'unknown');
     assert.is(runsOf(w, 'same').length, 1);
   }
 });
 
-turns('a budget holds over helpers in parallel, broken streams, a steward kill and a full stop', async () => {
+turns('a budget holds over helpers in parallel, broken streams, an owner kill and a full stop', async () => {
   for (const seed of seeds) {
     const w = await passUp(seed, small);
     w.servers.set('m1', { cutEvery: 2 });
     w.servers.set('m2', { loseEvery: 3 });
-    const wish = { path: '/turn/x', program: 'pro', budget: 60, most: 10 };
-    const burst = Array.from({ length: 8 }, (_, i) => passAt(w, { ...wish, body: `b${i}` }));
+    const spec = { path: '/turn/x', program: 'pro', budget: 60, most: 10 };
+    const burst = Array.from({ length: 8 }, (_, i) => passAt(w, { ...spec, body: `b${i}` }));
     await w.clock.run(12);
-    stewardOf(w, 'p/x-pro')?.kill();
+    ownerOf(w, 'p/x-pro')?.kill();
     await w.clock.finish('burst', Promise.all(burst), 60000);
     w.start(w.of('front').filter((m) => !m.up));
     await w.clock.run(3000);
-    for (let i = 0; i < 4; i++) await passed(w, { ...wish, body: `c${i}` });
+    for (let i = 0; i < 4; i++) await passed(w, { ...spec, body: `c${i}` });
     await restart(w);
-    for (let i = 0; i < 12; i++) await passed(w, { ...wish, body: `d${i}` });
-    const made = w.servers.ran.filter((r) => r.program === 'pro').reduce((n, r) => n + r.tokens, 0);
+    for (let i = 0; i < 12; i++) await passed(w, { ...spec, body: `d${i}` });
+    const made = w.servers.executed.filter((r) => r.program === 'pro').reduce((n, r) => n + r.tokens, 0);
     assert.ok(made <= 70, `${made} made`);
     assert.ok(spentBy(w, 'pro') <= 70);
     const last = w.passes.at(-1);
-    assert.equal([last?.told, last?.status], ['refused', 402]);
+    assert.equal([last?.reported, last?.status], ['refused', 402]);
     assertNoBreach(recordsOf(w));
   }
 });
 
 turns('a turn told 402 never runs, and a runaway program costs no server anything', async () => {
   const w = await passUp(35, small);
-  const wish = { path: '/turn/x', program: 'pro', budget: 20, most: 10 };
-  for (let i = 0; i < 8; i++) await passed(w, { ...wish, body: `a${i}` });
+  const spec = { path: '/turn/x', program: 'pro', budget: 20, most: 10 };
+  for (let i = 0; i < 8; i++) await passed(w, { ...spec, body: `a${i}` });
   const asked = w.servers.asked;
-  const told = await w.clock.finish('run away', Promise.all(Array.from({ length: 60 }, (_, i) => passAt(w, { ...wish, body: `r${i}` }))), 30000);
-  assert.equal(new Set(told.map((t) => t.status)), new Set([402]));
+  const reported = await w.clock.finish('run away', Promise.all(Array.from({ length: 60 }, (_, i) => passAt(w, { ...spec, body: `r${i}` }))), 30000);
+  assert.equal(new Set(reported.map((t) => t.status)), new Set([402]));
   assert.is(w.servers.asked, asked);
   await w.clock.run(10000);
   assertNoBreach(recordsOf(w));
@@ -171,7 +171,7 @@
   for (const id of models) w.servers.set(id, { declines: true });
   for (let i = 0; i < 10; i++) assert.is((await passed(w, { path: '/turn/x', program: 'pro', budget: 10, most: 10, body: `${i}` })).status, 503);
   for (const id of models) w.servers.set(id, { declines: false });
-  assert.is((await passed(w, { path: '/turn/x', program: 'pro', budget: 10, most: 10 })).told, 'done');
+  assert.is((await passed(w, { path: '/turn/x', program: 'pro', budget: 10, most: 10 })).reported, 'done');
 });
 
 turns('a stream that may be resumed goes on elsewhere after the last whole event', async () => {
@@ -182,7 +182,7 @@
       let joined = 0;
       for (let i = 0; i < 10; i++) {
         const t = await passed(w, { path: '/live/x', body: `${i}` });
-        assert.is(t.told, 'done', t.mishap);
+        assert.is(t.reported, 'done', t.errorCode);
         assert.is(outputOf(t.body).split('\n').length - 1, eventsIn(t.attempt));
         if (runsOf(w, t.attempt).length > 1) joined++;
       }
@@ -198,7 +198,7 @@
     const attempt = ['q0', 'q1', 'q2', 'q3', 'q4', 'q5'][i] ?? '';
     const resume = eventsIn(attempt) - 2;
     const t = await passed(w, { path: '/live/x', body: `${i}`, attempt, resume: String(resume) });
-    assert.is(t.told, 'done', t.mishap);
+    assert.is(t.reported, 'done', t.errorCode);
     assert.match(t.body, new RegExp(`^id: ${resume + 1}\n`));
     assert.is(t.body.split('id: ').length, 2);
   }
@@ -211,7 +211,7 @@
       for (const id of models) w.servers.set(id, fault);
       for (let i = 0; i < 4; i++) {
         const t = await passed(w, { path, program: 'pro', body: `${i}` });
-        assert.is(t.told, 'partial');
+        assert.is(t.reported, 'partial');
         assert.match(t.body, /\n\n$/);
         await w.clock.run(2000);
         assert.is(runsOf(w, t.attempt).length, 1);
@@ -228,7 +228,7 @@
     const going = passAt(w, { path, program: 'pro', body: 'a', attempt: 'left', leaves: leaves.signal });
     await w.clock.run(700);
     leaves.abort();
-    assert.is.not((await w.clock.finish('going', going, 30000)).told, 'done');
+    assert.is.not((await w.clock.finish('going', going, 30000)).reported, 'done');
     await w.clock.run(10000);
     assert.equal(runsOf(w, 'left').map((r) => r.complete), [false]);
     assertNoBreach(recordsOf(w));
@@ -242,18 +242,18 @@
   assert.is(put.status, 200);
   await w.clock.run(1000);
   const b = await turn(w, 'b', a.attempt);
-  assert.is(b.told, 'done', b.mishap);
+  assert.is(b.reported, 'done', b.errorCode);
   assert.is(runsOf(w, b.attempt)[0]?.pool, 'others');
   assert.is(runsOf(w, b.attempt)[0]?.said, `a${outputOf(a.body)}b`);
 });
 
-turns('a turn is kept as long as its lane says, though other things are kept for less', async () => {
+turns('a turn is kept as long as its route says, though other things are kept for less', async () => {
   for (const program of ['pro', 'helper']) {
     const w = await passUp(41, small, {}, 20000);
     const a = await turn(w, 'a');
     await w.clock.run(45000);
     const b = await turn(w, 'b', a.attempt, program);
-    assert.is(b.told, 'done', `${program}: ${b.status} ${b.mishap}`);
+    assert.is(b.reported, 'done', `${program}: ${b.status} ${b.errorCode}`);
   }
 });
 
--- a/tests/src/pass.test.ts
+++ b/tests/src/pass.test.ts
@@ -2,21 +2,21 @@
 import * as assert from 'uvu/assert';
 import { passAt, type World } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
-import { opKeyOf } from '@tillerstair/steward';
-import { assertNoBreach, five, passed, passText, passUp, recordsOf, restart, runsOf, small, stewardOf } from './util.js';
+import { opKeyOf } from '@tillerstair/session-owner';
+import { assertNoBreach, five, passed, passText, passUp, recordsOf, restart, runsOf, small, ownerOf } from './util.js';
 
-const pass = suite('pass lanes answered whole');
+const pass = suite('pass routes answered whole');
 const seeds = [11, 12, 13];
 const shops = ['s1', 's2'];
-const runs = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === key).length;
+const runs = (w: World, key: string): number => w.servers.executed.filter((r) => r.key === key).length;
 
 pass('a key at two fronts at once runs once and both get the same bytes', async () => {
   for (const seed of seeds) {
     const w = await passUp(seed, small);
     const both = await w.clock.finish('both', Promise.all(w.of('front').map((m) => passAt(w, { path: '/keyed/x', key: 'twin', body: 'a' }, m))), 30000);
-    assert.equal(both.map((t) => t.told), ['done', 'done']);
+    assert.equal(both.map((t) => t.reported), ['done', 'done']);
     assert.is(runs(w, 'twin'), 1);
-    assert.is(both[0]?.body, w.servers.ran.find((r) => r.key === 'twin')?.reply);
+    assert.is(both[0]?.body, w.servers.executed.find((r) => r.key === 'twin')?.reply);
     assert.is(both[0]?.body, both[1]?.body);
     assertNoBreach(recordsOf(w));
   }
@@ -24,41 +24,41 @@
 
 pass('a key used with another body is refused and not run', async () => {
   const w = await passUp(11, small);
-  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'done');
+  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'done');
   assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'b' })).status, 422);
   assert.is(runs(w, 'k'), 1);
 });
 
-pass('a key whose steward dies between intent and answer is unknown for good', async () => {
+pass('a key whose owner dies between intent and answer is unknown for good', async () => {
   for (const seed of seeds) {
     const w = await passUp(seed, small);
-    const steward = stewardOf(w, opKeyOf('t', 'k'));
-    const other = w.of('front').find((m) => m !== steward);
+    const owner = ownerOf(w, opKeyOf('t', 'k'));
+    const other = w.of('front').find((m) => m !== owner);
     const first = passAt(w, { path: '/keyed/x', key: 'k', body: 'a' }, other);
     await w.clock.until('it is sent', () => w.servers.asked > 0, 5000);
-    steward?.kill();
-    assert.is((await w.clock.finish('first', first, 30000)).told, 'unknown');
+    owner?.kill();
+    assert.is((await w.clock.finish('first', first, 30000)).reported, 'unknown');
     for (let i = 0; i < 5; i++) {
       await w.clock.run(900);
-      assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' }, other)).told, 'unknown');
+      assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' }, other)).reported, 'unknown');
     }
     assert.ok(runs(w, 'k') <= 1);
     assertNoBreach(recordsOf(w));
   }
 });
 
-pass('what a steward that left may have run is never told as refused while the next one cannot look', async () => {
+pass('what an owner that left may have run is never told as refused while the next one cannot look', async () => {
   const w = await passUp(11, small);
   for (const id of shops) w.servers.set(id, { slow: 300 });
-  const steward = stewardOf(w, opKeyOf('t', 'k'));
-  const other = w.of('front').find((m) => m !== steward);
+  const owner = ownerOf(w, opKeyOf('t', 'k'));
+  const other = w.of('front').find((m) => m !== owner);
   const first = passAt(w, { path: '/keyed/x', key: 'k', body: 'a' }, other);
   await w.clock.until('it is sent', () => w.servers.asked > 0, 5000);
   for (const m of w.of('store').slice(0, 2)) m.kill('power');
-  steward?.killAgent();
-  const told = await w.clock.finish('first', first, 30000);
+  owner?.killAgent();
+  const reported = await w.clock.finish('first', first, 30000);
   await w.clock.run(15000);
-  assert.is(told.told, 'unknown');
+  assert.is(reported.reported, 'unknown');
   assert.is(runs(w, 'k'), 1);
 });
 
@@ -66,11 +66,11 @@
   for (const fault of [{ loseEvery: 1 }, { lies: true }, { cutEvery: 1 }]) {
     const w = await passUp(11, small);
     for (const id of shops) w.servers.set(id, fault);
-    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'unknown');
+    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'unknown');
     for (const id of shops) w.servers.set(id, { loseEvery: 0, lies: false, cutEvery: 0 });
-    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'unknown');
+    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'unknown');
     await restart(w);
-    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'unknown');
+    assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'unknown');
     assert.is(runs(w, 'k'), 1);
     assertNoBreach(recordsOf(w));
   }
@@ -80,32 +80,32 @@
   const w = await passUp(11, small);
   for (const id of ['k1', 'k2']) w.servers.set(id, { loseEvery: 1 });
   const lost = await passed(w, { path: '/own/x', key: 'k', body: 'a' });
-  assert.is(lost.told, 'unknown');
+  assert.is(lost.reported, 'unknown');
   assert.is(runsOf(w, lost.attempt).length, 2);
   for (const id of ['k1', 'k2']) w.servers.set(id, { loseEvery: 0 });
-  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).told, 'done');
+  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).reported, 'done');
 });
 
 pass('a key lost at servers without a record of keys is not run by those that keep one', async () => {
   const w = await passUp(11, small);
   for (const id of shops) w.servers.set(id, { loseEvery: 1 });
-  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'unknown');
+  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'unknown');
   assert.is((await w.operate('PUT', '/v1/config', passText(1, 'models', 'memo'))).status, 200);
   await w.clock.run(1500);
-  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).told, 'unknown');
+  assert.is((await passed(w, { path: '/keyed/x', key: 'k', body: 'a' })).reported, 'unknown');
   assert.is(runs(w, 'k'), 1);
 });
 
 pass('a key that may have run stays so though a later try was declined', async () => {
   const w = await passUp(11, small);
   for (const id of ['k1', 'k2']) w.servers.set(id, { loseEvery: 1 });
-  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).told, 'unknown');
+  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).reported, 'unknown');
   const before = runs(w, 'k');
   for (const id of ['k1', 'k2']) w.servers.set(id, { loseEvery: 0, declines: true });
-  assert.is.not((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).told, 'done');
+  assert.is.not((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).reported, 'done');
   assert.is((await w.operate('PUT', '/v1/config', passText(1, 'models', 'shop', 'shop'))).status, 200);
   await w.clock.run(1500);
-  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).told, 'unknown');
+  assert.is((await passed(w, { path: '/own/x', key: 'k', body: 'a' })).reported, 'unknown');
   assert.is(runs(w, 'k'), before);
 });
 
@@ -114,12 +114,12 @@
     const w = await passUp(seed, small);
     const first = await passed(w, { path: '/keyed/x', key: 'k', body: 'a' });
     for (const m of w.of('store').slice(seed % 2, (seed % 2) + 2)) m.kill('power');
-    stewardOf(w, opKeyOf('t', 'k'))?.kill('power');
+    ownerOf(w, opKeyOf('t', 'k'))?.kill('power');
     w.start(w.machines.filter((m) => !m.up));
     await w.clock.until('serving', () => w.readyFronts().length === 2 && w.slotsOpen(), 20000);
     await w.clock.run(500);
     const again = await passed(w, { path: '/keyed/x', key: 'k', body: 'a' });
-    assert.is(again.told, 'done', again.mishap);
+    assert.is(again.reported, 'done', again.errorCode);
     assert.is(again.body, first.body);
     assert.is(runs(w, 'k'), 1);
     assertNoBreach(recordsOf(w));
@@ -131,15 +131,15 @@
     const w = await passUp(11, small);
     w.servers.set('s1', { declines: true });
     for (let i = 0; i < 6; i++) {
-      const told = await passed(w, { path, key: path === '/keyed/x' ? `k${i}` : '', body: 'a' });
-      assert.is(told.told, 'done', told.mishap);
-      assert.is(runsOf(w, told.attempt)[0]?.server, 's2');
+      const reported = await passed(w, { path, key: path === '/keyed/x' ? `k${i}` : '', body: 'a' });
+      assert.is(reported.reported, 'done', reported.errorCode);
+      assert.is(runsOf(w, reported.attempt)[0]?.server, 's2');
     }
     assertNoBreach(recordsOf(w));
   }
 });
 
-pass('no more servers are tried than the lane says, and what none ran is refused and never runs', async () => {
+pass('no more servers are tried than the route says, and what none ran is refused and never runs', async () => {
   for (const path of ['/keyed/x', '/once/x', '/again/x', '/flow/x', '/turn/x']) {
     const w = await passUp(11, small);
     for (const id of ['s3', 's4']) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool: 'shop', url: 'http://127.0.0.1:1' }));
@@ -148,15 +148,15 @@
     const all = ['s1', 's2', 's3', 's4', 'm1', 'm2', 'm3', 'm4'];
     for (const id of all) w.servers.set(id, { declines: true });
     const asked = w.servers.asked;
-    const told = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' });
-    assert.is(told.told, 'refused');
-    assert.is(told.status, 503);
-    assert.ok(told.retryAfter > 0);
+    const reported = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' });
+    assert.is(reported.reported, 'refused');
+    assert.is(reported.status, 503);
+    assert.ok(reported.retryAfter > 0);
     assert.is(w.servers.asked - asked, 2, path);
     for (const id of all) w.servers.set(id, { declines: false });
     await w.clock.run(15000);
-    assert.is(runsOf(w, told.attempt).length, 0);
-    if (path === '/keyed/x') assert.is((await passed(w, { path, key: 'k', body: 'a' })).told, 'done');
+    assert.is(runsOf(w, reported.attempt).length, 0);
+    if (path === '/keyed/x') assert.is((await passed(w, { path, key: 'k', body: 'a' })).reported, 'done');
     assertNoBreach(recordsOf(w));
   }
 });
@@ -167,8 +167,8 @@
     for (const id of ['s3', 's4']) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool: 'shop', url: 'http://127.0.0.1:1' }));
     await w.clock.run(600);
     for (const id of ['s1', 's2', 's3']) w.servers.set(id, { refuses: true });
-    const told = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' });
-    assert.is(told.told, 'done', told.mishap);
+    const reported = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' });
+    assert.is(reported.reported, 'done', reported.errorCode);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -177,10 +177,10 @@
   for (const fault of [{ loseEvery: 1 }, { lies: true }, { cutEvery: 1 }]) {
     const w = await passUp(12, small);
     for (const id of shops) w.servers.set(id, fault);
-    const told = await passed(w, { path: '/once/x', body: 'a' });
-    assert.is(told.told, 'unknown');
+    const reported = await passed(w, { path: '/once/x', body: 'a' });
+    assert.is(reported.reported, 'unknown');
     await w.clock.run(5000);
-    assert.is(runsOf(w, told.attempt).length, 1);
+    assert.is(runsOf(w, reported.attempt).length, 1);
     assertNoBreach(recordsOf(w));
   }
 });
@@ -189,14 +189,14 @@
   const w = await passUp(13, small);
   w.servers.set('s1', { loseEvery: 1 });
   for (let i = 0; i < 6; i++) {
-    const told = await passed(w, { path: '/again/x', body: `${i}` });
-    assert.is(told.told, 'done');
-    assert.is(told.body, runsOf(w, told.attempt).find((r) => r.server === 's2')?.reply);
+    const reported = await passed(w, { path: '/again/x', body: `${i}` });
+    assert.is(reported.reported, 'done');
+    assert.is(reported.body, runsOf(w, reported.attempt).find((r) => r.server === 's2')?.reply);
   }
   w.servers.set('s2', { loseEvery: 1 });
-  const told = await passed(w, { path: '/again/x', body: 'b' });
-  assert.is(told.told, 'unknown');
-  assert.is(runsOf(w, told.attempt).length, 2);
+  const reported = await passed(w, { path: '/again/x', body: 'b' });
+  assert.is(reported.reported, 'unknown');
+  assert.is(runsOf(w, reported.attempt).length, 2);
   assertNoBreach(recordsOf(w));
 });
 
@@ -207,45 +207,45 @@
   const held = shops.map((id) => passAt(w, { path: '/once/x', body: id, left: 8000 }, at));
   await w.clock.run(50);
   const late = await passed(w, { path: '/once/x', body: 'late', left: 300 }, at);
-  assert.is(late.told, 'refused', late.mishap);
+  assert.is(late.reported, 'refused', late.errorCode);
   await w.clock.finish('held', Promise.all(held), 30000);
   await w.clock.run(5000);
   assert.is(runsOf(w, late.attempt).length, 0);
   assertNoBreach(recordsOf(w));
 });
 
-pass('what waits in line for a pool that its lane leaves runs where the lane leads now', async () => {
+pass('what waits in line for a pool that its route leaves runs where the route leads now', async () => {
   for (const path of ['/keyed/x', '/once/x', '/turn/x', '/flow/x']) {
     const w = await passUp(15, small, { bounds: { perServer: 1 } });
     for (const id of [...shops, 'm1', 'm2']) w.servers.set(id, { slow: 60 });
     const slotKey = path === '/turn/x' ? 'p/x-pro' : opKeyOf('t', 'k');
-    const at = stewardOf(w, slotKey);
+    const at = ownerOf(w, slotKey);
     const held = Array.from({ length: 8 }, (_, i) => passAt(w, { path: path === '/keyed/x' ? '/once/x' : path, program: 'pro', body: `${i}` }, at));
     await w.clock.run(100);
     const wait = passAt(w, { path, key: path === '/keyed/x' ? 'k' : '', program: 'pro', body: 'wait' }, at);
     await w.clock.run(100);
-    assert.ok((at?.front?.steward.waiting ?? 0) > 0);
+    assert.ok((at?.front?.owner.waiting ?? 0) > 0);
     assert.is((await w.operate('PUT', '/v1/config', passText(1, 'others', 'mart', 'memo', { bounds: { perServer: 1 } }))).status, 200);
     const from = w.clock.now();
-    const told = await w.clock.finish('wait', wait, 30000);
+    const reported = await w.clock.finish('wait', wait, 30000);
     await w.clock.finish('held', Promise.all(held), 60000);
-    assert.is(told.told, 'done', told.mishap);
-    assert.ok(['others', 'mart'].includes(runsOf(w, told.attempt)[0]?.pool ?? ''));
-    assert.equal(w.servers.ran.filter((r) => r.began > from && ['models', 'shop'].includes(r.pool)), []);
+    assert.is(reported.reported, 'done', reported.errorCode);
+    assert.ok(['others', 'mart'].includes(runsOf(w, reported.attempt)[0]?.pool ?? ''));
+    assert.equal(w.servers.executed.filter((r) => r.began > from && ['models', 'shop'].includes(r.pool)), []);
   }
 });
 
-pass('what waits in line for a lane that is dropped is refused', async () => {
+pass('what waits in line for a route that is dropped is refused', async () => {
   const w = await passUp(16, small, { bounds: { perServer: 1 } });
   for (const id of shops) w.servers.set(id, { slow: 60 });
   const at = w.of('front')[0];
   const held = Array.from({ length: 4 }, (_, i) => passAt(w, { path: '/once/x', body: `${i}` }, at));
   await w.clock.run(50);
   const text = JSON.parse(passText(1, 'models', 'shop', 'memo', { bounds: { perServer: 1 } }));
-  const lanes = text.lanes.filter((l: { name: string }) => l.name !== 'pass-once');
-  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...text, lanes }))).status, 200);
-  const told = await w.clock.finish('held', Promise.all(held), 60000);
-  assert.equal(told.map((t) => t.told).sort(), ['done', 'done', 'refused', 'refused']);
+  const routes = text.routes.filter((l: { name: string }) => l.name !== 'pass-once');
+  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...text, routes }))).status, 200);
+  const reported = await w.clock.finish('held', Promise.all(held), 60000);
+  assert.equal(reported.map((t) => t.reported).sort(), ['done', 'done', 'refused', 'refused']);
   assertNoBreach(recordsOf(w));
   assert.is((await passed(w, { path: '/once/x' }, at)).status, 404);
 });
@@ -256,7 +256,7 @@
     const [a] = w.of('front');
     if (!a) throw new Error('no front');
     const id = a.front?.p.id ?? '';
-    const mine = Array.from({ length: 60 }, (_, i) => `k${i}`).filter((k) => stewardOf(w, opKeyOf('t', k)) === a);
+    const mine = Array.from({ length: 60 }, (_, i) => `k${i}`).filter((k) => ownerOf(w, opKeyOf('t', k)) === a);
     assert.ok(mine.length > 4);
     const going = mine.slice(0, 3).map((key) => passAt(w, { path: '/keyed/x', key, body: 'a' }, a));
     const stream = passAt(w, { path: '/turn/x', program: 'pro', most: 10, budget: 50, body: 'go' }, a);
@@ -272,14 +272,14 @@
       if (!over) more.push(passAt(w, { path: i % 2 ? '/once/x' : '/keyed/x', key: i % 2 ? '' : `n${i}`, body: 'b' }, a));
     }
     await w.clock.finish('stopped', stopped, 20000);
-    const told = await w.clock.finish('all', Promise.all([...going, stream, ...more]), 30000);
-    assert.equal(told.filter((t) => t.told !== 'done').map((t) => `${t.path} ${t.told} ${t.mishap}`), []);
+    const reported = await w.clock.finish('all', Promise.all([...going, stream, ...more]), 30000);
+    assert.equal(reported.filter((t) => t.reported !== 'done').map((t) => `${t.path} ${t.reported} ${t.errorCode}`), []);
     const s = w.committed;
-    assert.not.ok(s?.slots.some((x) => x.steward === id));
+    assert.not.ok(s?.slots.some((x) => x.owner === id));
     assert.not.ok(s?.nodes.has(id));
     const key = mine[3] ?? '';
     assert.ok(slotOf(opKeyOf('t', key), w.slots) >= 0);
-    assert.is((await passed(w, { path: '/keyed/x', key, body: 'a' })).told, 'done');
+    assert.is((await passed(w, { path: '/keyed/x', key, body: 'a' })).reported, 'done');
     assertNoBreach(recordsOf(w));
   }
 });
@@ -289,13 +289,13 @@
   const [a] = w.of('front');
   w.net.cutBoth([a?.addr ?? ''], w.machines.filter((m) => m !== a).map((m) => m.addr));
   await w.clock.run(4000);
-  const ran = w.servers.ran.length;
+  const executed = w.servers.executed.length;
   for (const path of ['/keyed/x', '/once/x', '/again/x', '/turn/x']) {
-    const told = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' }, a);
-    assert.is(told.told, 'refused');
-    assert.is(told.status, 503);
+    const reported = await passed(w, { path, key: path === '/keyed/x' ? 'k' : '', body: 'a' }, a);
+    assert.is(reported.reported, 'refused');
+    assert.is(reported.status, 503);
   }
-  assert.is(w.servers.ran.length, ran);
+  assert.is(w.servers.executed.length, executed);
 });
 
 pass.run();
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -3,9 +3,9 @@
 import { tuned } from '@tillerstair/control';
 import { checkRecords } from '@tillerstair/checker';
 import { Life, seededRng, SimClock, SimServers, stormConfig } from '@tillerstair/sim';
-import { checkConfig, digestOf, foundingState, reduce, weightKey, type State } from '@tillerstair/state';
-import { chainOf, Gate, Placement, prefixesOf, tableOf } from '@tillerstair/steward';
-import { lasting, Mishap } from '@tillerstair/wire';
+import { checkConfig, digestOf, bootstrapState, reduce, weightKey, type State } from '@tillerstair/state';
+import { chainOf, AdmissionQueue, Placement, prefixesOf, tableOf } from '@tillerstair/session-owner';
+import { lasting, RpcError } from '@tillerstair/wire';
 import { five, recordsOf, worldUp } from './util.js';
 
 const place = suite('placement, lines and weights');
@@ -13,15 +13,15 @@
 const text = JSON.stringify({
   base: 0,
   pools: [{ name: 'new', kind: 'model' }, { name: 'old', kind: 'model' }],
-  lanes: [{ name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'new', share: 7 }, { pool: 'old', share: 3 }] }],
+  routes: [{ name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'new', share: 7 }, { pool: 'old', share: 3 }] }],
 });
-const lane = checkConfig(text).config?.lanes[0];
-if (!lane) throw new Error('no lane');
+const route = checkConfig(text).config?.routes[0];
+if (!route) throw new Error('no route');
 
 const stateWith = (ids: readonly (readonly [string, string])[]): State =>
   ids.reduce<State>(
-    (s, [id, pool]) => reduce(s, { kind: 'server', server: { id, pool, url: `http://127.0.0.1:1/${id}`, leaving: false, down: false, zone: '', places: 0 } }),
-    { ...foundingState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), order: '' } },
+    (s, [id, pool]) => reduce(s, { kind: 'server', server: { id, pool, url: `http://127.0.0.1:1/${id}`, draining: false, down: false, zone: '', places: 0 } }),
+    { ...bootstrapState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), changeId: '' } },
   );
 
 const six = [['n1', 'new'], ['n2', 'new'], ['n3', 'new'], ['o1', 'old'], ['o2', 'old'], ['o3', 'old']] as const;
@@ -30,7 +30,7 @@
   const clock = new SimClock();
   const table = tableOf(s, undefined);
   const servers = new SimServers(clock, seededRng(1));
-  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, toldFor: 500 };
+  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, reportValidFor: 500 };
   return { clock, placement: new Placement(clock, servers.backend(new Life()), chainOf(affinity), bounds, () => table, () => 16) };
 };
 
@@ -39,7 +39,7 @@
   const { placement } = placing(reduce(stateWith(six), { kind: 'weights', weights }));
   const count = new Map<string, number>();
   for (let i = 0; i < 1000; i++) {
-    const s = placement.pick(lane, [], '', new Set());
+    const s = placement.pick(route, [], '', new Set());
     if (!s) throw new Error('nothing picked');
     placement.begin(s, []);
     placement.end(s, true);
@@ -54,7 +54,7 @@
   const sticky: string[] = [];
   for (let i = 0; i < 2000; i++) {
     const stay = i % 2 ? (sticky[i - 1] ?? '') : '';
-    const s = placement.pick(lane, [], stay, new Set());
+    const s = placement.pick(route, [], stay, new Set());
     if (!s) throw new Error('nothing picked');
     if (stay) assert.is(s.pool, stay);
     sticky.push(s.pool);
@@ -69,7 +69,7 @@
   const { placement } = placing(slow);
   const count = new Map<string, number>();
   for (let i = 0; i < 30; i++) {
-    const got = placement.pick(lane, [], '', new Set());
+    const got = placement.pick(route, [], '', new Set());
     if (!got) throw new Error('nothing picked');
     placement.begin(got, []);
     count.set(got.id, (count.get(got.id) ?? 0) + 1);
@@ -77,22 +77,22 @@
   assert.ok((count.get('n1') ?? 0) < (count.get('n2') ?? 0) / 2, JSON.stringify([...count]));
   const warm = placing(s).placement;
   const prefix = prefixesOf([{ role: 'user', text: 'x'.repeat(2000) }]);
-  const first = warm.pick(lane, prefix, '', new Set());
+  const first = warm.pick(route, prefix, '', new Set());
   if (!first) throw new Error('nothing picked');
   warm.begin(first, prefix);
-  assert.is(warm.pick(lane, prefix, '', new Set())?.id, first.id);
+  assert.is(warm.pick(route, prefix, '', new Set())?.id, first.id);
   for (let i = 0; i < 8; i++) warm.begin(first, prefix);
-  assert.is.not(warm.pick(lane, prefix, '', new Set())?.id, first.id);
+  assert.is.not(warm.pick(route, prefix, '', new Set())?.id, first.id);
 });
 
 place('leaving, removed and moved servers are not allowed any more after a pick', () => {
   const s = stateWith(six);
   const before = s.servers.get('n1');
   if (!before) throw new Error('no server');
-  assert.is(placing(s).placement.allowed(before, lane), true);
-  assert.is(placing(reduce(s, { kind: 'server-mark', id: 'n1', leaving: true })).placement.allowed(before, lane), false);
-  assert.is(placing(reduce(s, { kind: 'server-gone', id: 'n1' })).placement.allowed(before, lane), false);
-  assert.is(placing(reduce(s, { kind: 'server', server: { ...before, pool: 'other' } })).placement.allowed(before, lane), false);
+  assert.is(placing(s).placement.allowed(before, route), true);
+  assert.is(placing(reduce(s, { kind: 'server-mark', id: 'n1', draining: true })).placement.allowed(before, route), false);
+  assert.is(placing(reduce(s, { kind: 'server-gone', id: 'n1' })).placement.allowed(before, route), false);
+  assert.is(placing(reduce(s, { kind: 'server', server: { ...before, pool: 'other' } })).placement.allowed(before, route), false);
 });
 
 place('weights move by steps towards what servers do, and stay put when nothing changes', () => {
@@ -114,15 +114,15 @@
 
 place('urgent goes first, ordinary is not starved, the line is bounded, the late and the gone leave', async () => {
   const clock = new SimClock();
-  const gate = new Gate<string>(clock, () => 12);
+  const admissionQueue = new AdmissionQueue<string>(clock, () => 12);
   let free = 0;
   const pick = (): string | undefined => (free > 0 ? (free--, 'server') : undefined);
   const order: string[] = [];
   const never = lasting().signal;
   const enter = (name: string, urgent: boolean, within = 1000, gone = never) =>
-    gate.enter(urgent, within, gone, pick).then(
+    admissionQueue.enter(urgent, within, gone, pick).then(
       () => order.push(name),
-      (e: unknown) => order.push(`${name} ${e instanceof Mishap ? e.code : 'other'}`),
+      (e: unknown) => order.push(`${name} ${e instanceof RpcError ? e.code : 'other'}`),
     );
   for (let i = 0; i < 10; i++) {
     void enter('o', false);
@@ -131,7 +131,7 @@
   await clock.settle();
   for (let i = 0; i < 10; i++) {
     free = 1;
-    gate.pump();
+    admissionQueue.pump();
     await clock.settle();
   }
   assert.equal(order.join(''), 'uuuuouuuuo');
@@ -139,13 +139,13 @@
   void enter('g', false, 1000, gone.signal);
   for (let i = 0; i < 10; i++) void enter('f', false);
   await clock.settle();
-  assert.ok(order.some((x) => x === 'f line-full'));
+  assert.ok(order.some((x) => x === 'f queue-full'));
   gone.abort();
   await clock.settle();
   assert.ok(order.includes('g gone'));
   await clock.run(1100);
-  assert.ok(order.includes('f line-late'));
-  assert.is(gate.waiting, 0);
+  assert.ok(order.includes('f queue-timeout'));
+  assert.is(admissionQueue.waiting, 0);
 });
 
 place('a server that fails for one front only stays in use by the others; one silent to all is soon down for all', async () => {
@@ -165,8 +165,8 @@
     await w.clock.finish('turns', Promise.all(going), 60000);
   };
   await offer(6000);
-  assert.ok(w.servers.ran.filter((r) => r.server === 'm1' && r.began > from + 1500).length > 10);
-  assert.equal(w.told.filter((t) => t.told !== 'done').map((t) => t.mishap), []);
+  assert.ok(w.servers.executed.filter((r) => r.server === 'm1' && r.began > from + 1500).length > 10);
+  assert.equal(w.reported.filter((t) => t.reported !== 'done').map((t) => t.errorCode), []);
   w.servers.set('m1', { refuses: true });
   const took = await w.clock.until('down', down, 10000);
   assert.ok(took < 3000, `${took} ms`);
@@ -180,8 +180,8 @@
   for (const [id, pool] of [['m3', 'models'], ['n1', 'others'], ['n2', 'others']]) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
   const { config } = checkConfig(stormConfig({ base: 1, turnPools: ['models', 'others'], callPool: 'shop', extra: 0 }));
   const shares = [{ pool: 'models', share: 3 }, { pool: 'others', share: 1 }];
-  const lanes = config?.lanes.map((l) => (l.name === 'chat' ? { ...l, shares } : l));
-  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...config, lanes }))).status, 200);
+  const routes = config?.routes.map((l) => (l.name === 'chat' ? { ...l, shares } : l));
+  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...config, routes }))).status, 200);
   w.servers.set('m1', { slow: 4 });
   await w.clock.run(1000);
   const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 60 }, () => w.program(900))), 20000);
@@ -199,9 +199,9 @@
   await w.clock.finish('turns', Promise.all(going), 60000);
   assert.ok(least < 0.6, `weight ${least}`);
   const row = { kind: 'generate' as const, from, to: w.clock.now(), shares: [['models', 3], ['others', 1]] as const, rounding: 12 };
-  const verdict = checkRecords(recordsOf(w, { shares: [row] })).find((v) => v.rule.includes('shares'));
-  assert.equal(verdict?.breaches, []);
-  assert.ok((verdict?.checked ?? 0) >= 2);
+  const outcome = checkRecords(recordsOf(w, { shares: [row] })).find((v) => v.rule.includes('shares'));
+  assert.equal(outcome?.breaches, []);
+  assert.ok((outcome?.checked ?? 0) >= 2);
 });
 
 place.run();
--- a/tests/src/platform.test.ts
+++ b/tests/src/platform.test.ts
@@ -8,9 +8,9 @@
 import { promisify } from 'node:util';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { BadEnv } from '@tillerstair/env';
-import { agentEnv, controlEnv, platformList, proxyEnv, readSettings, storeEnv } from '@tillerstair/platform';
-import { Mishap } from '@tillerstair/wire';
+import { InvalidSettingsError } from '@tillerstair/settings';
+import { agentSettings, controlSettings, platformList, proxySettings, readSettings, storeSettings } from '@tillerstair/platform';
+import { RpcError } from '@tillerstair/wire';
 
 const adapter = suite('the adapter: settings and the list of servers');
 
@@ -41,17 +41,17 @@
 adapter('a settings file becomes the env of each program, in ratios to its bounds', () =>
   withFile(text(), (path) => {
     const s = readSettings(path);
-    const store = storeEnv(s);
+    const store = storeSettings(s);
     assert.is(store.addr, '10.1.0.33:7387');
     assert.is(store.name, 'vault-gangnam-a-1');
-    assert.is(store.keepMs, 180000);
-    assert.equal(store.bounds, { serveWithin: 12000, inForceWithin: 2000, leavingWithin: 3000, beat: 500, silent: 1800 });
+    assert.is(store.retentionMs, 180000);
+    assert.equal(store.bounds, { serveWithin: 12000, inForceWithin: 2000, drainingWithin: 3000, heartbeatInterval: 500, failureTimeout: 1800 });
     assert.equal(store.seeds, ['10.1.0.34:7385', '10.2.0.38:7385', '10.1.0.34:7385']);
-    assert.is(controlEnv(s).founds, true);
-    assert.is(controlEnv(s).losses, 1);
-    assert.is(proxyEnv(s).asksServers, false);
-    assert.is(agentEnv(s).proxy, proxyEnv(s).feed);
-    const ports = [proxyEnv(s).addr, proxyEnv(s).feed, proxyEnv(s).http, agentEnv(s).addr, agentEnv(s).http, controlEnv(s).addr, controlEnv(s).http, store.addr, store.http];
+    assert.is(controlSettings(s).mayBootstrap, true);
+    assert.is(controlSettings(s).losses, 1);
+    assert.is(proxySettings(s).asksServers, false);
+    assert.is(agentSettings(s).proxy, proxySettings(s).feed);
+    const ports = [proxySettings(s).addr, proxySettings(s).feed, proxySettings(s).http, agentSettings(s).addr, agentSettings(s).http, controlSettings(s).addr, controlSettings(s).http, store.addr, store.http];
     assert.is(new Set(ports).size, ports.length);
     assert.ok(ports.every((a) => Number(a.split(':')[1]) >= 7380 && Number(a.split(':')[1]) <= 7395));
   }),
@@ -62,7 +62,7 @@
     ['{ machineLosses: 1, zones: 0, regionLosses: 0 }', 1], ['{ machineLosses: 2, zones: 0, regionLosses: 0 }', 2],
     ['{ machineLosses: 0, zones: 1, regionLosses: 0 }', 1], ['{ machineLosses: 3, zones: 1 }', 3],
   ] as const)
-    await withFile(text(`withstand: ${withstand}`), (path) => assert.is(controlEnv(readSettings(path)).losses, losses));
+    await withFile(text(`withstand: ${withstand}`), (path) => assert.is(controlSettings(readSettings(path)).losses, losses));
 });
 
 adapter('settings that lack something are found with their place, all together', () =>
@@ -71,8 +71,8 @@
       readSettings(path);
       assert.unreachable();
     } catch (e) {
-      assert.instance(e, BadEnv);
-      const found = e instanceof BadEnv ? e.findings.map((f) => f.place.split(' ')[1]) : [];
+      assert.instance(e, InvalidSettingsError);
+      const found = e instanceof InvalidSettingsError ? e.findings.map((f) => f.place.split(' ')[1]) : [];
       assert.equal(found.sort(), ['nodeIp', 'portRange', 'seedNodes', 'timeBounds', 'zone']);
     }
   }),
@@ -92,7 +92,7 @@
 };
 
 const entry = (n: number, state = 'accepting') => ({ serverId: `i-${n}`, depot: 'd', address: `10.0.0.${n}:80`, zone: 'a', berths: 6, state, edition: 'v1', coldLeftMs: 0 });
-const outcome = (addr: string): Promise<unknown> => platformList(() => addr).read(2000).catch((e: unknown) => (e instanceof Mishap ? 'mishap' : e));
+const outcome = (addr: string): Promise<unknown> => platformList(() => addr).read(2000).catch((e: unknown) => (e instanceof RpcError ? 'errorCode' : e));
 
 adapter('the list is read page by page, whole', () =>
   listAt(
@@ -102,14 +102,14 @@
     },
     async (addr) => {
       assert.equal(await platformList(() => addr).read(2000), [
-        { id: 'i-1', pool: 'd', url: 'http://10.0.0.1:80', zone: 'a', places: 6, leaving: false },
-        { id: 'i-2', pool: 'd', url: 'http://10.0.0.2:80', zone: 'a', places: 6, leaving: true },
+        { id: 'i-1', pool: 'd', url: 'http://10.0.0.1:80', zone: 'a', places: 6, draining: false },
+        { id: 'i-2', pool: 'd', url: 'http://10.0.0.2:80', zone: 'a', places: 6, draining: true },
       ]);
     },
   ),
 );
 
-adapter('a list that is refused, cut, unreadable or lacks a page is a mishap, never a short list', async () => {
+adapter('a list that is refused, cut, unreadable or lacks a page is an error, never a short list', async () => {
   const first = JSON.stringify({ servers: [entry(1)], nextToken: 'x' });
   const bad: readonly RequestListener[] = [
     (_req, res) => res.writeHead(429).end(),
@@ -118,7 +118,7 @@
     (req, res) => (req.url?.includes('pageToken') ? res.writeHead(503).end() : res.end(first)),
     (req, res) => (req.url?.includes('pageToken') ? res.destroy() : res.end(first)),
   ];
-  for (const serve of bad) assert.is(await listAt(serve, outcome), 'mishap');
+  for (const serve of bad) assert.is(await listAt(serve, outcome), 'errorCode');
 });
 
 adapter('the bundle is made, and says how it is called', async () => {
--- a/tests/src/product.test.ts
+++ b/tests/src/product.test.ts
@@ -25,11 +25,11 @@
 product('bad settings end with code 2 and every finding with its place', async () => {
   const dir = await mkdtemp(join(tmpdir(), 'tillerstair-env-'));
   const file = join(dir, 'settings.yaml');
-  await writeFile(file, 'addr: somewhere\nhttp: 127.0.0.1:99999\nzone: Zone A\nseeds: [127.0.0.1:1]\ndata: d\nbounds: { beat: 1 }\nspeed: 9\n');
+  await writeFile(file, 'addr: somewhere\nhttp: 127.0.0.1:99999\nzone: Zone A\nseeds: [127.0.0.1:1]\ndata: d\nbounds: { heartbeatInterval: 1 }\nspeed: 9\n');
   for (const name of ['control-node', 'store-node']) {
     const r = await run([main(name), '--settings', file, '--log', 'loud']);
     assert.is(r.code, 2);
-    for (const place of ['settings.yaml addr', 'settings.yaml http', 'settings.yaml zone', 'settings.yaml seeds', 'settings.yaml bounds.beat', '--log', 'speed'])
+    for (const place of ['settings.yaml addr', 'settings.yaml http', 'settings.yaml zone', 'settings.yaml seeds', 'settings.yaml bounds.heartbeatInterval', '--log', 'speed'])
       assert.match(r.err, place);
   }
   const bare = await run([main('front-proxy')]);
@@ -70,39 +70,39 @@
 
 product('a configuration is refused whole with all findings and places', () => {
   const bad = checkConfig(
-    'base: -1\npools: [{ name: A, kind: model }, { name: shop, kind: service }, { name: shop, kind: service }]\nlanes:\n  - { name: x, match: { kind: turn, path: chat }, shares: [{ pool: none, share: 1 }] }\nextra: 1\n',
+    'base: -1\npools: [{ name: A, kind: model }, { name: shop, kind: service }, { name: shop, kind: service }]\nroutes:\n  - { name: x, match: { kind: turn, path: chat }, shares: [{ pool: none, share: 1 }] }\nextra: 1\n',
   );
   assert.is(bad.config, undefined);
   const places = bad.findings.map((f) => f.place).join(' ');
-  for (const p of ['base', 'pools[0].name', 'lanes[0].match.path']) assert.match(places, p);
+  for (const p of ['base', 'pools[0].name', 'routes[0].match.path']) assert.match(places, p);
   const deep = checkConfig(
-    'base: 0\npools: [{ name: m, kind: model }, { name: shop, kind: service }, { name: shop, kind: service }]\nlanes:\n  - { name: x, match: { kind: turn, path: /chat }, shares: [{ pool: shop, share: 0 }] }\n  - { name: x, match: { kind: turn, path: /chat }, shares: [{ pool: gone, share: 1 }] }\n',
+    'base: 0\npools: [{ name: m, kind: model }, { name: shop, kind: service }, { name: shop, kind: service }]\nroutes:\n  - { name: x, match: { kind: turn, path: /chat }, shares: [{ pool: shop, share: 0 }] }\n  - { name: x, match: { kind: turn, path: /chat }, shares: [{ pool: gone, share: 1 }] }\n',
   );
   assert.equal(
     deep.findings.map((f) => f.place).sort(),
-    ['lanes[0].shares', 'lanes[0].shares[0].pool', 'lanes[1].match', 'lanes[1].name', 'lanes[1].shares[0].pool', 'pools[2].name'].sort(),
+    ['routes[0].shares', 'routes[0].shares[0].pool', 'routes[1].match', 'routes[1].name', 'routes[1].shares[0].pool', 'pools[2].name'].sort(),
   );
   assert.match(checkConfig('base: [').findings[0]?.place ?? '', 'line 1');
 });
 
 product('a patch becomes a whole file on its base', () => {
-  const text = 'base: 3\npools:\n  - { name: m, kind: model }\nlanes:\n  - { name: chat, match: { kind: turn, path: /chat }, shares: [{ pool: m, share: 1 }] }\n';
-  const next = patchConfig(text, 'lanes:\n  more:\n    match: { kind: turn, path: /more }\n    shares: [{ pool: m, share: 2 }]\n  chat:\n    urgent: true\nbudgets: { turn: 50 }\n', 4);
+  const text = 'base: 3\npools:\n  - { name: m, kind: model }\nroutes:\n  - { name: chat, match: { kind: turn, path: /chat }, shares: [{ pool: m, share: 1 }] }\n';
+  const next = patchConfig(text, 'routes:\n  more:\n    match: { kind: turn, path: /more }\n    shares: [{ pool: m, share: 2 }]\n  chat:\n    urgent: true\nbudgets: { turn: 50 }\n', 4);
   const { config, findings } = checkConfig(next);
   assert.equal(findings, []);
   assert.is(config?.base, 4);
-  assert.is(config?.lanes.length, 2);
-  assert.is(config?.lanes.find((l) => l.name === 'chat')?.urgent, true);
+  assert.is(config?.routes.length, 2);
+  assert.is(config?.routes.find((l) => l.name === 'chat')?.urgent, true);
   assert.is(config?.budgets.turn, 50);
   assert.is(config?.budgets.program, 100000);
 });
 
 product('compare names only what differs, and which is newer', () => {
-  const belief = (version: number, facts: [string, string][]) => ({
+  const nodeView = (version: number, facts: [string, string][]) => ({
     id: 'x', kind: 'front', term: 3, master: 'm', applied: { term: 3, version }, facts,
   });
-  const old = belief(4, [['slot 1', 'a'], ['config', '1'], ['own hints', '3']]);
-  const now = belief(5, [['slot 1', 'a'], ['config', '2'], ['server s', 'pool']]);
+  const old = nodeView(4, [['slot 1', 'a'], ['config', '1'], ['own hints', '3']]);
+  const now = nodeView(5, [['slot 1', 'a'], ['config', '2'], ['server s', 'pool']]);
   const c = compare(old, now);
   assert.is(c.newer, 'b');
   assert.equal(c.differences.map((d) => d.fact), ['applied', 'config', 'server s']);
--- a/tests/src/quorum-read.test.ts
+++ b/tests/src/quorum-read.test.ts
@@ -1,19 +1,19 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { SimClock } from '@tillerstair/sim';
-import { foundingState, type Mate, type State } from '@tillerstair/state';
-import { mishapOf, pause, TooLate } from '@tillerstair/wire';
+import { bootstrapState, type Member, type State } from '@tillerstair/state';
+import { toRpcError, pause, RequestTimeoutError } from '@tillerstair/wire';
 import { QuorumRead, zenBounds } from '@tillerstair/zen';
 
 const reads = suite('a quorum read');
 
-const bounds = zenBounds({ serveWithin: 12000, leavingWithin: 3000, beat: 1000, silent: 3000 });
+const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
 const roundTrip = 10;
 const term = 4;
 
-const mate = (id: string): Mate => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
+const member = (id: string): Member => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
 const stateOf = (now: readonly string[], next: readonly string[], version = 7): State => ({
-  ...foundingState('x', [...new Set([...now, ...next])].map(mate), 1), term, version, voters: { now, next },
+  ...bootstrapState('x', [...new Set([...now, ...next])].map(member), 1), term, version, voters: { current: now, next },
 });
 
 /** A master `a` among voters of which some answer, each with its term. */
@@ -22,18 +22,18 @@
   const held = { state, asked: 0, later: 0 };
   const lost = new AbortController();
   const read = new QuorumRead({
-    me: mate('a'), clock, bounds, term, lost: lost.signal, committed: () => held.state, deposed: () => more.deposed ?? false,
+    me: member('a'), clock, bounds, term, lost: lost.signal, committed: () => held.state, deposed: () => more.deposed ?? false,
     onLaterTerm: (t) => {
       held.later = t;
       lost.abort();
     },
-    circuits: {
+    transport: {
       self: 'a', onLost: () => undefined, serve: async () => undefined, close: async () => undefined,
       call: async (to, _kind, _body, { within }) => {
         held.asked++;
         const answer = terms.get(to);
         await pause(clock, answer === undefined ? within : roundTrip);
-        if (answer === undefined) throw new TooLate(to);
+        if (answer === undefined) throw new RequestTimeoutError(to);
         return { term: answer, applied: { term: 0, version: 0 }, report: null };
       },
     },
@@ -41,7 +41,7 @@
   return { clock, held, read };
 };
 
-const outcome = (work: Promise<State>): Promise<string> => work.then((s) => `version ${s.version}`, (e: unknown) => mishapOf(e).code);
+const outcome = (work: Promise<State>): Promise<string> => work.then((s) => `version ${s.version}`, (e: unknown) => toRpcError(e).code);
 
 const three = ['a', 'b', 'c'];
 
@@ -52,7 +52,7 @@
 
 reads('silence of the others refuses within 1.25 heartbeats', async () => {
   const { clock, read } = master(stateOf(three, three), new Map());
-  assert.is(await clock.finish('read', outcome(read.confirm()), bounds.beat * 1.25 + 1), 'unavailable');
+  assert.is(await clock.finish('read', outcome(read.confirm()), bounds.heartbeatInterval * 1.25 + 1), 'unavailable');
 });
 
 reads('a joint change needs a majority of both groups', async () => {
--- a/tests/src/receiver.test.ts
+++ b/tests/src/receiver.test.ts
@@ -2,27 +2,27 @@
 import { deflateSync } from 'node:zlib';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { flatten, foundingState, type Mate, type State } from '@tillerstair/state';
-import { mishapOf } from '@tillerstair/wire';
-import { MemoryKeep, Receiver } from '@tillerstair/zen';
+import { flatten, bootstrapState, type Member, type State } from '@tillerstair/state';
+import { toRpcError } from '@tillerstair/wire';
+import { MemoryElectionStore, Receiver } from '@tillerstair/zen';
 
 const receiver = suite('publish receiver');
 
-const mateOf = (id: string): Mate => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
-const master = mateOf('a');
-const founded = foundingState('cluster', [master, mateOf('b')], 1);
-const stateAt = (version: number): State => ({ ...founded, term: 2, version, master: 'a' });
+const memberOf = (id: string): Member => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
+const master = memberOf('a');
+const bootstrapped = bootstrapState('cluster', [master, memberOf('b')], 1);
+const stateAt = (version: number): State => ({ ...bootstrapped, term: 2, version, master: 'a' });
 
 const publishOf = (s: State): object => ({
   from: master, term: s.term, clusterId: s.clusterId, packed: deflateSync(JSON.stringify({ full: [...flatten(s)] })).toString('base64'),
 });
 
 /** Lets a test decide when a vote is on disk. */
-class SlowVoteKeep extends MemoryKeep {
+class SlowVoteKeep extends MemoryElectionStore {
   private release: () => void = () => undefined;
 
-  override async promise(term: number, to: string): Promise<void> {
-    await super.promise(term, to);
+  override async recordVote(term: number, to: string): Promise<void> {
+    await super.recordVote(term, to);
     await new Promise<void>((done) => {
       this.release = done;
     });
@@ -34,14 +34,14 @@
 }
 
 receiver('an older state that waited for its vote never replaces a newer one', async () => {
-  const keep = new SlowVoteKeep('b');
-  await keep.accept(founded);
-  const r = new Receiver({ keep, onApplied: async () => undefined, knows: () => true, onTerm: () => undefined, onPublished: () => undefined });
-  const older = r.onPublish(publishOf(stateAt(4))).then((a) => a.verdict, (e: unknown) => mishapOf(e).code);
-  assert.equal(await r.onPublish(publishOf(stateAt(5))), { verdict: 'accepted' });
-  keep.voteSynced();
+  const electionStore = new SlowVoteKeep('b');
+  await electionStore.accept(bootstrapped);
+  const r = new Receiver({ electionStore, onApplied: async () => undefined, knows: () => true, onTerm: () => undefined, onPublished: () => undefined });
+  const older = r.onPublish(publishOf(stateAt(4))).then((a) => a.outcome, (e: unknown) => toRpcError(e).code);
+  assert.equal(await r.onPublish(publishOf(stateAt(5))), { outcome: 'accepted' });
+  electionStore.voteSynced();
   assert.is(await older, 'stale-state');
-  assert.is(keep.kept.accepted?.version, 5);
+  assert.is(electionStore.persisted.accepted?.version, 5);
 });
 
 receiver.run();
