--- a/tests/src/refusals.test.ts
+++ b/tests/src/refusals.test.ts
@@ -5,13 +5,13 @@
 import { z } from 'zod';
 import { freePorts } from '@tillerstair/fleet';
 import { carrier, Front, HttpBackend, ownDialect } from '@tillerstair/proxy';
-import { passHost, passLanes } from '@tillerstair/sim';
-import { checkConfig, foundingState, Mate, Server, type State } from '@tillerstair/state';
-import { hostClock, noLog, TcpCircuits } from '@tillerstair/wire';
+import { passHost, passRoutes } from '@tillerstair/sim';
+import { checkConfig, bootstrapState, Member, Server, type State } from '@tillerstair/state';
+import { hostClock, noLog, TcpTransport } from '@tillerstair/wire';
 
 const refusals = suite('what a front tells of requests that reached no server, and of answers that are no server\'s');
 const Bound = z.object({ port: z.number() });
-const dialect = { ...ownDialect, seal: 'x-seal' };
+const dialect = { ...ownDialect, madeByServer: 'x-seal' };
 
 type Play = (attempt: string, res: ServerResponse) => void;
 
@@ -38,26 +38,26 @@
 type Up = Awaited<ReturnType<typeof serverUp>>;
 
 const serversOf = (ups: readonly Up[]): readonly Server[] =>
-  ups.flatMap((u, i) => ['models', 'shop'].map((pool) => Server.parse({ id: `${pool}${i}`, pool, url: `http://127.0.0.1:${u.port}`, leaving: false, down: false })));
+  ups.flatMap((u, i) => ['models', 'shop'].map((pool) => Server.parse({ id: `${pool}${i}`, pool, url: `http://127.0.0.1:${u.port}`, draining: false, down: false })));
 
-const configOf = (lanes: readonly object[]) => {
+const configOf = (routes: readonly object[]) => {
   const pools = [{ name: 'models', kind: 'model' }, { name: 'shop', kind: 'service' }];
-  const text = JSON.stringify({ base: 0, pools, lanes, budgets: { program: 1000, turn: 16 } });
+  const text = JSON.stringify({ base: 0, pools, routes, budgets: { program: 1000, turn: 16 } });
   const { config, findings } = checkConfig(text);
   assert.equal(findings, []);
-  return { version: 1, text, digest: 'd', compiled: JSON.stringify(config), order: '', past: [] };
+  return { version: 1, text, digest: 'd', compiled: JSON.stringify(config), changeId: '', past: [] };
 };
 
-const stateOf = (ups: readonly Up[], lanes = passLanes(['models'], 'shop')): State =>
-  ({ ...foundingState('c', [], 8), config: configOf(lanes), servers: new Map(serversOf(ups).map((s) => [s.id, s])) });
+const stateOf = (ups: readonly Up[], routes = passRoutes(['models'], 'shop')): State =>
+  ({ ...bootstrapState('c', [], 8), config: configOf(routes), servers: new Map(serversOf(ups).map((s) => [s.id, s])) });
 
-const frontOf = (id: string, circuits = new TcpCircuits('127.0.0.1:1')) => {
-  const backend = new HttpBackend({ connectWithin: 2000, circuits: () => 1 }, dialect);
+const frontOf = (id: string, transport = new TcpTransport('127.0.0.1:1')) => {
+  const backend = new HttpBackend({ connectWithin: 2000, connections: () => 1 }, dialect);
   const front = new Front({
-    id, clock: hostClock, circuits, backend, log: noLog, affinity: false,
-    bounds: { beat: 200, putWithin: 1000, grace: 1e6, poll: 0, keepMs: 1e6, stopWithin: 1000 },
+    id, clock: hostClock, transport, backend, log: noLog, affinity: false,
+    bounds: { heartbeatInterval: 200, putWithin: 1000, readLease: 1e6, poll: 0, retentionMs: 1e6, stopWithin: 1000 },
   });
-  front.steward.freshen(hostClock.now());
+  front.owner.renewLease(hostClock.now());
   return { front, backend };
 };
 
@@ -89,8 +89,8 @@
       res.setEncoding('latin1');
       res.on('data', (part) => (body += String(part)));
       res.on('error', () => undefined);
-      const told = new Map(Object.entries(res.headers).map(([k, v]): [string, string] => [k, String(v)]));
-      res.on('close', () => done({ status: res.statusCode ?? 0, headers: told, body, whole: res.complete }));
+      const reported = new Map(Object.entries(res.headers).map(([k, v]): [string, string] => [k, String(v)]));
+      res.on('close', () => done({ status: res.statusCode ?? 0, headers: reported, body, whole: res.complete }));
     });
     req.on('error', fail);
     req.end();
@@ -99,7 +99,7 @@
 const withFront = async (plays: readonly Play[], work: (port: number, ups: readonly Up[]) => Promise<void>): Promise<void> => {
   const ups = await Promise.all(plays.map(serverUp));
   const { front, backend } = frontOf('f');
-  front.steward.take(stateOf(ups));
+  front.owner.take(stateOf(ups));
   const { port, close } = await serving(front);
   try {
     await work(port, ups);
@@ -127,11 +127,11 @@
 
 refusals('an answer without the server\'s stamp is not passed on, unless it is a server error', async () => {
   const statuses = [[200, 502], [302, 502], [400, 502], [404, 502], [409, 502], [500, 500]] as const;
-  for (const [given, told] of statuses)
+  for (const [given, reported] of statuses)
     for (const path of ['/once/x', '/flow/x'])
       await withFront([(attempt, res) => void res.writeHead(given, { 'X-Request-Id': attempt }).end('theirs')], async (port, [up]) => {
         const heard = await ask(port, path, 'a');
-        assert.equal([heard.status, heard.body === 'theirs', up?.asked], [told, told === 500, ['a']], `${path} ${given}`);
+        assert.equal([heard.status, heard.body === 'theirs', up?.asked], [reported, reported === 500, ['a']], `${path} ${given}`);
       });
 });
 
@@ -182,20 +182,20 @@
   });
 });
 
-refusals('a lane that the front asked for it does not hold, though the front that took the request does, is no 404', async () => {
+refusals('a route that the front asked for it does not hold, though the front that took the request does, is no 404', async () => {
   const [one = 0, two = 0] = await freePorts(2);
   const up = await serverUp(good);
-  const ours = new TcpCircuits(`127.0.0.1:${one}`);
-  const theirs = new TcpCircuits(`127.0.0.1:${two}`);
+  const ours = new TcpTransport(`127.0.0.1:${one}`);
+  const theirs = new TcpTransport(`127.0.0.1:${two}`);
   const taker = frontOf('f', ours);
-  const steward = frontOf('g', theirs);
-  await steward.front.start();
-  const mate = Mate.parse({ id: 'g', kind: 'front', addr: theirs.self, http: '', zone: '', data: theirs.self });
-  const nodes = new Map([['g', mate]]);
-  const slots = stateOf([]).slots.map((slot) => ({ ...slot, steward: 'g' }));
-  taker.front.steward.take({ ...stateOf([up]), nodes, slots });
-  const behind = passLanes(['models'], 'shop').filter((l) => !JSON.stringify(l).includes('pass-keyed') && !JSON.stringify(l).includes('pass-turn'));
-  steward.front.steward.take({ ...stateOf([up], behind), nodes, slots });
+  const owner = frontOf('g', theirs);
+  await owner.front.start();
+  const member = Member.parse({ id: 'g', kind: 'front', addr: theirs.self, http: '', zone: '', data: theirs.self });
+  const nodes = new Map([['g', member]]);
+  const slots = stateOf([]).slots.map((slot) => ({ ...slot, owner: 'g' }));
+  taker.front.owner.take({ ...stateOf([up]), nodes, slots });
+  const behind = passRoutes(['models'], 'shop').filter((l) => !JSON.stringify(l).includes('pass-keyed') && !JSON.stringify(l).includes('pass-turn'));
+  owner.front.owner.take({ ...stateOf([up], behind), nodes, slots });
   const { port, close } = await serving(taker.front);
   for (const [path, more] of [['/keyed/x', ['Operation-Key', 'k']], ['/turn/x', ['X-Program', 'p']]] as const) {
     const heard = await ask(port, path, 'a', more);
@@ -204,14 +204,14 @@
   assert.is((await ask(port, '/nowhere/x', 'b')).status, 404);
   close();
   up.close();
-  await Promise.all([ours.close(), theirs.close(), taker.backend.close(), steward.backend.close()]);
-  steward.front.steward.take(stateOf([]));
-  steward.front.steward.stop();
+  await Promise.all([ours.close(), theirs.close(), taker.backend.close(), owner.backend.close()]);
+  owner.front.owner.take(stateOf([]));
+  owner.front.owner.stop();
 });
 
 refusals('an error before a request is handed on is told as not run', async () => {
   const { front, backend } = frontOf('f');
-  front.steward.take(stateOf([]));
+  front.owner.take(stateOf([]));
   const carry = carrier(front, dialect, () => {
     throw new RangeError('a mistake of ours');
   });
--- a/tests/src/replicas.test.ts
+++ b/tests/src/replicas.test.ts
@@ -2,13 +2,13 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { marginLines, marginWhole } from '@tillerstair/ctl';
-import { allot, foundingState, MarginReport, reduce, replicasWhole, replicationFor, type Mate, type State } from '@tillerstair/state';
+import { allocate, bootstrapState, MarginReport, reduce, replicasWhole, replicationFor, type Member, type State } from '@tillerstair/state';
 import type { World, Machine, WorldSizes } from '@tillerstair/sim';
 import { acts, assertNoBreach, configText, recordsOf, servers, worldUp } from './util.js';
 
 const replicas = suite('replicas');
 const seeds = [71, 72, 73];
-const siteBounds = { serveWithin: 12000, leavingWithin: 3000, beat: 500, silent: 1800 };
+const siteBounds = { serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 500, failureTimeout: 1800 };
 const twoLosses: WorldSizes = { controls: 5, stores: 7, fronts: 2, losses: 2, outer: siteBounds };
 const oneLoss: WorldSizes = { controls: 3, stores: 4, fronts: 2, outer: siteBounds };
 
@@ -22,7 +22,7 @@
 /** All replicas are there, and none of them on the stores `lost`. */
 const whole = (w: World, lost: readonly string[] = []): boolean => {
   const s = w.committed;
-  return s !== undefined && s.slots.every((slot) => !slot.copies.some((id) => lost.includes(id)) && slot.filling.length === 0 && slot.copies.length === s.replication.replicas && slot.copies.every((id) => s.nodes.has(id)));
+  return s !== undefined && s.slots.every((slot) => !slot.replicas.some((id) => lost.includes(id)) && slot.joiningReplicas.length === 0 && slot.replicas.length === s.replication.replicas && slot.replicas.every((id) => s.nodes.has(id)));
 };
 
 /** Runs turns and calls for a while; resolves with the programs once all were answered. */
@@ -34,7 +34,7 @@
 };
 
 const assertKept = async (w: World, tag: string): Promise<void> => {
-  for (const t of w.told.filter((x) => x.kind === 'turn' && x.told === 'done'))
+  for (const t of w.reported.filter((x) => x.kind === 'turn' && x.reported === 'done'))
     assert.is((await w.clock.finish('fetch', w.fetch(t.program, t.turn), 30000)).text, t.text);
   for (let i = 0; i < 12; i++) {
     await w.clock.finish('call again', w.call(`${tag}-${i}`, '/hold', { n: i }), 60000);
@@ -43,7 +43,7 @@
   assertNoBreach(recordsOf(w));
 };
 
-const stewardsAnew = async (w: World): Promise<void> => {
+const ownersAnew = async (w: World): Promise<void> => {
   for (const m of w.of('front')) m.kill();
   w.start(w.of('front'));
   await w.clock.until('fronts', () => w.readyFronts().length === w.of('front').length && w.slotsServed(), 20000);
@@ -52,7 +52,7 @@
 replicas('replicas and quorum follow the losses to bear, and stand in the state', async () => {
   const w = await worldUp(70, twoLosses);
   assert.equal(w.committed?.replication, { replicas: 5, quorum: 3 });
-  assert.ok(w.committed?.slots.every((s) => s.copies.length === 5));
+  assert.ok(w.committed?.slots.every((s) => s.replicas.length === 5));
   assert.equal(w.of('store')[0]?.store?.zen.applied?.replication, { replicas: 5, quorum: 3 });
   const plain = await worldUp(70, oneLoss);
   assert.equal(plain.committed?.replication, { replicas: 3, quorum: 2 });
@@ -65,7 +65,7 @@
     const data = w.of('front').map((m) => `${m.addr}/data`);
     w.net.cutBoth(w.of('store').slice(0, 3).map((m) => m.addr), data);
     const t = await w.clock.finish('turn', w.turn(p.program, null, `c #${seed}`, 'c'), 60000);
-    assert.is.not(t.told, 'done');
+    assert.is.not(t.reported, 'done');
   }
 });
 
@@ -78,30 +78,30 @@
     const lost = [w.of('store')[a], w.of('store')[b]];
     const ids = lost.map(storeIdOf);
     for (const m of lost) wipe(m);
-    await stewardsAnew(w);
+    await ownersAnew(w);
     for (const m of lost) m?.start();
     const from = w.clock.now();
     await w.clock.until('whole again', () => whole(w, ids), 20000);
     assert.ok(w.clock.now() - from < 4800, `${Math.round(w.clock.now() - from)} ms`);
     await assertKept(w, 'w');
     for (const m of w.of('store').filter((x) => !lost.includes(x)).slice(0, 2)) wipe(m);
-    await stewardsAnew(w);
+    await ownersAnew(w);
     await w.clock.run(2000);
     await assertKept(w, 'w');
   }
 });
 
 replicas('a lost zone leaves every slot a quorum where zones allow it', () => {
-  const mate = (kind: Mate['kind'], n: number, zone: string): Mate => ({ id: `${kind}-${n}`, kind, addr: `10.0.0.${n}:1`, http: '', zone, data: '', name: '' });
+  const member = (kind: Member['kind'], n: number, zone: string): Member => ({ id: `${kind}-${n}`, kind, addr: `10.0.0.${n}:1`, http: '', zone, data: '', name: '' });
   for (const [losses, zones] of [[2, ['a', 'a', 'a', 'a', 'b', 'b', 'c', 'c']], [3, ['a', 'a', 'a', 'a', 'b', 'b', 'c', 'c', 'd', 'd']], [1, ['a', 'a', 'b', 'c']]] as const) {
-    const stores = zones.map((z, n) => mate('store', n, z));
-    const founded = foundingState('c', [mate('control', 1, 'a')], 32, replicationFor(losses));
-    const joined = [mate('front', 1, 'a'), ...stores].reduce<State>((s, m) => reduce(s, { kind: 'join', mate: m }), founded);
-    const s = allot(joined, { leastStores: founded.replication.replicas, moves: 32, fills: 32, silentStores: new Set() });
+    const stores = zones.map((z, n) => member('store', n, z));
+    const bootstrapped = bootstrapState('c', [member('control', 1, 'a')], 32, replicationFor(losses));
+    const joined = [member('front', 1, 'a'), ...stores].reduce<State>((s, m) => reduce(s, { kind: 'join', member: m }), bootstrapped);
+    const s = allocate(joined, { leastStores: bootstrapped.replication.replicas, moves: 32, fills: 32, unresponsiveStores: new Set() });
     for (const slot of s.slots)
       for (const zone of new Set(zones)) {
-        const left = slot.copies.filter((id) => s.nodes.get(id)?.zone !== zone).length;
-        assert.ok(left >= s.replication.quorum, `${slot.copies.join()} without ${zone}`);
+        const left = slot.replicas.filter((id) => s.nodes.get(id)?.zone !== zone).length;
+        assert.ok(left >= s.replication.quorum, `${slot.replicas.join()} without ${zone}`);
       }
   }
 });
@@ -109,12 +109,12 @@
 replicas('a store that is missing at the first start does not keep the others from serving, and is taken in later', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, { ...twoLosses, stores: 4 });
-    assert.ok(w.committed?.slots.every((s) => s.copies.length === 4));
+    assert.ok(w.committed?.slots.every((s) => s.replicas.length === 4));
     await work(w, 'm');
     w.add('store').start();
     await w.clock.until('whole', () => whole(w), 10000);
     for (const m of w.of('store').slice(0, 2)) wipe(m);
-    await stewardsAnew(w);
+    await ownersAnew(w);
     await w.clock.run(2000);
     await assertKept(w, 'm');
   }
@@ -147,7 +147,7 @@
     await untilRetired(w, old, 6000);
     wipe(old);
     wipe(w.of('store').find((m) => m !== old));
-    await stewardsAnew(w);
+    await ownersAnew(w);
     await w.clock.run(2000);
     await assertKept(w, 'r');
   }
@@ -164,10 +164,10 @@
       wipe(w.at('store-2'));
       await untilRetired(w, old, 30000);
       const dead = new Set(w.of('store').filter((m) => m.up).map((m) => storeIdOf(m)));
-      assert.ok(w.committed?.slots.every((s) => s.copies.filter((id) => dead.has(id)).length === 3), 'told done before the lost replicas were replaced');
+      assert.ok(w.committed?.slots.every((s) => s.replicas.filter((id) => dead.has(id)).length === 3), 'told done before the lost replicas were replaced');
       wipe(old);
       wipe(w.at('store-3'));
-      await stewardsAnew(w);
+      await ownersAnew(w);
       await w.clock.run(2000);
       await assertKept(w, 'l');
     }
@@ -204,7 +204,7 @@
   assert.is(after.voters.margin, 1);
   assert.is(after.leastSlotMargin, 1);
   assert.not(marginWhole(after));
-  const held = w.committed?.slots.filter((s) => s.copies.length === 5).length ?? 0;
+  const held = w.committed?.slots.filter((s) => s.replicas.length === 5).length ?? 0;
   assert.ok(marginLines(after).length > 2 && marginLines(after).length <= 2 + held);
   await w.clock.until('whole again', () => whole(w, [lost]), 20000);
   assert.is((await margin()).leastSlotMargin, 2);
@@ -223,12 +223,12 @@
     const lost = w.at('store-0');
     const lostId = storeIdOf(lost);
     wipe(lost);
-    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.filling.includes(storeIdOf(filler))) ?? false, 10000);
+    await w.clock.until('filling', () => w.committed?.slots.some((s) => s.joiningReplicas.includes(storeIdOf(filler))) ?? false, 10000);
     wipe(filler);
     w.add('store').start();
     await w.clock.until('whole', () => whole(w, [lostId]), 10000);
     wipe(w.at('store-1'));
-    await stewardsAnew(w);
+    await ownersAnew(w);
     await w.clock.run(2000);
     await assertKept(w, 'f');
   }
@@ -252,7 +252,7 @@
     await w.clock.until('whole', () => whole(w, [lostId]), 20000);
     assert.ok(w.clock.now() - from <= halfCatchUp, `${after} ms after the loss, disk ${delay} ms: ${Math.round(w.clock.now() - from)} ms`);
     wipe(w.at('store-1'));
-    await stewardsAnew(w);
+    await ownersAnew(w);
     await w.clock.run(2000);
     await assertKept(w, 'a');
   }
@@ -268,7 +268,7 @@
     old.start();
     await w.clock.until('back', () => w.committed?.nodes.has(storeIdOf(old)) ?? false, 10000);
     await untilRetired(w, old, 20000);
-    assert.not(w.committed?.slots.some((s) => s.copies.includes(storeIdOf(old))));
+    assert.not(w.committed?.slots.some((s) => s.replicas.includes(storeIdOf(old))));
     assert.is((await w.operate('DELETE', `/v1/stores/${old.name}/empty`)).status, 200);
     assert.is(w.drained.size, 0);
     await assertKept(w, 'x');
@@ -277,8 +277,8 @@
 
 replicas('a try that nobody knows is called unknown while every slot has enough replies, and not with fewer', async () => {
   const w = await worldUp(82, { ...twoLosses, stores: 5 });
-  const steward = w.of('front')[0]?.front?.steward;
-  const look = () => w.clock.finish('look-up', steward?.findTurn('nobody').then((t) => `${t.length} found`, () => 'unavailable') ?? Promise.resolve(''), 20000);
+  const owner = w.of('front')[0]?.front?.owner;
+  const look = () => w.clock.finish('look-up', owner?.findTurn('nobody').then((t) => `${t.length} found`, () => 'unavailable') ?? Promise.resolve(''), 20000);
   assert.is(await look(), '0 found');
   for (const m of w.of('store').slice(0, 2)) m.kill('power');
   assert.is(await look(), '0 found');
--- a/tests/src/settings.test.ts
+++ b/tests/src/settings.test.ts
@@ -7,7 +7,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { ask, freePorts, programs, until } from '@tillerstair/fleet';
-import { agentEnv, controlEnv, proxyEnv, readSettings, storeEnv, type Settings } from '@tillerstair/platform';
+import { agentSettings, controlSettings, proxySettings, readSettings, storeSettings, type Settings } from '@tillerstair/platform';
 import { seededRng, World } from '@tillerstair/sim';
 import { zenBounds, type ZenBounds } from '@tillerstair/zen';
 import { configText, servers } from './util.js';
@@ -60,18 +60,18 @@
   });
 
 const times = (b: ZenBounds): readonly number[] => [
-  b.beat, b.silent, b.pingWait, b.joinWait, b.publishWait, b.foundingStill, b.replaceAfter, b.grace, b.markWithin, b.listEvery,
+  b.heartbeatInterval, b.failureTimeout, b.pingWait, b.joinWait, b.publishWait, b.bootstrapStillFor, b.replaceAfter, b.readLease, b.drainingCommitWithin, b.listEvery,
 ];
 
 settings('times derived from any settings are whole, positive and in order', async () => {
   for (let seed = 1; seed <= 200; seed++) {
     const read = await readDrawn(seed);
-    const all = [agentEnv(read), controlEnv(read), proxyEnv(read), storeEnv(read)];
-    for (const env of all) {
-      const b = zenBounds(env.bounds);
+    const all = [agentSettings(read), controlSettings(read), proxySettings(read), storeSettings(read)];
+    for (const daemonSettings of all) {
+      const b = zenBounds(daemonSettings.bounds);
       for (const ms of times(b)) assert.ok(Number.isInteger(ms) && ms > 0, `seed ${seed}: ${JSON.stringify(b)}`);
-      assert.ok(b.beat * 2 < b.silent && b.silent < b.replaceAfter, `seed ${seed}: heartbeat, failure timeout, replacement`);
-      assert.ok(b.grace < env.bounds.leavingWithin && b.listEvery < b.grace, `seed ${seed}: list, lease, drain bound`);
+      assert.ok(b.heartbeatInterval * 2 < b.failureTimeout && b.failureTimeout < b.replaceAfter, `seed ${seed}: heartbeat, failure timeout, replacement`);
+      assert.ok(b.readLease < daemonSettings.bounds.drainingWithin && b.listEvery < b.readLease, `seed ${seed}: list, lease, drain bound`);
       assert.ok(b.pingWait < b.joinWait, `seed ${seed}: ping, join`);
     }
   }
@@ -79,11 +79,11 @@
 
 settings('a fleet with the bounds of any settings serves', async () => {
   for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
-    const { bounds: outer } = controlEnv(await readDrawn(seed));
+    const { bounds: outer } = controlSettings(await readDrawn(seed));
     const w = new World(seed, { controls: 3, stores: 3, fronts: 2, outer });
     await w.bringUp((base) => configText(base), servers);
-    const told = await w.clock.finish('program', w.program(100), 20000);
-    assert.is(told.told, 'done', `seed ${seed}`);
+    const reported = await w.clock.finish('program', w.program(100), 20000);
+    assert.is(reported.reported, 'done', `seed ${seed}`);
   }
 });
 
@@ -150,7 +150,7 @@
 
 settings('a failure that nobody waited for is told and does not end a program', () => {
   const program = `
-    import { live } from '@tillerstair/env';
+    import { live } from '@tillerstair/settings';
     const start = async () => {
       setImmediate(() => {
         void Promise.reject(new Error('nobody waits'));
@@ -161,9 +161,9 @@
     await live('a-program', () => ({}), start);
     process.stdin.on('data', () => undefined);
   `;
-  const ran = spawnSync(process.execPath, ['--input-type=module', '-e', program], { encoding: 'utf8', stdio: ['pipe', 'pipe', 'pipe'], timeout: 20000 });
-  assert.is(ran.status, 7);
-  assert.match(ran.stderr, 'A failure was not handled: Error: nobody waits');
+  const executed = spawnSync(process.execPath, ['--input-type=module', '-e', program], { encoding: 'utf8', stdio: ['pipe', 'pipe', 'pipe'], timeout: 20000 });
+  assert.is(executed.status, 7);
+  assert.match(executed.stderr, 'A failure was not handled: Error: nobody waits');
 });
 
 settings.run();
--- a/tests/src/util.ts
+++ b/tests/src/util.ts
@@ -1,6 +1,6 @@
 import * as assert from 'uvu/assert';
-import { checkRecords, noRecords, type PassRecord, type RanRecord, type Records } from '@tillerstair/checker';
-import { passAt, passHost, passLanes, World, type Machine, type PassWish, type WorldSizes } from '@tillerstair/sim';
+import { checkRecords, noRecords, type PassRecord, type ExecutionRecord, type Records } from '@tillerstair/checker';
+import { passAt, passHost, passRoutes, World, type Machine, type PassSpec, type WorldSizes } from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
 
 export const configText = (base: number, turnPool = 'models', callPool = 'shop', extra = 0): string =>
@@ -10,7 +10,7 @@
       { name: turnPool, kind: 'model' },
       { name: callPool, kind: 'service' },
     ],
-    lanes: [
+    routes: [
       { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: turnPool, share: 1 }] },
       { name: 'hold', match: { kind: 'call', path: '/hold' }, acting: true, shares: [{ pool: callPool, share: 1 }] },
       ...Array.from({ length: extra }, (_, i) => ({
@@ -38,11 +38,11 @@
   JSON.stringify({
     base,
     pools: [
-      ...['models', 'others'].map((name) => ({ name, kind: 'model', engine: { places: 4, memoryTokens: 100000, pieceTokens: 1 } })),
+      ...['models', 'others'].map((name) => ({ name, kind: 'model', engine: { places: 4, memoryTokens: 100000, blockTokens: 1 } })),
       { name: 'shop', kind: 'service' }, { name: 'mart', kind: 'service' }, { name: 'memo', kind: 'service', remembersKeys: true },
     ],
-    lanes: [
-      ...passLanes([turnPool], callPool),
+    routes: [
+      ...passRoutes([turnPool], callPool),
       { name: 'own', match: { kind: 'pass', host: passHost, path: '/own/' }, pass: { manner: 'keyed', tries: 2, deadlineMs: 8000 }, shares: [{ pool: ownPool, share: 1 }] },
     ],
     ...more,
@@ -50,17 +50,17 @@
 
 const passServers: readonly (readonly [string, string])[] = [...servers, ['k1', 'memo'], ['k2', 'memo'], ['n1', 'others'], ['z1', 'mart']];
 
-export const passUp = async (seed: number, sizes: WorldSizes, more: object = {}, keepMs?: number): Promise<World> => {
+export const passUp = async (seed: number, sizes: WorldSizes, more: object = {}, retentionMs?: number): Promise<World> => {
   const w = new World(seed, sizes);
-  if (keepMs !== undefined) w.keepMs = keepMs;
+  if (retentionMs !== undefined) w.retentionMs = retentionMs;
   await w.bringUp((base) => passText(base, 'models', 'shop', 'memo', more), passServers);
   return w;
 };
 
-/** Sends on a pass lane and lets time go on until the caller has heard. */
-export const passed = (w: World, wish: PassWish, at?: Machine): Promise<PassRecord> => w.clock.finish(wish.path, passAt(w, wish, at), 60000);
+/** Sends on a pass route and lets time go on until the caller has heard. */
+export const passed = (w: World, spec: PassSpec, at?: Machine): Promise<PassRecord> => w.clock.finish(spec.path, passAt(w, spec, at), 60000);
 
-export const runsOf = (w: World, attempt: string): readonly RanRecord[] => w.servers.ran.filter((r) => r.attempt === attempt);
+export const runsOf = (w: World, attempt: string): readonly ExecutionRecord[] => w.servers.executed.filter((r) => r.attempt === attempt);
 
 export const restart = async (w: World): Promise<void> => {
   for (const m of w.machines) m.kill('power');
@@ -72,11 +72,11 @@
 
 export const recordsOf = (w: World, more: Partial<Records> = {}): Records => ({
   ...noRecords,
-  told: w.told,
-  ran: w.servers.ran,
+  reported: w.reported,
+  executed: w.servers.executed,
   passes: w.passes,
   perTurn: 16,
-  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, told: 'done', toldAt: 0 }],
+  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, reported: 'done', reportedAt: 0 }],
   readBack: { version: 1, text: '' },
   ...more,
 });
@@ -86,10 +86,10 @@
   assert.equal(breaches, []);
 };
 
-export const stewardOf = (w: World, key: string) => {
+export const ownerOf = (w: World, key: string) => {
   const s = w.committed;
   const slot = s?.slots[slotOf(key, s.slots.length)];
-  return w.of('front').find((m) => m.front?.p.id === slot?.steward);
+  return w.of('front').find((m) => m.front?.p.id === slot?.owner);
 };
 
-export const acts = (w: World, key: string): number => w.servers.ran.filter((r) => r.key === `t/${key}`).length;
+export const acts = (w: World, key: string): number => w.servers.executed.filter((r) => r.key === `t/${key}`).length;
--- a/tests/src/wire.test.ts
+++ b/tests/src/wire.test.ts
@@ -3,82 +3,82 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { freePorts } from '@tillerstair/fleet';
-import { CircuitRefused, mishapOf, splitAddr, TcpCircuits, type Mishap } from '@tillerstair/wire';
+import { ConnectionRefusedError, toRpcError, splitAddr, TcpTransport, type RpcError } from '@tillerstair/wire';
 
-const wire = suite('circuits over TCP');
+const wire = suite('connections over TCP');
 
-const pair = async (): Promise<{ a: TcpCircuits; b: TcpCircuits; close: () => Promise<void> }> => {
+const pair = async (): Promise<{ a: TcpTransport; b: TcpTransport; close: () => Promise<void> }> => {
   const [p = 0, q = 0] = await freePorts(2);
-  const a = new TcpCircuits(`127.0.0.1:${p}`);
-  const b = new TcpCircuits(`127.0.0.1:${q}`);
+  const a = new TcpTransport(`127.0.0.1:${p}`);
+  const b = new TcpTransport(`127.0.0.1:${q}`);
   return { a, b, close: async () => void (await Promise.all([a.close(), b.close()])) };
 };
 
-const mishapFrom = (p: Promise<unknown>): Promise<Mishap> =>
+const errorFrom = (p: Promise<unknown>): Promise<RpcError> =>
   p.then(
     () => {
-      throw new Error('no mishap');
+      throw new Error('no error');
     },
-    (e: unknown) => mishapOf(e),
+    (e: unknown) => toRpcError(e),
   );
 
-wire('a verdict comes back to the inquiry it belongs to, pieces in order before it', async () => {
+wire('an outcome comes back to the request it belongs to, chunks in order before it', async () => {
   const { a, b, close } = await pair();
-  await b.serve(async (inq, emit) => {
-    for (let n = 0; n < 3; n++) emit({ n, of: inq.body });
-    return { from: inq.from, of: inq.body };
+  await b.serve(async (rpc, emit) => {
+    for (let n = 0; n < 3; n++) emit({ n, of: rpc.body });
+    return { from: rpc.from, of: rpc.body };
   });
   const all = await Promise.all(
     Array.from({ length: 20 }, async (_, i) => {
-      const pieces: unknown[] = [];
-      const v = await a.call(b.self, 'x', i, { within: 2000, onPiece: (p) => pieces.push(p) });
-      return { v, pieces };
+      const chunks: unknown[] = [];
+      const v = await a.call(b.self, 'x', i, { within: 2000, onChunk: (p) => chunks.push(p) });
+      return { v, chunks };
     }),
   );
-  all.forEach(({ v, pieces }, i) => {
+  all.forEach(({ v, chunks }, i) => {
     assert.equal(v, { from: a.self, of: i });
-    assert.equal(pieces, [0, 1, 2].map((n) => ({ n, of: i })));
+    assert.equal(chunks, [0, 1, 2].map((n) => ({ n, of: i })));
   });
   await close();
 });
 
-wire('no listener is "refused, not run"; a circuit that closes under way is "lost, unknown"; silence is "too late, unknown"', async () => {
+wire('no listener is "refused, not run"; a connection that closes under way is "lost, unknown"; silence is "too late, unknown"', async () => {
   const { a, b, close } = await pair();
-  const refused = await mishapFrom(a.call(b.self, 'x', 1, { within: 1000 }));
-  assert.instance(refused, CircuitRefused);
-  assert.is(refused.ran, 'no');
+  const refused = await errorFrom(a.call(b.self, 'x', 1, { within: 1000 }));
+  assert.instance(refused, ConnectionRefusedError);
+  assert.is(refused.executed, 'no');
   let seen: (v: unknown) => void = () => undefined;
   const arrived = new Promise((done) => (seen = done));
-  await b.serve(async (inq) => {
-    seen(inq.body);
+  await b.serve(async (rpc) => {
+    seen(rpc.body);
     return new Promise(() => undefined);
   });
-  const late = await mishapFrom(a.call(b.self, 'x', 2, { within: 50 }));
-  assert.equal([late.code, late.ran], ['too-late', 'unknown']);
-  const losing = mishapFrom(a.call(b.self, 'x', 3, { within: 5000 }));
+  const late = await errorFrom(a.call(b.self, 'x', 2, { within: 50 }));
+  assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
+  const losing = errorFrom(a.call(b.self, 'x', 3, { within: 5000 }));
   const heard = new Promise<string>((done) => a.onLost(done));
   await arrived;
   await b.close();
   const lost = await losing;
-  assert.equal([lost.code, lost.ran], ['circuit-lost', 'unknown']);
+  assert.equal([lost.code, lost.executed], ['connection-lost', 'unknown']);
   assert.is(await heard, b.self);
   await close();
 });
 
-wire('a caller that goes away is heard of, and nonsense closes only its own circuit', async () => {
+wire('a caller that goes away is heard of, and nonsense closes only its own connection', async () => {
   const { a, b, close } = await pair();
   let began: () => void = () => undefined;
   const underWay = new Promise<void>((done) => (began = done));
   let left: () => void = () => undefined;
   const aborted = new Promise<void>((done) => (left = done));
-  await b.serve(async (inq, _emit, gone) => {
-    if (inq.kind !== 'long') return 'fine';
+  await b.serve(async (rpc, _emit, gone) => {
+    if (rpc.kind !== 'long') return 'fine';
     gone.addEventListener('abort', () => left());
     began();
     return new Promise(() => undefined);
   });
   const ctl = new AbortController();
-  const going = mishapFrom(a.call(b.self, 'long', 1, { within: 5000, gone: ctl.signal }));
+  const going = errorFrom(a.call(b.self, 'long', 1, { within: 5000, gone: ctl.signal }));
   await underWay;
   ctl.abort();
   assert.is((await going).code, 'gone');
@@ -95,68 +95,68 @@
 wire('a call whose caller is gone before it is written is not run and sends nothing', async () => {
   const { a, b, close } = await pair();
   const seen: unknown[] = [];
-  await b.serve(async (inq) => {
-    seen.push(inq.body);
+  await b.serve(async (rpc) => {
+    seen.push(rpc.body);
     return 'fine';
   });
-  const before = await mishapFrom(a.call(b.self, 'x', 'before', { within: 500, gone: AbortSignal.abort() }));
+  const before = await errorFrom(a.call(b.self, 'x', 'before', { within: 500, gone: AbortSignal.abort() }));
   const opening = new AbortController();
-  const going = mishapFrom(a.call(b.self, 'x', 'opening', { within: 500, gone: opening.signal }));
+  const going = errorFrom(a.call(b.self, 'x', 'opening', { within: 500, gone: opening.signal }));
   opening.abort();
   const during = await going;
-  assert.equal([before.code, before.ran, during.code, during.ran], ['gone', 'no', 'gone', 'no']);
+  assert.equal([before.code, before.executed, during.code, during.executed], ['gone', 'no', 'gone', 'no']);
   assert.is(await a.call(b.self, 'x', 'next', { within: 2000 }), 'fine');
   assert.equal(seen, ['next']);
   await close();
 });
 
-wire('a call on a circuit that closed before it was written is not run', async () => {
+wire('a call on a connection that closed before it was written is not run', async () => {
   const { a, b, close } = await pair();
   await b.serve(async () => 'fine');
   assert.is(await a.call(b.self, 'x', 1, { within: 2000 }), 'fine');
   const closing = a.close();
-  const late = await mishapFrom(a.call(b.self, 'x', 2, { within: 500 }));
-  assert.equal([late.code, late.ran], ['circuit-refused', 'no']);
+  const late = await errorFrom(a.call(b.self, 'x', 2, { within: 500 }));
+  assert.equal([late.code, late.executed], ['connection-refused', 'no']);
   await closing;
   await close();
 });
 
-wire('a circuit on which nothing was heard for its bound is left, and the next call opens a new one', async () => {
+wire('a connection on which nothing was heard for its bound is left, and the next call opens a new one', async () => {
   const [p = 0, q = 0] = await freePorts(2);
-  const a = new TcpCircuits(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+  const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
   const opened: Socket[] = [];
-  const silent = createServer((s) => {
+  const failureTimeout = createServer((s) => {
     opened.push(s);
     s.on('error', () => undefined);
     s.resume();
   });
-  silent.listen(q, '127.0.0.1');
-  await once(silent, 'listening');
+  failureTimeout.listen(q, '127.0.0.1');
+  await once(failureTimeout, 'listening');
   const to = `127.0.0.1:${q}`;
   const lost: string[] = [];
   a.onLost((addr) => lost.push(addr));
-  const beside = mishapFrom(a.call(to, 'x', 0, { within: 4000 }));
-  const late = await mishapFrom(a.call(to, 'x', 1, { within: 250 }));
-  assert.equal([late.code, late.ran], ['too-late', 'unknown']);
+  const beside = errorFrom(a.call(to, 'x', 0, { within: 4000 }));
+  const late = await errorFrom(a.call(to, 'x', 1, { within: 250 }));
+  assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
   const other = await beside;
-  assert.equal([other.code, other.ran], ['circuit-lost', 'unknown']);
+  assert.equal([other.code, other.executed], ['connection-lost', 'unknown']);
   assert.equal(lost, [to]);
-  assert.is((await mishapFrom(a.call(to, 'x', 2, { within: 250 }))).code, 'too-late');
+  assert.is((await errorFrom(a.call(to, 'x', 2, { within: 250 }))).code, 'request-timeout');
   assert.is(opened.length, 2);
-  silent.close();
+  failureTimeout.close();
   await a.close();
 });
 
-wire('a circuit on which other calls are heard of is kept, though one call is late', async () => {
+wire('a connection on which other calls are heard of is kept, though one call is late', async () => {
   const [p = 0, q = 0] = await freePorts(2);
-  const a = new TcpCircuits(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
-  const b = new TcpCircuits(`127.0.0.1:${q}`);
+  const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+  const b = new TcpTransport(`127.0.0.1:${q}`);
   const lost: string[] = [];
   a.onLost((addr) => lost.push(addr));
-  await b.serve(async (inq) => (inq.kind === 'long' ? new Promise(() => undefined) : 'fine'));
-  const late = mishapFrom(a.call(b.self, 'long', 1, { within: 250 }));
+  await b.serve(async (rpc) => (rpc.kind === 'long' ? new Promise(() => undefined) : 'fine'));
+  const late = errorFrom(a.call(b.self, 'long', 1, { within: 250 }));
   assert.is(await a.call(b.self, 'short', 2, { within: 5000 }), 'fine');
-  assert.is((await late).code, 'too-late');
+  assert.is((await late).code, 'request-timeout');
   assert.is(await a.call(b.self, 'short', 3, { within: 5000 }), 'fine');
   assert.equal(lost, []);
   await Promise.all([a.close(), b.close()]);
--- a/tests/src/zen.test.ts
+++ b/tests/src/zen.test.ts
@@ -56,8 +56,8 @@
     const rest = w.machines.map((m) => m.addr).filter((a) => !minority.includes(a));
     w.net.cutBoth(minority, rest);
     const lost = master ? w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 7), master, 30000) : undefined;
-    const told = await lost;
-    assert.is.not(told?.status, 200);
+    const reported = await lost;
+    assert.is.not(reported?.status, 200);
     await w.clock.until('a master on the other side', () => w.masters().some((m) => !minority.includes(m.addr)), 12000);
     const winner = w.masters().find((m) => !minority.includes(m.addr));
     const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 2), winner);
@@ -84,7 +84,7 @@
     const got = await w.operate('GET', '/v1/config');
     assert.match(JSON.stringify(got.body), 'x2');
     const p = await w.clock.finish('program', w.program(100), 10000);
-    assert.is(p.told, 'done');
+    assert.is(p.reported, 'done');
   }
 });
 
@@ -119,7 +119,7 @@
   }
 });
 
-zen('blank controls at new addresses found nothing while one old node answers', async () => {
+zen('blank controls at new addresses bootstrap nothing while one old node answers', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, five);
     const survivor = w.of('control')[4];
@@ -142,10 +142,10 @@
       w.at(`control-${i}`).kill();
       const fresh = w.add('control', ['control-3', 'control-4', `control-${5 + i}`]);
       fresh.start();
-      const swapped = () => fresh.control?.zen.accepted?.voters.now.includes(fresh.control.id) ?? false;
+      const swapped = () => fresh.control?.zen.accepted?.voters.current.includes(fresh.control.id) ?? false;
       await w.clock.until(`swap ${i}`, swapped, 30000);
     }
-    const voters = w.master?.control?.zen.accepted?.voters.now ?? [];
+    const voters = w.master?.control?.zen.accepted?.voters.current ?? [];
     assert.is(voters.length, 5);
     for (const m of w.machines) m.kill('power');
     w.start(w.machines.filter((m) => !['control-0', 'control-1', 'control-2'].includes(m.addr)));
@@ -173,7 +173,7 @@
     const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 1), master, 30000);
     assert.is.not(put.status, 200, 'one of three voters is no majority');
     d.start();
-    const voters = () => w.committed?.voters.now ?? [];
+    const voters = () => w.committed?.voters.current ?? [];
     await w.clock.until('it votes as who it is now', () => voters().includes(c.control?.id ?? 'none'), 30000);
     assert.not.ok(voters().includes(before));
     assert.is((await w.operate('GET', '/v1/config')).status, 200);
