--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,6 +1,21 @@
 import { z } from 'zod';
-import { flatten, versionOf, newer, type StateVersion, type Member, type State } from '@tillerstair/state';
-import { RpcError, toRpcError, pause, type Transport, type Clock, type Log, lasting } from '@tillerstair/wire';
+import {
+  flatten,
+  versionOf,
+  newer,
+  type StateVersion,
+  type Member,
+  type State,
+} from '@tillerstair/state';
+import {
+  RpcError,
+  toRpcError,
+  pause,
+  type Transport,
+  type Clock,
+  type Log,
+  lasting,
+} from '@tillerstair/wire';
 import { MemoryElectionStore, ZenNode, type ZenBounds } from '@tillerstair/zen';
 import { ListWatch } from './list-watch.js';
 
@@ -21,7 +36,13 @@
 }
 
 const Hello = z.object({ id: z.string(), addr: z.string(), http: z.string() });
-const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.array(z.unknown()), stopping: z.boolean().default(false) });
+const Fed = z.object({
+  id: z.string(),
+  applied: z.object({ term: z.number(), version: z.number() }),
+  seen: z.unknown(),
+  released: z.array(z.unknown()),
+  stopping: z.boolean().default(false),
+});
 
 export class Agent {
   private zen: ZenNode | undefined;
@@ -61,11 +82,24 @@
     const { clock, bounds, transport, stopWithin } = this.p;
     const end = clock.now() + stopWithin;
     const learnBy = clock.now() + bounds.heartbeatInterval / 2;
-    while (this.zen && !this.proxyStops && clock.now() < learnBy) await pause(clock, bounds.heartbeatInterval / 20);
-    while (this.zen && this.proxyStops && clock.now() < end && clock.now() - this.lastFed < bounds.heartbeatInterval) {
+    while (this.zen && !this.proxyStops && clock.now() < learnBy)
+      await pause(clock, bounds.heartbeatInterval / 20);
+    while (
+      this.zen &&
+      this.proxyStops &&
+      clock.now() < end &&
+      clock.now() - this.lastFed < bounds.heartbeatInterval
+    ) {
       const master = this.zen.masterSeen;
       if (master && !this.zen.applied?.retiring.has(this.proxyId))
-        await transport.call(master.addr, 'control/depart', { id: this.proxyId }, { within: bounds.heartbeatInterval }).catch(() => undefined);
+        await transport
+          .call(
+            master.addr,
+            'control/depart',
+            { id: this.proxyId },
+            { within: bounds.heartbeatInterval },
+          )
+          .catch(() => undefined);
       await pause(clock, bounds.heartbeatInterval / 8);
     }
     this.gone.abort();
@@ -82,7 +116,8 @@
   readiness(): { ready: boolean; why: string } {
     if (!this.zen) return { ready: false, why: 'the proxy beside this agent is not there' };
     if (!this.zen.masterSeen) return { ready: false, why: 'no master is known' };
-    if (this.p.clock.now() - this.lastFed > this.p.bounds.heartbeatInterval * 2) return { ready: false, why: 'the proxy takes no feed' };
+    if (this.p.clock.now() - this.lastFed > this.p.bounds.heartbeatInterval * 2)
+      return { ready: false, why: 'the proxy takes no feed' };
     return { ready: true, why: `master ${this.zen.masterSeen.addr}` };
   }
 
@@ -91,7 +126,14 @@
     while (!this.gone.signal.aborted) {
       try {
         if (!this.zen || this.strange) {
-          const hello = Hello.parse(await this.p.loop.call(this.p.proxy, 'front/hello', {}, { within: bounds.heartbeatInterval }));
+          const hello = Hello.parse(
+            await this.p.loop.call(
+              this.p.proxy,
+              'front/hello',
+              {},
+              { within: bounds.heartbeatInterval },
+            ),
+          );
           if (hello.id !== this.proxyId) await this.adopt(hello);
           this.strange = false;
         }
@@ -122,7 +164,15 @@
     this.zen = undefined;
     this.list?.stop();
     await old?.stop();
-    const me: Member = { id: hello.id, kind: 'front', addr, http: hello.http, zone, data: hello.addr, name };
+    const me: Member = {
+      id: hello.id,
+      kind: 'front',
+      addr,
+      http: hello.http,
+      zone,
+      data: hello.addr,
+      name,
+    };
     this.proxyId = hello.id;
     this.proxyStops = false;
     this.fedVersion = versionOf(undefined);
@@ -130,7 +180,14 @@
     this.lastFed = clock.now();
     const list = new ListWatch(clock, transport, bounds, log, hello.id);
     const zen: ZenNode = new ZenNode({
-      me, seeds, clock, transport, bounds, log, electionStore: new MemoryElectionStore(hello.id), slots: 0,
+      me,
+      seeds,
+      clock,
+      transport,
+      bounds,
+      log,
+      electionStore: new MemoryElectionStore(hello.id),
+      slots: 0,
       onApplied: (s) => this.feed(s),
       report: () => ({ seen: this.seen, released: this.released }),
       onListReport: (reported, askedAt) => list.onListReport(reported, askedAt),
@@ -159,13 +216,18 @@
       term: zen.term,
     };
     if (send) this.fedConfig = '';
-    const fed = Fed.parse(await this.p.loop.call(this.p.proxy, 'front/feed', body, { within: this.p.bounds.heartbeatInterval }));
+    const fed = Fed.parse(
+      await this.p.loop.call(this.p.proxy, 'front/feed', body, {
+        within: this.p.bounds.heartbeatInterval,
+      }),
+    );
     if (send) this.fedConfig = digest;
     if (fed.id !== this.proxyId) throw new RpcError('other-proxy', 'another proxy replied');
     this.fedVersion = fed.applied;
     this.proxyStops = fed.stopping;
     this.seen = fed.seen;
-    const fresh = fed.released.length > 0 && JSON.stringify(fed.released) !== JSON.stringify(this.released);
+    const fresh =
+      fed.released.length > 0 && JSON.stringify(fed.released) !== JSON.stringify(this.released);
     this.released = fed.released;
     if (fresh) zen.reportNow();
     this.lastFed = this.p.clock.now();
--- a/packages/agent/src/list-watch.ts
+++ b/packages/agent/src/list-watch.ts
@@ -1,5 +1,12 @@
 import { ListReply, ListReport, slotOf, type Member, type State } from '@tillerstair/state';
-import { lasting, toRpcError, pause, type Transport, type Clock, type Log } from '@tillerstair/wire';
+import {
+  lasting,
+  toRpcError,
+  pause,
+  type Transport,
+  type Clock,
+  type Log,
+} from '@tillerstair/wire';
 import type { ZenBounds, ZenNode } from '@tillerstair/zen';
 
 export class ListWatch {
@@ -30,7 +37,8 @@
     const reported = ListReport.parse(body);
     this.used = 'yes';
     if (reported.age !== null) this.triedAt = Math.max(this.triedAt, askedAt - reported.age);
-    if (reported.readAge !== null) this.masterRead = Math.max(this.masterRead, askedAt - reported.readAge);
+    if (reported.readAge !== null)
+      this.masterRead = Math.max(this.masterRead, askedAt - reported.readAge);
   }
 
   get leaseRenewedAt(): number {
@@ -38,9 +46,11 @@
   }
 
   barred(s: State | undefined): readonly string[] | undefined {
-    if (this.used !== 'yes' || !s || Math.max(this.masterRead, this.ownRead) === -Infinity) return undefined;
+    if (this.used !== 'yes' || !s || Math.max(this.masterRead, this.ownRead) === -Infinity)
+      return undefined;
     const ahead = this.ownRead > this.masterRead;
-    if (!ahead) this.left = new Set([...this.left].filter((id) => s.servers.get(id)?.draining === false));
+    if (!ahead)
+      this.left = new Set([...this.left].filter((id) => s.servers.get(id)?.draining === false));
     const gone = ahead ? [...s.servers.keys()].filter((id) => !this.listed.has(id)) : [];
     return [...new Set([...this.left, ...gone])];
   }
@@ -55,14 +65,23 @@
       const bearable = zen.masterSeen ? heartbeatInterval + listEvery * 1.5 : listEvery * 2;
       const readAt = Math.max(this.masterRead, this.ownRead);
       const now = this.clock.now();
-      const late = this.used === 'unknown' ? zen.masterSeen === undefined && zen.leaseRenewedAt > -Infinity : this.used === 'yes' && now - readAt > bearable;
+      const late =
+        this.used === 'unknown'
+          ? zen.masterSeen === undefined && zen.leaseRenewedAt > -Infinity
+          : this.used === 'yes' && now - readAt > bearable;
       if (late) await this.ask(zen, now + listEvery);
-      await pause(this.clock, late ? Math.max(listEvery / 10, now + listEvery - this.clock.now()) : listEvery / 10, this.gone.signal);
+      await pause(
+        this.clock,
+        late ? Math.max(listEvery / 10, now + listEvery - this.clock.now()) : listEvery / 10,
+        this.gone.signal,
+      );
     }
   }
 
   private async ask(zen: ZenNode, end: number): Promise<void> {
-    const voters = [...(zen.applied?.votingMembers.values() ?? [])].sort((a, b) => (a.id < b.id ? -1 : 1));
+    const voters = [...(zen.applied?.votingMembers.values() ?? [])].sort((a, b) =>
+      a.id < b.id ? -1 : 1,
+    );
     const others = voters.filter((m) => m.id !== zen.masterSeen?.id);
     const peers = others.length > 0 ? others : voters;
     for (let n = 0; n < peers.length && !this.gone.signal.aborted; n++) {
@@ -78,7 +97,9 @@
   private async askOne(member: Member, within: number): Promise<'read' | 'unread' | 'silent'> {
     const askedAt = this.clock.now();
     try {
-      const reply = ListReply.parse(await this.transport.call(member.addr, 'control/list', {}, { within }));
+      const reply = ListReply.parse(
+        await this.transport.call(member.addr, 'control/list', {}, { within }),
+      );
       if (!reply.reported) {
         if (this.used === 'unknown') this.used = 'no';
         return 'read';
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,4 +1,10 @@
-import { closeHttp, servePages, stderrLog, type AgentSettings, type Running } from '@tillerstair/settings';
+import {
+  closeHttp,
+  servePages,
+  stderrLog,
+  type AgentSettings,
+  type Running,
+} from '@tillerstair/settings';
 import { nodeViewOf } from '@tillerstair/state';
 import { hostClock, sendJson, TcpTransport } from '@tillerstair/wire';
 import { reloadableBounds } from '@tillerstair/zen';
@@ -16,14 +22,24 @@
     log,
   });
   await agent.start();
-  const http = await servePages(settings.http, () => agent.readiness(), async (_req, res, url) => {
-    const zen = agent.node;
-    if (url.pathname === '/v1/view') {
-      const b = nodeViewOf(zen ? settings.addr : '', 'agent', zen?.term ?? 0, zen?.masterSeen?.id ?? '', zen?.applied);
-      return sendJson(res, 200, b);
-    }
-    sendJson(res, 404, { executed: 'no', errorCode: 'no-such-page' });
-  });
+  const http = await servePages(
+    settings.http,
+    () => agent.readiness(),
+    async (_req, res, url) => {
+      const zen = agent.node;
+      if (url.pathname === '/v1/view') {
+        const b = nodeViewOf(
+          zen ? settings.addr : '',
+          'agent',
+          zen?.term ?? 0,
+          zen?.masterSeen?.id ?? '',
+          zen?.applied,
+        );
+        return sendJson(res, 200, b);
+      }
+      sendJson(res, 404, { executed: 'no', errorCode: 'no-such-page' });
+    },
+  );
   log.info(`Serving at ${settings.addr}, feeding ${settings.proxy}.`);
   return {
     reload: (next) => {
--- a/packages/checker/src/config-history.ts
+++ b/packages/checker/src/config-history.ts
@@ -23,7 +23,13 @@
   readonly what:
     | { readonly kind: 'read' }
     /** `content` is undefined where the caller does not know what its change makes. */
-    | { readonly kind: 'change'; readonly changeId: string; readonly base: number; readonly version: number; readonly content: string | undefined };
+    | {
+        readonly kind: 'change';
+        readonly changeId: string;
+        readonly base: number;
+        readonly version: number;
+        readonly content: string | undefined;
+      };
   readonly calledAt: number;
   readonly answeredAt: number;
   readonly answer: ConfigAnswer;
@@ -39,11 +45,16 @@
 
 const empty: Register = { version: 0, content: '', taken: new Set() };
 
-const changeIdOf = (c: ConfigCall): string | undefined => (c.what.kind === 'change' ? c.what.changeId : undefined);
+const changeIdOf = (c: ConfigCall): string | undefined =>
+  c.what.kind === 'change' ? c.what.changeId : undefined;
 
 const mustHappen = (c: ConfigCall): boolean => c.answer.kind !== 'unclear';
 
-const after = (r: Register, c: Change): Register => ({ version: c.version, content: c.content, taken: new Set(r.taken).add(c.changeId) });
+const after = (r: Register, c: Change): Register => ({
+  version: c.version,
+  content: c.content,
+  taken: new Set(r.taken).add(c.changeId),
+});
 
 /** Whether a call that alters nothing could have had its answer at this state. */
 const fits = (r: Register, c: ConfigCall): boolean => {
@@ -57,14 +68,18 @@
 
 /** Whether a call may change the state from this one. */
 const applies = (r: Register, c: ConfigCall): c is ConfigCall & { readonly what: Change } =>
-  c.what.kind === 'change' && c.answer.kind !== 'refused' && c.what.base === r.version && !r.taken.has(c.what.changeId);
+  c.what.kind === 'change' &&
+  c.answer.kind !== 'refused' &&
+  c.what.base === r.version &&
+  !r.taken.has(c.what.changeId);
 
 /** Whether a call without a clear answer may still alter something; versions only go up. */
 const mayStillApply = (r: Register, c: ConfigCall): boolean =>
   c.what.kind === 'change' && c.what.base >= r.version && !r.taken.has(c.what.changeId);
 
 /** The latest moment by which one of the calls that must happen has to have taken effect. */
-const deadlineOf = (pending: readonly ConfigCall[]): number => Math.min(...pending.filter(mustHappen).map((c) => c.answeredAt));
+const deadlineOf = (pending: readonly ConfigCall[]): number =>
+  Math.min(...pending.filter(mustHappen).map((c) => c.answeredAt));
 
 /** Places every call that alters nothing and fits this state, and forgets calls without an answer that can do nothing more. */
 const settled = (r: Register, pending: readonly ConfigCall[]): readonly ConfigCall[] => {
@@ -87,7 +102,10 @@
 };
 
 const listReport = (c: ConfigCall): string => {
-  const what = c.what.kind === 'read' ? 'a read' : `change ${c.what.changeId} of ${c.what.base} to ${c.what.version}`;
+  const what =
+    c.what.kind === 'read'
+      ? 'a read'
+      : `change ${c.what.changeId} of ${c.what.base} to ${c.what.version}`;
   const answer = c.answer.kind === 'value' ? `version ${c.answer.version}` : c.answer.kind;
   return `${what} from ${c.calledAt.toFixed(0)} to ${c.answeredAt.toFixed(0)} got ${answer}`;
 };
@@ -109,7 +127,10 @@
     const pending = settled(register, step.pending);
     const must = pending.filter(mustHappen);
     if (must.length === 0) return [];
-    const key = keyOf(register, pending.map((c) => [c, number.get(c) ?? 0]));
+    const key = keyOf(
+      register,
+      pending.map((c) => [c, number.get(c) ?? 0]),
+    );
     if (seen.has(key)) continue;
     seen.add(key);
     const deadline = deadlineOf(pending);
@@ -119,15 +140,25 @@
     }
     const unclearFirst = [...pending.filter((c) => !mustHappen(c)), ...must];
     for (const c of unclearFirst)
-      if (c.calledAt <= deadline && applies(register, c)) steps.push({ register: after(register, c.what), pending: pending.filter((x) => x !== c) });
+      if (c.calledAt <= deadline && applies(register, c))
+        steps.push({ register: after(register, c.what), pending: pending.filter((x) => x !== c) });
   }
   return stuck;
 };
 
 /** The rule that the calls of all operators together are as if each had taken effect at one moment. */
 export const configHistory = (calls: readonly ConfigCall[]): RuleResult => {
-  const counted = calls.filter((c) => c.answer.kind !== 'no-effect' && (c.what.kind === 'change' || c.answer.kind === 'value'));
+  const counted = calls.filter(
+    (c) => c.answer.kind !== 'no-effect' && (c.what.kind === 'change' || c.answer.kind === 'value'),
+  );
   const stuck = stuckAt([...counted].sort((a, b) => a.calledAt - b.calledAt));
-  const breaches = stuck.length === 0 ? [] : [`no order of events explains: ${stuck.slice(0, 4).map(listReport).join('; ')}`];
-  return { rule: "the operators' calls are as if each took effect at one moment", checked: counted.filter(mustHappen).length, breaches };
+  const breaches =
+    stuck.length === 0
+      ? []
+      : [`no order of events explains: ${stuck.slice(0, 4).map(listReport).join('; ')}`];
+  return {
+    rule: "the operators' calls are as if each took effect at one moment",
+    checked: counted.filter(mustHappen).length,
+    breaches,
+  };
 };
--- a/packages/checker/src/pass-rules.ts
+++ b/packages/checker/src/pass-rules.ts
@@ -1,8 +1,10 @@
 import type { PassRecord, ExecutionRecord, Records } from './records.js';
 import { group, type RuleResult, type Slack } from './results.js';
 
-const runsOf = (r: Records): readonly ExecutionRecord[] => r.executed.filter((x) => x.kind === 'pass');
-const mayRepeat = (p: PassRecord): boolean => p.manner === 'repeatable' || (p.manner === 'stream' && p.resumable);
+const runsOf = (r: Records): readonly ExecutionRecord[] =>
+  r.executed.filter((x) => x.kind === 'pass');
+const mayRepeat = (p: PassRecord): boolean =>
+  p.manner === 'repeatable' || (p.manner === 'stream' && p.resumable);
 
 /** The whole events of an answer: id and data, in order. */
 export const eventsOf = (body: string): readonly { readonly id: number; readonly data: string }[] =>
@@ -12,45 +14,76 @@
     return id !== undefined && data.length > 0 ? [{ id: Number(id), data: data.join('\n') }] : [];
   });
 
-export const outputOf = (body: string): string => eventsOf(body).map((e) => `${e.data}\n`).join('');
+export const outputOf = (body: string): string =>
+  eventsOf(body)
+    .map((e) => `${e.data}\n`)
+    .join('');
 
 const once = (r: Records): RuleResult => {
   const byAttempt = group(runsOf(r), (x) => x.attempt);
   const breaches: string[] = [];
   const bare = r.passes.filter((p) => !mayRepeat(p));
-  for (const p of bare) if ((byAttempt.get(p.attempt) ?? []).length > 1) breaches.push(`try ${p.attempt} on ${p.path} ran more than once`);
-  const keyed = group(runsOf(r).filter((x) => x.key !== ''), (x) => x.key);
-  for (const [key, runs] of keyed) if (runs.length > 1) breaches.push(`key ${key} of a pass route ran ${runs.length} times`);
-  return { rule: 'no pass that may not be repeated runs twice', checked: bare.filter((p) => byAttempt.has(p.attempt)).length, breaches };
+  for (const p of bare)
+    if ((byAttempt.get(p.attempt) ?? []).length > 1)
+      breaches.push(`try ${p.attempt} on ${p.path} ran more than once`);
+  const keyed = group(
+    runsOf(r).filter((x) => x.key !== ''),
+    (x) => x.key,
+  );
+  for (const [key, runs] of keyed)
+    if (runs.length > 1) breaches.push(`key ${key} of a pass route ran ${runs.length} times`);
+  return {
+    rule: 'no pass that may not be repeated runs twice',
+    checked: bare.filter((p) => byAttempt.has(p.attempt)).length,
+    breaches,
+  };
 };
 
 const refused = (r: Records): RuleResult => {
   const executed = new Set(runsOf(r).map((x) => x.attempt));
   const rows = r.passes.filter((p) => p.reported === 'refused' && !(p.manner === 'repeatable'));
-  const breaches = rows.filter((p) => executed.has(p.attempt)).map((p) => `try ${p.attempt} on ${p.path} was told refused (${p.errorCode}) and ran`);
-  return { rule: 'what was told refused on a pass route has not run', checked: rows.length, breaches };
+  const breaches = rows
+    .filter((p) => executed.has(p.attempt))
+    .map((p) => `try ${p.attempt} on ${p.path} was told refused (${p.errorCode}) and ran`);
+  return {
+    rule: 'what was told refused on a pass route has not run',
+    checked: rows.length,
+    breaches,
+  };
 };
 
 const known = (r: Records): RuleResult => {
   const tries = new Map(r.passes.map((p) => [p.attempt, p]));
-  const breaches = runsOf(r).filter((x) => !tries.has(x.attempt)).map((x) => `server ${x.server} ran try ${x.attempt}, which nobody sent`);
+  const breaches = runsOf(r)
+    .filter((x) => !tries.has(x.attempt))
+    .map((x) => `server ${x.server} ran try ${x.attempt}, which nobody sent`);
   return { rule: 'no pass runs that nobody sent', checked: runsOf(r).length, breaches };
 };
 
 const whole = (r: Records): RuleResult => {
   const byAttempt = group(runsOf(r), (x) => x.attempt);
-  const byKey = group(runsOf(r).filter((x) => x.key !== ''), (x) => x.key);
+  const byKey = group(
+    runsOf(r).filter((x) => x.key !== ''),
+    (x) => x.key,
+  );
   const breaches: string[] = [];
   const done = r.passes.filter((p) => p.reported === 'done');
   for (const p of done) {
     const runs = (p.key !== '' ? byKey.get(p.key) : byAttempt.get(p.attempt)) ?? [];
     const bytes = runs.some((x) => x.complete && x.reply === p.body);
-    const joined = p.manner === 'stream' && p.resumable && runs.some((x) => x.complete && p.body.endsWith(x.reply));
-    if (!bytes && !joined) breaches.push(`try ${p.attempt} on ${p.path} got an answer no server gave`);
+    const joined =
+      p.manner === 'stream' &&
+      p.resumable &&
+      runs.some((x) => x.complete && p.body.endsWith(x.reply));
+    if (!bytes && !joined)
+      breaches.push(`try ${p.attempt} on ${p.path} got an answer no server gave`);
   }
-  for (const [key, reported] of group(done.filter((p) => p.key !== ''), (p) => p.key))
+  for (const [key, reported] of group(
+    done.filter((p) => p.key !== ''),
+    (p) => p.key,
+  ))
     if (new Set(reported.map((p) => p.body)).size > 1) breaches.push(`key ${key} got two answers`);
-  return { rule: 'a pass told done has its server\'s bytes', checked: done.length, breaches };
+  return { rule: "a pass told done has its server's bytes", checked: done.length, breaches };
 };
 
 const streams = (r: Records): RuleResult => {
@@ -61,11 +94,22 @@
     const events = eventsOf(p.body);
     const made = (byAttempt.get(p.attempt) ?? []).map((x) => x.reply);
     if (!p.body.endsWith('\n\n')) breaches.push(`try ${p.attempt} got a torn event`);
-    if (events.some((e, i) => e.id !== i)) breaches.push(`try ${p.attempt} has events ${events.map((e) => e.id).join(',')}`);
-    if (!p.resumable && !made.some((reply) => reply.startsWith(p.body))) breaches.push(`try ${p.attempt} is stitched`);
-    if (p.body.split('\n\n').some((e) => e !== '' && !made.some((reply) => reply.includes(`${e}\n\n`)))) breaches.push(`try ${p.attempt} has an event no server made`);
+    if (events.some((e, i) => e.id !== i))
+      breaches.push(`try ${p.attempt} has events ${events.map((e) => e.id).join(',')}`);
+    if (!p.resumable && !made.some((reply) => reply.startsWith(p.body)))
+      breaches.push(`try ${p.attempt} is stitched`);
+    if (
+      p.body
+        .split('\n\n')
+        .some((e) => e !== '' && !made.some((reply) => reply.includes(`${e}\n\n`)))
+    )
+      breaches.push(`try ${p.attempt} has an event no server made`);
   }
-  return { rule: 'no stream on a pass route skips, repeats or tears', checked: rows.length, breaches };
+  return {
+    rule: 'no stream on a pass route skips, repeats or tears',
+    checked: rows.length,
+    breaches,
+  };
 };
 
 const chains = (r: Records): RuleResult => {
@@ -88,7 +132,11 @@
     if (p.after !== '') checked++;
     if (x.said !== want) breaches.push(`server ${x.server} ran try ${x.attempt} with another body`);
   }
-  return { rule: 'a pass runs with its body byte for byte, its chain before it', checked, breaches };
+  return {
+    rule: 'a pass runs with its body byte for byte, its chain before it',
+    checked,
+    breaches,
+  };
 };
 
 const budgets = (r: Records): RuleResult => {
@@ -102,9 +150,14 @@
     const most = Math.max(...bound.map((p) => p.most));
     const got = rows.reduce((n, p) => n + eventsOf(p.body).length, 0);
     if (got > budget / 2) checked++;
-    if (got > budget + most) breaches.push(`callers received ${got} tokens of program ${program}, which has ${budget}`);
+    if (got > budget + most)
+      breaches.push(`callers received ${got} tokens of program ${program}, which has ${budget}`);
   }
-  return { rule: 'no program on pass routes hands out more than its budget and one turn', checked, breaches };
+  return {
+    rule: 'no program on pass routes hands out more than its budget and one turn',
+    checked,
+    breaches,
+  };
 };
 
 const history = (r: Records, s: Slack): RuleResult => {
@@ -113,10 +166,23 @@
     const up = tries.get(p.after);
     return up?.reported === 'done' && up.to < p.from && p.to - up.to <= s.historyMs;
   });
-  const breaches = rows.filter((p) => p.status === 404 || p.status === 410).map((p) => `turn ${p.after} was told ${p.status} ${p.errorCode} to try ${p.attempt}`);
-  return { rule: 'a turn of a pass route answered whole is not reported missing', checked: rows.length, breaches };
+  const breaches = rows
+    .filter((p) => p.status === 404 || p.status === 410)
+    .map((p) => `turn ${p.after} was told ${p.status} ${p.errorCode} to try ${p.attempt}`);
+  return {
+    rule: 'a turn of a pass route answered whole is not reported missing',
+    checked: rows.length,
+    breaches,
+  };
 };
 
 export const passRules = (r: Records, s: Slack): readonly RuleResult[] => [
-  once(r), refused(r), known(r), whole(r), streams(r), chains(r), budgets(r), history(r, s),
+  once(r),
+  refused(r),
+  known(r),
+  whole(r),
+  streams(r),
+  chains(r),
+  budgets(r),
+  history(r, s),
 ];
--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -101,5 +101,14 @@
 }
 
 export const noRecords: Records = {
-  reported: [], executed: [], passes: [], configs: [], configCalls: [], drainings: [], shares: [], restarts: [], readBack: undefined, perTurn: 0,
+  reported: [],
+  executed: [],
+  passes: [],
+  configs: [],
+  configCalls: [],
+  drainings: [],
+  shares: [],
+  restarts: [],
+  readBack: undefined,
+  perTurn: 0,
 };
--- a/packages/checker/src/results.ts
+++ b/packages/checker/src/results.ts
@@ -12,9 +12,18 @@
   readonly keyMs: number;
 }
 
-export const slack: Slack = { drainingMs: 3300, inForceMs: 2200, serveMs: 12500, historyMs: 60000, keyMs: 60000 };
+export const slack: Slack = {
+  drainingMs: 3300,
+  inForceMs: 2200,
+  serveMs: 12500,
+  historyMs: 60000,
+  keyMs: 60000,
+};
 
-export const group = <T>(rows: readonly T[], key: (t: T) => string): ReadonlyMap<string, readonly T[]> => {
+export const group = <T>(
+  rows: readonly T[],
+  key: (t: T) => string,
+): ReadonlyMap<string, readonly T[]> => {
   const out = new Map<string, T[]>();
   for (const r of rows) {
     const k = key(r);
--- a/packages/control/src/allocation-controller.ts
+++ b/packages/control/src/allocation-controller.ts
@@ -4,7 +4,9 @@
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export const FrontReport = z.object({
-  seen: z.array(z.object({ id: z.string(), url: z.string(), ok: z.boolean(), pace: z.number().optional() })),
+  seen: z.array(
+    z.object({ id: z.string(), url: z.string(), ok: z.boolean(), pace: z.number().optional() }),
+  ),
   released: z.array(z.tuple([z.number(), z.number()])),
 });
 export type FrontReport = z.infer<typeof FrontReport>;
@@ -37,8 +39,13 @@
   ) {}
 
   readonly learn = (s: State): void => {
-    for (const m of [...s.votingMembers.values(), ...s.nodes.values()]) this.addrs.set(m.id, m.addr);
-    const named = new Set([...s.votingMembers.keys(), ...s.nodes.keys(), ...s.slots.flatMap(replicasToWrite)]);
+    for (const m of [...s.votingMembers.values(), ...s.nodes.values()])
+      this.addrs.set(m.id, m.addr);
+    const named = new Set([
+      ...s.votingMembers.keys(),
+      ...s.nodes.keys(),
+      ...s.slots.flatMap(replicasToWrite),
+    ]);
     for (const id of this.addrs.keys()) if (!named.has(id)) this.addrs.delete(id);
   };
 
@@ -66,7 +73,12 @@
     const moves = Math.max(1, Math.ceil(s.slots.length / 16));
     const fills = Math.max(1, Math.floor(s.slots.length / 2));
     const lost = this.diskLost(s, [...new Set(s.slots.flatMap(replicasToWrite))]);
-    return allocate(s, { leastStores: this.leastStores(s), moves, fills, unresponsiveStores: new Set([...this.unresponsiveStores, ...lost]) });
+    return allocate(s, {
+      leastStores: this.leastStores(s),
+      moves,
+      fills,
+      unresponsiveStores: new Set([...this.unresponsiveStores, ...lost]),
+    });
   }
 
   /** Slots get their first replicas once all can be placed, or a quorum of them when no further store comes. */
@@ -75,12 +87,17 @@
     const stores = [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => m.id);
     if (stores.some((id) => !this.stores.has(id))) this.storeJoinedAt = now;
     this.stores = new Set(stores);
-    return now - this.storeJoinedAt > this.bounds.failureTimeout ? s.replication.quorum : s.replication.replicas;
+    return now - this.storeJoinedAt > this.bounds.failureTimeout
+      ? s.replication.quorum
+      : s.replication.replicas;
   }
 
   private settleIn(ms: number): void {
     this.soon?.stop();
-    this.soon = this.clock.after(ms, () => void this.master?.submit((s) => s).catch(() => undefined));
+    this.soon = this.clock.after(
+      ms,
+      () => void this.master?.submit((s) => s).catch(() => undefined),
+    );
   }
 
   readonly onReport = (front: string, report: unknown): void => {
@@ -88,7 +105,10 @@
     if (!got.success) return;
     const at = this.clock.now();
     if (got.data.released.length > 0) this.onReleased(got.data.released);
-    this.sights.set(front, new Map(got.data.seen.map((x) => [x.id, { url: x.url, ok: x.ok, pace: x.pace, at }])));
+    this.sights.set(
+      front,
+      new Map(got.data.seen.map((x) => [x.id, { url: x.url, ok: x.ok, pace: x.pace, at }])),
+    );
   };
 
   paces(s: State): ReadonlyMap<string, number> {
@@ -106,7 +126,12 @@
 
   private onReleased(released: readonly (readonly [number, number])[]): void {
     this.master
-      ?.submit((s) => released.reduce((t, [slot, ownershipEpoch]) => reduce(t, { kind: 'transferred', slot, ownershipEpoch }), s))
+      ?.submit((s) =>
+        released.reduce(
+          (t, [slot, ownershipEpoch]) => reduce(t, { kind: 'transferred', slot, ownershipEpoch }),
+          s,
+        ),
+      )
       .catch(() => undefined);
   }
 
@@ -117,7 +142,11 @@
       if (slot.transferTarget !== '') since.set(n, this.transferSince.get(n) ?? now);
     });
     this.transferSince = since;
-    return [...since].flatMap(([n, at]) => (now - at > this.bounds.failureTimeout * 4 ? [[n, s.slots[n]?.ownershipEpoch ?? -1] as const] : []));
+    return [...since].flatMap(([n, at]) =>
+      now - at > this.bounds.failureTimeout * 4
+        ? [[n, s.slots[n]?.ownershipEpoch ?? -1] as const]
+        : [],
+    );
   }
 
   async run(master: MasterView): Promise<void> {
@@ -131,8 +160,14 @@
       const overdue = this.overdue(s);
       await master
         .submit((t) => {
-          const marked = [...downs].reduce((u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }), t);
-          return overdue.reduce((u, [slot, ownershipEpoch]) => reduce(u, { kind: 'transferred', slot, ownershipEpoch }), marked);
+          const marked = [...downs].reduce(
+            (u, [id, down]) => reduce(u, { kind: 'server-mark', id, down }),
+            t,
+          );
+          return overdue.reduce(
+            (u, [slot, ownershipEpoch]) => reduce(u, { kind: 'transferred', slot, ownershipEpoch }),
+            marked,
+          );
         })
         .catch(() => undefined);
     }
@@ -145,9 +180,13 @@
    */
   private lostStores(s: State, master: MasterView): ReadonlySet<string> {
     const kept = new Set(s.slots.flatMap(replicasToWrite));
-    const standsBy = [...s.nodes.values()].some((m) => m.kind === 'store' && !kept.has(m.id) && !s.retiring.has(m.id));
+    const standsBy = [...s.nodes.values()].some(
+      (m) => m.kind === 'store' && !kept.has(m.id) && !s.retiring.has(m.id),
+    );
     const isLost = (id: string): boolean =>
-      standsBy || this.unresponsiveStores.has(id) || master.unresponsiveFor(id) > this.bounds.replaceAfter;
+      standsBy ||
+      this.unresponsiveStores.has(id) ||
+      master.unresponsiveFor(id) > this.bounds.replaceAfter;
     return new Set([...kept].filter((id) => !s.nodes.has(id) && isLost(id)));
   }
 
@@ -171,14 +210,30 @@
   /** Passes the vote of a control that left, failed or lost its disk to a spare that holds the newest state on disk. */
   private replaceVoter(s: State): State {
     const { master } = this;
-    if (!master || master.lost.aborted || !votersSettled(s) || (master.committed && !votersSettled(master.committed))) return s;
+    if (
+      !master ||
+      master.lost.aborted ||
+      !votersSettled(s) ||
+      (master.committed && !votersSettled(master.committed))
+    )
+      return s;
     const lost = this.diskLost(s, s.voters.current);
-    const out = s.voters.current.find((id) => lost.has(id)) ?? s.voters.current.find((id) => !s.nodes.has(id));
+    const out =
+      s.voters.current.find((id) => lost.has(id)) ??
+      s.voters.current.find((id) => !s.nodes.has(id));
     if (out === undefined) return s;
     const zone = s.votingMembers.get(out)?.zone;
     const spare = [...s.nodes.values()]
-      .filter((m) => m.kind === 'control' && !s.voters.current.includes(m.id) && master.heard(m.id) && master.synced(m.id))
-      .sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone) || (a.id < b.id ? -1 : 1))[0];
+      .filter(
+        (m) =>
+          m.kind === 'control' &&
+          !s.voters.current.includes(m.id) &&
+          master.heard(m.id) &&
+          master.synced(m.id),
+      )
+      .sort(
+        (a, b) => Number(b.zone === zone) - Number(a.zone === zone) || (a.id < b.id ? -1 : 1),
+      )[0];
     if (!spare) return s;
     this.log.info(`Control ${out} is lost, ${spare.addr} takes its place.`);
     return reduce(s, { kind: 'voters', out, in: spare });
--- a/packages/control/src/list.ts
+++ b/packages/control/src/list.ts
@@ -1,5 +1,13 @@
 import { listInto, type Listed, type ListReply, type ListReport } from '@tillerstair/state';
-import { isProgrammingError, toRpcError, pause, RequestTimeoutError, within, type Clock, type Log } from '@tillerstair/wire';
+import {
+  isProgrammingError,
+  toRpcError,
+  pause,
+  RequestTimeoutError,
+  within,
+  type Clock,
+  type Log,
+} from '@tillerstair/wire';
 import type { MasterView, ZenBounds } from '@tillerstair/zen';
 
 export type { Listed } from '@tillerstair/state';
@@ -16,7 +24,10 @@
 
 const ageOf = (at: number, now: number): number | null => (at === -Infinity ? null : now - at);
 
-const reportOf = (r: Omit<Reading, 'servers'>, now: number): ListReport => ({ age: ageOf(r.triedAt, now), readAge: ageOf(r.readAt, now) });
+const reportOf = (r: Omit<Reading, 'servers'>, now: number): ListReport => ({
+  age: ageOf(r.triedAt, now),
+  readAge: ageOf(r.readAt, now),
+});
 
 export class ListReader {
   private last: Reading = { triedAt: -Infinity, readAt: -Infinity, servers: [] };
@@ -48,10 +59,16 @@
     const triedAt = this.clock.now();
     this.askedAt = triedAt;
     try {
-      const servers = await within(this.clock, this.every, this.list.read(this.every), () => new RequestTimeoutError('the server list'));
+      const servers = await within(
+        this.clock,
+        this.every,
+        this.list.read(this.every),
+        () => new RequestTimeoutError('the server list'),
+      );
       this.last = { triedAt, readAt: triedAt, servers };
     } catch (e) {
-      if (isProgrammingError(e)) this.log.error(`Internal error while reading the server list: ${e.message}.`);
+      if (isProgrammingError(e))
+        this.log.error(`Internal error while reading the server list: ${e.message}.`);
       else this.log.warn(`The server list cannot be read: ${toRpcError(e).message}.`);
       this.last = { ...this.last, triedAt };
     }
@@ -59,9 +76,13 @@
   }
 
   async reply(): Promise<ListReply> {
-    const late = pause(this.clock, this.every / 4).then(() => ({ ...this.last, triedAt: this.askedAt }));
+    const late = pause(this.clock, this.every / 4).then(() => ({
+      ...this.last,
+      triedAt: this.askedAt,
+    }));
     const r = await Promise.race([this.read(), late]);
-    const ids = (draining: boolean): readonly string[] => r.servers.filter((v) => v.draining === draining).map((v) => v.id);
+    const ids = (draining: boolean): readonly string[] =>
+      r.servers.filter((v) => v.draining === draining).map((v) => v.id);
     return { reported: reportOf(r, this.clock.now()), open: ids(false), draining: ids(true) };
   }
 }
@@ -97,6 +118,8 @@
   }
 
   reported(term: number | undefined): ListReport {
-    return term === this.term ? reportOf(this.held, this.clock.now()) : { age: null, readAge: null };
+    return term === this.term
+      ? reportOf(this.held, this.clock.now())
+      : { age: null, readAge: null };
   }
 }
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -4,12 +4,12 @@
 
 void runDaemon({
   name: 'control-node',
-  about: 'Keeps the cluster state, may become master, takes the operators\' HTTP.',
+  about: "Keeps the cluster state, may become master, takes the operators' HTTP.",
   schema: ControlSettings,
   flags: [
     ['addr', 'Own address, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
-    ['http', 'Address of the operators\' HTTP'],
+    ['http', "Address of the operators' HTTP"],
     ['zone', 'Zone of this machine'],
     ['name', 'Name operators may use for this node'],
     ['seeds', 'Three addresses, comma-separated'],
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -7,7 +7,10 @@
 import { isRead, operate, Operation, Outcome } from './operate.js';
 import { tuneWeights } from './weights.js';
 
-export interface ControlParts extends Omit<ZenParts, 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead' | 'listReport' | 'onListReport'> {
+export interface ControlParts extends Omit<
+  ZenParts,
+  'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead' | 'listReport' | 'onListReport'
+> {
   readonly list?: ServerList | undefined;
 }
 
@@ -70,7 +73,9 @@
       const m = this.zen.leading;
       if (!m) throw new RpcError('not-master', 'this control is not master');
       const { id } = Departs.parse(rpc.body);
-      await m.submit((s) => (s.nodes.get(id)?.kind === 'front' ? reduce(s, { kind: 'retire', id, on: true }) : s));
+      await m.submit((s) =>
+        s.nodes.get(id)?.kind === 'front' ? reduce(s, { kind: 'retire', id, on: true }) : s,
+      );
       return {};
     }
     if (rpc.kind === 'control/filled') {
@@ -87,9 +92,19 @@
     const from = this.p.clock.now();
     const out = await this.passOn(o);
     const mark = o.method === 'POST' && /^\/v1\/servers\/[^/]+\/draining$/.test(o.path);
-    if (!mark || out.status !== 200 || this.p.clock.now() - from <= this.p.bounds.drainingCommitWithin) return out;
-    const text = 'the mark was taken, but too late for its bound to count from this request; ask again';
-    return { status: 504, body: { executed: 'unknown', errorCode: 'late', text, how: 'POST it again' }, retryAfter: 1 };
+    if (
+      !mark ||
+      out.status !== 200 ||
+      this.p.clock.now() - from <= this.p.bounds.drainingCommitWithin
+    )
+      return out;
+    const text =
+      'the mark was taken, but too late for its bound to count from this request; ask again';
+    return {
+      status: 504,
+      body: { executed: 'unknown', errorCode: 'late', text, how: 'POST it again' },
+      retryAfter: 1,
+    };
   }
 
   private async passOn(o: Operation): Promise<Outcome> {
@@ -107,21 +122,44 @@
 
   /** What this control alone holds, which may be old: it names the state's version and waits for no majority. */
   private localView(): NodeView {
-    return nodeViewOf(this.p.me.id, 'control', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
+    return nodeViewOf(
+      this.p.me.id,
+      'control',
+      this.zen.term,
+      this.zen.masterSeen?.id ?? '',
+      this.zen.applied,
+    );
   }
 
   private notRun(errorCode: string, text: string, more: object = {}): Outcome {
-    return { status: 503, body: { executed: 'no', errorCode, text, ...more }, retryAfter: Math.ceil(this.p.bounds.failureTimeout / 1000) };
+    return {
+      status: 503,
+      body: { executed: 'no', errorCode, text, ...more },
+      retryAfter: Math.ceil(this.p.bounds.failureTimeout / 1000),
+    };
   }
 
   /** Asks the master, for no longer than it may publish twice; a change without a clear answer may have been made. */
   private async forward(master: Member, o: Operation): Promise<Outcome> {
     try {
-      return Outcome.parse(await this.p.transport.call(master.addr, 'control/operate', o, { within: this.p.bounds.failureTimeout }));
+      return Outcome.parse(
+        await this.p.transport.call(master.addr, 'control/operate', o, {
+          within: this.p.bounds.failureTimeout,
+        }),
+      );
     } catch (e) {
       const x = toRpcError(e);
-      if (x.executed === 'no' || isRead(o)) return this.notRun(x.code, x.message, { master: master.http });
-      return { status: 504, body: { executed: 'unknown', errorCode: 'unknown', text: x.message, how: 'GET /v1/status or GET /v1/config' } };
+      if (x.executed === 'no' || isRead(o))
+        return this.notRun(x.code, x.message, { master: master.http });
+      return {
+        status: 504,
+        body: {
+          executed: 'unknown',
+          errorCode: 'unknown',
+          text: x.message,
+          how: 'GET /v1/status or GET /v1/config',
+        },
+      };
     }
   }
 }
--- a/packages/control/src/operate.ts
+++ b/packages/control/src/operate.ts
@@ -1,23 +1,43 @@
 import { z } from 'zod';
 import {
-  checkConfig, digestOf, replicasToWrite, liveNodes, marginReport, changeIdOf, reduce, replicasWhole, takenOutcome, type ConfigRecord, type IsLive, type Member, type State,
+  checkConfig,
+  digestOf,
+  replicasToWrite,
+  liveNodes,
+  marginReport,
+  changeIdOf,
+  reduce,
+  replicasWhole,
+  takenOutcome,
+  type ConfigRecord,
+  type IsLive,
+  type Member,
+  type State,
 } from '@tillerstair/state';
 import { RpcError, toRpcError } from '@tillerstair/wire';
 import type { MasterView } from '@tillerstair/zen';
 
 export const Operation = z.object({ method: z.string(), path: z.string(), body: z.string() });
 export type Operation = z.infer<typeof Operation>;
-export const Outcome = z.object({ status: z.number(), body: z.unknown(), retryAfter: z.number().optional() });
+export const Outcome = z.object({
+  status: z.number(),
+  body: z.unknown(),
+  retryAfter: z.number().optional(),
+});
 export type Outcome = z.infer<typeof Outcome>;
 
 /** Whether an operation alters nothing, however it ends. */
-export const isRead = (o: Operation): boolean => o.method === 'GET' || o.path === '/v1/config/prepare';
+export const isRead = (o: Operation): boolean =>
+  o.method === 'GET' || o.path === '/v1/config/prepare';
 
 const no = (status: number, errorCode: string, text: string, more: object = {}): Outcome => ({
   status,
   body: { executed: 'no', errorCode, text, ...more },
 });
-const unknown = (text: string, how: string): Outcome => ({ status: 504, body: { executed: 'unknown', errorCode: 'unknown', text, how } });
+const unknown = (text: string, how: string): Outcome => ({
+  status: 504,
+  body: { executed: 'unknown', errorCode: 'unknown', text, how },
+});
 
 const jsonOf = (text: string): unknown => {
   try {
@@ -31,7 +51,9 @@
 
 const NewServer = z.strictObject({
   pool: z.string().min(1),
-  url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, { message: 'must be http://IP:PORT' }),
+  url: z.string().regex(/^http:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$/, {
+    message: 'must be http://IP:PORT',
+  }),
 });
 
 class WrongBase extends RpcError {
@@ -77,22 +99,40 @@
   const compiled = JSON.stringify({ ...config, origin: undefined, order: undefined });
   const how = 'GET /v1/config and compare the digest, or hand in the same file again';
   const version = config.version ?? config.base + 1;
-  const name = { base: config.base, version, changeId: changeIdOf({ changeId: config.changeId, digest }) };
+  const name = {
+    base: config.base,
+    version,
+    changeId: changeIdOf({ changeId: config.changeId, digest }),
+  };
   const record: ConfigRecord = { version, text, digest, compiled, changeId: config.changeId ?? '' };
   try {
-    const c = await m.decide((s) => (wasTaken(s, name) ? s : reduce(s, { kind: 'config', record })));
+    const c = await m.decide((s) =>
+      wasTaken(s, name) ? s : reduce(s, { kind: 'config', record }),
+    );
     await m.inForce(c);
     const newest = c.state.config?.version ?? 0;
-    return { status: 200, body: newest === version ? { version, digest } : { version, digest, newest } };
+    return {
+      status: 200,
+      body: newest === version ? { version, digest } : { version, digest, newest },
+    };
   } catch (e) {
     const refusal = refusalOf(e);
     if (refusal) return refusal;
     const x = toRpcError(e);
-    return x.executed === 'no' ? no(503, x.code, x.message) : { ...unknown(x.message, how), body: { executed: 'unknown', errorCode: 'unknown', text: x.message, how, digest } };
+    return x.executed === 'no'
+      ? no(503, x.code, x.message)
+      : {
+          ...unknown(x.message, how),
+          body: { executed: 'unknown', errorCode: 'unknown', text: x.message, how, digest },
+        };
   }
 };
 
-const Asked = z.strictObject({ base: z.number(), version: z.number(), changeId: z.string().min(1) });
+const Asked = z.strictObject({
+  base: z.number(),
+  version: z.number(),
+  changeId: z.string().min(1),
+});
 
 /**
  * Whether a change was taken, and if not, the text that it builds on. A sender that derives its change from the present
@@ -103,16 +143,26 @@
   if (!asked.success) return no(422, 'findings', 'base, version and order are needed');
   try {
     const s = await m.confirm();
-    if (!wasTaken(s, asked.data)) return s.config ? { status: 200, body: { taken: false, text: s.config.text } } : no(404, 'missing', noConfig);
+    if (!wasTaken(s, asked.data))
+      return s.config
+        ? { status: 200, body: { taken: false, text: s.config.text } }
+        : no(404, 'missing', noConfig);
     await m.inForce({ state: s, at: m.committedAt });
     return { status: 200, body: { taken: true, version: asked.data.version } };
   } catch (e) {
     const x = toRpcError(e);
-    return refusalOf(e) ?? (x.executed === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'));
+    return (
+      refusalOf(e) ??
+      (x.executed === 'no' ? no(503, x.code, x.message) : unknown(x.message, 'ask again'))
+    );
   }
 };
 
-const change = async (m: MasterView, f: (s: State) => State, view: (s: State) => unknown): Promise<Outcome> => {
+const change = async (
+  m: MasterView,
+  f: (s: State) => State,
+  view: (s: State) => unknown,
+): Promise<Outcome> => {
   try {
     const { state } = await m.decide(f);
     return { status: 200, body: view(state) };
@@ -134,8 +184,14 @@
 };
 
 /** As `look`, with the nodes of these kinds that replied after the call came. */
-const lookAtLive = async (m: MasterView, kinds: readonly Member['kind'][], view: (s: State, isLive: IsLive) => unknown): Promise<Outcome> => {
-  const peers = [...(m.committed?.nodes.values() ?? [])].filter((member) => kinds.includes(member.kind));
+const lookAtLive = async (
+  m: MasterView,
+  kinds: readonly Member['kind'][],
+  view: (s: State, isLive: IsLive) => unknown,
+): Promise<Outcome> => {
+  const peers = [...(m.committed?.nodes.values() ?? [])].filter((member) =>
+    kinds.includes(member.kind),
+  );
   const replies = m.reach(peers);
   return look(m, async (s) => {
     const reached = await replies;
@@ -147,7 +203,11 @@
 
 const findMember = (s: State, id: string): Member | undefined => {
   const all = [...s.nodes.values()];
-  return s.nodes.get(id) ?? all.find((x) => x.addr === id) ?? all.find((x) => x.name !== '' && x.name === id);
+  return (
+    s.nodes.get(id) ??
+    all.find((x) => x.addr === id) ??
+    all.find((x) => x.name !== '' && x.name === id)
+  );
 };
 
 const memberOf = (s: State, id: string): Member => {
@@ -162,9 +222,15 @@
     if (raw === undefined) return no(400, 'bad-json', 'the body is not JSON');
     const got = NewServer.safeParse(raw);
     if (!got.success)
-      return no(422, 'findings', 'bad server', { findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })) });
+      return no(422, 'findings', 'bad server', {
+        findings: got.error.issues.map((i) => ({ place: i.path.join('.'), text: i.message })),
+      });
     const server = { id, ...got.data, draining: false, down: false, zone: '', places: 0 };
-    return change(m, (s) => reduce(s, { kind: 'server', server }), (s) => s.servers.get(id));
+    return change(
+      m,
+      (s) => reduce(s, { kind: 'server', server }),
+      (s) => s.servers.get(id),
+    );
   }
   if (o.method === 'POST' && verb === 'draining')
     return change(
@@ -175,7 +241,12 @@
       },
       (s) => s.servers.get(id),
     );
-  if (o.method === 'DELETE' && verb === '') return change(m, (s) => reduce(s, { kind: 'server-gone', id }), () => ({ id, gone: true }));
+  if (o.method === 'DELETE' && verb === '')
+    return change(
+      m,
+      (s) => reduce(s, { kind: 'server-gone', id }),
+      () => ({ id, gone: true }),
+    );
   return no(405, 'no-such-operation', `${o.method} ${o.path}`);
 };
 
@@ -184,7 +255,8 @@
 
 const storeOf = (s: State, id: string): string => {
   const member = findMember(s, id);
-  if (member && member.kind !== 'store') throw new RpcError('missing', `${id} is a ${member.kind}, not a store`);
+  if (member && member.kind !== 'store')
+    throw new RpcError('missing', `${id} is a ${member.kind}, not a store`);
   const found = member?.id ?? retiredOf(s, id);
   if (found === undefined) throw new RpcError('missing', `no store ${id}`);
   return found;
@@ -194,26 +266,51 @@
 export const emptyingOf = (s: State, id: string, isLive: IsLive): object => {
   const held = s.slots.filter((x) => replicasToWrite(x).includes(id)).length;
   const joiningReplicas = s.slots.filter((x) => x.joiningReplicas.length > 0).length;
-  return { store: id, retiring: s.retiring.has(id), slotsHeld: held, slotsJoining: joiningReplicas, done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)) };
+  return {
+    store: id,
+    retiring: s.retiring.has(id),
+    slotsHeld: held,
+    slotsJoining: joiningReplicas,
+    done: s.retiring.has(id) && held === 0 && replicasWhole(s, liveNodes(s, isLive)),
+  };
 };
 
-const retire = (m: MasterView, id: string, on: boolean, kind: 'store' | 'front'): Promise<Outcome> => {
+const retire = (
+  m: MasterView,
+  id: string,
+  on: boolean,
+  kind: 'store' | 'front',
+): Promise<Outcome> => {
   let found = id;
   return change(
     m,
     (s) => {
       const member = findMember(s, id);
       found = member?.id ?? retiredOf(s, id) ?? id;
-      if (member && member.kind !== kind) throw new RpcError('refused', `${id} is a ${member.kind}, not a ${kind}`);
+      if (member && member.kind !== kind)
+        throw new RpcError('refused', `${id} is a ${member.kind}, not a ${kind}`);
       if (member ? s.retiring.has(found) === on : on && s.retiring.has(found)) return s;
       if (!member) throw new RpcError('missing', `no node ${id}`);
-      const rest = [...s.nodes.values()].filter((x) => x.kind === kind && x.id !== member.id && !s.retiring.has(x.id));
+      const rest = [...s.nodes.values()].filter(
+        (x) => x.kind === kind && x.id !== member.id && !s.retiring.has(x.id),
+      );
       if (on && kind === 'store' && rest.length < s.replication.replicas)
-        throw new RpcError('refused', `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`);
-      if (on && kind === 'front' && rest.length < 1) throw new RpcError('refused', 'no other front would stay');
+        throw new RpcError(
+          'refused',
+          `only ${rest.length} other stores would stay, ${s.replication.replicas} replicas are needed`,
+        );
+      if (on && kind === 'front' && rest.length < 1)
+        throw new RpcError('refused', 'no other front would stay');
       return reduce(s, { kind: 'retire', id: member.id, on });
     },
-    (s) => (kind === 'store' ? emptyingOf(s, found, nobodyLive) : { front: found, retiring: s.retiring.has(found), slotsHeld: s.slots.filter((x) => x.owner === found).length }),
+    (s) =>
+      kind === 'store'
+        ? emptyingOf(s, found, nobodyLive)
+        : {
+            front: found,
+            retiring: s.retiring.has(found),
+            slotsHeld: s.slots.filter((x) => x.owner === found).length,
+          },
   );
 };
 
@@ -221,15 +318,22 @@
   change(
     m,
     (s) => {
-      if (s.voters.current.join() !== s.voters.next.join()) throw new RpcError('refused', 'another change of controls is under way');
+      if (s.voters.current.join() !== s.voters.next.join())
+        throw new RpcError('refused', 'another change of controls is under way');
       if (!add) {
-        if (!s.voters.current.includes(id)) throw new RpcError('missing', `${id} is no voting control`);
-        if (s.voters.current.length <= 1) throw new RpcError('refused', 'the last control cannot be taken out');
+        if (!s.voters.current.includes(id))
+          throw new RpcError('missing', `${id} is no voting control`);
+        if (s.voters.current.length <= 1)
+          throw new RpcError('refused', 'the last control cannot be taken out');
         return reduce(s, { kind: 'voters', out: id, in: undefined });
       }
       const member = memberOf(s, id);
       if (member.kind !== 'control') throw new RpcError('refused', `${id} is a ${member.kind}`);
-      if (!m.synced(member.id)) throw new RpcError('refused', `${id} does not hold the newest state on its disk yet; ask again`);
+      if (!m.synced(member.id))
+        throw new RpcError(
+          'refused',
+          `${id} does not hold the newest state on its disk yet; ask again`,
+        );
       return reduce(s, { kind: 'voters', out: '', in: member });
     },
     (s) => ({ controls: s.voters.next }),
@@ -244,7 +348,9 @@
   config: s.config ? { version: s.config.version, digest: s.config.digest } : null,
   nodes: [...s.nodes.values()],
   servers: [...s.servers.values()],
-  stores: [...s.nodes.values()].filter((m) => m.kind === 'store').map((m) => emptyingOf(s, m.id, isLive)),
+  stores: [...s.nodes.values()]
+    .filter((m) => m.kind === 'store')
+    .map((m) => emptyingOf(s, m.id, isLive)),
   slots: {
     count: s.slots.length,
     owned: s.slots.filter((x) => s.nodes.has(x.owner)).length,
@@ -266,12 +372,14 @@
       return { version, text, digest, changeId };
     });
   }
-  if (section === 'config' && id === 'prepare' && o.method === 'POST') return prepareChange(m, o.body);
+  if (section === 'config' && id === 'prepare' && o.method === 'POST')
+    return prepareChange(m, o.body);
   if (section === 'servers' && id !== '') return servers(m, o, id, verb);
   if (section === 'stores' && verb === 'empty') {
     if (o.method === 'POST') return retire(m, id, true, 'store');
     if (o.method === 'DELETE') return retire(m, id, false, 'store');
-    if (o.method === 'GET') return lookAtLive(m, ['store'], (s, isLive) => emptyingOf(s, storeOf(s, id), isLive));
+    if (o.method === 'GET')
+      return lookAtLive(m, ['store'], (s, isLive) => emptyingOf(s, storeOf(s, id), isLive));
   }
   if (section === 'fronts' && verb === 'drain') {
     if (o.method === 'POST') return retire(m, id, true, 'front');
@@ -281,7 +389,8 @@
     if (o.method === 'POST') return voters(m, id, true);
     if (o.method === 'DELETE') return voters(m, id, false);
   }
-  if (section === 'margin' && o.method === 'GET') return lookAtLive(m, ['control', 'store'], marginReport);
+  if (section === 'margin' && o.method === 'GET')
+    return lookAtLive(m, ['control', 'store'], marginReport);
   if (section === 'status' && o.method === 'GET') return lookAtLive(m, ['store'], statusOf);
   return no(404, 'no-such-page', o.path);
 };
--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -1,5 +1,11 @@
 import { randomBytes } from 'node:crypto';
-import { closeHttp, servePages, stderrLog, type ControlSettings, type Running } from '@tillerstair/settings';
+import {
+  closeHttp,
+  servePages,
+  stderrLog,
+  type ControlSettings,
+  type Running,
+} from '@tillerstair/settings';
 import { FolderDisk } from '@tillerstair/journal';
 import { replicationFor } from '@tillerstair/state';
 import { hostClock, readBody, sendJson, TcpTransport } from '@tillerstair/wire';
@@ -17,26 +23,56 @@
   readonly door?: (node: ControlNode) => Promise<ControlDoor>;
 }
 
-export const startControl = async (settings: ControlSettings, more: ControlMore = {}): Promise<Running<ControlSettings>> => {
+export const startControl = async (
+  settings: ControlSettings,
+  more: ControlMore = {},
+): Promise<Running<ControlSettings>> => {
   const log = stderrLog('control', settings.log);
   const disk = await FolderDisk.take(settings.data);
   const { bounds, replace } = reloadableBounds(settings.bounds);
   const pace = controlPace(hostClock, bounds, log);
-  const electionStore = await DiskElectionStore.open(disk, () => `c-${randomBytes(6).toString('hex')}`, settings.journalLongAt, pace);
-  const me = { id: electionStore.persisted.id, kind: 'control' as const, addr: settings.addr, http: settings.http, zone: settings.zone, data: '', name: settings.name };
+  const electionStore = await DiskElectionStore.open(
+    disk,
+    () => `c-${randomBytes(6).toString('hex')}`,
+    settings.journalLongAt,
+    pace,
+  );
+  const me = {
+    id: electionStore.persisted.id,
+    kind: 'control' as const,
+    addr: settings.addr,
+    http: settings.http,
+    zone: settings.zone,
+    data: '',
+    name: settings.name,
+  };
   const node = new ControlNode({
-    me, seeds: settings.seeds, clock: hostClock, transport: new TcpTransport(settings.addr, settings.listen), electionStore, bounds, log,
-    slots: settings.slots, replication: replicationFor(settings.losses), mayBootstrap: settings.mayBootstrap, list: more.list,
+    me,
+    seeds: settings.seeds,
+    clock: hostClock,
+    transport: new TcpTransport(settings.addr, settings.listen),
+    electionStore,
+    bounds,
+    log,
+    slots: settings.slots,
+    replication: replicationFor(settings.losses),
+    mayBootstrap: settings.mayBootstrap,
+    list: more.list,
   });
   await node.start();
   const readiness = () => {
     const master = node.zen.masterSeen;
-    return { ready: master !== undefined, why: master ? `master ${master.addr}` : 'no master is known' };
+    return {
+      ready: master !== undefined,
+      why: master ? `master ${master.addr}` : 'no master is known',
+    };
   };
   const http = await servePages(settings.http, readiness, async (req, res, url) => {
     const body = await readBody(req, 16 << 20);
     const out = await node.operate({ method: req.method ?? 'GET', path: url.pathname, body });
-    const headers = new Map(out.retryAfter === undefined ? [] : [['retry-after', String(out.retryAfter)]]);
+    const headers = new Map(
+      out.retryAfter === undefined ? [] : [['retry-after', String(out.retryAfter)]],
+    );
     sendJson(res, out.status, out.body, headers);
   });
   const door = await more.door?.(node);
--- a/packages/control/src/weights.ts
+++ b/packages/control/src/weights.ts
@@ -7,7 +7,10 @@
 const least = 0.1;
 const coarse = (x: number): number => Math.round(x * 50) / 50;
 
-export const tuned = (s: State, paces: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
+export const tuned = (
+  s: State,
+  paces: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> => {
   const config = compiledOf(s.config);
   const out = new Map<string, number>();
   if (!config) return s.weights;
@@ -22,7 +25,12 @@
       const pace = paces.get(v.id);
       const want = pace === undefined || best <= 0 ? old : Math.max(least, pace / best);
       const next = coarse(old + (want - old) * damping);
-      out.set(key, next === coarse(old) && Math.abs(want - old) > 0.04 ? coarse(old + Math.sign(want - old) * 0.02) : next);
+      out.set(
+        key,
+        next === coarse(old) && Math.abs(want - old) > 0.04
+          ? coarse(old + Math.sign(want - old) * 0.02)
+          : next,
+      );
     }
   }
   return out;
@@ -31,7 +39,12 @@
 const same = (a: ReadonlyMap<string, number>, b: ReadonlyMap<string, number>): boolean =>
   a.size === b.size && [...a].every(([k, w]) => b.get(k) === w);
 
-export const tuneWeights = async (m: MasterView, allocationController: AllocationController, clock: Clock, bounds: ZenBounds): Promise<void> => {
+export const tuneWeights = async (
+  m: MasterView,
+  allocationController: AllocationController,
+  clock: Clock,
+  bounds: ZenBounds,
+): Promise<void> => {
   while (!m.lost.aborted) {
     await pause(clock, bounds.heartbeatInterval * 2, m.lost);
     const s = m.committed;
--- a/packages/ctl/src/compare.ts
+++ b/packages/ctl/src/compare.ts
@@ -22,7 +22,8 @@
   readonly differences: readonly Difference[];
 }
 
-const versionText = (m: StateVersion): string => (m.term < 0 ? 'nothing' : `term ${m.term} version ${m.version}`);
+const versionText = (m: StateVersion): string =>
+  m.term < 0 ? 'nothing' : `term ${m.term} version ${m.version}`;
 
 export const compare = (a: NodeViewReply, b: NodeViewReply): Comparison => {
   const own = (fact: string): boolean => fact.startsWith('own ');
@@ -35,6 +36,10 @@
   add('term', String(a.term), String(b.term));
   add('master', a.master || 'none', b.master || 'none');
   add('applied', versionText(a.applied), versionText(b.applied));
-  for (const k of [...new Set([...fa.keys(), ...fb.keys()])].sort()) add(k, fa.get(k) ?? 'nothing', fb.get(k) ?? 'nothing');
-  return { newer: newer(a.applied, b.applied) ? 'a' : newer(b.applied, a.applied) ? 'b' : 'same', differences: out };
+  for (const k of [...new Set([...fa.keys(), ...fb.keys()])].sort())
+    add(k, fa.get(k) ?? 'nothing', fb.get(k) ?? 'nothing');
+  return {
+    newer: newer(a.applied, b.applied) ? 'a' : newer(b.applied, a.applied) ? 'b' : 'same',
+    differences: out,
+  };
 };
--- a/packages/ctl/src/patch.ts
+++ b/packages/ctl/src/patch.ts
@@ -25,7 +25,12 @@
       if (v === null) rows.delete(k);
       else {
         const merged = tableOf(merge(rows.get(k), v));
-        rows.set(k, merged ? Object.fromEntries([['name', k], ...[...merged].filter(([f]) => f !== 'name')]) : v);
+        rows.set(
+          k,
+          merged
+            ? Object.fromEntries([['name', k], ...[...merged].filter(([f]) => f !== 'name')])
+            : v,
+        );
       }
     }
     return [...rows.values()];
@@ -42,5 +47,7 @@
   const was: unknown = parse(text);
   const by: unknown = parse(patch);
   const merged = tableOf(merge(was, by)) ?? new Map<string, unknown>();
-  return stringify(Object.fromEntries([['base', base], ...[...merged].filter(([k]) => k !== 'base')]));
+  return stringify(
+    Object.fromEntries([['base', base], ...[...merged].filter(([k]) => k !== 'base')]),
+  );
 };
--- a/packages/fleet/src/capacity-cost.ts
+++ b/packages/fleet/src/capacity-cost.ts
@@ -4,7 +4,17 @@
 import { deflateSync, inflateSync } from 'node:zlib';
 import { AllocationController } from '@tillerstair/control';
 import { FolderDisk } from '@tillerstair/journal';
-import { checkConfig, compiledOf, diffOf, flatten, routesOf, patch, reduce, unflatten, type State } from '@tillerstair/state';
+import {
+  checkConfig,
+  compiledOf,
+  diffOf,
+  flatten,
+  routesOf,
+  patch,
+  reduce,
+  unflatten,
+  type State,
+} from '@tillerstair/state';
 import { prefixesOf, SlotReplicator, type TurnValue } from '@tillerstair/session-owner';
 import { ReplicaStore } from '@tillerstair/store';
 import { hostClock, noLog, type Transport } from '@tillerstair/wire';
@@ -14,13 +24,20 @@
 import { configOf, serversOf } from './capacity-rig.js';
 import { configured, grownState, plainState, stateOf, type StateSizes } from './capacity-state.js';
 
-const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
+const bounds = zenBounds({
+  serveWithin: 12000,
+  drainingWithin: 3000,
+  heartbeatInterval: 1000,
+  failureTimeout: 3000,
+});
 const next = (s: State): State => ({ ...s, version: s.version + 1 });
 const packed = (v: unknown): string => deflateSync(JSON.stringify(v)).toString('base64');
 
 const withOneDraining = (s: State): State => {
   const first = [...s.servers.keys()][0];
-  return next(first === undefined ? s : reduce(s, { kind: 'server-mark', id: first, draining: true }));
+  return next(
+    first === undefined ? s : reduce(s, { kind: 'server-mark', id: first, draining: true }),
+  );
 };
 
 /** What one change of one key costs each role, in the code that `Master`, `Receiver`, `Agent` and `Front` run for it. */
@@ -39,18 +56,32 @@
     ['master: diff and pack, ms', cpuMs(() => packed({ diff: diffOf(s, t) }))],
     ['master: pack whole, ms', cpuMs(() => packed({ full: [...flatten(s)] }))],
     ['node: take a diff, ms', cpuMs(() => patch(s, diff))],
-    ['node: take whole, ms', cpuMs(() => JSON.parse(inflateSync(Buffer.from(wire, 'base64')).toString())) + cpuMs(() => unflatten(new Map(full)))],
-    ['front: agent feeds its proxy, ms', cpuMs(() => JSON.parse(JSON.stringify([...flatten(t)]))) + cpuMs(() => unflatten(new Map(full)))],
+    [
+      'node: take whole, ms',
+      cpuMs(() => JSON.parse(inflateSync(Buffer.from(wire, 'base64')).toString())) +
+        cpuMs(() => unflatten(new Map(full))),
+    ],
+    [
+      'front: agent feeds its proxy, ms',
+      cpuMs(() => JSON.parse(JSON.stringify([...flatten(t)]))) +
+        cpuMs(() => unflatten(new Map(full))),
+    ],
   ]);
 };
 
 const part = (percent: number): StateSizes => {
   const of = (n: number): number => Math.max(1, Math.round((n * percent) / 100));
-  return { fronts: of(grownState.fronts), servers: of(grownState.servers), slots: of(grownState.slots), routes: of(grownState.routes) };
+  return {
+    fronts: of(grownState.fronts),
+    servers: of(grownState.servers),
+    slots: of(grownState.slots),
+    routes: of(grownState.routes),
+  };
 };
 
 const reportOf = (servers: number): unknown => ({
-  seen: serversOf(servers).map((v) => ({ id: v.id, url: v.url, ok: true, pace: 12.345678 })), released: [],
+  seen: serversOf(servers).map((v) => ({ id: v.id, url: v.url, ok: true, pace: 12.345678 })),
+  released: [],
 });
 
 const fronts = 40;
@@ -67,7 +98,10 @@
   return new Map([
     ['report bytes', text.length],
     ['agent: make and send a report, ms', cpuMs(() => JSON.stringify(reportOf(servers)))],
-    ['master: take a report, ms', cpuMs(() => allocationController.onReport('f-0', JSON.parse(text)))],
+    [
+      'master: take a report, ms',
+      cpuMs(() => allocationController.onReport('f-0', JSON.parse(text))),
+    ],
     ['master: standing kept a front, MB', mb / fronts],
     ['master: a tuning round a front, ms', cpuMs(() => allocationController.paces(s)) / fronts],
   ]);
@@ -102,14 +136,22 @@
   const [kept, mb] = await retainedMb(() =>
     Array.from({ length: turns }, (_, n) => {
       const v: TurnValue = {
-        t: 'turn', status: 'done', after: n === 0 ? null : `t${n - 1}`, digest: '', words: `${n} ${words}`, pool: 'models', server: 's', cost: 0,
+        t: 'turn',
+        status: 'done',
+        after: n === 0 ? null : `t${n - 1}`,
+        digest: '',
+        words: `${n} ${words}`,
+        pool: 'models',
+        server: 's',
+        cost: 0,
         chunks: Array.from({ length: Math.ceil(each / 4) }, (_, i) => `${n}.${i} `.slice(0, 4)),
       };
       return JSON.stringify({ key: `p/p/t/t${n}`, ownershipEpoch: 1, seq: n, value: v });
     }).map((text): unknown => JSON.parse(text)),
   );
   const messages = Array.from({ length: turns }, (_, n) => [
-    { role: 'user' as const, text: `${n} ${words}` }, { role: 'assistant' as const, text: `${n} ${words}` },
+    { role: 'user' as const, text: `${n} ${words}` },
+    { role: 'assistant' as const, text: `${n} ${words}` },
   ]).flat();
   return new Map([
     ['history kept, bytes', JSON.stringify(kept).length],
@@ -121,15 +163,26 @@
 };
 
 const stub = (): Transport => ({
-  self: 'owner', call: async (_to, kind) => (kind === 'store/fence' ? { items: [], next: '' } : {}),
-  serve: async () => undefined, onLost: () => undefined, close: async () => undefined,
+  self: 'owner',
+  call: async (_to, kind) => (kind === 'store/fence' ? { items: [], next: '' } : {}),
+  serve: async () => undefined,
+  onLost: () => undefined,
+  close: async () => undefined,
 });
 
 const replicatorOf = async (): Promise<SlotReplicator> => {
   const state = stateOf(plainState);
   const config = compiledOf(state.config);
   const table = { state, config, routes: config ? routesOf(config) : new Map() };
-  const k = new SlotReplicator(0, 0, { clock: hostClock, transport: stub(), log: noLog, table: () => table, putWithin: 1500, heartbeatInterval: 1000, retentionMs: 3600000 });
+  const k = new SlotReplicator(0, 0, {
+    clock: hostClock,
+    transport: stub(),
+    log: noLog,
+    table: () => table,
+    putWithin: 1500,
+    heartbeatInterval: 1000,
+    retentionMs: 3600000,
+  });
   const slot = state.slots[0];
   if (!slot) throw new Error('no slot');
   k.take(slot);
@@ -145,9 +198,22 @@
   const [, mb] = await retainedMb(async () => {
     put = await cpuMsOf(async () => {
       for (let n = 0; n < programs; n++) {
-        await k.put(`p/p${n}`, { t: 'program', tenant: `tenant-${n % 2100}`, budget: 1000, parent: null });
+        await k.put(`p/p${n}`, {
+          t: 'program',
+          tenant: `tenant-${n % 2100}`,
+          budget: 1000,
+          parent: null,
+        });
         await k.put(`p/p${n}/t/t0`, {
-          t: 'turn', status: 'done', after: null, digest: `d${n}`, words: `words of ${n}`.padEnd(256), pool: 'models', server: 's', cost: 64, chunks: chunks.map((p) => `${p}${n}`.slice(0, 4)),
+          t: 'turn',
+          status: 'done',
+          after: null,
+          digest: `d${n}`,
+          words: `words of ${n}`.padEnd(256),
+          pool: 'models',
+          server: 's',
+          cost: 64,
+          chunks: chunks.map((p) => `${p}${n}`.slice(0, 4)),
         });
       }
     });
@@ -165,11 +231,32 @@
   const disk = await FolderDisk.take(dir);
   const watched = closing(disk);
   try {
-    const open = (): Promise<ReplicaStore> => ReplicaStore.open(watched.disk, hostClock, { journalLongAt: 1 << 30, retentionMs: 3600000, hintsMost: 1000 });
+    const open = (): Promise<ReplicaStore> =>
+      ReplicaStore.open(watched.disk, hostClock, {
+        journalLongAt: 1 << 30,
+        retentionMs: 3600000,
+        hintsMost: 1000,
+      });
     const fill = async (made: ReplicaStore): Promise<void> => {
       for (let n = 0; n < count; n += 500)
-        await Promise.all(Array.from({ length: Math.min(500, count - n) }, (_, i) =>
-          made.write((n + i) % 64, 1, [{ key: `o/tenant-${(n + i) % 2100}/key-${n + i}`, ownershipEpoch: 1, seq: n + i, value: { t: 'op', status: 'done', digest: 'd'.repeat(32), code: 200, body: { did: 'hold', n } } }])));
+        await Promise.all(
+          Array.from({ length: Math.min(500, count - n) }, (_, i) =>
+            made.write((n + i) % 64, 1, [
+              {
+                key: `o/tenant-${(n + i) % 2100}/key-${n + i}`,
+                ownershipEpoch: 1,
+                seq: n + i,
+                value: {
+                  t: 'op',
+                  status: 'done',
+                  digest: 'd'.repeat(32),
+                  code: 200,
+                  body: { did: 'hold', n },
+                },
+              },
+            ]),
+          ),
+        );
     };
     let put = 0;
     const [replicaStore, mb] = await retainedMb(async () => {
@@ -194,13 +281,112 @@
 };
 
 export const costSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
-  ['apply-nodes', { about: 'one changed key; 100 servers, 64 slots, 20 routes', by: 'front', how: 'processor', sizes: [50, 100, 200, 400], small: [4, 8, 12, 16], grown: 410, run: (n) => applyCost({ ...plainState, fronts: n }) }],
-  ['apply-servers', { about: 'one changed key; 40 fronts, 64 slots, 20 routes', by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: (n) => applyCost({ ...plainState, servers: n }) }],
-  ['apply-slots', { about: 'one changed key; 40 fronts, 100 servers, 20 routes', by: 'slot', how: 'processor', sizes: [64, 512, 2048, 4096], small: [8, 16, 32, 64], grown: 8200, run: (n) => applyCost({ ...plainState, slots: n }) }],
-  ['apply-all', { about: 'one changed key; so much of 410 fronts, 3,400 servers, 4,096 slots, 8,400 routes', by: 'percent', how: 'processor', sizes: [12, 25, 50, 100], small: [1, 2, 3, 4], grown: 100, run: (n) => applyCost(part(n)) }],
-  ['reports', { about: `servers in each report; ${fronts} fronts`, by: 'server', how: 'processor', sizes: [425, 850, 1700, 3400], small: [8, 16, 24, 32], grown: 3400, run: reportCost }],
-  ['route-cost', { about: 'routes in the file; one is added', by: 'route', how: 'processor', sizes: [625, 1250, 2500, 5000], small: [8, 16, 24, 32], grown: 8400, run: routeCost }],
-  ['history-cost', { about: 'thousand characters in one program of 81 turns', by: 'thousand characters', how: 'processor', sizes: [500, 1000, 2000, 4000], small: [8, 16, 24, 32], grown: 4000, run: historyCost }],
-  ['owner-cost', { about: 'programs of one turn of 64 chunks in one slot', by: 'program', how: 'processor', sizes: [1000, 2000, 4000, 8000], small: [8, 16, 24, 32], grown: 1050, run: ownerCost }],
-  ['store-cost', { about: 'operation keys in one store', by: 'key', how: 'processor', sizes: [5000, 10000, 20000, 40000], small: [8, 16, 24, 32], grown: 3000000, run: replicaStoreCost }],
+  [
+    'apply-nodes',
+    {
+      about: 'one changed key; 100 servers, 64 slots, 20 routes',
+      by: 'front',
+      how: 'processor',
+      sizes: [50, 100, 200, 400],
+      small: [4, 8, 12, 16],
+      grown: 410,
+      run: (n) => applyCost({ ...plainState, fronts: n }),
+    },
+  ],
+  [
+    'apply-servers',
+    {
+      about: 'one changed key; 40 fronts, 64 slots, 20 routes',
+      by: 'server',
+      how: 'processor',
+      sizes: [425, 850, 1700, 3400],
+      small: [8, 16, 24, 32],
+      grown: 3400,
+      run: (n) => applyCost({ ...plainState, servers: n }),
+    },
+  ],
+  [
+    'apply-slots',
+    {
+      about: 'one changed key; 40 fronts, 100 servers, 20 routes',
+      by: 'slot',
+      how: 'processor',
+      sizes: [64, 512, 2048, 4096],
+      small: [8, 16, 32, 64],
+      grown: 8200,
+      run: (n) => applyCost({ ...plainState, slots: n }),
+    },
+  ],
+  [
+    'apply-all',
+    {
+      about: 'one changed key; so much of 410 fronts, 3,400 servers, 4,096 slots, 8,400 routes',
+      by: 'percent',
+      how: 'processor',
+      sizes: [12, 25, 50, 100],
+      small: [1, 2, 3, 4],
+      grown: 100,
+      run: (n) => applyCost(part(n)),
+    },
+  ],
+  [
+    'reports',
+    {
+      about: `servers in each report; ${fronts} fronts`,
+      by: 'server',
+      how: 'processor',
+      sizes: [425, 850, 1700, 3400],
+      small: [8, 16, 24, 32],
+      grown: 3400,
+      run: reportCost,
+    },
+  ],
+  [
+    'route-cost',
+    {
+      about: 'routes in the file; one is added',
+      by: 'route',
+      how: 'processor',
+      sizes: [625, 1250, 2500, 5000],
+      small: [8, 16, 24, 32],
+      grown: 8400,
+      run: routeCost,
+    },
+  ],
+  [
+    'history-cost',
+    {
+      about: 'thousand characters in one program of 81 turns',
+      by: 'thousand characters',
+      how: 'processor',
+      sizes: [500, 1000, 2000, 4000],
+      small: [8, 16, 24, 32],
+      grown: 4000,
+      run: historyCost,
+    },
+  ],
+  [
+    'owner-cost',
+    {
+      about: 'programs of one turn of 64 chunks in one slot',
+      by: 'program',
+      how: 'processor',
+      sizes: [1000, 2000, 4000, 8000],
+      small: [8, 16, 24, 32],
+      grown: 1050,
+      run: ownerCost,
+    },
+  ],
+  [
+    'store-cost',
+    {
+      about: 'operation keys in one store',
+      by: 'key',
+      how: 'processor',
+      sizes: [5000, 10000, 20000, 40000],
+      small: [8, 16, 24, 32],
+      grown: 3000000,
+      run: replicaStoreCost,
+    },
+  ],
 ]);
--- a/packages/fleet/src/capacity-rig.ts
+++ b/packages/fleet/src/capacity-rig.ts
@@ -15,10 +15,16 @@
 export const serversOf = (count: number): readonly Server[] =>
   Array.from({ length: count }, (_, n) =>
     Server.parse({
-      id: `server-${String(n).padStart(4, '0')}`, pool: n % 8 === 7 ? 'shop' : 'models', url: `http://10.0.${n >> 8}.${n & 255}:8000`, draining: false, down: false,
-    }));
+      id: `server-${String(n).padStart(4, '0')}`,
+      pool: n % 8 === 7 ? 'shop' : 'models',
+      url: `http://10.0.${n >> 8}.${n & 255}:8000`,
+      draining: false,
+      down: false,
+    }),
+  );
 
-export const configOf = (base: number, routes: number): string => stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: routes });
+export const configOf = (base: number, routes: number): string =>
+  stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: routes });
 
 export const rigSizes: WorldSizes = { controls: 5, stores: 3, fronts: 6, slots: 64 };
 
@@ -37,7 +43,13 @@
     const rig = new Rig(w, routes);
     const lead = w.master?.control?.zen.leading;
     if (!lead) throw new Error('no master');
-    const c = await w.clock.finish('servers', lead.submit((s) => serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s)), 20000);
+    const c = await w.clock.finish(
+      'servers',
+      lead.submit((s) =>
+        serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s),
+      ),
+      20000,
+    );
     await w.clock.finish('servers in force', lead.inForce(c), 20000);
     await rig.quiet();
     return rig;
@@ -45,7 +57,7 @@
 
   /** Runs until no state was committed for five seconds. */
   async quiet(): Promise<void> {
-    for (let was = -1; was !== this.w.committed?.version; ) {
+    for (let was = -1; was !== this.w.committed?.version;) {
       was = this.w.committed?.version ?? 0;
       await this.w.clock.run(5000);
     }
@@ -90,14 +102,24 @@
   async reconfigure(): Promise<number> {
     const { w } = this;
     const t0 = w.clock.now();
-    const put = await w.operate('PUT', '/v1/config', configOf(this.version, ++this.routes), w.master);
+    const put = await w.operate(
+      'PUT',
+      '/v1/config',
+      configOf(this.version, ++this.routes),
+      w.master,
+    );
     if (put.status !== 200) throw new Error(`config: ${JSON.stringify(put)}`);
     this.version++;
     return w.clock.now() - t0;
   }
 
   async mark(n: number): Promise<void> {
-    const r = await this.w.operate('POST', `/v1/servers/server-${String(n).padStart(4, '0')}/draining`, '', this.w.master);
+    const r = await this.w.operate(
+      'POST',
+      `/v1/servers/server-${String(n).padStart(4, '0')}/draining`,
+      '',
+      this.w.master,
+    );
     if (r.status !== 200) throw new Error(`draining: ${JSON.stringify(r)}`);
   }
 }
--- a/packages/fleet/src/capacity-run.ts
+++ b/packages/fleet/src/capacity-run.ts
@@ -7,7 +7,12 @@
 import { workSweeps } from './capacity-work.js';
 import { worldSweeps } from './capacity-world.js';
 
-export const sweeps: ReadonlyMap<string, Sweep> = new Map([...worldSweeps, ...workSweeps, ...costSweeps, ...socketSweeps]);
+export const sweeps: ReadonlyMap<string, Sweep> = new Map([
+  ...worldSweeps,
+  ...workSweeps,
+  ...costSweeps,
+  ...socketSweeps,
+]);
 
 export interface CapacityAsk {
   readonly name: string;
@@ -15,7 +20,10 @@
   readonly out: string;
 }
 
-export const runSweep = async ({ name, sizes, out }: CapacityAsk, say: (line: string) => void): Promise<void> => {
+export const runSweep = async (
+  { name, sizes, out }: CapacityAsk,
+  say: (line: string) => void,
+): Promise<void> => {
   const s = sweeps.get(name);
   if (!s) throw new Error(`no sweep ${name}; see fleet capacity list`);
   const swept = await sweepThrough(name, s, sizes.length > 0 ? sizes : s.sizes, say);
@@ -26,4 +34,5 @@
   writeFileSync(join(out, `${name}.svg`), await svgOf(swept));
 };
 
-export const listSweeps = (): readonly string[] => [...sweeps].map(([name, s]) => `${name.padEnd(16)} ${s.how.padEnd(10)} ${s.about}`);
+export const listSweeps = (): readonly string[] =>
+  [...sweeps].map(([name, s]) => `${name.padEnd(16)} ${s.how.padEnd(10)} ${s.about}`);
--- a/packages/fleet/src/capacity-sockets.ts
+++ b/packages/fleet/src/capacity-sockets.ts
@@ -16,9 +16,20 @@
 import { configOf, serversOf } from './capacity-rig.js';
 import { freePorts } from './layout.js';
 
-const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
+const bounds = zenBounds({
+  serveWithin: 12000,
+  drainingWithin: 3000,
+  heartbeatInterval: 1000,
+  failureTimeout: 3000,
+});
 const measureMs = 8000;
-const Measured = z.object({ cpuMs: z.number(), heapMb: z.number(), rssMb: z.number(), asked: z.number(), rounds: z.number() });
+const Measured = z.object({
+  cpuMs: z.number(),
+  heapMb: z.number(),
+  rssMb: z.number(),
+  asked: z.number(),
+  rounds: z.number(),
+});
 
 class Counted extends TcpTransport {
   static asked = 0;
@@ -40,19 +51,49 @@
   load: async () => ({ busy: 0, draining: false }),
 });
 
-const hollow = async (seed: string, [addr = 0, loop = 0, feed = 0, data = 0]: readonly number[], n: number): Promise<void> => {
+const hollow = async (
+  seed: string,
+  [addr = 0, loop = 0, feed = 0, data = 0]: readonly number[],
+  n: number,
+): Promise<void> => {
   const at = (p: number): string => `127.0.0.1:${p}`;
   const { heartbeatInterval, failureTimeout, readLease } = bounds;
   const front = new Front({
-    id: `f-${process.pid}-${n}`, clock: hostClock, transport: new TcpTransport(at(data)), backend: idle(),
-    bounds: { heartbeatInterval, putWithin: failureTimeout / 2, readLease, poll: heartbeatInterval / 4, retentionMs: 3600000, stopWithin: failureTimeout }, log: noLog, affinity: true,
+    id: `f-${process.pid}-${n}`,
+    clock: hostClock,
+    transport: new TcpTransport(at(data)),
+    backend: idle(),
+    bounds: {
+      heartbeatInterval,
+      putWithin: failureTimeout / 2,
+      readLease,
+      poll: heartbeatInterval / 4,
+      retentionMs: 3600000,
+      stopWithin: failureTimeout,
+    },
+    log: noLog,
+    affinity: true,
   });
   const fed = new TcpTransport(at(feed));
-  await fed.serve(async (rpc) => (rpc.kind === 'front/hello' ? { id: front.p.id, addr: at(data), http: '' } : front.feed(rpc.body)));
+  await fed.serve(async (rpc) =>
+    rpc.kind === 'front/hello'
+      ? { id: front.p.id, addr: at(data), http: '' }
+      : front.feed(rpc.body),
+  );
   await front.start();
   const agent = new Agent({
-    seeds: [seed, seed, seed], clock: hostClock, transport: new Counted(at(addr)), bounds, log: noLog, addr: at(addr), http: '', zone: `zone-${n % 3}`,
-    name: `hollow-${n}`, stopWithin: failureTimeout, proxy: at(feed), loop: new TcpTransport(at(loop)),
+    seeds: [seed, seed, seed],
+    clock: hostClock,
+    transport: new Counted(at(addr)),
+    bounds,
+    log: noLog,
+    addr: at(addr),
+    http: '',
+    zone: `zone-${n % 3}`,
+    name: `hollow-${n}`,
+    stopWithin: failureTimeout,
+    proxy: at(feed),
+    loop: new TcpTransport(at(loop)),
   });
   await agent.start();
 };
@@ -69,7 +110,9 @@
     await pause(hostClock, measureMs);
     const { user, system } = process.cpuUsage(t0);
     const sent = { asked: Counted.asked - asked, rounds: Counted.rounds - rounds };
-    process.stdout.write(`${JSON.stringify({ ...sent, cpuMs: (user + system) / 1000, heapMb: heapMb(), rssMb: process.memoryUsage().rss / 1e6 })}\n`);
+    process.stdout.write(
+      `${JSON.stringify({ ...sent, cpuMs: (user + system) / 1000, heapMb: heapMb(), rssMb: process.memoryUsage().rss / 1e6 })}\n`,
+    );
   }
 };
 
@@ -81,55 +124,102 @@
   }
 };
 
-const sockets = (servers: number) => async (count: number): Promise<Values> => {
-  const dir = mkdtempSync(join(tmpdir(), 'capacity-'));
-  const disk = await FolderDisk.take(dir);
-  const watched = closing(disk);
-  const [port = 0] = await freePorts(1);
-  const addr = `127.0.0.1:${port}`;
-  const electionStore = await DiskElectionStore.open(watched.disk, () => 'c-0', 4 << 20);
-  const me = { id: electionStore.persisted.id, kind: 'control' as const, addr, http: '', zone: 'zone-0', data: '', name: 'control-0' };
-  const node = new ControlNode({ me, seeds: [addr, addr, addr], clock: hostClock, transport: new TcpTransport(addr), electionStore, bounds, log: noLog, slots: 64 });
-  await node.start();
-  const child = spawn(process.execPath, [process.argv[1] ?? '', 'hollow', String(count), '--seed', addr], { stdio: ['pipe', 'pipe', 'inherit'] });
-  let said = '';
-  child.stdout.setEncoding('utf8').on('data', (part) => {
-    said += part;
-  });
-  try {
-    await until('a master', () => node.zen.leading?.committed !== undefined);
-    const put = await node.operate({ method: 'PUT', path: '/v1/config', body: configOf(0, 20) });
-    if (put.status !== 200) throw new Error(JSON.stringify(put));
-    await node.zen.leading?.submit((s) => serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s));
-    await until('all fronts', () => node.zen.leading?.committed?.nodes.size === count + 1);
-    await pause(hostClock, 4000);
-    child.stdin.write('measure\n');
-    const lines = said.split('\n').length;
-    const t0 = process.cpuUsage();
-    await pause(hostClock, measureMs);
-    const { user, system } = process.cpuUsage(t0);
-    await until('the hollow fronts\' figures', () => said.split('\n').length > lines);
-    const reported = Measured.parse(JSON.parse(said.trimEnd().split('\n').at(-1) ?? ''));
-    const share = (ms: number): number => (ms / measureMs) * 100;
-    return new Map([
-      ['master at rest, % of a core', share((user + system) / 1000)],
-      ['fronts at rest, % of a core, all', share(reported.cpuMs)],
-      ['asked by an agent a second', reported.asked / (measureMs / 1000) / count],
-      ['asked in rounds by an agent a second', reported.rounds / (measureMs / 1000) / count],
-      ['fronts, MB resident, all', reported.rssMb],
-      ['fronts, MB of heap, all', reported.heapMb],
-      ['master, MB of heap', heapMb()],
-    ]);
-  } finally {
-    child.kill();
-    await node.stop();
-    await watched.close();
-    await disk.free();
-    rmSync(dir, { recursive: true, force: true });
-  }
-};
+const sockets =
+  (servers: number) =>
+  async (count: number): Promise<Values> => {
+    const dir = mkdtempSync(join(tmpdir(), 'capacity-'));
+    const disk = await FolderDisk.take(dir);
+    const watched = closing(disk);
+    const [port = 0] = await freePorts(1);
+    const addr = `127.0.0.1:${port}`;
+    const electionStore = await DiskElectionStore.open(watched.disk, () => 'c-0', 4 << 20);
+    const me = {
+      id: electionStore.persisted.id,
+      kind: 'control' as const,
+      addr,
+      http: '',
+      zone: 'zone-0',
+      data: '',
+      name: 'control-0',
+    };
+    const node = new ControlNode({
+      me,
+      seeds: [addr, addr, addr],
+      clock: hostClock,
+      transport: new TcpTransport(addr),
+      electionStore,
+      bounds,
+      log: noLog,
+      slots: 64,
+    });
+    await node.start();
+    const child = spawn(
+      process.execPath,
+      [process.argv[1] ?? '', 'hollow', String(count), '--seed', addr],
+      { stdio: ['pipe', 'pipe', 'inherit'] },
+    );
+    let said = '';
+    child.stdout.setEncoding('utf8').on('data', (part) => {
+      said += part;
+    });
+    try {
+      await until('a master', () => node.zen.leading?.committed !== undefined);
+      const put = await node.operate({ method: 'PUT', path: '/v1/config', body: configOf(0, 20) });
+      if (put.status !== 200) throw new Error(JSON.stringify(put));
+      await node.zen.leading?.submit((s) =>
+        serversOf(servers).reduce((t, server) => reduce(t, { kind: 'server', server }), s),
+      );
+      await until('all fronts', () => node.zen.leading?.committed?.nodes.size === count + 1);
+      await pause(hostClock, 4000);
+      child.stdin.write('measure\n');
+      const lines = said.split('\n').length;
+      const t0 = process.cpuUsage();
+      await pause(hostClock, measureMs);
+      const { user, system } = process.cpuUsage(t0);
+      await until("the hollow fronts' figures", () => said.split('\n').length > lines);
+      const reported = Measured.parse(JSON.parse(said.trimEnd().split('\n').at(-1) ?? ''));
+      const share = (ms: number): number => (ms / measureMs) * 100;
+      return new Map([
+        ['master at rest, % of a core', share((user + system) / 1000)],
+        ['fronts at rest, % of a core, all', share(reported.cpuMs)],
+        ['asked by an agent a second', reported.asked / (measureMs / 1000) / count],
+        ['asked in rounds by an agent a second', reported.rounds / (measureMs / 1000) / count],
+        ['fronts, MB resident, all', reported.rssMb],
+        ['fronts, MB of heap, all', reported.heapMb],
+        ['master, MB of heap', heapMb()],
+      ]);
+    } finally {
+      child.kill();
+      await node.stop();
+      await watched.close();
+      await disk.free();
+      rmSync(dir, { recursive: true, force: true });
+    }
+  };
 
 export const socketSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
-  ['sockets', { about: 'hollow fronts in one process, one control in another, 16 servers, at rest', by: 'front', how: 'sockets', sizes: [10, 20, 40, 80], small: [], grown: 410, run: sockets(16) }],
-  ['sockets-servers', { about: 'servers before 10 hollow fronts, one control, at rest', by: 'server', how: 'sockets', sizes: [16, 64, 128, 256], small: [], grown: 3400, run: (n) => sockets(n)(10) }],
+  [
+    'sockets',
+    {
+      about: 'hollow fronts in one process, one control in another, 16 servers, at rest',
+      by: 'front',
+      how: 'sockets',
+      sizes: [10, 20, 40, 80],
+      small: [],
+      grown: 410,
+      run: sockets(16),
+    },
+  ],
+  [
+    'sockets-servers',
+    {
+      about: 'servers before 10 hollow fronts, one control, at rest',
+      by: 'server',
+      how: 'sockets',
+      sizes: [16, 64, 128, 256],
+      small: [],
+      grown: 3400,
+      run: (n) => sockets(n)(10),
+    },
+  ],
 ]);
--- a/packages/fleet/src/capacity-state.ts
+++ b/packages/fleet/src/capacity-state.ts
@@ -1,4 +1,14 @@
-import { allocate, checkConfig, ConfigRecord, digestOf, bootstrapState, reduce, weightKey, type Member, type State } from '@tillerstair/state';
+import {
+  allocate,
+  checkConfig,
+  ConfigRecord,
+  digestOf,
+  bootstrapState,
+  reduce,
+  weightKey,
+  type Member,
+  type State,
+} from '@tillerstair/state';
 import { configOf, serversOf } from './capacity-rig.js';
 
 export interface StateSizes {
@@ -14,15 +24,25 @@
 
 const peers = (kind: Member['kind'], net: number, count: number): readonly Member[] =>
   Array.from({ length: count }, (_, n) => ({
-    id: `${kind.charAt(0)}-${String(n).padStart(12, '0')}`, kind, addr: `10.${net}.${n >> 8}.${n & 255}:7400`, http: `10.${net}.${n >> 8}.${n & 255}:7500`,
-    zone: `zone-${n % 7}`, data: kind === 'front' ? `10.${net}.${n >> 8}.${n & 255}:7600` : '', name: '',
+    id: `${kind.charAt(0)}-${String(n).padStart(12, '0')}`,
+    kind,
+    addr: `10.${net}.${n >> 8}.${n & 255}:7400`,
+    http: `10.${net}.${n >> 8}.${n & 255}:7500`,
+    zone: `zone-${n % 7}`,
+    data: kind === 'front' ? `10.${net}.${n >> 8}.${n & 255}:7600` : '',
+    name: '',
   }));
 
 export const configured = (s: State, routes: number): State => {
   const text = configOf(s.config?.version ?? 0, routes);
   const { config } = checkConfig(text);
   if (!config) throw new Error('the configuration is refused');
-  const record = ConfigRecord.parse({ version: (s.config?.version ?? 0) + 1, text, digest: digestOf(text), compiled: JSON.stringify(config) });
+  const record = ConfigRecord.parse({
+    version: (s.config?.version ?? 0) + 1,
+    text,
+    digest: digestOf(text),
+    compiled: JSON.stringify(config),
+  });
   return reduce(s, { kind: 'config', record });
 };
 
@@ -31,7 +51,12 @@
   const all = [...controls, ...peers('store', 2, 15), ...peers('front', 3, z.fronts)];
   const bootstrapped = bootstrapState('cluster', controls, z.slots);
   const joined = all.reduce((s, member) => reduce(s, { kind: 'join', member }), bootstrapped);
-  const allotted = allocate(joined, { leastStores: 3, moves: z.slots, fills: z.slots, unresponsiveStores: new Set() });
+  const allotted = allocate(joined, {
+    leastStores: 3,
+    moves: z.slots,
+    fills: z.slots,
+    unresponsiveStores: new Set(),
+  });
   const servers = serversOf(z.servers);
   const served = { ...allotted, servers: new Map(servers.map((v) => [v.id, v])) };
   const weights = new Map(servers.map((v) => [weightKey(v.pool, v.id), 0.98]));
--- a/packages/fleet/src/capacity-work.ts
+++ b/packages/fleet/src/capacity-work.ts
@@ -2,9 +2,12 @@
 import type { ReplyRecord } from '@tillerstair/checker';
 import { of, Rig, rigSizes } from './capacity-rig.js';
 
-const itemsOf = (rig: Rig): number => rig.w.of('store').reduce((n, m) => n + (m.replicaStore?.counts().items ?? 0), 0);
-const diskOf = (rig: Rig): number => rig.w.of('store').reduce((n, m) => n + (m.replicaStore?.counts().bytes ?? 0), 0);
-const heldBy = (rig: Rig): number => rig.w.of('front').reduce((n, m) => n + (m.front?.owner.sizes().items ?? 0), 0);
+const itemsOf = (rig: Rig): number =>
+  rig.w.of('store').reduce((n, m) => n + (m.replicaStore?.counts().items ?? 0), 0);
+const diskOf = (rig: Rig): number =>
+  rig.w.of('store').reduce((n, m) => n + (m.replicaStore?.counts().bytes ?? 0), 0);
+const heldBy = (rig: Rig): number =>
+  rig.w.of('front').reduce((n, m) => n + (m.front?.owner.sizes().items ?? 0), 0);
 
 const counted = async (rig: Rig, work: () => Promise<void>): Promise<Values> => {
   const items = itemsOf(rig);
@@ -17,7 +20,13 @@
   return new Map([
     ['store/put messages', of(t.messages, 'kind store/put')],
     ['store/put bytes', of(t.bytes, 'kind store/put')],
-    ['bytes between fronts', ['program', 'turn', 'turn chunk', 'history', 'call'].reduce((n, k) => n + of(t.bytes, `kind front/${k}`), 0)],
+    [
+      'bytes between fronts',
+      ['program', 'turn', 'turn chunk', 'history', 'call'].reduce(
+        (n, k) => n + of(t.bytes, `kind front/${k}`),
+        0,
+      ),
+    ],
     ['items in all stores', itemsOf(rig) - items],
     ['journal bytes in all stores', diskOf(rig) - disk],
     ['items held by owners', heldBy(rig) - held],
@@ -35,7 +44,15 @@
     for (let n = 0; n < count; n++) {
       const p = await rig.w.clock.finish('program', rig.w.program(1000), 20000);
       check(p.reported);
-      check((await rig.w.clock.finish('turn', rig.w.turn(p.program, null, `words ${n}`, `k${n}`), 20000)).reported);
+      check(
+        (
+          await rig.w.clock.finish(
+            'turn',
+            rig.w.turn(p.program, null, `words ${n}`, `k${n}`),
+            20000,
+          )
+        ).reported,
+      );
     }
   });
 };
@@ -48,7 +65,11 @@
     let after: string | null = null;
     for (let n = 0; n < turns; n++) {
       const prior: string | null = after;
-      const t: ReplyRecord = await rig.w.clock.finish('turn', rig.w.turn(p.program, prior, `words ${n}`, `k${n}`), 20000);
+      const t: ReplyRecord = await rig.w.clock.finish(
+        'turn',
+        rig.w.turn(p.program, prior, `words ${n}`, `k${n}`),
+        20000,
+      );
       check(t.reported);
       after = t.turn;
     }
@@ -58,12 +79,48 @@
 const keys = async (count: number): Promise<Values> => {
   const rig = await raise();
   return counted(rig, async () => {
-    for (let n = 0; n < count; n++) check((await rig.w.clock.finish('call', rig.w.call(`key-${n}`, '/hold', { n }), 20000)).reported);
+    for (let n = 0; n < count; n++)
+      check(
+        (await rig.w.clock.finish('call', rig.w.call(`key-${n}`, '/hold', { n }), 20000)).reported,
+      );
   });
 };
 
 export const workSweeps: ReadonlyMap<string, Sweep> = new Map<string, Sweep>([
-  ['programs', { about: 'programs of one turn each, 4 fronts, 3 stores', by: 'program', how: 'simulated', sizes: [16, 32, 64, 128], small: [2, 4, 6, 8], grown: 420000, run: programs }],
-  ['history', { about: 'turns of 60 characters and 4 to 15 chunks in one program', by: 'turn', how: 'simulated', sizes: [10, 20, 40, 81], small: [2, 4, 6, 8], grown: 81, run: history }],
-  ['keys', { about: 'calls with an operation key each', by: 'key', how: 'simulated', sizes: [16, 32, 64, 128], small: [2, 4, 6, 8], grown: 4300, run: keys }],
+  [
+    'programs',
+    {
+      about: 'programs of one turn each, 4 fronts, 3 stores',
+      by: 'program',
+      how: 'simulated',
+      sizes: [16, 32, 64, 128],
+      small: [2, 4, 6, 8],
+      grown: 420000,
+      run: programs,
+    },
+  ],
+  [
+    'history',
+    {
+      about: 'turns of 60 characters and 4 to 15 chunks in one program',
+      by: 'turn',
+      how: 'simulated',
+      sizes: [10, 20, 40, 81],
+      small: [2, 4, 6, 8],
+      grown: 81,
+      run: history,
+    },
+  ],
+  [
+    'keys',
+    {
+      about: 'calls with an operation key each',
+      by: 'key',
+      how: 'simulated',
+      sizes: [16, 32, 64, 128],
+      small: [2, 4, 6, 8],
+      grown: 4300,
+      run: keys,
+    },
+  ],
 ]);
--- a/packages/fleet/src/configs.ts
+++ b/packages/fleet/src/configs.ts
@@ -12,17 +12,36 @@
 export const configFor = (house: House, shape: ConfigShape): string => {
   const pools = [
     ...[...new Set([house.modelPool, ...shape.turnPools])].map((name) => ({ name, kind: 'model' })),
-    ...[...new Set([house.servicePool, ...shape.callPools])].map((name) => ({ name, kind: 'service' })),
+    ...[...new Set([house.servicePool, ...shape.callPools])].map((name) => ({
+      name,
+      kind: 'service',
+    })),
   ];
   const routes = [
-    { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: shape.turnPools.map((pool) => ({ pool, share: 10 })) },
+    {
+      name: 'chat',
+      match: { kind: 'turn', path: '/chat' },
+      shares: shape.turnPools.map((pool) => ({ pool, share: 10 })),
+    },
     ...house.paths.map((path, i) => ({
-      name: `act-${i}`, match: { kind: 'call', path }, acting: true, urgent: i === 0, shares: shape.callPools.map((pool) => ({ pool, share: 10 })),
+      name: `act-${i}`,
+      match: { kind: 'call', path },
+      acting: true,
+      urgent: i === 0,
+      shares: shape.callPools.map((pool) => ({ pool, share: 10 })),
     })),
     ...Array.from({ length: shape.extraRoutes }, (_, i) => ({
-      name: `extra-${i}`, match: { kind: 'call', path: `/extra/${i}` }, shares: shape.callPools.map((pool) => ({ pool, share: 1 })),
+      name: `extra-${i}`,
+      match: { kind: 'call', path: `/extra/${i}` },
+      shares: shape.callPools.map((pool) => ({ pool, share: 1 })),
     })),
   ];
-  const file = { base: shape.base, pools, routes, tuning: shape.tuning ?? true, budgets: { program: 100000, turn: 64 } };
+  const file = {
+    base: shape.base,
+    pools,
+    routes,
+    tuning: shape.tuning ?? true,
+    budgets: { program: 100000, turn: 64 },
+  };
   return `# ${shape.note}\n${JSON.stringify(file, null, 1)}\n`;
 };
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -26,7 +26,11 @@
   readonly more?: object;
 }
 
-export const until = async (what: string, within: number, ready: () => Promise<boolean>): Promise<number> => {
+export const until = async (
+  what: string,
+  within: number,
+  ready: () => Promise<boolean>,
+): Promise<number> => {
   const t0 = Date.now();
   for (;;) {
     if (await ready()) return Date.now() - t0;
@@ -69,13 +73,24 @@
     for (let n = 0; n < house.models; n++) {
       const old = n % 4 === 3 ? 3 : 1;
       const spec = {
-        id: `${house.name}-model-${n}`, pool: poolOf(house.modelPool, n), addr: `127.0.0.1:${servers[n] ?? 0}`,
-        prefillMsPerKb: 6 * old, msPerToken: house.msPerToken * old, slots: 8, cacheKb: 2048,
+        id: `${house.name}-model-${n}`,
+        pool: poolOf(house.modelPool, n),
+        addr: `127.0.0.1:${servers[n] ?? 0}`,
+        prefillMsPerKb: 6 * old,
+        msPerToken: house.msPerToken * old,
+        slots: 8,
+        cacheKb: 2048,
       };
       this.models.push(new ModelServer(spec, this.ledger));
     }
     for (let n = 0; n < house.services; n++) {
-      const spec = { id: `${house.name}-service-${n}`, pool: poolOf(house.servicePool, n), addr: `127.0.0.1:${servers[house.models + n] ?? 0}`, leastMs: 10, mostMs: 40 };
+      const spec = {
+        id: `${house.name}-service-${n}`,
+        pool: poolOf(house.servicePool, n),
+        addr: `127.0.0.1:${servers[house.models + n] ?? 0}`,
+        leastMs: 10,
+        mostMs: 40,
+      };
       this.services.push(new ServiceServer(spec, this.ledger));
     }
     await Promise.all([...this.models, ...this.services].map((s) => s.start()));
@@ -97,16 +112,44 @@
     if (this.spec.cuts) await this.relay.serve(addr, at(p1));
     const make = (): Machine => {
       if (kind !== 'front') {
-        const settings = { ...common, ...via, addr, http: at(p2), seeds: this.seeds, data: join(dir, 'data') };
-        return { kind, n, addr, http: at(p2), extra: [], procs: [new Proc(name, `${kind}-node`, settings, dir)] };
+        const settings = {
+          ...common,
+          ...via,
+          addr,
+          http: at(p2),
+          seeds: this.seeds,
+          data: join(dir, 'data'),
+        };
+        return {
+          kind,
+          n,
+          addr,
+          http: at(p2),
+          extra: [],
+          procs: [new Proc(name, `${kind}-node`, settings, dir)],
+        };
       }
       const data = at(p3);
       const dataVia = this.spec.cuts ? { listen: at(p6) } : {};
-      const proxy = { ...common, ...dataVia, addr: data, feed: at(p4), http: at(p2), affinity: this.spec.affinity };
+      const proxy = {
+        ...common,
+        ...dataVia,
+        addr: data,
+        feed: at(p4),
+        http: at(p2),
+        affinity: this.spec.affinity,
+      };
       const agent = { ...common, ...via, addr, proxy: at(p4), http: at(p5), seeds: this.seeds };
       return {
-        kind, n, addr, http: at(p2), extra: [data],
-        procs: [new Proc(`${name}-proxy`, 'front-proxy', proxy, join(dir, 'proxy')), new Proc(`${name}-agent`, 'front-agent', agent, join(dir, 'agent'))],
+        kind,
+        n,
+        addr,
+        http: at(p2),
+        extra: [data],
+        procs: [
+          new Proc(`${name}-proxy`, 'front-proxy', proxy, join(dir, 'proxy')),
+          new Proc(`${name}-agent`, 'front-agent', agent, join(dir, 'agent')),
+        ],
       };
     };
     if (this.spec.cuts && kind === 'front') await this.relay.serve(at(p3), at(p6));
@@ -119,7 +162,10 @@
     for (const m of machines) for (const p of m.procs) p.start();
   }
 
-  async stop(machines: readonly Machine[] = this.made, how: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+  async stop(
+    machines: readonly Machine[] = this.made,
+    how: NodeJS.Signals = 'SIGKILL',
+  ): Promise<void> {
     await Promise.all(machines.flatMap((m) => m.procs.map((p) => p.end(how))));
   }
 
@@ -129,12 +175,17 @@
   }
 
   async register(): Promise<void> {
-    for (const s of [...this.models, ...this.services]) await this.registerOne(s.spec.id, s.spec.pool, s.spec.addr);
+    for (const s of [...this.models, ...this.services])
+      await this.registerOne(s.spec.id, s.spec.pool, s.spec.addr);
   }
 
   async registerOne(id: string, pool: string, addr: string): Promise<void> {
     await until(`registering ${id}`, 15000, async () => {
-      const r = await this.operator.any('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: `http://${addr}` }));
+      const r = await this.operator.any(
+        'PUT',
+        `/v1/servers/${id}`,
+        JSON.stringify({ pool, url: `http://${addr}` }),
+      );
       return r.status === 200;
     });
   }
@@ -150,7 +201,9 @@
   }
 
   async ready(kind: Machine['kind']): Promise<boolean> {
-    const all = await Promise.all(this.of(kind).map((m) => ask('GET', `http://${m.http}/ready`, '', 500)));
+    const all = await Promise.all(
+      this.of(kind).map((m) => ask('GET', `http://${m.http}/ready`, '', 500)),
+    );
     return all.every((r) => r.status === 200);
   }
 
--- a/packages/fleet/src/layout.ts
+++ b/packages/fleet/src/layout.ts
@@ -11,12 +11,22 @@
 }
 
 export const seoul: House = {
-  name: 'seoul', modelPool: 'seoul-models', servicePool: 'shop', models: 13, services: 3, msPerToken: 4,
+  name: 'seoul',
+  modelPool: 'seoul-models',
+  servicePool: 'shop',
+  models: 13,
+  services: 3,
+  msPerToken: 4,
   paths: ['/shop/stock/hold', '/shop/delivery/book', '/shop/catalogue/update'],
 };
 
 export const norway: House = {
-  name: 'norway', modelPool: 'norway-models', servicePool: 'notices', models: 6, services: 3, msPerToken: 2,
+  name: 'norway',
+  modelPool: 'norway-models',
+  servicePool: 'notices',
+  models: 6,
+  services: 3,
+  msPerToken: 2,
   paths: ['/notices/shift/approve', '/notices/payroll/remind', '/notices/safety/sign-off'],
 };
 
--- a/packages/fleet/src/main.ts
+++ b/packages/fleet/src/main.ts
@@ -36,8 +36,14 @@
 
 const choicesOf = (o: ReadonlyMap<string, unknown>, seconds: number): Choices => {
   const findings: string[] = [];
-  const house = new Map([['seoul', seoul], ['norway', norway]]).get(String(o.get('house') ?? 'seoul'));
-  const sizes = new Map([['full', fullSizes], ['small', smallSizes]]).get(String(o.get('sizes') ?? 'full'));
+  const house = new Map([
+    ['seoul', seoul],
+    ['norway', norway],
+  ]).get(String(o.get('house') ?? 'seoul'));
+  const sizes = new Map([
+    ['full', fullSizes],
+    ['small', smallSizes],
+  ]).get(String(o.get('sizes') ?? 'full'));
   if (!house) findings.push('--house: must be seoul or norway');
   if (!sizes) findings.push('--sizes: must be full or small');
   const seed = numberOf('seed', o.get('seed'), 1, findings);
@@ -45,25 +51,51 @@
   const rate = numberOf('rate', o.get('rate'), 12, findings);
   if (findings.length > 0 || !house || !sizes) throw new BadChoice(findings.join('\n'));
   const dir = String(o.get('dir') ?? join(tmpdir(), `tillerstair-fleet-${process.pid}`));
-  return { house, sizes, seed, seconds: long, dir, affinity: o.get('affinity') !== false, rate, tuning: o.get('tuning') !== false };
+  return {
+    house,
+    sizes,
+    seed,
+    seconds: long,
+    dir,
+    affinity: o.get('affinity') !== false,
+    rate,
+    tuning: o.get('tuning') !== false,
+  };
 };
 
 const middle = (xs: readonly number[], q: number): number => xs[Math.floor(xs.length * q)] ?? 0;
 
-const always = ['runs twice', 'both run', 'foreign', 'reported missing', 'skips', 'never allowed', 'read-back'];
+const always = [
+  'runs twice',
+  'both run',
+  'foreign',
+  'reported missing',
+  'skips',
+  'never allowed',
+  'read-back',
+];
 
 const print = (r: RunResult, aims: readonly string[]): boolean => {
   for (const n of r.notes) console.log(`  ${n}`);
-  console.log(`  told: ${[...r.counts].sort().map(([k, n]) => `${k} ${n}`).join(', ')}`);
+  console.log(
+    `  told: ${[...r.counts]
+      .sort()
+      .map(([k, n]) => `${k} ${n}`)
+      .join(', ')}`,
+  );
   const why = [...countRefusals(r.records.reported)].sort().map(([k, n]) => `${k} ${n}`);
   if (why.length > 0) console.log(`  not done: ${why.join(', ')}`);
-  console.log(`  prefix hit share ${r.prefixShare.toFixed(3)}, first chunk median ${middle(r.firstChunkMs, 0.5)} ms, 99th ${middle(r.firstChunkMs, 0.99)} ms`);
+  console.log(
+    `  prefix hit share ${r.prefixShare.toFixed(3)}, first chunk median ${middle(r.firstChunkMs, 0.5)} ms, 99th ${middle(r.firstChunkMs, 0.99)} ms`,
+  );
   for (const v of r.results) {
     const state = v.breaches.length > 0 ? 'BREACHED' : v.checked === 0 ? 'unproven' : 'kept';
     console.log(`  ${state.padEnd(9)} ${v.rule} (${v.checked} checked)`);
     for (const b of v.breaches.slice(0, 10)) console.log(`            ${b}`);
   }
-  const empty = [...always, ...aims].filter((a) => !r.results.some((v) => v.rule.includes(a) && v.checked > 0));
+  const empty = [...always, ...aims].filter(
+    (a) => !r.results.some((v) => v.rule.includes(a) && v.checked > 0),
+  );
   for (const a of empty) console.log(`  UNPROVEN  the rule this scenario is for: ${a}`);
   return empty.length === 0 && r.results.every((v) => v.breaches.length === 0);
 };
@@ -71,10 +103,17 @@
 const runOne = async (name: string, c: Choices, json: unknown): Promise<boolean> => {
   const s = scenarios.get(name);
   if (!s) throw new BadChoice(`no scenario ${name}; see fleet list`);
-  const run = new Run({ ...c, cuts: s.cuts, log: 'info', chatsPerSecond: c.rate, operator: s.still !== true && name !== 'calm' });
+  const run = new Run({
+    ...c,
+    cuts: s.cuts,
+    log: 'info',
+    chatsPerSecond: c.rate,
+    operator: s.still !== true && name !== 'calm',
+  });
   console.log(`${name}, ${c.house.name}, seed ${c.seed}: ${s.about}`);
   const result = await run.go((r) => s.during(r));
-  if (typeof json === 'string') writeFileSync(json, JSON.stringify({ ...result, counts: [...result.counts] }));
+  if (typeof json === 'string')
+    writeFileSync(json, JSON.stringify({ ...result, counts: [...result.counts] }));
   return print(result, s.aims ?? []);
 };
 
@@ -108,13 +147,26 @@
 });
 shared(cli.command('run <scenario>', 'Run a scenario on a whole fleet and check the never-list'))
   .option('--json <file>', 'Write all records to a file')
-  .action((name: string, o: object) => guarded(() => runOne(name, choicesOf(opts(o), scenarios.get(name)?.seconds ?? 10), opts(o).get('json'))));
+  .action((name: string, o: object) =>
+    guarded(() =>
+      runOne(name, choicesOf(opts(o), scenarios.get(name)?.seconds ?? 10), opts(o).get('json')),
+    ),
+  );
 shared(cli.command('all', 'Run every scenario')).action((o: object) =>
   guarded(async () => {
     const bad: string[] = [];
     for (const [name, s] of scenarios)
-      if (!(await runOne(name, choicesOf(opts(o), s.seconds), undefined).catch((e: unknown) => (console.log(`  failed: ${String(e)}`), false)))) bad.push(name);
-    console.log(bad.length === 0 ? 'every scenario kept the never-list' : `breached or failed: ${bad.join(', ')}`);
+      if (
+        !(await runOne(name, choicesOf(opts(o), s.seconds), undefined).catch(
+          (e: unknown) => (console.log(`  failed: ${String(e)}`), false),
+        ))
+      )
+        bad.push(name);
+    console.log(
+      bad.length === 0
+        ? 'every scenario kept the never-list'
+        : `breached or failed: ${bad.join(', ')}`,
+    );
     return bad.length === 0;
   }),
 );
@@ -134,8 +186,16 @@
       const num = (name: string, def: number): number => numberOf(name, m.get(name), def, findings);
       const names = m.get('faults');
       const kinds = typeof names === 'string' ? names.split(',') : faultKinds;
-      for (const k of kinds) if (!faultKinds.includes(k)) findings.push(`--faults: no kind ${k}; there are ${faultKinds.join(', ')}`);
-      const c = { from: num('from', 1), count: num('count', 100), ms: num('ms', 40000), kinds, cut: m.get('cut') === true };
+      for (const k of kinds)
+        if (!faultKinds.includes(k))
+          findings.push(`--faults: no kind ${k}; there are ${faultKinds.join(', ')}`);
+      const c = {
+        from: num('from', 1),
+        count: num('count', 100),
+        ms: num('ms', 40000),
+        kinds,
+        cut: m.get('cut') === true,
+      };
       const jobs = Math.max(1, num('jobs', 6));
       const every = num('every', 0);
       if (findings.length > 0) throw new BadChoice(findings.join('\n'));
@@ -147,7 +207,10 @@
     }),
   );
 cli
-  .command('model', 'Run the model test of the controls: random requests and troubles, each statement checked')
+  .command(
+    'model',
+    'Run the model test of the controls: random requests and troubles, each statement checked',
+  )
   .option('--runs <n>', 'How many runs', { default: 1000 })
   .option('--seed <n>', 'Seed of the first batch of runs', { default: 1 })
   .option('--longest <n>', 'The longest run, in actions', { default: 40 })
@@ -158,15 +221,24 @@
       const findings: string[] = [];
       const num = (name: string, def: number): number => numberOf(name, m.get(name), def, findings);
       const names = m.get('except');
-      const except = typeof names === 'string' ? modelRules.filter((r) => names.split(',').includes(r)) : [];
-      const choice = { runs: num('runs', 1000), seed: num('seed', 1), longest: num('longest', 40), except };
+      const except =
+        typeof names === 'string' ? modelRules.filter((r) => names.split(',').includes(r)) : [];
+      const choice = {
+        runs: num('runs', 1000),
+        seed: num('seed', 1),
+        longest: num('longest', 40),
+        except,
+      };
       if (findings.length > 0) throw new BadChoice(findings.join('\n'));
       return modelRuns(choice, (line) => console.log(line));
     }),
   );
 cli
-  .command('capacity <sweep>', 'Sweep one count and fit what it costs; `list` names the sweeps, `all` runs each')
-  .option('--sizes <n,n,…>', 'Other sizes than the sweep\'s own')
+  .command(
+    'capacity <sweep>',
+    'Sweep one count and fit what it costs; `list` names the sweeps, `all` runs each',
+  )
+  .option('--sizes <n,n,…>', "Other sizes than the sweep's own")
   .option('--out <folder>', 'Write <sweep>.json and <sweep>.svg there')
   .action((name: string, o: object) =>
     guarded(async () => {
@@ -176,10 +248,17 @@
       const names = name === 'list' ? [] : name === 'all' ? [...sweeps.keys()] : [name];
       const findings: string[] = [];
       const text = m.get('sizes');
-      const sizes = text === undefined ? [] : String(text).split(',').map((v) => numberOf('sizes', v, 0, findings));
-      if (!names.every((n) => sweeps.has(n))) findings.push(`no sweep ${name}; see fleet capacity list`);
+      const sizes =
+        text === undefined
+          ? []
+          : String(text)
+              .split(',')
+              .map((v) => numberOf('sizes', v, 0, findings));
+      if (!names.every((n) => sweeps.has(n)))
+        findings.push(`no sweep ${name}; see fleet capacity list`);
       if (findings.length > 0) throw new BadChoice(findings.join('\n'));
-      for (const n of names) await runSweep({ name: n, sizes, out: String(m.get('out') ?? '') }, say);
+      for (const n of names)
+        await runSweep({ name: n, sizes, out: String(m.get('out') ?? '') }, say);
       return true;
     }),
   );
@@ -198,7 +277,8 @@
     const run = new Run({ ...c, cuts: false, log: 'info', chatsPerSecond: 1 });
     const ms = await run.bringUp();
     console.log(`serving after ${ms} ms`);
-    for (const kind of ['control', 'store', 'front'] as const) for (const m of run.fleet.of(kind)) console.log(`${kind}-${m.n} ${m.addr} http ${m.http}`);
+    for (const kind of ['control', 'store', 'front'] as const)
+      for (const m of run.fleet.of(kind)) console.log(`${kind}-${m.n} ${m.addr} http ${m.http}`);
     console.log('ready');
     await new Promise<void>((done) => {
       process.once('SIGINT', done);
--- a/packages/fleet/src/model.ts
+++ b/packages/fleet/src/model.ts
@@ -4,7 +4,10 @@
 const batchSize = 100;
 
 /** Makes all runs of a choice, goes on after a failing one, and returns whether none failed. */
-export const modelRuns = async (choice: ModelChoice, say: (line: string) => void): Promise<boolean> => {
+export const modelRuns = async (
+  choice: ModelChoice,
+  say: (line: string) => void,
+): Promise<boolean> => {
   let made = 0;
   let checked = 0;
   let failed = 0;
--- a/packages/fleet/src/operator.ts
+++ b/packages/fleet/src/operator.ts
@@ -8,10 +8,18 @@
 
 const agent = new Agent({ connections: 16, connect: { timeout: 1000 } });
 
-export const ask = async (method: 'GET' | 'PUT' | 'POST' | 'DELETE', url: string, body = '', within = 15000): Promise<Reply> => {
+export const ask = async (
+  method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+  url: string,
+  body = '',
+  within = 15000,
+): Promise<Reply> => {
   try {
     const res = await request(url, {
-      method, dispatcher: agent, body: method === 'GET' ? null : body, signal: AbortSignal.timeout(within),
+      method,
+      dispatcher: agent,
+      body: method === 'GET' ? null : body,
+      signal: AbortSignal.timeout(within),
     });
     const text = await res.body.text();
     const parsed: unknown = text === '' ? null : JSON.parse(text);
--- a/packages/fleet/src/proc.ts
+++ b/packages/fleet/src/proc.ts
@@ -11,7 +11,10 @@
     ['store-node', 'store'],
     ['front-proxy', 'proxy'],
     ['front-agent', 'agent'],
-  ].map(([name = '', pkg = '']) => [name, join(dirname(require.resolve(`@tillerstair/${pkg}`)), 'main.js')]),
+  ].map(([name = '', pkg = '']) => [
+    name,
+    join(dirname(require.resolve(`@tillerstair/${pkg}`)), 'main.js'),
+  ]),
 );
 
 export class Proc {
@@ -26,7 +29,9 @@
   ) {}
 
   get running(): boolean {
-    return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+    return (
+      this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null
+    );
   }
 
   start(): void {
@@ -37,7 +42,11 @@
     const log = openSync(join(this.dir, 'log'), 'a');
     const main = programs.get(this.program);
     if (main === undefined) throw new Error(`no program ${this.program}`);
-    this.child = spawn(process.execPath, ['--max-semi-space-size=8', main, '--settings', settings], { stdio: ['ignore', log, log] });
+    this.child = spawn(
+      process.execPath,
+      ['--max-semi-space-size=8', main, '--settings', settings],
+      { stdio: ['ignore', log, log] },
+    );
     closeSync(log);
     this.frozen = false;
   }
--- a/packages/fleet/src/relay.ts
+++ b/packages/fleet/src/relay.ts
@@ -54,7 +54,8 @@
       if (nl < 0) return;
       near.off('data', onHead);
       const hello: unknown = JSON.parse(head.toString('utf8', 0, nl));
-      const from = hello !== null && typeof hello === 'object' && 'hello' in hello ? String(hello.hello) : '';
+      const from =
+        hello !== null && typeof hello === 'object' && 'hello' in hello ? String(hello.hello) : '';
       const far = connect(splitAddr(listen));
       far.setNoDelay(true);
       const pair: Pair = { from, to, near, far };
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -1,4 +1,14 @@
-import { checkRecords, countReported, noRecords, type ConfigRecord, type DrainingRecord, type Records, type RestartRecord, type RuleResult, type SharesRecord } from '@tillerstair/checker';
+import {
+  checkRecords,
+  countReported,
+  noRecords,
+  type ConfigRecord,
+  type DrainingRecord,
+  type Records,
+  type RestartRecord,
+  type RuleResult,
+  type SharesRecord,
+} from '@tillerstair/checker';
 import { z } from 'zod';
 import { configFor } from './configs.js';
 import { Fleet, until, type FleetSpec } from './fleet.js';
@@ -42,7 +52,11 @@
     this.fleet = new Fleet(spec);
     this.rng = seeded(spec.seed);
     this.traffic = new Traffic({
-      house: spec.house, seed: spec.seed, chatsPerSecond: spec.chatsPerSecond, longChats: 5, fronts: () => this.fleet.fronts,
+      house: spec.house,
+      seed: spec.seed,
+      chatsPerSecond: spec.chatsPerSecond,
+      longChats: 5,
+      fronts: () => this.fleet.fronts,
     });
   }
 
@@ -64,11 +78,30 @@
     const [a = '', b = ''] = both(house.modelPool);
     const turnPools = [[a, b], [a], [b]][base % 3] ?? [a];
     const callPools = base % 2 === 0 ? both(house.servicePool) : [poolOf(house.servicePool, 0)];
-    const text = configFor(house, { base, turnPools, callPools, extraRoutes: this.extra, note: `version ${base + 1} by ${this.rng()}`, tuning: this.spec.tuning ?? true });
-    const row: ConfigRecord = { version: base + 1, text, turnPools, callPools, sentAt: Date.now(), reported: 'unknown', reportedAt: Infinity };
+    const text = configFor(house, {
+      base,
+      turnPools,
+      callPools,
+      extraRoutes: this.extra,
+      note: `version ${base + 1} by ${this.rng()}`,
+      tuning: this.spec.tuning ?? true,
+    });
+    const row: ConfigRecord = {
+      version: base + 1,
+      text,
+      turnPools,
+      callPools,
+      sentAt: Date.now(),
+      reported: 'unknown',
+      reportedAt: Infinity,
+    };
     const n = this.configs.push(row) - 1;
-    const r = at === undefined ? await this.fleet.operator.any('PUT', '/v1/config', text) : await ask('PUT', `http://${at}/v1/config`, text);
-    const reported = r.status === 200 ? 'done' : r.status === 0 || r.status === 504 ? 'unknown' : 'refused';
+    const r =
+      at === undefined
+        ? await this.fleet.operator.any('PUT', '/v1/config', text)
+        : await ask('PUT', `http://${at}/v1/config`, text);
+    const reported =
+      r.status === 200 ? 'done' : r.status === 0 || r.status === 504 ? 'unknown' : 'refused';
     this.configs[n] = { ...row, reported, reportedAt: Date.now() };
     const current = Current.safeParse(r.body);
     if (reported === 'done') this.version = Math.max(this.version, base + 1);
@@ -97,7 +130,11 @@
 
   async serving(within: number): Promise<number> {
     const { fleet } = this;
-    return until('serving', within, async () => (await fleet.ready('front')) && (await this.probe()));
+    return until(
+      'serving',
+      within,
+      async () => (await fleet.ready('front')) && (await this.probe()),
+    );
   }
 
   private async probe(): Promise<boolean> {
@@ -110,7 +147,11 @@
     const t0 = Date.now();
     await this.fleet.build();
     this.fleet.start();
-    await until('a master', 30000, async () => (await this.fleet.operator.any('GET', '/v1/status')).status === 200);
+    await until(
+      'a master',
+      30000,
+      async () => (await this.fleet.operator.any('GET', '/v1/status')).status === 200,
+    );
     await until('the first configuration', 20000, async () => (await this.put(0)) === 200);
     await this.fleet.register();
     await this.serving(30000);
@@ -133,15 +174,29 @@
         return readBack !== undefined;
       });
       const records: Records = {
-        ...noRecords, reported: this.traffic.reported, executed: this.fleet.ledger.all(), configs: this.configs, drainings: this.drainings,
-        restarts: this.restarts, shares: this.shares, readBack, perTurn: 64,
+        ...noRecords,
+        reported: this.traffic.reported,
+        executed: this.fleet.ledger.all(),
+        configs: this.configs,
+        drainings: this.drainings,
+        restarts: this.restarts,
+        shares: this.shares,
+        readBack,
+        perTurn: 64,
       };
       const turns = this.fleet.ledger.all().filter((r) => r.kind === 'generate');
       const prompt = turns.reduce((n, r) => n + r.prompt, 0);
       return {
-        records, results: checkRecords(records), counts: countReported(this.traffic.reported), servingAfterMs, notes: this.notes,
+        records,
+        results: checkRecords(records),
+        counts: countReported(this.traffic.reported),
+        servingAfterMs,
+        notes: this.notes,
         prefixShare: prompt === 0 ? 0 : turns.reduce((n, r) => n + r.cached, 0) / prompt,
-        firstChunkMs: this.traffic.reported.filter((t) => t.kind === 'turn' && t.reported === 'done').map((t) => t.firstMs).sort((a, b) => a - b),
+        firstChunkMs: this.traffic.reported
+          .filter((t) => t.kind === 'turn' && t.reported === 'done')
+          .map((t) => t.firstMs)
+          .sort((a, b) => a - b),
       };
     } finally {
       await this.fleet.close();
--- a/packages/fleet/src/storms.ts
+++ b/packages/fleet/src/storms.ts
@@ -22,46 +22,102 @@
 }
 
 const Row = z.object({
-  seed: z.number(), breach: z.string(), log: z.array(z.string()), few: z.array(z.string()), struck: z.array(z.string()), checked: z.array(z.tuple([z.string(), z.number()])),
+  seed: z.number(),
+  breach: z.string(),
+  log: z.array(z.string()),
+  few: z.array(z.string()),
+  struck: z.array(z.string()),
+  checked: z.array(z.tuple([z.string(), z.number()])),
 });
 
-export const stormOnce = async (seed: number, ms: number, plan: readonly Planned[]): Promise<StormResult> => {
-  const storm = new Storm({ seed, sizes: deploymentOf(seed), ms, plan, chats: seed % 10 === 0 ? 80 : 40 });
+export const stormOnce = async (
+  seed: number,
+  ms: number,
+  plan: readonly Planned[],
+): Promise<StormResult> => {
+  const storm = new Storm({
+    seed,
+    sizes: deploymentOf(seed),
+    ms,
+    plan,
+    chats: seed % 10 === 0 ? 80 : 40,
+  });
   try {
     const results = checkRecords(await storm.run());
-    const breach = results.flatMap((v) => v.breaches.map((b) => `${v.rule}: ${b}`)).slice(0, 3).join('; ');
-    return { seed, breach, log: storm.log, checked: new Map(results.map((v) => [v.rule, v.checked])), struck: [...storm.struck] };
+    const breach = results
+      .flatMap((v) => v.breaches.map((b) => `${v.rule}: ${b}`))
+      .slice(0, 3)
+      .join('; ');
+    return {
+      seed,
+      breach,
+      log: storm.log,
+      checked: new Map(results.map((v) => [v.rule, v.checked])),
+      struck: [...storm.struck],
+    };
   } catch (e) {
-    return { seed, breach: e instanceof Error ? e.message : String(e), log: storm.log, checked: new Map(), struck: [] };
+    return {
+      seed,
+      breach: e instanceof Error ? e.message : String(e),
+      log: storm.log,
+      checked: new Map(),
+      struck: [],
+    };
   }
 };
 
-export const cutDown = async (seed: number, ms: number, plan: readonly Planned[]): Promise<readonly Planned[]> => {
+export const cutDown = async (
+  seed: number,
+  ms: number,
+  plan: readonly Planned[],
+): Promise<readonly Planned[]> => {
   let left = plan;
-  for (let size = Math.ceil(left.length / 2); size >= 1; size = size === 1 ? 0 : Math.ceil(size / 2)) {
-    for (let i = 0; i < left.length; ) {
+  for (
+    let size = Math.ceil(left.length / 2);
+    size >= 1;
+    size = size === 1 ? 0 : Math.ceil(size / 2)
+  ) {
+    for (let i = 0; i < left.length;) {
       const out = left.slice(i, i + size).reduce((n, p) => n + p.gap, 0);
       const rest = left.slice(i + size).map((p, k) => (k === 0 ? { ...p, gap: p.gap + out } : p));
       const fewer = [...left.slice(0, i), ...rest];
-      if (fewer.length < left.length && (await stormOnce(seed, ms, fewer)).breach !== '') left = fewer;
+      if (fewer.length < left.length && (await stormOnce(seed, ms, fewer)).breach !== '')
+        left = fewer;
       else i += size;
     }
   }
   return left;
 };
 
-export const stormSeeds = async (c: StormChoice, every: number, say: (line: string) => void): Promise<void> => {
+export const stormSeeds = async (
+  c: StormChoice,
+  every: number,
+  say: (line: string) => void,
+): Promise<void> => {
   for (let seed = c.from; seed < c.from + c.count; seed += every) {
     const plan = planOf(seed, c.ms, c.kinds);
     const v = await stormOnce(seed, c.ms, plan);
     const few = v.breach !== '' && c.cut ? await cutDown(seed, c.ms, plan) : [];
-    say(JSON.stringify({ seed, breach: v.breach, log: v.breach === '' ? [] : v.log, few: few.map((p) => `${p.n}:${p.fault}`), struck: v.struck, checked: [...v.checked] }));
+    say(
+      JSON.stringify({
+        seed,
+        breach: v.breach,
+        log: v.breach === '' ? [] : v.log,
+        few: few.map((p) => `${p.n}:${p.fault}`),
+        struck: v.struck,
+        checked: [...v.checked],
+      }),
+    );
   }
 };
 
 const main = fileURLToPath(new URL('main.js', import.meta.url));
 
-export const stormsInParallel = async (c: StormChoice, jobs: number, say: (line: string) => void): Promise<boolean> => {
+export const stormsInParallel = async (
+  c: StormChoice,
+  jobs: number,
+  say: (line: string) => void,
+): Promise<boolean> => {
   const checked = new Map<string, number>();
   const struck = new Map<string, number>();
   let kept = 0;
@@ -69,8 +125,23 @@
   await Promise.all(
     Array.from({ length: jobs }, (_, k) => {
       if (k >= c.count) return Promise.resolve();
-      const args = [main, 'storms', '--from', String(c.from + k), '--count', String(c.count - k), '--ms', String(c.ms), '--faults', c.kinds.join(','), '--every', String(jobs)];
-      const child = spawn(process.execPath, [...args, ...(c.cut ? ['--cut'] : [])], { stdio: ['ignore', 'pipe', 'inherit'] });
+      const args = [
+        main,
+        'storms',
+        '--from',
+        String(c.from + k),
+        '--count',
+        String(c.count - k),
+        '--ms',
+        String(c.ms),
+        '--faults',
+        c.kinds.join(','),
+        '--every',
+        String(jobs),
+      ];
+      const child = spawn(process.execPath, [...args, ...(c.cut ? ['--cut'] : [])], {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      });
       child.stdout.pipe(split2()).on('data', (line: string) => {
         const v = Row.parse(JSON.parse(line));
         for (const [r, n] of v.checked) checked.set(r, (checked.get(r) ?? 0) + n);
@@ -80,7 +151,9 @@
           return;
         }
         broken++;
-        say(`seed ${v.seed}: ${v.breach}\n  ${v.log.join(' | ')}${v.few.length > 0 ? `\n  what matters: ${v.few.join(', ')}` : ''}`);
+        say(
+          `seed ${v.seed}: ${v.breach}\n  ${v.log.join(' | ')}${v.few.length > 0 ? `\n  what matters: ${v.few.join(', ')}` : ''}`,
+        );
       });
       return new Promise<void>((done) => {
         child.on('close', (code) => {
--- a/packages/fleet/src/traffic.ts
+++ b/packages/fleet/src/traffic.ts
@@ -35,10 +35,14 @@
     return new Caller(`${this.spec.house.name}-${n % 7}`, (t) => this.reported.push(t));
   }
 
-  private async again(once: (n: number) => Promise<CallerRecord>, tries: number): Promise<CallerRecord> {
+  private async again(
+    once: (n: number) => Promise<CallerRecord>,
+    tries: number,
+  ): Promise<CallerRecord> {
     for (let n = 1; ; n++) {
       const t = await once(n);
-      if (t.reported === 'done' || t.reported === 'partial' || n >= tries || this.stopping) return t;
+      if (t.reported === 'done' || t.reported === 'partial' || n >= tries || this.stopping)
+        return t;
       if (t.reported === 'refused' && ![0, 429, 503].includes(t.status)) return t;
       await wait(Math.min(1000, t.retryAfter * 1000 || 200) * (0.5 + this.rng()));
     }
@@ -61,7 +65,10 @@
       const key = `t${this.spec.seed}-${n}-${i}`;
       const words = this.words(n, i, key);
       const parent: string | null = after;
-      const t: CallerRecord = await this.again(() => c.turn(this.front(), program, parent, words, key), 5);
+      const t: CallerRecord = await this.again(
+        () => c.turn(this.front(), program, parent, words, key),
+        5,
+      );
       if (t.reported === 'done') {
         after = t.turn;
         ended.push({ program, turn: t.turn });
@@ -82,7 +89,8 @@
       }
       await wait(20 + this.rng() * 150);
     }
-    for (const e of ended.slice(-2)) await this.again(() => c.fetch(this.front(), e.program, e.turn), 4);
+    for (const e of ended.slice(-2))
+      await this.again(() => c.fetch(this.front(), e.program, e.turn), 4);
   }
 
   begin(turns: number): void {
--- a/packages/proxy/src/connections.ts
+++ b/packages/proxy/src/connections.ts
@@ -35,7 +35,12 @@
       callback(null, socket);
     });
   return new Agent({
-    connect, pipelining: 1, keepAliveTimeout: idleUnsaid, keepAliveTimeoutThreshold: idleMargin, keepAliveMaxTimeout: idleMost,
-    factory: (origin, options) => new Pool(origin, { ...options, connections: bounds.connections(String(origin)) }),
+    connect,
+    pipelining: 1,
+    keepAliveTimeout: idleUnsaid,
+    keepAliveTimeoutThreshold: idleMargin,
+    keepAliveMaxTimeout: idleMost,
+    factory: (origin, options) =>
+      new Pool(origin, { ...options, connections: bounds.connections(String(origin)) }),
   });
 };
--- a/packages/proxy/src/departure.ts
+++ b/packages/proxy/src/departure.ts
@@ -27,7 +27,8 @@
         this.leave();
         inner.onConnect?.(abort);
       },
-      onHeaders: (status, headers, resume, text) => inner.onHeaders?.(status, headers, resume, text) ?? true,
+      onHeaders: (status, headers, resume, text) =>
+        inner.onHeaders?.(status, headers, resume, text) ?? true,
       onData: (chunk) => inner.onData?.(chunk) ?? true,
       onComplete: (trailers) => inner.onComplete?.(trailers),
       onError: (error) => inner.onError?.(error),
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -1,9 +1,35 @@
 import { z } from 'zod';
-import { nodeViewOf, Entries, versionOf, newer, unflatten, type NodeView, type State } from '@tillerstair/state';
 import {
-  CallAsk, HistoryAsk, outcomeOfError, PassAsk, ProgramAsk, refused, SessionOwner, TurnAsk, unknown, CallOutcome, type EmitChunk, type SessionOwnerParts,
+  nodeViewOf,
+  Entries,
+  versionOf,
+  newer,
+  unflatten,
+  type NodeView,
+  type State,
+} from '@tillerstair/state';
+import {
+  CallAsk,
+  HistoryAsk,
+  outcomeOfError,
+  PassAsk,
+  ProgramAsk,
+  refused,
+  SessionOwner,
+  TurnAsk,
+  unknown,
+  CallOutcome,
+  type EmitChunk,
+  type SessionOwnerParts,
 } from '@tillerstair/session-owner';
-import { ConnectionRefusedError, lasting, RpcError, toRpcError, pause, type RpcRequest } from '@tillerstair/wire';
+import {
+  ConnectionRefusedError,
+  lasting,
+  RpcError,
+  toRpcError,
+  pause,
+  type RpcRequest,
+} from '@tillerstair/wire';
 
 export type FrontParts = SessionOwnerParts;
 
@@ -16,7 +42,13 @@
   term: z.number(),
 });
 export type Feed = z.infer<typeof Feed>;
-export const Fed = z.object({ id: z.string(), applied: z.object({ term: z.number(), version: z.number() }), seen: z.unknown(), released: z.unknown(), stopping: z.boolean() });
+export const Fed = z.object({
+  id: z.string(),
+  applied: z.object({ term: z.number(), version: z.number() }),
+  seen: z.unknown(),
+  released: z.unknown(),
+  stopping: z.boolean(),
+});
 
 const TurnEnd = z.object({ end: z.object({ chunks: z.number() }) });
 const ChunkLine = z.object({ n: z.number(), text: z.string() });
@@ -24,7 +56,13 @@
 const lingers = 0.4;
 
 interface ForwardedRequest {
-  readonly kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call' | 'front/keyed' | 'front/stream';
+  readonly kind:
+    | 'front/program'
+    | 'front/turn'
+    | 'front/history'
+    | 'front/call'
+    | 'front/keyed'
+    | 'front/stream';
   readonly slotKey: string;
   readonly body: unknown;
   readonly within: number;
@@ -52,8 +90,12 @@
     const { clock, bounds } = this.p;
     const from = clock.now();
     const linger = this.owner.leaseValid ? bounds.stopWithin * lingers : 0;
-    const busy = (): boolean => this.active > 0 || (this.owner.leaseValid && this.owner.holdsSlots) || clock.now() - from < linger;
-    while (busy() && clock.now() - from < bounds.stopWithin) await pause(clock, bounds.heartbeatInterval / 20);
+    const busy = (): boolean =>
+      this.active > 0 ||
+      (this.owner.leaseValid && this.owner.holdsSlots) ||
+      clock.now() - from < linger;
+    while (busy() && clock.now() - from < bounds.stopWithin)
+      await pause(clock, bounds.heartbeatInterval / 20);
     this.owner.stop();
     await this.p.transport.close();
   }
@@ -71,9 +113,12 @@
     const now = this.p.clock.now();
     const held = this.owner.current?.state;
     const reported: State | undefined = f.state ? unflatten(new Map(f.state)) : undefined;
-    if (f.config !== undefined && f.config !== held?.config?.digest) throw new RpcError('need-config', 'this front does not hold that configuration');
-    const next = reported && f.config !== undefined ? { ...reported, config: held?.config } : reported;
-    if (next && held && held.clusterId !== next.clusterId) throw new RpcError('other-cluster', `this front is of cluster ${held.clusterId}`);
+    if (f.config !== undefined && f.config !== held?.config?.digest)
+      throw new RpcError('need-config', 'this front does not hold that configuration');
+    const next =
+      reported && f.config !== undefined ? { ...reported, config: held?.config } : reported;
+    if (next && held && held.clusterId !== next.clusterId)
+      throw new RpcError('other-cluster', `this front is of cluster ${held.clusterId}`);
     if (next && (!held || newer(versionOf(next), versionOf(held)))) this.owner.take(next);
     if (f.term >= this.agentTerm) {
       this.agentTerm = f.term;
@@ -81,14 +126,29 @@
       if (f.barred) this.owner.bar(new Set(f.barred));
       if (f.leaseRenewedAt <= now) this.owner.renewLease(f.leaseRenewedAt);
     }
-    return { id: this.p.id, applied: versionOf(this.owner.current?.state), seen: this.owner.placement.report(), released: this.owner.releases(), stopping: this.stopping };
+    return {
+      id: this.p.id,
+      applied: versionOf(this.owner.current?.state),
+      seen: this.owner.placement.report(),
+      released: this.owner.releases(),
+      stopping: this.stopping,
+    };
   }
 
-  private async handle(rpc: RpcRequest, emit: (chunk: unknown) => void, gone: AbortSignal): Promise<unknown> {
+  private async handle(
+    rpc: RpcRequest,
+    emit: (chunk: unknown) => void,
+    gone: AbortSignal,
+  ): Promise<unknown> {
     return this.local(rpc.kind, rpc.body, (n, text) => emit({ n, text }), gone);
   }
 
-  private async local(kind: string, body: unknown, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> {
+  private async local(
+    kind: string,
+    body: unknown,
+    emit: EmitChunk,
+    gone: AbortSignal,
+  ): Promise<CallOutcome> {
     this.active++;
     try {
       switch (kind) {
@@ -113,8 +173,15 @@
   }
 
   /** Carries a request that needs no owner straight to a server. */
-  async carry(ask: PassAsk, streamed: boolean, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> {
-    return this.local(streamed ? 'front/stream' : 'front/keyed', ask, emit, gone).catch((e: unknown) => outcomeOfError(toRpcError(e)));
+  async carry(
+    ask: PassAsk,
+    streamed: boolean,
+    emit: EmitChunk,
+    gone: AbortSignal,
+  ): Promise<CallOutcome> {
+    return this.local(streamed ? 'front/stream' : 'front/keyed', ask, emit, gone).catch(
+      (e: unknown) => outcomeOfError(toRpcError(e)),
+    );
   }
 
   async forward(d: ForwardedRequest, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> {
@@ -124,7 +191,11 @@
     });
   }
 
-  private async tryForward(d: ForwardedRequest, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> {
+  private async tryForward(
+    d: ForwardedRequest,
+    emit: EmitChunk,
+    gone: AbortSignal,
+  ): Promise<CallOutcome> {
     const { clock, bounds, id, transport } = this.p;
     const wait = Math.min(bounds.heartbeatInterval * 1.5, d.within / 4);
     let end = clock.now() + wait;
@@ -140,7 +211,9 @@
     const checked = (v: CallOutcome): CallOutcome => {
       if ((d.kind !== 'front/turn' && d.kind !== 'front/stream') || v.outcome !== 'done') return v;
       const end = TurnEnd.safeParse(v.body);
-      return whole && end.success && end.data.end.chunks === emitted ? v : unknown('the stream did not arrive whole', 'broken-off');
+      return whole && end.success && end.data.end.chunks === emitted
+        ? v
+        : unknown('the stream did not arrive whole', 'broken-off');
     };
     for (;;) {
       let errorCode: RpcError;
@@ -172,9 +245,14 @@
       } catch (e) {
         errorCode = toRpcError(e);
       }
-      const passing = ['not-owner', 'taking-over', 'no-owner', 'route-unknown'].includes(errorCode.code) || errorCode instanceof ConnectionRefusedError;
+      const passing =
+        ['not-owner', 'taking-over', 'no-owner', 'route-unknown'].includes(errorCode.code) ||
+        errorCode instanceof ConnectionRefusedError;
       const over = emitted > 0 || !passing || gone.aborted || clock.now() >= end;
-      if (over) return mayHaveRun ? unknown(`the owner that had it left the cluster: ${errorCode.message}`) : outcomeOfError(errorCode);
+      if (over)
+        return mayHaveRun
+          ? unknown(`the owner that had it left the cluster: ${errorCode.message}`)
+          : outcomeOfError(errorCode);
       await pause(clock, bounds.heartbeatInterval / 20);
     }
   }
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -10,7 +10,7 @@
     ['addr', 'Own address for other fronts, IP:PORT'],
     ['listen', 'Address to bind, if not the same'],
     ['feed', 'Loopback address where the agent feeds this front'],
-    ['http', 'Address of the callers\' HTTP'],
+    ['http', "Address of the callers' HTTP"],
     ['zone', 'Zone of this machine'],
     ['affinity', 'Place turns where their prefix is warm: true or false'],
     ['log', 'debug, info, warn or error'],
--- a/packages/proxy/src/passing.ts
+++ b/packages/proxy/src/passing.ts
@@ -1,12 +1,27 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { opKeyOf, packed, Passed, passPath, refused, streamSlotKey, unpacked, type EmitChunk, type Head, type PassAsk, type CallOutcome } from '@tillerstair/session-owner';
+import {
+  opKeyOf,
+  packed,
+  Passed,
+  passPath,
+  refused,
+  streamSlotKey,
+  unpacked,
+  type EmitChunk,
+  type Head,
+  type PassAsk,
+  type CallOutcome,
+} from '@tillerstair/session-owner';
 import { BodyTooLarge, toRpcError } from '@tillerstair/wire';
 import { z } from 'zod';
 import { endToEnd, pairsOf } from './backend.js';
 import type { Dialect } from './dialect.js';
 import type { Front } from './front.js';
 
-const HeadChunk = z.object({ status: z.number(), headers: z.array(z.tuple([z.string(), z.string()])) });
+const HeadChunk = z.object({
+  status: z.number(),
+  headers: z.array(z.tuple([z.string(), z.string()])),
+});
 
 const readBytes = async (req: IncomingMessage, most: number): Promise<string> => {
   const parts: Buffer[] = [];
@@ -35,11 +50,29 @@
 /** When a caller may come back after a refusal that says nothing of its own, in seconds. */
 const comeBackS = 0.5;
 
-const refuse = (res: ServerResponse, status: number, errorCode: string, text: string, retryAfter?: number): void => {
+const refuse = (
+  res: ServerResponse,
+  status: number,
+  errorCode: string,
+  text: string,
+  retryAfter?: number,
+): void => {
   if (res.destroyed || res.headersSent) return;
-  const body = JSON.stringify({ executed: status === 502 || status === 504 ? 'unknown' : 'no', errorCode, text });
-  const again = retryAfter === undefined ? [] : [['Retry-After', String(Math.round(retryAfter * 1000) / 1000)]];
-  res.writeHead(status, [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))], ...again].flat());
+  const body = JSON.stringify({
+    executed: status === 502 || status === 504 ? 'unknown' : 'no',
+    errorCode,
+    text,
+  });
+  const again =
+    retryAfter === undefined ? [] : [['Retry-After', String(Math.round(retryAfter * 1000) / 1000)]];
+  res.writeHead(
+    status,
+    [
+      ['Content-Type', 'application/json'],
+      ['Content-Length', String(Buffer.byteLength(body))],
+      ...again,
+    ].flat(),
+  );
   res.end(body);
 };
 
@@ -47,22 +80,36 @@
   if (res.destroyed || res.headersSent) return;
   const body = unpacked(p.body);
   const bodiless = p.status === 204 || p.status === 304;
-  res.writeHead(p.status, [...p.headers, ...(bodiless ? [] : [['Content-Length', String(body.length)]])].flat());
+  res.writeHead(
+    p.status,
+    [...p.headers, ...(bodiless ? [] : [['Content-Length', String(body.length)]])].flat(),
+  );
   res.end(body);
 };
 
 /** Carries a request by the rules of its route: to its owner if it has one, or straight to a server. */
-export const passOn = async (front: Front, ask: PassAsk, emit: EmitChunk, gone: AbortSignal): Promise<CallOutcome> => {
+export const passOn = async (
+  front: Front,
+  ask: PassAsk,
+  emit: EmitChunk,
+  gone: AbortSignal,
+): Promise<CallOutcome> => {
   front.owner.requireLease();
   const route = front.owner.findRoute('pass', passPath(ask));
   if (!route?.pass) return refused(404, 'no-route', 'no route takes this host and path');
   const body = { ...ask, left: Math.min(ask.left, route.pass.deadlineMs) };
   if (route.pass.manner === 'stream') {
     const slotKey = streamSlotKey(body, route);
-    return slotKey === '' ? front.carry(body, true, emit, gone) : front.forward({ kind: 'front/stream', slotKey, body, within: body.left }, emit, gone);
+    return slotKey === ''
+      ? front.carry(body, true, emit, gone)
+      : front.forward({ kind: 'front/stream', slotKey, body, within: body.left }, emit, gone);
   }
   if (route.pass.manner !== 'keyed') return front.carry(body, false, emit, gone);
-  return front.forward({ kind: 'front/keyed', slotKey: opKeyOf(ask.tenant, ask.key), body, within: body.left }, emit, new AbortController().signal);
+  return front.forward(
+    { kind: 'front/keyed', slotKey: opKeyOf(ask.tenant, ask.key), body, within: body.left },
+    emit,
+    new AbortController().signal,
+  );
 };
 
 export type Carry = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
@@ -84,9 +131,21 @@
     const [, most = ''] = word(d.tokens).split(',');
     const left = numberIn(word(d.timeLeft)) ?? Infinity;
     return {
-      tenant: word(d.tenant) || 'default', host: word('host').split(':')[0]?.toLowerCase() ?? '', method: req.method ?? 'GET', path: req.url ?? '/',
-      headers, body, attempt: word(d.attempt), key: word(d.key), left: Math.min(3600000, left - (clock.now() - arrived)),
-      program: word(d.program), budget: numberIn(word(d.budget)), most: numberIn(most) ?? 0, parts: partsIn(word(d.parts)), after: word(d.after), resume: word(d.resume),
+      tenant: word(d.tenant) || 'default',
+      host: word('host').split(':')[0]?.toLowerCase() ?? '',
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers,
+      body,
+      attempt: word(d.attempt),
+      key: word(d.key),
+      left: Math.min(3600000, left - (clock.now() - arrived)),
+      program: word(d.program),
+      budget: numberIn(word(d.budget)),
+      most: numberIn(most) ?? 0,
+      parts: partsIn(word(d.parts)),
+      after: word(d.after),
+      resume: word(d.resume),
     };
   };
 
@@ -98,10 +157,18 @@
       else res.destroy();
       return;
     }
-    refuse(res, v.outcome === 'done' ? 502 : v.status === 504 ? 502 : v.status, v.errorCode ?? 'unknown', v.text ?? '', v.retryAfter);
+    refuse(
+      res,
+      v.outcome === 'done' ? 502 : v.status === 504 ? 502 : v.status,
+      v.errorCode ?? 'unknown',
+      v.text ?? '',
+      v.retryAfter,
+    );
   };
 
-  const headed = (res: ServerResponse): { readonly emit: EmitChunk; end(v: CallOutcome): CallOutcome } => {
+  const headed = (
+    res: ServerResponse,
+  ): { readonly emit: EmitChunk; end(v: CallOutcome): CallOutcome } => {
     let head: Head | undefined;
     const open = (): void => {
       if (head && !res.headersSent) res.writeHead(head.status, [...head.headers].flat());
@@ -132,16 +199,30 @@
     let passedOn = false;
     try {
       const ask = await askOf(req, arrived);
-      if (ask.attempt === '') return refuse(res, 400, 'no-try', `a request names its try in ${d.attempt}`);
+      if (ask.attempt === '')
+        return refuse(res, 400, 'no-try', `a request names its try in ${d.attempt}`);
       const { emit, end } = headed(res);
       passedOn = true;
       answer(res, end(await passOn(front, ask, emit, stop.signal)));
     } catch (e) {
       if (e instanceof BodyTooLarge) return refuse(res, 413, 'body-too-large', e.message);
-      if (e instanceof Error && 'code' in e && e.code === 'not-ready') return refuse(res, 503, 'not-ready', e.message, (front.p.bounds.heartbeatInterval * 2) / 1000);
+      if (e instanceof Error && 'code' in e && e.code === 'not-ready')
+        return refuse(
+          res,
+          503,
+          'not-ready',
+          e.message,
+          (front.p.bounds.heartbeatInterval * 2) / 1000,
+        );
       if (res.headersSent) return void res.destroy();
       const { code, message, executed } = toRpcError(e);
-      refuse(res, passedOn && executed !== 'no' ? 502 : 503, code, message, passedOn && executed !== 'no' ? undefined : comeBackS);
+      refuse(
+        res,
+        passedOn && executed !== 'no' ? 502 : 503,
+        code,
+        message,
+        passedOn && executed !== 'no' ? undefined : comeBackS,
+      );
     }
   };
 };
--- a/packages/proxy/src/start.ts
+++ b/packages/proxy/src/start.ts
@@ -1,5 +1,11 @@
 import { randomBytes } from 'node:crypto';
-import { closeHttp, servePages, stderrLog, type ProxySettings, type Running } from '@tillerstair/settings';
+import {
+  closeHttp,
+  servePages,
+  stderrLog,
+  type ProxySettings,
+  type Running,
+} from '@tillerstair/settings';
 import { hostClock, TcpTransport, wholeMs } from '@tillerstair/wire';
 import { HttpBackend } from './backend.js';
 import { ownDialect, type Dialect } from './dialect.js';
@@ -19,7 +25,11 @@
 const leastConnections = 2;
 const spareFronts = 1.5;
 
-export const startProxy = async (settings: ProxySettings, dialect: Dialect = ownDialect, doors: Doors = noDoors): Promise<Running<ProxySettings>> => {
+export const startProxy = async (
+  settings: ProxySettings,
+  dialect: Dialect = ownDialect,
+  doors: Doors = noDoors,
+): Promise<Running<ProxySettings>> => {
   const log = stderrLog('proxy', settings.log);
   let { bounds: outer } = settings;
   const table = () => front.owner.current;
@@ -28,9 +38,14 @@
     const pool = [...(state?.servers.values() ?? [])].find((s) => s.url === url)?.pool;
     const most = config?.pools.find((p) => p.name === pool)?.connections ?? 0;
     const fronts = [...(state?.nodes.values() ?? [])].filter((m) => m.kind === 'front').length;
-    return most === 0 ? usualConnections : Math.max(leastConnections, Math.floor(most / (spareFronts * Math.max(1, fronts))));
+    return most === 0
+      ? usualConnections
+      : Math.max(leastConnections, Math.floor(most / (spareFronts * Math.max(1, fronts))));
   };
-  const backend = new HttpBackend({ connectWithin: wholeMs(outer.heartbeatInterval / 2), connections: connectionLimitOf }, dialect);
+  const backend = new HttpBackend(
+    { connectWithin: wholeMs(outer.heartbeatInterval / 2), connections: connectionLimitOf },
+    dialect,
+  );
   const bounds = {
     get heartbeatInterval() {
       return outer.heartbeatInterval;
@@ -46,14 +61,25 @@
     stopWithin: settings.stopWithin,
   };
   const front: Front = new Front({
-    id: `f-${randomBytes(6).toString('hex')}`, clock: hostClock, transport: new TcpTransport(settings.addr, settings.listen), backend, bounds, log, affinity: settings.affinity,
+    id: `f-${randomBytes(6).toString('hex')}`,
+    clock: hostClock,
+    transport: new TcpTransport(settings.addr, settings.listen),
+    backend,
+    bounds,
+    log,
+    affinity: settings.affinity,
   });
   const feed = new TcpTransport(settings.feed);
-  await feed.serve(async (rpc) => (rpc.kind === 'front/hello' ? { id: front.p.id, addr: settings.addr, http: settings.http } : front.feed(rpc.body)));
+  await feed.serve(async (rpc) =>
+    rpc.kind === 'front/hello'
+      ? { id: front.p.id, addr: settings.addr, http: settings.http }
+      : front.feed(rpc.body),
+  );
   await front.start();
   const bodyMost = () => front.owner.current?.config?.limits.bodyBytes ?? settings.bodyMost;
   const carry = carrier(front, dialect, bodyMost);
-  const ready = () => (front.stopping ? { ready: false, why: 'stopping' } : front.owner.readiness());
+  const ready = () =>
+    front.stopping ? { ready: false, why: 'stopping' } : front.owner.readiness();
   const http = await servePages(settings.http, ready, callerPages(front, settings.bodyMost, carry));
   const door = await doors(front, carry);
   log.info(`Serving callers at ${settings.http}.`);
--- a/packages/session-owner/src/admission-queue.ts
+++ b/packages/session-owner/src/admission-queue.ts
@@ -46,10 +46,15 @@
       }
     }
     const queue = urgent ? this.urgent : this.ordinary;
-    if (queue.size === 0) this.paces.set(queue, { gap: this.paces.get(queue)?.gap ?? 0, movedAt: this.clock.now() });
+    if (queue.size === 0)
+      this.paces.set(queue, { gap: this.paces.get(queue)?.gap ?? 0, movedAt: this.clock.now() });
     const wait = this.waitOf(queue, queue.size);
-    if (queue.size >= this.most()) return Promise.reject(new RpcError('queue-full', 'the line is full', 'no', wait));
-    if (queue.size > 0 && wait > within * admitted) return Promise.reject(new RpcError('queue-timeout', 'the line is too long for the time there is', 'no', wait));
+    if (queue.size >= this.most())
+      return Promise.reject(new RpcError('queue-full', 'the line is full', 'no', wait));
+    if (queue.size > 0 && wait > within * admitted)
+      return Promise.reject(
+        new RpcError('queue-timeout', 'the line is too long for the time there is', 'no', wait),
+      );
     return new Promise<T>((done, fail) => {
       const leave = () => {
         queue.delete(w);
@@ -69,7 +74,9 @@
         },
       };
       const onGone = () => w.fail(new RpcError('gone', 'the caller is gone'));
-      const timer = this.clock.after(within, () => w.fail(new RpcError('queue-timeout', 'no server came free in time')));
+      const timer = this.clock.after(within, () =>
+        w.fail(new RpcError('queue-timeout', 'no server came free in time')),
+      );
       gone.addEventListener('abort', onGone, { once: true });
       queue.add(w);
       this.pump();
@@ -88,7 +95,10 @@
   private moved(queue: ReadonlySet<Waiter<T>>): void {
     const now = this.clock.now();
     const { gap, movedAt } = this.paces.get(queue) ?? { gap: 0, movedAt: now };
-    this.paces.set(queue, { gap: gap === 0 ? now - movedAt : gap + (now - movedAt - gap) * smoothing, movedAt: now });
+    this.paces.set(queue, {
+      gap: gap === 0 ? now - movedAt : gap + (now - movedAt - gap) * smoothing,
+      movedAt: now,
+    });
   }
 
   review(): void {
@@ -97,7 +107,8 @@
       let place = 0;
       for (const w of queue) {
         const wait = this.waitOf(queue, place);
-        if (place > 0 && now + wait > w.until) w.fail(new RpcError('queue-timeout', 'no server will come free in time', 'no', wait));
+        if (place > 0 && now + wait > w.until)
+          w.fail(new RpcError('queue-timeout', 'no server will come free in time', 'no', wait));
         else place++;
       }
     }
@@ -105,7 +116,8 @@
 
   pump(): void {
     for (;;) {
-      const first = this.run < urgentsPerOrdinary ? [this.urgent, this.ordinary] : [this.ordinary, this.urgent];
+      const first =
+        this.run < urgentsPerOrdinary ? [this.urgent, this.ordinary] : [this.ordinary, this.urgent];
       let moved = false;
       for (const queue of first) {
         for (const w of queue) {
--- a/packages/session-owner/src/backend.ts
+++ b/packages/session-owner/src/backend.ts
@@ -62,9 +62,29 @@
 }
 
 export interface Backend {
-  generate(server: Server, g: Generate, onChunk: (n: number, text: string) => void, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
-  act(server: Server, a: Act, gone: AbortSignal, within: number, still: () => boolean): Promise<Ended>;
+  generate(
+    server: Server,
+    g: Generate,
+    onChunk: (n: number, text: string) => void,
+    gone: AbortSignal,
+    within: number,
+    still: () => boolean,
+  ): Promise<Ended>;
+  act(
+    server: Server,
+    a: Act,
+    gone: AbortSignal,
+    within: number,
+    still: () => boolean,
+  ): Promise<Ended>;
   /** Sends a request unchanged; `left` is the caller's time in ms. The outcome is `done` only after the server's whole answer. */
-  pass(server: Server, p: Passing, sink: Sink, gone: AbortSignal, left: number, still: () => boolean): Promise<Ended>;
+  pass(
+    server: Server,
+    p: Passing,
+    sink: Sink,
+    gone: AbortSignal,
+    left: number,
+    still: () => boolean,
+  ): Promise<Ended>;
   load(server: Server, within: number): Promise<LoadReport>;
 }
--- a/packages/session-owner/src/events.ts
+++ b/packages/session-owner/src/events.ts
@@ -37,8 +37,11 @@
 
   private event(block: string): void {
     const lines = block.split(/\r?\n/);
-    const after = (line: string, name: string): string => line.slice(name.length + 1).replace(/^ /, '');
-    const data = lines.filter((l) => l === 'data' || l.startsWith('data:')).map((l) => after(l, 'data'));
+    const after = (line: string, name: string): string =>
+      line.slice(name.length + 1).replace(/^ /, '');
+    const data = lines
+      .filter((l) => l === 'data' || l.startsWith('data:'))
+      .map((l) => after(l, 'data'));
     const ids = lines.filter((l) => l.startsWith('id:'));
     for (const l of ids) this.lastId = after(l, 'id');
     if (data.length === 0) return;
--- a/packages/session-owner/src/messages.ts
+++ b/packages/session-owner/src/messages.ts
@@ -11,9 +11,18 @@
 });
 export type CallOutcome = z.infer<typeof CallOutcome>;
 
-export const done = (body: unknown, status = 200): CallOutcome => ({ outcome: 'done', status, body });
+export const done = (body: unknown, status = 200): CallOutcome => ({
+  outcome: 'done',
+  status,
+  body,
+});
 
-export const refused = (status: number, errorCode: string, text: string, retryAfter?: number): CallOutcome => ({
+export const refused = (
+  status: number,
+  errorCode: string,
+  text: string,
+  retryAfter?: number,
+): CallOutcome => ({
   outcome: 'refused',
   status,
   errorCode,
@@ -21,13 +30,26 @@
   ...(retryAfter === undefined ? {} : { retryAfter }),
 });
 
-export const unknown = (text: string, errorCode = 'unknown'): CallOutcome => ({ outcome: 'unknown', status: 504, errorCode, text });
+export const unknown = (text: string, errorCode = 'unknown'): CallOutcome => ({
+  outcome: 'unknown',
+  status: 504,
+  errorCode,
+  text,
+});
 
 export const outcomeOfError = (m: RpcError): CallOutcome =>
-  m.executed === 'no' ? refused(m.code === 'queue-full' ? 429 : 503, m.code, m.message, Math.max(1, Math.ceil(m.retryAfterMs / 1000))) : unknown(m.message, m.code);
+  m.executed === 'no'
+    ? refused(
+        m.code === 'queue-full' ? 429 : 503,
+        m.code,
+        m.message,
+        Math.max(1, Math.ceil(m.retryAfterMs / 1000)),
+      )
+    : unknown(m.message, m.code);
 
 /** The front that took a request knows its route, but this one does not, or not any more: which of them is behind is not known. */
-export const routeUnknown = (path: string): RpcError => new RpcError('route-unknown', `this front holds no route for ${path}`, 'no', 300);
+export const routeUnknown = (path: string): RpcError =>
+  new RpcError('route-unknown', `this front holds no route for ${path}`, 'no', 300);
 
 export const ProgramAsk = z.object({
   tenant: z.string(),
@@ -49,10 +71,20 @@
 });
 export type TurnAsk = z.infer<typeof TurnAsk>;
 
-export const HistoryAsk = z.object({ tenant: z.string(), pid: z.string(), turn: z.string().optional() });
+export const HistoryAsk = z.object({
+  tenant: z.string(),
+  pid: z.string(),
+  turn: z.string().optional(),
+});
 export type HistoryAsk = z.infer<typeof HistoryAsk>;
 
-export const CallAsk = z.object({ tenant: z.string(), path: z.string(), key: z.string(), body: z.string(), requestId: z.string().default('') });
+export const CallAsk = z.object({
+  tenant: z.string(),
+  path: z.string(),
+  key: z.string(),
+  body: z.string(),
+  requestId: z.string().default(''),
+});
 export type CallAsk = z.infer<typeof CallAsk>;
 
 export const ProgramValue = z.object({
@@ -127,7 +159,8 @@
 export type PassTurn = z.infer<typeof PassTurn>;
 
 /** Bytes as they travel in JSON lines and lie on disk: base64, which costs a third more where escapes would double them. */
-export const packed = (bytes: Uint8Array): string => Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('base64');
+export const packed = (bytes: Uint8Array): string =>
+  Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('base64');
 export const unpacked = (text: string): Buffer => Buffer.from(text, 'base64');
 
 export const passPath = (ask: PassAsk): string => `${ask.host}${ask.path.split('?')[0] ?? ''}`;
--- a/packages/session-owner/src/placement.ts
+++ b/packages/session-owner/src/placement.ts
@@ -19,7 +19,16 @@
 }
 
 const fresh = (url: string): Sight => ({
-  url, inflight: 0, busy: 0, reported: undefined, reportedAt: -Infinity, draining: false, badSince: -Infinity, failures: 0, pace: undefined, polledAt: -Infinity,
+  url,
+  inflight: 0,
+  busy: 0,
+  reported: undefined,
+  reportedAt: -Infinity,
+  draining: false,
+  badSince: -Infinity,
+  failures: 0,
+  pace: undefined,
+  polledAt: -Infinity,
 });
 
 /** A piece of a prompt that a server may hold already: its name with all before it, and its tokens. */
@@ -44,7 +53,12 @@
   let h = '';
   for (const m of messages) {
     for (let i = 0; i < m.text.length; i += blockLength) {
-      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + blockLength)).digest('base64url').slice(0, 12);
+      h = createHash('sha1')
+        .update(h)
+        .update(m.role)
+        .update(m.text.slice(i, i + blockLength))
+        .digest('base64url')
+        .slice(0, 12);
       out.push({ name: h, tokens: blockTokens });
     }
   }
@@ -88,13 +102,27 @@
   private seen(s: Server): Seen {
     const v = this.sight(s);
     const since = this.clock.now() - v.badSince;
-    const health = v.failures === 0 ? 'good' : since > this.bounds.retryBad ? 'doubtful' : v.failures >= 3 ? 'bad' : 'doubtful';
+    const health =
+      v.failures === 0
+        ? 'good'
+        : since > this.bounds.retryBad
+          ? 'doubtful'
+          : v.failures >= 3
+            ? 'bad'
+            : 'doubtful';
     const stale = this.bounds.poll > 0 && this.clock.now() - v.polledAt > this.bounds.sightWithin;
-    return { inflight: v.inflight, busy: Math.max(v.busy, this.reportedRunning(v)), draining: v.draining || stale || this.barred.has(s.id), health };
+    return {
+      inflight: v.inflight,
+      busy: Math.max(v.busy, this.reportedRunning(v)),
+      draining: v.draining || stale || this.barred.has(s.id),
+      health,
+    };
   }
 
   private reportedRunning(v: Sight): number {
-    return v.reported && this.clock.now() - v.reportedAt < this.bounds.reportValidFor ? v.reported.running + v.reported.waiting : 0;
+    return v.reported && this.clock.now() - v.reportedAt < this.bounds.reportValidFor
+      ? v.reported.running + v.reported.waiting
+      : 0;
   }
 
   reported(s: Server, reported: ServerLoad): void {
@@ -124,7 +152,14 @@
 
   allowed(server: Server, route: Route): boolean {
     const now = this.table()?.state.servers.get(server.id);
-    if (!now || now.url !== server.url || now.pool !== server.pool || now.draining || this.seen(now).draining) return false;
+    if (
+      !now ||
+      now.url !== server.url ||
+      now.pool !== server.pool ||
+      now.draining ||
+      this.seen(now).draining
+    )
+      return false;
     return route.shares.some((s) => s.pool === now.pool && s.share > 0);
   }
 
@@ -133,17 +168,28 @@
     if (!state) return false;
     const pools = new Set(route.shares.filter((s) => s.share > 0).map((s) => s.pool));
     return [...state.servers.values()].some(
-      (s) => pools.has(s.pool) && !skip.has(s.id) && !s.draining && (this.unasked(s) || (!this.seen(s).draining && this.seen(s).health !== 'bad')),
+      (s) =>
+        pools.has(s.pool) &&
+        !skip.has(s.id) &&
+        !s.draining &&
+        (this.unasked(s) || (!this.seen(s).draining && this.seen(s).health !== 'bad')),
     );
   }
 
   /** Listed a moment ago: its first word of itself is still to come. */
   private unasked(s: Server): boolean {
     const { polledAt, failures } = this.sight(s);
-    return this.bounds.poll > 0 && polledAt === -Infinity && failures === 0 && !this.barred.has(s.id);
+    return (
+      this.bounds.poll > 0 && polledAt === -Infinity && failures === 0 && !this.barred.has(s.id)
+    );
   }
 
-  pick(route: Route, parts: readonly Part[], stickyPool: string, skip: ReadonlySet<string>): Server | undefined {
+  pick(
+    route: Route,
+    parts: readonly Part[],
+    stickyPool: string,
+    skip: ReadonlySet<string>,
+  ): Server | undefined {
     const state = this.table()?.state;
     if (!state) return undefined;
     const shares = route.shares.filter((s) => s.share > 0);
@@ -169,11 +215,15 @@
       const ranked = this.chain
         .reduce((cands, p) => p.apply(cands, ctx), start)
         .filter((c) => this.sight(c.server).inflight < this.limitOf(c.server));
-      return [...ranked].sort((a, b) => b.score - a.score || tie(a.server.id) - tie(b.server.id))[0]?.server;
+      return [...ranked].sort((a, b) => b.score - a.score || tie(a.server.id) - tie(b.server.id))[0]
+        ?.server;
     };
     const credit = (pool: string): number => this.credit.get(`${route.name}|${pool}`) ?? 0;
     const order = shares
-      .map((s) => ({ pool: s.pool, at: s.pool === stickyPool ? Infinity : credit(s.pool) + s.share / total }))
+      .map((s) => ({
+        pool: s.pool,
+        at: s.pool === stickyPool ? Infinity : credit(s.pool) + s.share / total,
+      }))
       .sort((a, b) => b.at - a.at || (a.pool < b.pool ? -1 : 1));
     for (const { pool } of order) {
       const server = from(pool);
@@ -205,7 +255,8 @@
     const v = this.sight(s);
     const inflight = Math.max(0, v.inflight - 1);
     if (ok) {
-      const next = pace === undefined ? v.pace : v.pace === undefined ? pace : v.pace * 0.8 + pace * 0.2;
+      const next =
+        pace === undefined ? v.pace : v.pace === undefined ? pace : v.pace * 0.8 + pace * 0.2;
       this.set(s, { inflight, failures: 0, pace: next });
     } else this.set(s, { inflight, failures: v.failures + 1, badSince: this.clock.now() });
   }
@@ -218,7 +269,12 @@
     const state = this.table()?.state;
     return [...(state?.servers.values() ?? [])].map((s) => {
       const v = this.sight(s);
-      return { id: s.id, url: s.url, ok: v.failures < 3, ...(v.pace === undefined ? {} : { pace: v.pace }) };
+      return {
+        id: s.id,
+        url: s.url,
+        ok: v.failures < 3,
+        ...(v.pace === undefined ? {} : { pace: v.pace }),
+      };
     });
   }
 
--- a/packages/session-owner/src/policies.ts
+++ b/packages/session-owner/src/policies.ts
@@ -69,13 +69,19 @@
       const over = Math.max(0, running + 1 - engine.places);
       const cold = ctx.tokens * (1 - ctx.warmth(c.server));
       const far = ctx.near(c.server) ? 0 : farCost;
-      return { ...c, score: c.score - (cold + running * step + over * fullCost * step) / step - far };
+      return {
+        ...c,
+        score: c.score - (cold + running * step + over * fullCost * step) / step - far,
+      };
     }),
 };
 
 export const affinity = (gain: number): Policy => ({
   name: 'affinity',
-  apply: (cands, ctx) => cands.map((c) => (ctx.engine(c.server) ? c : { ...c, score: c.score + gain * ctx.warmth(c.server) })),
+  apply: (cands, ctx) =>
+    cands.map((c) =>
+      ctx.engine(c.server) ? c : { ...c, score: c.score + gain * ctx.warmth(c.server) },
+    ),
 });
 
 export const load = (cost: number): Policy => ({
@@ -85,13 +91,21 @@
       if (ctx.engine(c.server) && ctx.tokens > 0) return c;
       const seen = ctx.seen(c.server);
       const far = ctx.near(c.server) ? 0 : farTie;
-      return { ...c, score: c.score - far - (cost * (Math.max(seen.inflight, seen.busy) + seen.inflight * 0.1)) / Math.max(0.05, ctx.weight(c.server)) };
+      return {
+        ...c,
+        score:
+          c.score -
+          far -
+          (cost * (Math.max(seen.inflight, seen.busy) + seen.inflight * 0.1)) /
+            Math.max(0.05, ctx.weight(c.server)),
+      };
     }),
 });
 
 export const weight: Policy = {
   name: 'weight',
-  apply: (cands, ctx) => cands.map((c) => ({ ...c, score: c.score + Math.min(1, ctx.weight(c.server)) * 0.5 })),
+  apply: (cands, ctx) =>
+    cands.map((c) => ({ ...c, score: c.score + Math.min(1, ctx.weight(c.server)) * 0.5 })),
 };
 
 export const chainOf = (withAffinity: boolean): readonly Policy[] => [
--- a/packages/session-owner/src/session-owner.ts
+++ b/packages/session-owner/src/session-owner.ts
@@ -1,4 +1,14 @@
-import { FoundTurns, routeFor, newerItem, rootOf, slotOf, type Route, type RouteKind, type Server, type State } from '@tillerstair/state';
+import {
+  FoundTurns,
+  routeFor,
+  newerItem,
+  rootOf,
+  slotOf,
+  type Route,
+  type RouteKind,
+  type Server,
+  type State,
+} from '@tillerstair/state';
 import { RpcError, pause, type Transport, type Clock, type Log, lasting } from '@tillerstair/wire';
 import type { Backend } from './backend.js';
 import { Calls } from './calls.js';
@@ -54,7 +64,13 @@
       p.clock,
       p.backend,
       chainOf(p.affinity),
-      { poll: p.bounds.poll, pollWithin: p.bounds.poll, retryBad: p.bounds.heartbeatInterval, sightWithin: (p.bounds.readLease * 4) / 5, reportValidFor: p.bounds.heartbeatInterval / 2 },
+      {
+        poll: p.bounds.poll,
+        pollWithin: p.bounds.poll,
+        retryBad: p.bounds.heartbeatInterval,
+        sightWithin: (p.bounds.readLease * 4) / 5,
+        reportValidFor: p.bounds.heartbeatInterval / 2,
+      },
       table,
       () => this.table?.config?.bounds.perServer ?? 16,
       p.id,
@@ -80,7 +96,11 @@
         admissionQueue.review();
       }
       for (const k of this.replicators.values()) k.expire();
-      await pause(this.p.clock, this.p.bounds.poll > 0 ? this.p.bounds.poll : this.p.bounds.heartbeatInterval / 4, this.gone.signal);
+      await pause(
+        this.p.clock,
+        this.p.bounds.poll > 0 ? this.p.bounds.poll : this.p.bounds.heartbeatInterval / 4,
+        this.gone.signal,
+      );
     }
   }
 
@@ -111,8 +131,13 @@
   }
 
   private admissionQueueOf(route: Route): AdmissionQueue<Server> {
-    const name = route.shares.map((x) => x.pool).sort().join(' ');
-    const admissionQueue = this.admissionQueues.get(name) ?? new AdmissionQueue<Server>(this.p.clock, () => this.table?.config?.bounds.queue ?? 256);
+    const name = route.shares
+      .map((x) => x.pool)
+      .sort()
+      .join(' ');
+    const admissionQueue =
+      this.admissionQueues.get(name) ??
+      new AdmissionQueue<Server>(this.p.clock, () => this.table?.config?.bounds.queue ?? 256);
     this.admissionQueues.set(name, admissionQueue);
     return admissionQueue;
   }
@@ -124,7 +149,13 @@
   private makeReplicator(n: number, ownedSinceEpoch: number): SlotReplicator {
     const { clock, transport, log, bounds } = this.p;
     const replicator = new SlotReplicator(n, ownedSinceEpoch, {
-      clock, transport, log, table: () => this.table, putWithin: bounds.putWithin, heartbeatInterval: bounds.heartbeatInterval, retentionMs: bounds.retentionMs,
+      clock,
+      transport,
+      log,
+      table: () => this.table,
+      putWithin: bounds.putWithin,
+      heartbeatInterval: bounds.heartbeatInterval,
+      retentionMs: bounds.retentionMs,
     });
     this.replicators.set(n, replicator);
     return replicator;
@@ -145,15 +176,18 @@
   readiness(): { ready: boolean; why: string } {
     if (!this.table) return { ready: false, why: 'no committed state yet' };
     if (!this.table.config) return { ready: false, why: 'no configuration yet' };
-    if (!this.leaseValid) return { ready: false, why: 'the control link is down and its read lease ran out' };
-    if (!this.table.state.nodes.has(this.p.id)) return { ready: false, why: 'not listed in the cluster state' };
+    if (!this.leaseValid)
+      return { ready: false, why: 'the control link is down and its read lease ran out' };
+    if (!this.table.state.nodes.has(this.p.id))
+      return { ready: false, why: 'not listed in the cluster state' };
     if (this.table.state.retiring.has(this.p.id)) return { ready: false, why: 'being drained' };
     return { ready: true, why: 'serving' };
   }
 
   requireLease(): Table {
     const r = this.readiness();
-    if (!this.table || (!r.ready && this.table.config === undefined)) throw new RpcError('not-ready', r.why);
+    if (!this.table || (!r.ready && this.table.config === undefined))
+      throw new RpcError('not-ready', r.why);
     if (!this.leaseValid) throw new RpcError('not-ready', r.why);
     return this.table;
   }
@@ -190,13 +224,22 @@
     const state = this.table?.state;
     if (!state) throw new RpcError('not-ready', 'no committed state yet');
     const slotsOn = new Map<string, number[]>();
-    state.slots.forEach((slot, n) => slot.replicas.forEach((id) => slotsOn.set(id, [...(slotsOn.get(id) ?? []), n])));
+    state.slots.forEach((slot, n) =>
+      slot.replicas.forEach((id) => slotsOn.set(id, [...(slotsOn.get(id) ?? []), n])),
+    );
     const replied = new Set<string>();
     const asked = await Promise.allSettled(
       [...slotsOn].map(async ([id, slots]) => {
         const member = state.nodes.get(id);
         if (!member) throw new RpcError('away', `copy ${id} is away`);
-        const found = FoundTurns.parse(await this.p.transport.call(member.addr, 'store/find', { turn: attempt, slots }, { within: this.p.bounds.putWithin }));
+        const found = FoundTurns.parse(
+          await this.p.transport.call(
+            member.addr,
+            'store/find',
+            { turn: attempt, slots },
+            { within: this.p.bounds.putWithin },
+          ),
+        );
         replied.add(id);
         return found;
       }),
@@ -209,10 +252,21 @@
     const finished = turns.filter((t) => t.turn.status === 'done');
     if (finished.some((t) => t.name === attempt)) return finished.map((t) => [t.name, t.turn]);
     const { quorum } = state.replication;
-    const covered = (replicas: readonly string[]): boolean => replicas.filter((id) => replied.has(id)).length > replicas.length - quorum;
-    if (slotsOn.size === 0 || !state.slots.every((slot) => slot.replicas.length === 0 || covered(slot.replicas))) throw new RpcError('unavailable', 'too few stores can tell');
-    const newest = turns.filter((t) => t.name === attempt).reduce<(typeof turns)[number] | undefined>((a, b) => (a && !newerItem(b.item, a.item) ? a : b), undefined);
-    if (newest?.turn.status === 'reserved') throw new RpcError('not-finished', 'this turn has not finished');
+    const covered = (replicas: readonly string[]): boolean =>
+      replicas.filter((id) => replied.has(id)).length > replicas.length - quorum;
+    if (
+      slotsOn.size === 0 ||
+      !state.slots.every((slot) => slot.replicas.length === 0 || covered(slot.replicas))
+    )
+      throw new RpcError('unavailable', 'too few stores can tell');
+    const newest = turns
+      .filter((t) => t.name === attempt)
+      .reduce<(typeof turns)[number] | undefined>(
+        (a, b) => (a && !newerItem(b.item, a.item) ? a : b),
+        undefined,
+      );
+    if (newest?.turn.status === 'reserved')
+      throw new RpcError('not-finished', 'this turn has not finished');
     return [];
   }
 
@@ -241,10 +295,19 @@
     return route;
   }
 
-  async place(kind: RouteKind, path: string, parts: readonly Part[], sticky: string, skip: ReadonlySet<string>, within: number, gone: AbortSignal): Promise<Server> {
+  async place(
+    kind: RouteKind,
+    path: string,
+    parts: readonly Part[],
+    sticky: string,
+    skip: ReadonlySet<string>,
+    within: number,
+    gone: AbortSignal,
+  ): Promise<Server> {
     const usable = (): Route => {
       const route = this.routeOf(kind, path);
-      if (!this.placement.usable(route, skip)) throw new RpcError('no-server', `no server of route ${route.name} is usable`);
+      if (!this.placement.usable(route, skip))
+        throw new RpcError('no-server', `no server of route ${route.name} is usable`);
       return route;
     };
     const route = usable();
--- a/packages/session-owner/src/slot-replicator.ts
+++ b/packages/session-owner/src/slot-replicator.ts
@@ -1,7 +1,25 @@
 import {
-  replicasAfter, groupOf, Item, replicasToWrite, newerItem, pagesFrom, pagesOf, ReadBack, rootOf, sameItem, turnRetentionOf, type Slot,
+  replicasAfter,
+  groupOf,
+  Item,
+  replicasToWrite,
+  newerItem,
+  pagesFrom,
+  pagesOf,
+  ReadBack,
+  rootOf,
+  sameItem,
+  turnRetentionOf,
+  type Slot,
 } from '@tillerstair/state';
-import { RpcError, toRpcError, pause, type Transport, type Clock, type Log } from '@tillerstair/wire';
+import {
+  RpcError,
+  toRpcError,
+  pause,
+  type Transport,
+  type Clock,
+  type Log,
+} from '@tillerstair/wire';
 import type { Table } from './table.js';
 import { Cost } from './messages.js';
 
@@ -73,7 +91,8 @@
   take(slot: Slot): void {
     const old = this.slot;
     this.slot = slot;
-    if (old?.ownershipEpoch !== slot.ownershipEpoch || slot.transferTarget === '') this.released = false;
+    if (old?.ownershipEpoch !== slot.ownershipEpoch || slot.transferTarget === '')
+      this.released = false;
     if (old?.ownershipEpoch === slot.ownershipEpoch) return;
     this.seq = 0;
     void this.takeOver(slot.ownershipEpoch);
@@ -123,7 +142,8 @@
           .catch(() => undefined)
           .finally(one);
     });
-    if (seen.size < this.quorum) throw new RpcError('unavailable', `${seen.size} of ${slot.replicas.length} replicas fenced`);
+    if (seen.size < this.quorum)
+      throw new RpcError('unavailable', `${seen.size} of ${slot.replicas.length} replicas fenced`);
     const views = [...seen.values()];
     const merged = new Map<string, Item>(this.openEpoch >= 0 ? this.held : []);
     for (const view of views)
@@ -139,20 +159,29 @@
       return same.length < this.quorum;
     });
     if (this.slot?.ownershipEpoch !== ownershipEpoch) return true;
-    const again = uneven.map((item) => ({ key: item.key, ownershipEpoch, seq: ++this.seq, value: item.value }));
+    const again = uneven.map((item) => ({
+      key: item.key,
+      ownershipEpoch,
+      seq: ++this.seq,
+      value: item.value,
+    }));
     for (const page of pagesOf(again)) await this.spread(ownershipEpoch, page);
     if (this.slot?.ownershipEpoch !== ownershipEpoch) return true;
     for (const item of again) merged.set(item.key, item);
     this.forget();
     for (const item of merged.values()) this.hold(item);
     this.openEpoch = ownershipEpoch;
-    this.p.log.debug(`Slot ${this.n} is open at ownership epoch ${ownershipEpoch} with ${merged.size} items.`);
+    this.p.log.debug(
+      `Slot ${this.n} is open at ownership epoch ${ownershipEpoch} with ${merged.size} items.`,
+    );
     return true;
   }
 
   private async fenced(id: string, ownershipEpoch: number): Promise<Map<string, Item>> {
     const items = new Map<string, Item>();
-    for await (const page of pagesFrom((after) => this.ask(id, 'store/fence', { slot: this.n, ownershipEpoch, after })))
+    for await (const page of pagesFrom((after) =>
+      this.ask(id, 'store/fence', { slot: this.n, ownershipEpoch, after }),
+    ))
       for (const item of page) items.set(item.key, item);
     return items;
   }
@@ -167,7 +196,10 @@
       const root = rootOf(pid);
       const before = this.held.get(item.key);
       if (!before) this.turnsBy.set(pid, [...(this.turnsBy.get(pid) ?? []), item.key]);
-      this.spentBy.set(root, this.spent(root) - (before ? cost(before.value) : 0) + cost(item.value));
+      this.spentBy.set(
+        root,
+        this.spent(root) - (before ? cost(before.value) : 0) + cost(item.value),
+      );
     }
     this.held.set(item.key, item);
     this.touched.set(groupOf(item.key), this.p.clock.now());
@@ -181,18 +213,21 @@
 
   private spread(ownershipEpoch: number, items: readonly Item[]): Promise<void> {
     const slot = this.slot;
-    if (slot?.ownershipEpoch !== ownershipEpoch) return Promise.reject(new RpcError('not-owner', 'the slot has moved on'));
+    if (slot?.ownershipEpoch !== ownershipEpoch)
+      return Promise.reject(new RpcError('not-owner', 'the slot has moved on'));
     const targets = replicasToWrite(slot);
     const groups = [slot.replicas, replicasAfter(slot)];
     const missed: string[] = [];
     const good: string[] = [];
-    const acks = (): number => Math.min(...groups.map((g) => g.filter((id) => good.includes(id)).length));
+    const acks = (): number =>
+      Math.min(...groups.map((g) => g.filter((id) => good.includes(id)).length));
     let left = targets.length;
     return new Promise((done, fail) => {
       const settle = () => {
         if (acks() >= this.quorum) done();
         if (left > 0) return;
-        if (acks() < this.quorum) fail(new RpcError('unavailable', `${good.length} of ${targets.length} replicas synced`));
+        if (acks() < this.quorum)
+          fail(new RpcError('unavailable', `${good.length} of ${targets.length} replicas synced`));
         if (good.length > 0) for (const id of missed) void this.hint(good, id, items);
       };
       for (const id of targets)
@@ -226,7 +261,8 @@
 
   async put(key: string, value: unknown): Promise<void> {
     const slot = this.slot;
-    if (!slot || !this.open) throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
+    if (!slot || !this.open)
+      throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
     const item: Item = { key, ownershipEpoch: slot.ownershipEpoch, seq: ++this.seq, value };
     await this.spread(slot.ownershipEpoch, [item]);
     if (this.openEpoch === item.ownershipEpoch) this.hold(item);
@@ -245,20 +281,32 @@
 
   async confirmMissing(key: string): Promise<boolean> {
     const slot = this.slot;
-    if (!slot || !this.open) throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
+    if (!slot || !this.open)
+      throw new RpcError('unavailable', `slot ${this.n} is being taken over`);
     const reads = await Promise.allSettled(
-      slot.replicas.map(async (id) => ReadBack.parse(await this.ask(id, 'store/read', { slot: this.n, ownershipEpoch: slot.ownershipEpoch, key }))),
+      slot.replicas.map(async (id) =>
+        ReadBack.parse(
+          await this.ask(id, 'store/read', {
+            slot: this.n,
+            ownershipEpoch: slot.ownershipEpoch,
+            key,
+          }),
+        ),
+      ),
     );
     const good = reads.flatMap((r) => (r.status === 'fulfilled' ? [r.value.item] : []));
     if (good.length < this.quorum) throw new RpcError('unavailable', 'too few replicas confirm');
-    if (this.slot?.ownershipEpoch !== slot.ownershipEpoch) throw new RpcError('unavailable', 'the slot has moved on');
+    if (this.slot?.ownershipEpoch !== slot.ownershipEpoch)
+      throw new RpcError('unavailable', 'the slot has moved on');
     return good.every((item) => item === null);
   }
 
   expire(): number {
     const now = this.p.clock.now();
     const retentionMs = Math.max(this.p.retentionMs * 0.9, turnRetentionOf(this.p.table()?.config));
-    const old = new Set([...this.touched].filter(([, at]) => now - at > retentionMs).map(([g]) => g));
+    const old = new Set(
+      [...this.touched].filter(([, at]) => now - at > retentionMs).map(([g]) => g),
+    );
     if (old.size === 0) return 0;
     const kept = [...this.held.values()].filter((i) => !old.has(groupOf(i.key)));
     const touched = [...this.touched].filter(([g]) => !old.has(g));
--- a/packages/session-owner/src/streams.ts
+++ b/packages/session-owner/src/streams.ts
@@ -6,17 +6,31 @@
 import { partsOf, type Part } from './placement.js';
 import type { EmitChunk } from './turns.js';
 import type { SessionOwner } from './session-owner.js';
-import { done, routeUnknown, outcomeOfError, passPath, PassTurn, refused, unknown, unpacked, type PassAsk, type CallOutcome } from './messages.js';
+import {
+  done,
+  routeUnknown,
+  outcomeOfError,
+  passPath,
+  PassTurn,
+  refused,
+  unknown,
+  unpacked,
+  type PassAsk,
+  type CallOutcome,
+} from './messages.js';
 
 const gone404 = 404;
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 const named = (id: string): string => encodeURIComponent(id).replaceAll('~', '%7E');
-export const streamProgram = (ask: PassAsk): string => `x-${named(ask.program === '' ? `a-${ask.attempt}` : ask.program)}`;
+export const streamProgram = (ask: PassAsk): string =>
+  `x-${named(ask.program === '' ? `a-${ask.attempt}` : ask.program)}`;
 const turnKey = (pid: string, attempt: string): string => `p/${pid}/t/${named(attempt)}`;
 
 /** The slot key of a streamed request's owner; empty when any front may carry it. */
 export const streamSlotKey = (ask: PassAsk, route: Route): string =>
-  ask.program === '' && ask.after === '' && (route.pass?.turnRetentionMs ?? 0) === 0 ? '' : `p/${streamProgram(ask)}`;
+  ask.program === '' && ask.after === '' && (route.pass?.turnRetentionMs ?? 0) === 0
+    ? ''
+    : `p/${streamProgram(ask)}`;
 
 interface Ancestor {
   readonly attempt: string;
@@ -70,32 +84,63 @@
   }
 
   private async go(
-    ask: PassAsk, route: Route, config: Config, replicator: SlotReplicator | undefined, key: string, emit: EmitChunk, gone: AbortSignal,
+    ask: PassAsk,
+    route: Route,
+    config: Config,
+    replicator: SlotReplicator | undefined,
+    key: string,
+    emit: EmitChunk,
+    gone: AbortSignal,
   ): Promise<CallOutcome> {
     const rules = route.pass;
     if (!rules) throw routeUnknown(passPath(ask));
     const kept = rules.turnRetentionMs > 0;
     if (replicator?.get(key) !== undefined) {
       const old = PassTurn.safeParse(replicator.get(key));
-      if (!old.success || old.data.status !== 'void') return unknown('this try was under way before; it is not run again');
+      if (!old.success || old.data.status !== 'void')
+        return unknown('this try was under way before; it is not run again');
     }
     const chain = kept && ask.after !== '' && replicator ? await this.chain(replicator, ask) : [];
     if ('outcome' in chain) return chain;
-    const body = Buffer.concat([...chain.flatMap(({ turn }) => [unpacked(turn.input), Buffer.from(turn.output, 'latin1')]), unpacked(ask.body)]);
+    const body = Buffer.concat([
+      ...chain.flatMap(({ turn }) => [unpacked(turn.input), Buffer.from(turn.output, 'latin1')]),
+      unpacked(ask.body),
+    ]);
     const foreign = chain.filter((a) => !a.own);
     if (replicator)
-      await Promise.all(foreign.map((a) => replicator.put(turnKey(streamProgram(ask), a.attempt), { ...a.turn, cost: 0 } satisfies PassTurn)));
+      await Promise.all(
+        foreign.map((a) =>
+          replicator.put(turnKey(streamProgram(ask), a.attempt), {
+            ...a.turn,
+            cost: 0,
+          } satisfies PassTurn),
+        ),
+      );
     const run: Run = {
-      ask, path: passPath(ask), kept, body, replicator, key, emit, parts: partsOf(ask.parts), end: this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs),
-      tries: rules.tries, resumable: rules.resumable, events: new Events(), out: { headed: false, n: 0, plain: false },
+      ask,
+      path: passPath(ask),
+      kept,
+      body,
+      replicator,
+      key,
+      emit,
+      parts: partsOf(ask.parts),
+      end: this.s.p.clock.now() + Math.min(ask.left, rules.deadlineMs),
+      tries: rules.tries,
+      resumable: rules.resumable,
+      events: new Events(),
+      out: { headed: false, n: 0, plain: false },
     };
     return this.tryServers(run, config, gone);
   }
 
-  private async chain(replicator: SlotReplicator, ask: PassAsk): Promise<readonly Ancestor[] | CallOutcome> {
+  private async chain(
+    replicator: SlotReplicator,
+    ask: PassAsk,
+  ): Promise<readonly Ancestor[] | CallOutcome> {
     const out: Ancestor[] = [];
     const away = new Map<string, PassTurn>();
-    for (let at = ask.after; at !== ''; ) {
+    for (let at = ask.after; at !== '';) {
       const key = turnKey(streamProgram(ask), at);
       const mine = PassTurn.safeParse(replicator.get(key));
       const turn = mine.success ? mine.data : away.get(at);
@@ -103,11 +148,14 @@
         const found = await this.s.findTurn(named(at));
         if (found.length === 0) return refused(gone404, 'missing-turn', `no such turn: ${at}`);
         for (const [attempt, t] of found) away.set(decodeURIComponent(attempt), t);
-        if (!away.has(at)) return refused(503, 'unavailable', 'the history cannot be read just now', 0.3);
+        if (!away.has(at))
+          return refused(503, 'unavailable', 'the history cannot be read just now', 0.3);
         continue;
       }
-      if (turn.status === 'reserved') return refused(503, 'not-finished', `turn ${at} has not finished`, 0.2);
-      if (turn.status !== 'done') return refused(gone404, 'missing-turn', `turn ${at} did not end whole`);
+      if (turn.status === 'reserved')
+        return refused(503, 'not-finished', `turn ${at} has not finished`, 0.2);
+      if (turn.status !== 'done')
+        return refused(gone404, 'missing-turn', `turn ${at} did not end whole`);
       out.push({ attempt: at, turn, own: mine.success });
       at = turn.after;
     }
@@ -131,23 +179,42 @@
     let offered = 0;
     let lost = '';
     let cost = 0;
-    const reserved: PassTurn = { t: 'pass', status: 'reserved', after: ask.after, cost: ask.most, input: '', output: '' };
+    const reserved: PassTurn = {
+      t: 'pass',
+      status: 'reserved',
+      after: ask.after,
+      cost: ask.most,
+      input: '',
+      output: '',
+    };
     const end = async (v: CallOutcome): Promise<CallOutcome> => {
-      if (noted) await this.settle(run, { ...reserved, status: lost === '' ? 'void' : 'failed', cost }).catch(() => undefined);
+      if (noted)
+        await this.settle(run, {
+          ...reserved,
+          status: lost === '' ? 'void' : 'failed',
+          cost,
+        }).catch(() => undefined);
       return v;
     };
-    const giveUp = (v: CallOutcome): Promise<CallOutcome> => end(lost !== '' ? unknown(lost, 'broken-off') : v);
+    const giveUp = (v: CallOutcome): Promise<CallOutcome> =>
+      end(lost !== '' ? unknown(lost, 'broken-off') : v);
     for (;;) {
       const left = run.end - clock.now();
-      if (left <= 0) return giveUp(refused(503, 'queue-timeout', 'no server came free in time', 0.3));
-      if (offered >= run.tries) return giveUp(refused(503, 'no-server', 'the servers tried did not run it', 0.2));
-      if (!noted && replicator && this.overBudget(run, root)) return refused(402, 'budget-spent', 'the budget is spent');
-      const server = await this.s.place('pass', run.path, run.parts, '', skip, left, gone).catch((e: unknown) => toRpcError(e));
+      if (left <= 0)
+        return giveUp(refused(503, 'queue-timeout', 'no server came free in time', 0.3));
+      if (offered >= run.tries)
+        return giveUp(refused(503, 'no-server', 'the servers tried did not run it', 0.2));
+      if (!noted && replicator && this.overBudget(run, root))
+        return refused(402, 'budget-spent', 'the budget is spent');
+      const server = await this.s
+        .place('pass', run.path, run.parts, '', skip, left, gone)
+        .catch((e: unknown) => toRpcError(e));
       if (server instanceof RpcError) return giveUp(outcomeOfError(server));
       let ok = true;
       try {
         if (!noted && replicator) {
-          if (this.overBudget(run, root)) return refused(402, 'budget-spent', 'the budget is spent');
+          if (this.overBudget(run, root))
+            return refused(402, 'budget-spent', 'the budget is spent');
           this.reserving.set(root, (this.reserving.get(root) ?? 0) + ask.most);
           try {
             await replicator.put(run.key, reserved);
@@ -159,7 +226,8 @@
         if (gone.aborted) return await giveUp(refused(503, 'gone', 'the caller is gone', 1));
         if (!this.s.mayRun(server, 'pass', run.path)) {
           skip.add(server.id);
-          if (!this.s.leaseValid) return await giveUp(refused(503, 'not-ready', 'the control link is down', 1));
+          if (!this.s.leaseValid)
+            return await giveUp(refused(503, 'not-ready', 'the control link is down', 1));
           continue;
         }
         const ended = await this.send(run, server, gone);
@@ -170,7 +238,14 @@
         cost = run.events.count * this.blockTokens(config, server);
         if (ended.kind === 'done') return await this.whole(run, ended.code, cost);
         lost = ended.text;
-        if (run.resumable && !run.events.unnamed && !run.out.plain && !gone.aborted && offered < run.tries && run.end > clock.now()) {
+        if (
+          run.resumable &&
+          !run.events.unnamed &&
+          !run.out.plain &&
+          !gone.aborted &&
+          offered < run.tries &&
+          run.end > clock.now()
+        ) {
           run.events.drop();
           continue;
         }
@@ -197,8 +272,12 @@
   private async whole(run: Run, code: number, cost: number): Promise<CallOutcome> {
     const good = isSuccess(code);
     const turn: PassTurn = {
-      t: 'pass', status: good ? 'done' : 'failed', after: run.ask.after, cost,
-      input: run.kept && good ? run.ask.body : '', output: run.kept && good ? run.events.data : '',
+      t: 'pass',
+      status: good ? 'done' : 'failed',
+      after: run.ask.after,
+      cost,
+      input: run.kept && good ? run.ask.body : '',
+      output: run.kept && good ? run.events.data : '',
     };
     const settled = this.settle(run, turn);
     if (run.kept && good) {
@@ -229,7 +308,9 @@
     const sink = {
       head: (head: Head) => {
         status = head.status;
-        plain = !head.headers.some(([k, v]) => k.toLowerCase() === 'content-type' && v.includes('event-stream'));
+        plain = !head.headers.some(
+          ([k, v]) => k.toLowerCase() === 'content-type' && v.includes('event-stream'),
+        );
         if (first && !isSuccess(status)) failure.head = head;
         else if (first) {
           out.headed = true;
@@ -246,14 +327,23 @@
         const whole = plain ? text : events.take(text);
         if (whole !== '') say(whole);
       },
-      load: (b: { running: number; waiting: number; places: number }) => this.s.placement.reported(server, b),
+      load: (b: { running: number; waiting: number; places: number }) =>
+        this.s.placement.reported(server, b),
     };
     const resume = events.lastId === '' ? ask.resume : events.lastId;
     const ended = await backend
-      .pass(server, { ...ask, body: run.body, resume }, sink, stop.signal, run.end - clock.now(), () => this.s.mayRun(server, 'pass', run.path))
+      .pass(
+        server,
+        { ...ask, body: run.body, resume },
+        sink,
+        stop.signal,
+        run.end - clock.now(),
+        () => this.s.mayRun(server, 'pass', run.path),
+      )
       .finally(() => gone.removeEventListener('abort', onGone));
     if (ended.kind !== 'done') return ended;
-    if (stop.signal.aborted) return { kind: 'lost', text: 'the caller is gone or the stream could not go on' };
+    if (stop.signal.aborted)
+      return { kind: 'lost', text: 'the caller is gone or the stream could not go on' };
     if (failure.head) {
       out.headed = true;
       say(JSON.stringify(failure.head));
--- a/packages/settings/src/daemon.ts
+++ b/packages/settings/src/daemon.ts
@@ -24,8 +24,10 @@
 const collect = (options: unknown, prefix = ''): ReadonlyMap<string, unknown> => {
   const out = new Map<string, unknown>();
   for (const [k, v] of Object.entries(Raw.parse(options))) {
-    if (k === '--' || k === 'help' || k === 'version' || k === 'h' || k === 'v' || k === 'settings') continue;
-    if (v !== null && typeof v === 'object' && !Array.isArray(v)) for (const [p, x] of collect(v, `${prefix}${k}.`)) out.set(p, x);
+    if (k === '--' || k === 'help' || k === 'version' || k === 'h' || k === 'v' || k === 'settings')
+      continue;
+    if (v !== null && typeof v === 'object' && !Array.isArray(v))
+      for (const [p, x] of collect(v, `${prefix}${k}.`)) out.set(p, x);
     else out.set(prefix + k, v);
   }
   return out;
@@ -50,12 +52,14 @@
   const { options } = cli.parse(process.argv, { run: false });
   if (options['help'] || options['version']) return;
   const file: unknown = options['settings'];
-  const read = (): T => readSettings(spec.schema, typeof file === 'string' ? file : undefined, collect(options));
+  const read = (): T =>
+    readSettings(spec.schema, typeof file === 'string' ? file : undefined, collect(options));
   await live(spec.name, read, (settings) => spec.start(settings));
 };
 
 const findingsText = (e: unknown): string => {
-  if (e instanceof InvalidSettingsError) return e.findings.map((f) => `${f.place}: ${f.text}`).join('; ');
+  if (e instanceof InvalidSettingsError)
+    return e.findings.map((f) => `${f.place}: ${f.text}`).join('; ');
   return e instanceof Error ? e.message : String(e);
 };
 
@@ -80,7 +84,11 @@
  * during the start is met once the program runs. Ends with 2 for bad settings, 3 for a data folder that
  * cannot be used, 1 otherwise.
  */
-export const live = async <T>(name: string, read: () => T, start: (settings: T) => Promise<Running<T>>): Promise<void> => {
+export const live = async <T>(
+  name: string,
+  read: () => T,
+  start: (settings: T) => Promise<Running<T>>,
+): Promise<void> => {
   process.on('unhandledRejection', (e) => tellUnhandled(name, e));
   let reload: (() => void) | undefined;
   let reloadWanted = false;
@@ -119,7 +127,11 @@
   readonly why: string;
 }
 
-export const servePages = (addr: string, readiness: () => Readiness, more?: Page): Promise<Server> =>
+export const servePages = (
+  addr: string,
+  readiness: () => Readiness,
+  more?: Page,
+): Promise<Server> =>
   serveHttp(addr, async (req, res, url) => {
     if (url.pathname === '/live') return sendJson(res, 200, { live: true });
     if (url.pathname === '/ready') {
