--- a/tests/src/fence.test.ts
+++ b/tests/src/fence.test.ts
@@ -1,33 +1,72 @@
 import { deflateSync } from 'node:zlib';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { diffOf, flatten, bootstrapState, patch, reduce, unflatten, type Member, type State } from '@tillerstair/state';
+import {
+  diffOf,
+  flatten,
+  bootstrapState,
+  patch,
+  reduce,
+  unflatten,
+  type Member,
+  type State,
+} from '@tillerstair/state';
 import { Life, seededRng, SimClock, SimPlatter } from '@tillerstair/sim';
-import { closureOf, DiskElectionStore, elect, MemoryElectionStore, Receiver, type PingResponse } from '@tillerstair/zen';
+import {
+  closureOf,
+  DiskElectionStore,
+  elect,
+  MemoryElectionStore,
+  Receiver,
+  type PingResponse,
+} from '@tillerstair/zen';
 
 const fence = suite('election, fence and bootstrapping, piece by piece');
 
-const member = (id: string, kind: Member['kind'] = 'control'): Member => ({ id, kind, addr: `${id}:1`, http: '', zone: 'a', data: '', name: '' });
+const member = (id: string, kind: Member['kind'] = 'control'): Member => ({
+  id,
+  kind,
+  addr: `${id}:1`,
+  http: '',
+  zone: 'a',
+  data: '',
+  name: '',
+});
 const [a, b, c] = ['a', 'b', 'c'].map((id) => member(id));
 if (!a || !b || !c) throw new Error('no members');
 const base = bootstrapState('x', [a, b, c], 8);
-const at = (term: number, version: number, master = 'a'): State => ({ ...base, term, version, master });
+const at = (term: number, version: number, master = 'a'): State => ({
+  ...base,
+  term,
+  version,
+  master,
+});
 
 const publish = (from: Member, s: State) => ({
-  from, term: s.term, clusterId: s.clusterId, packed: deflateSync(JSON.stringify({ full: [...flatten(s)] })).toString('base64'),
+  from,
+  term: s.term,
+  clusterId: s.clusterId,
+  packed: deflateSync(JSON.stringify({ full: [...flatten(s)] })).toString('base64'),
 });
 
 const receiver = () => {
   const electionStore = new MemoryElectionStore('me');
   const applied: State[] = [];
   const r = new Receiver({
-    electionStore, onApplied: async (s) => void applied.push(s), knows: () => true, onTerm: () => undefined, onPublished: () => undefined,
+    electionStore,
+    onApplied: async (s) => void applied.push(s),
+    knows: () => true,
+    onTerm: () => undefined,
+    onPublished: () => undefined,
   });
   return { electionStore, applied, r };
 };
 
 const code = (p: Promise<unknown>): Promise<string> =>
-  p.then(() => 'taken', (e: unknown) => (e instanceof Error && 'code' in e ? String(e.code) : String(e)));
+  p.then(
+    () => 'taken',
+    (e: unknown) => (e instanceof Error && 'code' in e ? String(e.code) : String(e)),
+  );
 
 fence('a node that voted in a later term refuses the old master, state or no state', async () => {
   const { electionStore, r } = receiver();
@@ -49,26 +88,43 @@
   assert.is(await code(r.onCommit({ term: 3, version: 9 })), 'not-held');
 });
 
-fence('votes, bootstrap votes and states a node spoke of stand after power loss at once', async () => {
-  const clock = new SimClock();
-  const platter = new SimPlatter(seededRng(5));
-  const open = () => clock.finish('open', DiskElectionStore.open(platter.disk(clock, new Life()), () => 'me', 1 << 20), 1000);
-  const lose = async <T>(work: Promise<T>): Promise<void> => {
-    await clock.finish('work', work, 1000);
-    platter.powerLoss();
-  };
-  await lose((await open()).bootstrapVote([a, b]));
-  await lose((await open()).recordVote(4, 'b'));
-  const { persisted } = await open();
-  assert.equal([persisted.id, persisted.bootstrapVote.length, persisted.term, persisted.votedFor], ['me', 2, 4, 'b']);
-  const electionStore = await open();
-  const r = new Receiver({ electionStore, onApplied: async () => undefined, knows: () => true, onTerm: () => undefined, onPublished: () => undefined });
-  await lose(r.onPublish(publish(b, at(4, 6, 'b'))));
-  const after = (await open()).persisted.accepted;
-  assert.equal([after?.term, after?.version], [4, 6]);
-});
+fence(
+  'votes, bootstrap votes and states a node spoke of stand after power loss at once',
+  async () => {
+    const clock = new SimClock();
+    const platter = new SimPlatter(seededRng(5));
+    const open = () =>
+      clock.finish(
+        'open',
+        DiskElectionStore.open(platter.disk(clock, new Life()), () => 'me', 1 << 20),
+        1000,
+      );
+    const lose = async <T>(work: Promise<T>): Promise<void> => {
+      await clock.finish('work', work, 1000);
+      platter.powerLoss();
+    };
+    await lose((await open()).bootstrapVote([a, b]));
+    await lose((await open()).recordVote(4, 'b'));
+    const { persisted } = await open();
+    assert.equal(
+      [persisted.id, persisted.bootstrapVote.length, persisted.term, persisted.votedFor],
+      ['me', 2, 4, 'b'],
+    );
+    const electionStore = await open();
+    const r = new Receiver({
+      electionStore,
+      onApplied: async () => undefined,
+      knows: () => true,
+      onTerm: () => undefined,
+      onPublished: () => undefined,
+    });
+    await lose(r.onPublish(publish(b, at(4, 6, 'b'))));
+    const after = (await open()).persisted.accepted;
+    assert.equal([after?.term, after?.version], [4, 6]);
+  },
+);
 
-fence('another cluster\'s state is refused', async () => {
+fence("another cluster's state is refused", async () => {
   const { r } = receiver();
   await r.onPublish(publish(a, at(1, 2)));
   assert.is(await code(r.onPublish(publish(a, { ...at(2, 3), clusterId: 'y' }))), 'other-cluster');
@@ -76,7 +132,13 @@
 
 fence('a diff gives the state it was made from, and fits no other', () => {
   const one = at(1, 2);
-  const two = { ...reduce(reduce(one, { kind: 'join', member: b }), { kind: 'server', server: { id: 's', pool: 'p', url: 'u', draining: false, down: false, zone: '', places: 0 } }), version: 3 };
+  const two = {
+    ...reduce(reduce(one, { kind: 'join', member: b }), {
+      kind: 'server',
+      server: { id: 's', pool: 'p', url: 'u', draining: false, down: false, zone: '', places: 0 },
+    }),
+    version: 3,
+  };
   const back = patch(one, diffOf(one, two));
   assert.equal(back && [...flatten(back)].sort(), [...flatten(two)].sort());
   assert.is(patch(at(1, 1), diffOf(one, two)), undefined);
@@ -84,37 +146,104 @@
 });
 
 const pingResponse = (from: Member, more: Partial<PingResponse> = {}): PingResponse => ({
-  from, eligible: from.kind === 'control', canWin: from.kind === 'control', term: 1, clusterId: 'x', joinedBefore: false,
-  accepted: { term: 0, version: 1 }, voters: base.voters, known: [], ...more,
+  from,
+  eligible: from.kind === 'control',
+  canWin: from.kind === 'control',
+  term: 1,
+  clusterId: 'x',
+  joinedBefore: false,
+  accepted: { term: 0, version: 1 },
+  voters: base.voters,
+  known: [],
+  ...more,
 });
-const self = { member: b, canWin: true, joinedBefore: false, accepted: { term: 0, version: 1 }, voters: base.voters };
+const self = {
+  member: b,
+  canWin: true,
+  joinedBefore: false,
+  accepted: { term: 0, version: 1 },
+  voters: base.voters,
+};
 
-fence('election: reported masters first, then former members, then all; the last two need enough', () => {
-  assert.equal(elect(self, [pingResponse(a, { master: c }), pingResponse(c)]), { kind: 'master', member: c, by: 'reported' });
-  assert.equal(elect(self, [pingResponse(a), pingResponse(c, { joinedBefore: true })]), { kind: 'master', member: c, by: 'former' });
-  assert.equal(elect(self, [pingResponse(a), pingResponse(c)]), { kind: 'master', member: a, by: 'active' });
-  assert.is(elect(self, []).kind, 'none');
-  assert.is(elect(self, [pingResponse(member('d')), pingResponse(member('e')), pingResponse(member('s', 'store'))]).kind, 'none');
-  assert.equal(elect(self, [pingResponse(a, { master: member('gone') }), pingResponse(c)]), { kind: 'master', member: a, by: 'active' });
-});
+fence(
+  'election: reported masters first, then former members, then all; the last two need enough',
+  () => {
+    assert.equal(elect(self, [pingResponse(a, { master: c }), pingResponse(c)]), {
+      kind: 'master',
+      member: c,
+      by: 'reported',
+    });
+    assert.equal(elect(self, [pingResponse(a), pingResponse(c, { joinedBefore: true })]), {
+      kind: 'master',
+      member: c,
+      by: 'former',
+    });
+    assert.equal(elect(self, [pingResponse(a), pingResponse(c)]), {
+      kind: 'master',
+      member: a,
+      by: 'active',
+    });
+    assert.is(elect(self, []).kind, 'none');
+    assert.is(
+      elect(self, [
+        pingResponse(member('d')),
+        pingResponse(member('e')),
+        pingResponse(member('s', 'store')),
+      ]).kind,
+      'none',
+    );
+    assert.equal(elect(self, [pingResponse(a, { master: member('gone') }), pingResponse(c)]), {
+      kind: 'master',
+      member: a,
+      by: 'active',
+    });
+  },
+);
 
-fence('a control that cannot sync makes no majority, neither itself nor by its reply, and is not chosen', () => {
-  const unable = { ...self, canWin: false, writable: false };
-  assert.is(elect(unable, [pingResponse(a)]).kind, 'none');
-  assert.equal(elect(unable, [pingResponse(a), pingResponse(c)]), { kind: 'master', member: a, by: 'active' });
-  const mute = { eligible: false, canWin: false };
-  assert.is(elect(self, [pingResponse(a, mute)]).kind, 'none');
-  assert.equal(elect(self, [pingResponse(a, mute), pingResponse(c)]), { kind: 'master', member: b, by: 'active' });
-});
+fence(
+  'a control that cannot sync makes no majority, neither itself nor by its reply, and is not chosen',
+  () => {
+    const unable = { ...self, canWin: false, writable: false };
+    assert.is(elect(unable, [pingResponse(a)]).kind, 'none');
+    assert.equal(elect(unable, [pingResponse(a), pingResponse(c)]), {
+      kind: 'master',
+      member: a,
+      by: 'active',
+    });
+    const mute = { eligible: false, canWin: false };
+    assert.is(elect(self, [pingResponse(a, mute)]).kind, 'none');
+    assert.equal(elect(self, [pingResponse(a, mute), pingResponse(c)]), {
+      kind: 'master',
+      member: b,
+      by: 'active',
+    });
+  },
+);
 
-fence('bootstrapping waits for every seed and everyone heard of, and for none that knows a cluster', () => {
-  const blank = (m: Member, more: Partial<PingResponse> = {}) => pingResponse(m, { clusterId: '', canWin: false, ...more });
-  const view = { me: a, seeds: [a.addr, b.addr, c.addr], heardOf: [] };
-  assert.is(closureOf({ ...view, pingResponses: [blank(b), blank(c)] }).members.length, 3);
-  assert.is(closureOf({ ...view, pingResponses: [blank(b)] }).members.length, 0);
-  assert.is(closureOf({ ...view, pingResponses: [blank(b), blank(c, { clusterId: 'x' })] }).members.length, 0);
-  assert.is(closureOf({ ...view, pingResponses: [blank(b, { known: [member('d')] }), blank(c)] }).members.length, 0);
-  assert.is(closureOf({ ...view, heardOf: [member('e')], pingResponses: [blank(b), blank(c)] }).members.length, 0);
-});
+fence(
+  'bootstrapping waits for every seed and everyone heard of, and for none that knows a cluster',
+  () => {
+    const blank = (m: Member, more: Partial<PingResponse> = {}) =>
+      pingResponse(m, { clusterId: '', canWin: false, ...more });
+    const view = { me: a, seeds: [a.addr, b.addr, c.addr], heardOf: [] };
+    assert.is(closureOf({ ...view, pingResponses: [blank(b), blank(c)] }).members.length, 3);
+    assert.is(closureOf({ ...view, pingResponses: [blank(b)] }).members.length, 0);
+    assert.is(
+      closureOf({ ...view, pingResponses: [blank(b), blank(c, { clusterId: 'x' })] }).members
+        .length,
+      0,
+    );
+    assert.is(
+      closureOf({ ...view, pingResponses: [blank(b, { known: [member('d')] }), blank(c)] }).members
+        .length,
+      0,
+    );
+    assert.is(
+      closureOf({ ...view, heardOf: [member('e')], pingResponses: [blank(b), blank(c)] }).members
+        .length,
+      0,
+    );
+  },
+);
 
 fence.run();
--- a/tests/src/house.test.ts
+++ b/tests/src/house.test.ts
@@ -6,21 +6,39 @@
 
 const house = suite('house rules');
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-const daemons = ['wire', 'journal', 'zen', 'state', 'control', 'store', 'session-owner', 'proxy', 'agent', 'settings'];
+const daemons = [
+  'wire',
+  'journal',
+  'zen',
+  'state',
+  'control',
+  'store',
+  'session-owner',
+  'proxy',
+  'agent',
+  'settings',
+];
 
 const sources = async (): Promise<ReadonlyMap<string, string>> => {
   const out = new Map<string, string>();
   const dirs = (await readdir(join(root, 'packages'))).map((p) => join('packages', p, 'src'));
   for (const dir of [...dirs, join('platform', 'src'), join('tests', 'src')])
-    for (const f of await readdir(join(root, dir))) if (f.endsWith('.ts')) out.set(join(dir, f), await readFile(join(root, dir, f), 'utf8'));
+    for (const f of await readdir(join(root, dir)))
+      if (f.endsWith('.ts')) out.set(join(dir, f), await readFile(join(root, dir, f), 'utf8'));
   return out;
 };
 
 const hits = (all: ReadonlyMap<string, string>, wrong: RegExp): readonly string[] =>
-  [...all].flatMap(([f, text]) => text.split('\n').flatMap((line, i) => (wrong.test(line) ? [`${f}:${i + 1}: ${line.trim()}`] : [])));
+  [...all].flatMap(([f, text]) =>
+    text
+      .split('\n')
+      .flatMap((line, i) => (wrong.test(line) ? [`${f}:${i + 1}: ${line.trim()}`] : [])),
+  );
 
 house('no file is over 400 lines', async () => {
-  const long = [...(await sources())].filter(([, t]) => t.trimEnd().split('\n').length > 400).map(([f]) => f);
+  const long = [...(await sources())]
+    .filter(([, t]) => t.trimEnd().split('\n').length > 400)
+    .map(([f]) => f);
   assert.equal(long, []);
 });
 
@@ -33,54 +51,142 @@
 });
 
 house('no daemon reads the wall clock, so a jump of it changes nothing', async () => {
-  const own = new Map([...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))));
+  const own = new Map(
+    [...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))),
+  );
   assert.ok(own.size > 30);
   assert.equal(hits(own, /Date\.now|new Date|toISOString/), []);
 });
 
 house('no daemon starts a process', async () => {
-  const own = new Map([...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))));
+  const own = new Map(
+    [...(await sources())].filter(([f]) => daemons.some((d) => f.startsWith(join('packages', d)))),
+  );
   assert.equal(hits(own, /child_process|worker_threads|node:cluster/), []);
 });
 
 house('no test waits for time to pass', async () => {
-  const tests = new Map([...(await sources())].filter(([f]) => f.startsWith('tests') && !f.endsWith('house.test.ts')));
+  const tests = new Map(
+    [...(await sources())].filter(([f]) => f.startsWith('tests') && !f.endsWith('house.test.ts')),
+  );
   assert.equal(hits(tests, /setTimeout|sleep/), []);
 });
 
 const platformHeaders = [
-  'Try-Id', 'Server-Seal', 'Server-Load', 'Server-Id', 'Time-Left-Ms', 'Token-Budget', 'Token-Count', 'Previous-Turn', 'Prompt-Prefix', 'Program-Time-Left', 'Not-Run',
-  'Expect-Server', 'Expect-Edition', 'Weight-Editions',
+  'Try-Id',
+  'Server-Seal',
+  'Server-Load',
+  'Server-Id',
+  'Time-Left-Ms',
+  'Token-Budget',
+  'Token-Count',
+  'Previous-Turn',
+  'Prompt-Prefix',
+  'Program-Time-Left',
+  'Not-Run',
+  'Expect-Server',
+  'Expect-Edition',
+  'Weight-Editions',
 ];
 const platformNames = [
-  'wayKind', 'once_only', 'keyed_once', 'pathPrefix', 'depots?', 'berths', 'strideTokens', 'cacheTokens', 'selfDedupes', 'connLimit', 'signal_box', 'winding_down', 'cloudApi',
-  'coldLeftMs', 'intakeLimits', 'gapTargetMs', 'targetMs', 'retainS', 'passWindowS', 'frontAddr', 'readyAddr', 'controlAddr', 'contactMs', 'drainMs', 'graceS', 'recoverS',
-  'TILLERSTAIR_CONFIG', 'retire/', 'nodeName', 'seedNodes', 'firstBoot', 'vaults?', 'tlsMode', 'editions?',
+  'wayKind',
+  'once_only',
+  'keyed_once',
+  'pathPrefix',
+  'depots?',
+  'berths',
+  'strideTokens',
+  'cacheTokens',
+  'selfDedupes',
+  'connLimit',
+  'signal_box',
+  'winding_down',
+  'cloudApi',
+  'coldLeftMs',
+  'intakeLimits',
+  'gapTargetMs',
+  'targetMs',
+  'retainS',
+  'passWindowS',
+  'frontAddr',
+  'readyAddr',
+  'controlAddr',
+  'contactMs',
+  'drainMs',
+  'graceS',
+  'recoverS',
+  'TILLERSTAIR_CONFIG',
+  'retire/',
+  'nodeName',
+  'seedNodes',
+  'firstBoot',
+  'vaults?',
+  'tlsMode',
+  'editions?',
 ];
-const platformWords = new RegExp(`(?<!x-)\\b(${platformHeaders.flatMap((h) => [h, h.toLowerCase()]).join('|')})\\b|\\b(${platformNames.join('|')})(?![A-Za-z])`);
+const platformWords = new RegExp(
+  `(?<!x-)\\b(${platformHeaders.flatMap((h) => [h, h.toLowerCase()]).join('|')})\\b|\\b(${platformNames.join('|')})(?![A-Za-z])`,
+);
 
 house('words of the platform stand in platform/ alone', async () => {
   const all = await sources();
   const others = new Map([...all].filter(([f]) => f.startsWith('packages')));
   assert.equal(hits(others, platformWords), []);
-  assert.ok(hits(new Map([...all].filter(([f]) => f.startsWith('platform'))), platformWords).length > 20);
+  assert.ok(
+    hits(new Map([...all].filter(([f]) => f.startsWith('platform'))), platformWords).length > 20,
+  );
 });
 
-house('platform/ keeps to the packages\' front doors', async () => {
+house("platform/ keeps to the packages' front doors", async () => {
   const own = new Map([...(await sources())].filter(([f]) => f.startsWith('platform')));
   assert.ok(own.size > 5);
-  assert.equal(hits(own, /Date\.now|new Date|toISOString|child_process|worker_threads|node:cluster/), []);
+  assert.equal(
+    hits(own, /Date\.now|new Date|toISOString|child_process|worker_threads|node:cluster/),
+    [],
+  );
   assert.equal(hits(own, /from '(\.\.\/|@tillerstair\/[a-z-]+\/)/), []);
 });
 
 /** Words of the earlier house style, withdrawn by the users; docs/glossary.md has the names that took their place. */
 const withdrawnWords = [
-  'circuits?', 'inquir(y|ies)', 'mishaps?', 'mates?', 'verdicts?', 'tenures?', 'stewards?', 'stewardships?', 'lanes?', 'busyness', 'pongs?', 'shelf', 'beliefs?', 'allots?', 'founds', 'founding',
+  'circuits?',
+  'inquir(y|ies)',
+  'mishaps?',
+  'mates?',
+  'verdicts?',
+  'tenures?',
+  'stewards?',
+  'stewardships?',
+  'lanes?',
+  'busyness',
+  'pongs?',
+  'shelf',
+  'beliefs?',
+  'allots?',
+  'founds',
+  'founding',
 ];
 const withdrawnNames = [
-  'markOf', 'sameMark', 'promisedTo', 'handTo', 'copiesAfter', 'keptOn', 'toldAt', 'ToldRecord', 'SlotKeeper', 'DiskKeep', 'MemoryKeep', 'BadEnv', 'readEnv', 'leavingWithin', 'freshAt', 'freshen',
+  'markOf',
+  'sameMark',
+  'promisedTo',
+  'handTo',
+  'copiesAfter',
+  'keptOn',
+  'toldAt',
+  'ToldRecord',
+  'SlotKeeper',
+  'DiskKeep',
+  'MemoryKeep',
+  'BadEnv',
+  'readEnv',
+  'leavingWithin',
+  'freshAt',
+  'freshen',
 ];
-const allowedMentions: ReadonlyMap<string, RegExp> = new Map([[join('packages', 'state', 'src', 'config.ts'), /renamedKeys/]]);
+const allowedMentions: ReadonlyMap<string, RegExp> = new Map([
+  [join('packages', 'state', 'src', 'config.ts'), /renamedKeys/],
+]);
 
 house('withdrawn words stand in no name, file or text of the code', async () => {
   const camel = withdrawnWords.map((w) => w[0]?.toUpperCase() + w.slice(1));
@@ -90,10 +196,19 @@
   const all = await sources();
   const others = new Map([...all].filter(([f]) => !f.endsWith('house.test.ts')));
   const lines = [...others].flatMap(([f, text]) =>
-    text.split('\n').flatMap((line, i) => (wrong.test(line) && !allowedMentions.get(f)?.test(line) ? [`${f}:${i + 1}: ${line.trim()}`] : [])),
+    text
+      .split('\n')
+      .flatMap((line, i) =>
+        wrong.test(line) && !allowedMentions.get(f)?.test(line)
+          ? [`${f}:${i + 1}: ${line.trim()}`]
+          : [],
+      ),
   );
   assert.equal(lines, []);
-  assert.equal([...others.keys()].filter((f) => wrong.test(f)), []);
+  assert.equal(
+    [...others.keys()].filter((f) => wrong.test(f)),
+    [],
+  );
   assert.ok(['laneOf', 'theMate', 'a steward', 'freshAt', 'verdicts'].every((x) => wrong.test(x)));
   assert.not.ok(['HTTPRoute', 'estimate', 'planes', 'routeOf'].some((x) => wrong.test(x)));
 });
--- a/tests/src/journal-chunks.test.ts
+++ b/tests/src/journal-chunks.test.ts
@@ -3,7 +3,16 @@
 import { join } from 'node:path';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { FolderDisk, frame, Journal, JournalCorrupt, Scanner, type Disk, type DiskFile, type JournalPace } from '@tillerstair/journal';
+import {
+  FolderDisk,
+  frame,
+  Journal,
+  JournalCorrupt,
+  Scanner,
+  type Disk,
+  type DiskFile,
+  type JournalPace,
+} from '@tillerstair/journal';
 import { Life, SimClock, SimPlatter, seededRng } from '@tillerstair/sim';
 import { ReplicaStore } from '@tillerstair/store';
 
@@ -36,7 +45,11 @@
 
 chunked('records and characters over any border of chunks are read', () => {
   for (let size = 1; size <= whole.length + 1; size++)
-    assert.equal(scanIn(size, whole), { records: all, good: whole.length, size: whole.length }, `chunks of ${size}`);
+    assert.equal(
+      scanIn(size, whole),
+      { records: all, good: whole.length, size: whole.length },
+      `chunks of ${size}`,
+    );
   assert.equal(scanIn(10, Buffer.alloc(0)), { records: [], good: 0, size: 0 });
 });
 
@@ -44,13 +57,21 @@
   const kept = all.slice(0, -1);
   for (let length = lastAt; length < whole.length; length++)
     for (const size of [1, 2, 3, 7, 64, 1000])
-      assert.equal(scanIn(size, whole.subarray(0, length)), { records: kept, good: lastAt, size: length }, `${length} bytes in chunks of ${size}`);
+      assert.equal(
+        scanIn(size, whole.subarray(0, length)),
+        { records: kept, good: lastAt, size: length },
+        `${length} bytes in chunks of ${size}`,
+      );
 });
 
 chunked('a tail of several damaged lines is cut at the first of them', () => {
   const bytes = Buffer.concat([whole, Buffer.from('\n'), Buffer.from('half a line\nanother')]);
   for (let size = 1; size <= 80; size++)
-    assert.equal(scanIn(size, bytes), { records: all, good: whole.length, size: bytes.length }, `chunks of ${size}`);
+    assert.equal(
+      scanIn(size, bytes),
+      { records: all, good: whole.length, size: bytes.length },
+      `chunks of ${size}`,
+    );
 });
 
 chunked('damage before a good record is an error that says where, whatever the chunks', () => {
@@ -76,34 +97,42 @@
   }
 });
 
-chunked('on a real folder: a record longer than a chunk is read, and a torn one is cut off', async () => {
-  const dir = await mkdtemp(join(tmpdir(), 'tillerstair-chunks-'));
-  try {
-    const disk = await FolderDisk.take(dir);
-    const records = [{ n: 1 }, { text: '€'.repeat(1 << 20) }, { n: 2 }];
-    const framed = records.map((r) => frame([r]));
-    const torn = frame([{ text: 'é'.repeat(1 << 20) }]).subarray(0, -1);
-    await writeFile(join(dir, 'a.log'), Buffer.concat([...framed, torn]));
-    const { journal, records: held } = await Journal.open(disk, 'a.log');
-    assert.equal(held, records);
-    assert.is(journal.size, Buffer.concat(framed).length);
-    await journal.rewrite(() => [...records, { n: 3 }]);
-    await journal.append({ n: 4 });
-    const { size } = journal;
-    await journal.close();
-    const again = await Journal.open(disk, 'a.log');
-    assert.equal(again.records, [...records, { n: 3 }, { n: 4 }]);
-    assert.is(again.journal.size, size);
-    await again.journal.close();
-    await disk.free();
-  } finally {
-    await rm(dir, { recursive: true });
-  }
-});
+chunked(
+  'on a real folder: a record longer than a chunk is read, and a torn one is cut off',
+  async () => {
+    const dir = await mkdtemp(join(tmpdir(), 'tillerstair-chunks-'));
+    try {
+      const disk = await FolderDisk.take(dir);
+      const records = [{ n: 1 }, { text: '€'.repeat(1 << 20) }, { n: 2 }];
+      const framed = records.map((r) => frame([r]));
+      const torn = frame([{ text: 'é'.repeat(1 << 20) }]).subarray(0, -1);
+      await writeFile(join(dir, 'a.log'), Buffer.concat([...framed, torn]));
+      const { journal, records: held } = await Journal.open(disk, 'a.log');
+      assert.equal(held, records);
+      assert.is(journal.size, Buffer.concat(framed).length);
+      await journal.rewrite(() => [...records, { n: 3 }]);
+      await journal.append({ n: 4 });
+      const { size } = journal;
+      await journal.close();
+      const again = await Journal.open(disk, 'a.log');
+      assert.equal(again.records, [...records, { n: 3 }, { n: 4 }]);
+      assert.is(again.journal.size, size);
+      await again.journal.close();
+      await disk.free();
+    } finally {
+      await rm(dir, { recursive: true });
+    }
+  },
+);
 
 const bounds = { journalLongAt: 1 << 30, retentionMs: 1e9, hintsMost: 10 };
 const longText = 'x'.repeat(100 << 10);
-const longItem = (n: number, seq: number) => ({ key: `o/t/${n}`, ownershipEpoch: 1, seq, value: `${seq} ${longText}` });
+const longItem = (n: number, seq: number) => ({
+  key: `o/t/${n}`,
+  ownershipEpoch: 1,
+  seq,
+  value: `${seq} ${longText}`,
+});
 const longItems = 12;
 
 /** A disk that calls `onChunk` after each chunk of the first file that is written anew. */
@@ -119,14 +148,17 @@
           onChunk(chunk);
         }
       };
-      return { ...file, replace: (chunks) => file.replace(replaced++ === 0 ? reported(chunks) : chunks) };
+      return {
+        ...file,
+        replace: (chunks) => file.replace(replaced++ === 0 ? reported(chunks) : chunks),
+      };
     },
   };
 };
 
 const held = (replicaStore: ReplicaStore): ReadonlyMap<string, number> => {
   const seqs = new Map<string, number>();
-  for (let after = ''; ; ) {
+  for (let after = ''; ;) {
     const page = replicaStore.pull(1, 0, after);
     for (const i of page.items) seqs.set(i.key, i.seq);
     if (page.next === '') return seqs;
@@ -134,69 +166,103 @@
   }
 };
 
-chunked('what a rewrite writes is of the moment it began, and later records follow it', async () => {
-  const clock = new SimClock();
-  const platter = new SimPlatter(seededRng(1));
-  const chunks: Buffer[] = [];
-  const later: Promise<unknown>[] = [];
-  let onFirst = (): void => undefined;
-  const disk = hooked(platter.disk(clock, new Life()), (chunk) => {
-    chunks.push(chunk);
-    if (chunks.length === 1) onFirst();
-  });
-  const small = { ...bounds, journalLongAt: 1 << 20 };
-  const replicaStore = await clock.finish('open', ReplicaStore.open(disk, clock, small), 1000);
-  await clock.finish('hint', replicaStore.hint('b', 1, [longItem(0, 1)]), 1000);
-  onFirst = () => {
-    later.push(replicaStore.handed(1), replicaStore.hint('c', 1, [longItem(0, 1)]));
-    for (let n = 0; n < longItems; n++) later.push(replicaStore.write(1, 1, [longItem(n, 9)]));
-    later.push(replicaStore.write(1, 1, [longItem(longItems, 9)]));
-  };
-  for (let n = 0; n < longItems; n++) await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
-  await clock.run(100);
-  assert.ok(chunks.length > 2, `${chunks.length} chunks`);
-  assert.is(later.length, longItems + 3);
-  const lines = Buffer.concat(chunks).toString('utf8').split('\n').slice(0, -1);
-  const written = lines.map((l) => JSON.parse(l.slice(9)));
-  const seqs = written.flat().flatMap((r) => (r.t === 'put' ? [r.items[0].seq] : []));
-  assert.ok(seqs.length > 5 && seqs.every((seq) => seq === 1), seqs.join());
-  assert.equal(written.flat().flatMap((r) => (r.t === 'hint' ? [r.to] : [])), ['b']);
-  await clock.finish('later', Promise.all(later), 1000);
-  platter.powerLoss();
-  const again = await clock.finish('again', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  assert.equal([...held(again).values()], Array.from({ length: longItems + 1 }, () => 9));
-  assert.equal([...again.hintTargets()], ['c']);
-});
-
-chunked('power lost at any step of a recovery of several chunks loses nothing acknowledged', async () => {
-  let recovered = 0;
-  for (let step = 0; step < 16; step++) {
+chunked(
+  'what a rewrite writes is of the moment it began, and later records follow it',
+  async () => {
     const clock = new SimClock();
-    const platter = new SimPlatter(seededRng(step));
-    const life = new Life();
-    const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, life), clock, bounds), 1000);
-    for (let n = 0; n < longItems; n++) await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
-    platter.full = true;
-    const refused = await clock.finish('refused', replicaStore.write(1, 1, [longItem(0, 2)]).then(() => 'done', () => 'refused'), 5000);
-    assert.is(refused, 'refused');
-    await clock.run(2000);
-    platter.full = false;
-    platter.crashFrom(step, () => {
-      life.dead = true;
+    const platter = new SimPlatter(seededRng(1));
+    const chunks: Buffer[] = [];
+    const later: Promise<unknown>[] = [];
+    let onFirst = (): void => undefined;
+    const disk = hooked(platter.disk(clock, new Life()), (chunk) => {
+      chunks.push(chunk);
+      if (chunks.length === 1) onFirst();
     });
-    await clock.run(5000);
-    if (!life.dead) {
-      assert.is(replicaStore.writable, true);
-      recovered++;
-    }
+    const small = { ...bounds, journalLongAt: 1 << 20 };
+    const replicaStore = await clock.finish('open', ReplicaStore.open(disk, clock, small), 1000);
+    await clock.finish('hint', replicaStore.hint('b', 1, [longItem(0, 1)]), 1000);
+    onFirst = () => {
+      later.push(replicaStore.handed(1), replicaStore.hint('c', 1, [longItem(0, 1)]));
+      for (let n = 0; n < longItems; n++) later.push(replicaStore.write(1, 1, [longItem(n, 9)]));
+      later.push(replicaStore.write(1, 1, [longItem(longItems, 9)]));
+    };
+    for (let n = 0; n < longItems; n++)
+      await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
+    await clock.run(100);
+    assert.ok(chunks.length > 2, `${chunks.length} chunks`);
+    assert.is(later.length, longItems + 3);
+    const lines = Buffer.concat(chunks).toString('utf8').split('\n').slice(0, -1);
+    const written = lines.map((l) => JSON.parse(l.slice(9)));
+    const seqs = written.flat().flatMap((r) => (r.t === 'put' ? [r.items[0].seq] : []));
+    assert.ok(seqs.length > 5 && seqs.every((seq) => seq === 1), seqs.join());
+    assert.equal(
+      written.flat().flatMap((r) => (r.t === 'hint' ? [r.to] : [])),
+      ['b'],
+    );
+    await clock.finish('later', Promise.all(later), 1000);
     platter.powerLoss();
-    platter.crashAtStep = -1;
-    const again = await clock.finish('again', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-    const seqs = held(again);
-    for (let n = 0; n < longItems; n++) assert.ok((seqs.get(`o/t/${n}`) ?? 0) >= 1, `step ${step}: item ${n}`);
-  }
-  assert.ok(recovered > 0 && recovered < 16, `${recovered} recoveries`);
-});
+    const again = await clock.finish(
+      'again',
+      ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds),
+      1000,
+    );
+    assert.equal(
+      [...held(again).values()],
+      Array.from({ length: longItems + 1 }, () => 9),
+    );
+    assert.equal([...again.hintTargets()], ['c']);
+  },
+);
+
+chunked(
+  'power lost at any step of a recovery of several chunks loses nothing acknowledged',
+  async () => {
+    let recovered = 0;
+    for (let step = 0; step < 16; step++) {
+      const clock = new SimClock();
+      const platter = new SimPlatter(seededRng(step));
+      const life = new Life();
+      const replicaStore = await clock.finish(
+        'open',
+        ReplicaStore.open(platter.disk(clock, life), clock, bounds),
+        1000,
+      );
+      for (let n = 0; n < longItems; n++)
+        await clock.finish('write', replicaStore.write(1, 1, [longItem(n, 1)]), 1000);
+      platter.full = true;
+      const refused = await clock.finish(
+        'refused',
+        replicaStore.write(1, 1, [longItem(0, 2)]).then(
+          () => 'done',
+          () => 'refused',
+        ),
+        5000,
+      );
+      assert.is(refused, 'refused');
+      await clock.run(2000);
+      platter.full = false;
+      platter.crashFrom(step, () => {
+        life.dead = true;
+      });
+      await clock.run(5000);
+      if (!life.dead) {
+        assert.is(replicaStore.writable, true);
+        recovered++;
+      }
+      platter.powerLoss();
+      platter.crashAtStep = -1;
+      const again = await clock.finish(
+        'again',
+        ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds),
+        1000,
+      );
+      const seqs = held(again);
+      for (let n = 0; n < longItems; n++)
+        assert.ok((seqs.get(`o/t/${n}`) ?? 0) >= 1, `step ${step}: item ${n}`);
+    }
+    assert.ok(recovered > 0 && recovered < 16, `${recovered} recoveries`);
+  },
+);
 
 chunked('a recovery whose file reads back otherwise is tried again', async () => {
   const clock = new SimClock();
@@ -226,7 +292,11 @@
   const { journal } = await clock.finish('open', Journal.open(misreading, 'a.log', pace), 1000);
   journal.recoverFrom(() => [{ n: 1 }]);
   platter.failSyncs = true;
-  await clock.finish('append', journal.append({ n: 1 }).catch(() => undefined), 5000);
+  await clock.finish(
+    'append',
+    journal.append({ n: 1 }).catch(() => undefined),
+    5000,
+  );
   platter.failSyncs = false;
   await clock.run(400);
   assert.is(journal.writable, false);
@@ -239,7 +309,11 @@
   const clock = new SimClock();
   const platter = new SimPlatter(seededRng(1));
   const plain = platter.disk(clock, new Life());
-  const { journal } = await clock.finish('open', Journal.open(plain, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }), 1000);
+  const { journal } = await clock.finish(
+    'open',
+    Journal.open(plain, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }),
+    1000,
+  );
   const records = Array.from({ length: 100 }, (_, n) => ({ n, text: 'x'.repeat(50) }));
   for (const record of records) await clock.finish('append', journal.append(record), 1000);
   let failures = 2;
@@ -250,14 +324,19 @@
       const chunks = async function* (): AsyncGenerator<Buffer> {
         let count = 0;
         for await (const chunk of file.chunks()) {
-          if (count++ === 3 && failures-- > 0) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
+          if (count++ === 3 && failures-- > 0)
+            throw Object.assign(new Error('input/output error'), { code: 'EIO' });
           yield chunk;
         }
       };
       return { ...file, chunks };
     },
   };
-  const again = await clock.finish('again', Journal.open(failing, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }), 5000);
+  const again = await clock.finish(
+    'again',
+    Journal.open(failing, 'a.log', { clock, syncWithin: 1500, retryEvery: 250 }),
+    5000,
+  );
   assert.ok(failures <= 0);
   assert.equal(again.records, records);
 });
--- a/tests/src/journal-memory-child.ts
+++ b/tests/src/journal-memory-child.ts
@@ -14,7 +14,11 @@
 const main = async (): Promise<void> => {
   const startMb = process.memoryUsage().rss / mb;
   const disk = await FolderDisk.take(dir);
-  const replicaStore = await ReplicaStore.open(disk, hostClock, { journalLongAt: longAt, retentionMs: 1e9, hintsMost: 10 });
+  const replicaStore = await ReplicaStore.open(disk, hostClock, {
+    journalLongAt: longAt,
+    retentionMs: 1e9,
+    hintsMost: 10,
+  });
   const openedMb = peakMb();
   const opened = replicaStore.counts();
   let seq = 10;
@@ -24,14 +28,27 @@
     most = last;
     seq++;
     for (let n = 0; n < Number(keys); n += writesAtOnce)
-      await Promise.all(Array.from({ length: writesAtOnce }, (_, i) => {
-        const key = `o/t/${n + i}`;
-        return replicaStore.write(1, 1, [{ key, ownershipEpoch: 1, seq, value: `${seq}`.padEnd(Number(valueBytes), 'é') }]);
-      }));
+      await Promise.all(
+        Array.from({ length: writesAtOnce }, (_, i) => {
+          const key = `o/t/${n + i}`;
+          return replicaStore.write(1, 1, [
+            { key, ownershipEpoch: 1, seq, value: `${seq}`.padEnd(Number(valueBytes), 'é') },
+          ]);
+        }),
+      );
     last = replicaStore.counts().bytes;
   }
   await disk.free();
-  process.stdout.write(JSON.stringify({ startMb, openedMb, rewrittenMb: peakMb(), items: opened.items, mostBytes: most, leftBytes: last }));
+  process.stdout.write(
+    JSON.stringify({
+      startMb,
+      openedMb,
+      rewrittenMb: peakMb(),
+      items: opened.items,
+      mostBytes: most,
+      leftBytes: last,
+    }),
+  );
   process.exit(0);
 };
 
--- a/tests/src/journal-memory.test.ts
+++ b/tests/src/journal-memory.test.ts
@@ -20,7 +20,14 @@
 const openPeakMost = 80;
 const rewritePeakMost = 145;
 
-const CallerRecord = z.object({ startMb: z.number(), openedMb: z.number(), rewrittenMb: z.number(), items: z.number(), mostBytes: z.number(), leftBytes: z.number() });
+const CallerRecord = z.object({
+  startMb: z.number(),
+  openedMb: z.number(),
+  rewrittenMb: z.number(),
+  items: z.number(),
+  mostBytes: z.number(),
+  leftBytes: z.number(),
+});
 
 /** Writes a store's log in which each key was written `rounds` times; resolves with its bytes. */
 const writeLog = async (path: string): Promise<number> => {
@@ -29,7 +36,18 @@
   for (let seq = 1; seq <= rounds; seq++) {
     const frames: Buffer[] = [];
     for (let n = 0; n < keys; n++)
-      frames.push(frame([{ t: 'put', slot: 1, ownershipEpoch: 1, items: [{ key: `o/t/${n}`, ownershipEpoch: 1, seq, value: `${seq}`.padEnd(valueBytes, 'x') }] }]));
+      frames.push(
+        frame([
+          {
+            t: 'put',
+            slot: 1,
+            ownershipEpoch: 1,
+            items: [
+              { key: `o/t/${n}`, ownershipEpoch: 1, seq, value: `${seq}`.padEnd(valueBytes, 'x') },
+            ],
+          },
+        ]),
+      );
     const all = Buffer.concat(frames);
     await file.writeFile(all);
     bytes += all.length;
@@ -44,7 +62,12 @@
     const bytes = await writeLog(join(dir, 'store.log'));
     assert.ok(bytes > 38 * mb, `${bytes} bytes`);
     const child = fileURLToPath(new URL('./journal-memory-child.js', import.meta.url));
-    const { stdout } = await promisify(execFile)(process.execPath, [child, dir, String(keys), String(valueBytes)]);
+    const { stdout } = await promisify(execFile)(process.execPath, [
+      child,
+      dir,
+      String(keys),
+      String(valueBytes),
+    ]);
     const reported = CallerRecord.parse(JSON.parse(stdout));
     assert.is(reported.items, keys);
     assert.ok(reported.leftBytes < reported.mostBytes, 'the log was not rewritten');
--- a/tests/src/journal.test.ts
+++ b/tests/src/journal.test.ts
@@ -34,7 +34,8 @@
       await last.journal.close();
     }
     await disk.free();
-  }));
+  }),
+);
 
 journal('a damaged middle refuses to open and says where', () =>
   folder(async (dir) => {
@@ -46,29 +47,41 @@
     const bytes = await readFile(path);
     bytes[12] = (bytes[12] ?? 0) ^ 1;
     await writeFile(path, bytes);
-    const errorCode = await Journal.open(disk, 'a.log').then(() => undefined, (e: unknown) => e);
+    const errorCode = await Journal.open(disk, 'a.log').then(
+      () => undefined,
+      (e: unknown) => e,
+    );
     assert.instance(errorCode, JournalCorrupt);
     assert.match(String(errorCode), 'byte 0');
     await disk.free();
-  }));
+  }),
+);
 
-journal('a data folder is taken by one process only, and a dead one\'s lock does not hold', () =>
+journal("a data folder is taken by one process only, and a dead one's lock does not hold", () =>
   folder(async (dir) => {
     const disk = await FolderDisk.take(dir);
-    const second = await FolderDisk.take(dir).then(() => undefined, (e: unknown) => e);
+    const second = await FolderDisk.take(dir).then(
+      () => undefined,
+      (e: unknown) => e,
+    );
     assert.instance(second, FolderInUseError);
     await disk.free();
     await writeFile(join(dir, 'lock'), '999999999 1');
     const third = await FolderDisk.take(dir);
     await third.free();
-  }));
+  }),
+);
 
 journal('appends at once share syncs', async () => {
   const clock = new SimClock();
   const platter = new SimPlatter(seededRng(1));
   const opening = Journal.open(platter.disk(clock, new Life()), 'a.log');
   const { journal: j } = await clock.finish('open', opening, 1000);
-  await clock.finish('appends', Promise.all(Array.from({ length: 100 }, (_, n) => j.append({ n }))), 10000);
+  await clock.finish(
+    'appends',
+    Promise.all(Array.from({ length: 100 }, (_, n) => j.append({ n }))),
+    10000,
+  );
   assert.ok(j.syncCount <= 3, `${j.syncCount} syncs`);
 });
 
@@ -78,7 +91,15 @@
     const clock = new SimClock();
     const platter = new SimPlatter(seededRng(step));
     const life = new Life();
-    const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, life), clock, { journalLongAt: 600, retentionMs: 1e9, hintsMost: 10 }), 1000);
+    const replicaStore = await clock.finish(
+      'open',
+      ReplicaStore.open(platter.disk(clock, life), clock, {
+        journalLongAt: 600,
+        retentionMs: 1e9,
+        hintsMost: 10,
+      }),
+      1000,
+    );
     platter.crashAtStep = step;
     platter.onCrash = () => {
       life.dead = true;
@@ -96,11 +117,22 @@
     if (!life.dead && replicaStore.counts().bytes < 3000) rewrites++;
     platter.powerLoss();
     platter.crashAtStep = -1;
-    const again = await clock.finish('reopen', ReplicaStore.open(platter.disk(clock, new Life()), clock, { journalLongAt: 600, retentionMs: 1e9, hintsMost: 10 }), 1000);
+    const again = await clock.finish(
+      'reopen',
+      ReplicaStore.open(platter.disk(clock, new Life()), clock, {
+        journalLongAt: 600,
+        retentionMs: 1e9,
+        hintsMost: 10,
+      }),
+      1000,
+    );
     const held = new Map(again.pull(1, 0, '').items.map((i) => [i.key, i.seq]));
     for (const a of acked) {
       const at = a.lastIndexOf(' ');
-      assert.ok((held.get(a.slice(0, at)) ?? 0) >= Number(a.slice(at + 1)), `step ${step}: ${a} was acknowledged, held ${held.get(a.slice(0, at)) ?? 'nothing'}`);
+      assert.ok(
+        (held.get(a.slice(0, at)) ?? 0) >= Number(a.slice(at + 1)),
+        `step ${step}: ${a} was acknowledged, held ${held.get(a.slice(0, at)) ?? 'nothing'}`,
+      );
     }
   }
   assert.ok(rewrites > 0, 'no run reached the end of a rewrite');
@@ -110,23 +142,39 @@
   const clock = new SimClock();
   const platter = new SimPlatter(seededRng(3));
   const bounds = { journalLongAt: 1 << 20, retentionMs: 1e9, hintsMost: 10 };
-  const replicaStore = await clock.finish('open', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
+  const replicaStore = await clock.finish(
+    'open',
+    ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds),
+    1000,
+  );
   await clock.finish('fence', replicaStore.fence(4, 7, ''), 1000);
   platter.powerLoss();
-  const again = await clock.finish('reopen', ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds), 1000);
-  const writing = again.write(4, 6, [{ key: 'o/t/x', ownershipEpoch: 6, seq: 1, value: 1 }]).then(() => 'taken', (e: unknown) => String(e));
+  const again = await clock.finish(
+    'reopen',
+    ReplicaStore.open(platter.disk(clock, new Life()), clock, bounds),
+    1000,
+  );
+  const writing = again.write(4, 6, [{ key: 'o/t/x', ownershipEpoch: 6, seq: 1, value: 1 }]).then(
+    () => 'taken',
+    (e: unknown) => String(e),
+  );
   const low = await clock.finish('write', writing, 1000);
   assert.match(low, 'fenced at ownership epoch 7');
 });
 
-journal('a lock that does not say when its holder began holds nobody off, one that does and lives does', () =>
-  folder(async (dir) => {
-    await writeFile(join(dir, 'lock'), `${process.pid} `);
-    const disk = await FolderDisk.take(dir);
-    const again = await FolderDisk.take(dir).then(() => 'taken', (e: unknown) => (e instanceof FolderInUseError ? 'held' : String(e)));
-    assert.is(again, 'held');
-    await disk.free();
-  }),
+journal(
+  'a lock that does not say when its holder began holds nobody off, one that does and lives does',
+  () =>
+    folder(async (dir) => {
+      await writeFile(join(dir, 'lock'), `${process.pid} `);
+      const disk = await FolderDisk.take(dir);
+      const again = await FolderDisk.take(dir).then(
+        () => 'taken',
+        (e: unknown) => (e instanceof FolderInUseError ? 'held' : String(e)),
+      );
+      assert.is(again, 'held');
+      await disk.free();
+    }),
 );
 
 journal.run();
--- a/tests/src/orders.test.ts
+++ b/tests/src/orders.test.ts
@@ -4,14 +4,35 @@
 import type { Operation, Outcome } from '@tillerstair/control';
 import { OperatorDesk } from '@tillerstair/platform';
 import { ConfigCalls, seededRng, World, type Machine } from '@tillerstair/sim';
-import { diffOf, flatten, bootstrapState, reduce, takenLeast, takenOutcome, unflatten, withTaken, type State, type TakenChanges } from '@tillerstair/state';
+import {
+  diffOf,
+  flatten,
+  bootstrapState,
+  reduce,
+  takenLeast,
+  takenOutcome,
+  unflatten,
+  withTaken,
+  type State,
+  type TakenChanges,
+} from '@tillerstair/state';
 import { small } from './util.js';
 
 const orders = suite('orders that are sent again');
 
-const way = (name: string, more: object = {}) => ({ name, host: 'a.example', pathPrefix: `/${name}/`, wayKind: 'repeatable', deadlineMs: 4000, depot: 'd1', ...more });
-const whole = (edition: number, note = '') => JSON.stringify({ edition, ways: [way('r1')], depots: [{ name: 'd1' }], note });
-const patch = (edition: number, name: string) => JSON.stringify({ edition, upsert: { ways: [way(name)] } });
+const way = (name: string, more: object = {}) => ({
+  name,
+  host: 'a.example',
+  pathPrefix: `/${name}/`,
+  wayKind: 'repeatable',
+  deadlineMs: 4000,
+  depot: 'd1',
+  ...more,
+});
+const whole = (edition: number, note = '') =>
+  JSON.stringify({ edition, ways: [way('r1')], depots: [{ name: 'd1' }], note });
+const patch = (edition: number, name: string) =>
+  JSON.stringify({ edition, upsert: { ways: [way(name)] } });
 
 interface Order {
   readonly method: 'PUT' | 'PATCH';
@@ -20,8 +41,18 @@
   readonly body: string;
 }
 
-const put = (base: number, version: number, note = ''): Order => ({ method: 'PUT', base, version, body: whole(version, note) });
-const patching = (base: number, version: number, name: string): Order => ({ method: 'PATCH', base, version, body: patch(version, name) });
+const put = (base: number, version: number, note = ''): Order => ({
+  method: 'PUT',
+  base,
+  version,
+  body: whole(version, note),
+});
+const patching = (base: number, version: number, name: string): Order => ({
+  method: 'PATCH',
+  base,
+  version,
+  body: patch(version, name),
+});
 
 const answerOf = (o: Outcome | undefined): ConfigAnswer => {
   if (o?.status === 200) return { kind: 'taken' };
@@ -39,13 +70,23 @@
 
   send(o: Order, at: Machine | undefined = this.w.master): Promise<Outcome | undefined> {
     const node = at?.control;
-    const what = { kind: 'change' as const, changeId: `${o.method} ${o.base} ${o.body}`, base: o.base, version: o.version, content: undefined };
-    const desk = new OperatorDesk(async (x: Operation) => (await node?.operate(x)) ?? { status: 504, body: null });
+    const what = {
+      kind: 'change' as const,
+      changeId: `${o.method} ${o.base} ${o.body}`,
+      base: o.base,
+      version: o.version,
+      content: undefined,
+    };
+    const desk = new OperatorDesk(
+      async (x: Operation) => (await node?.operate(x)) ?? { status: 504, body: null },
+    );
     return this.calls.record(what, () => desk.change(o.method, String(o.base), o.body), answerOf);
   }
 
   async status(o: Order, at?: Machine): Promise<number> {
-    return (await this.w.clock.finish(`${o.method} ${o.version}`, this.send(o, at), 30000))?.status ?? 0;
+    return (
+      (await this.w.clock.finish(`${o.method} ${o.version}`, this.send(o, at), 30000))?.status ?? 0
+    );
   }
 
   check(): void {
@@ -61,32 +102,47 @@
   return new Desks(w);
 };
 
-const recordOf = (version: number) => ({ version, text: '', digest: `d${version}`, compiled: '', changeId: `order ${version}` });
-
-orders('the record of taken changes is bounded, exact within its bound, and in doubt beyond', () => {
-  const count = takenLeast + 500;
-  let s: State = bootstrapState('x', [], 8);
-  let most = 0;
-  for (let v = 1; v <= count; v++) {
-    const next = reduce(s, { kind: 'config', record: recordOf(v * 3) });
-    if (v % 100 === 0) most = Math.max(most, JSON.stringify(diffOf(s, next).set.filter(([k]) => k.startsWith('taken/'))).length);
-    s = next;
-  }
-  assert.ok(most < 1000, `${most} bytes of a diff`);
-  const bytes = [...flatten(s)].filter(([k]) => k.startsWith('taken/')).reduce((n, [k, v]) => n + k.length + v.length, 0);
-  assert.ok(bytes < 50000, `${bytes} bytes in all`);
-  const back = unflatten(flatten(s));
-  assert.equal(back.taken, s.taken);
-  for (let v = 1; v <= count; v++) {
-    const outcome = takenOutcome(back.taken, v * 3, `order ${v * 3}`);
-    assert.is.not(outcome, 'not-taken', `version ${v * 3}`);
-    if (v > count - takenLeast) assert.is(outcome, 'taken', `version ${v * 3}`);
-  }
-  assert.is(takenOutcome(back.taken, 3, 'order 3'), 'forgotten');
-  assert.is(takenOutcome(back.taken, count * 3, 'another'), 'not-taken');
-  assert.is(takenOutcome(back.taken, count * 3 + 1, `order ${count * 3}`), 'not-taken');
+const recordOf = (version: number) => ({
+  version,
+  text: '',
+  digest: `d${version}`,
+  compiled: '',
+  changeId: `order ${version}`,
 });
 
+orders(
+  'the record of taken changes is bounded, exact within its bound, and in doubt beyond',
+  () => {
+    const count = takenLeast + 500;
+    let s: State = bootstrapState('x', [], 8);
+    let most = 0;
+    for (let v = 1; v <= count; v++) {
+      const next = reduce(s, { kind: 'config', record: recordOf(v * 3) });
+      if (v % 100 === 0)
+        most = Math.max(
+          most,
+          JSON.stringify(diffOf(s, next).set.filter(([k]) => k.startsWith('taken/'))).length,
+        );
+      s = next;
+    }
+    assert.ok(most < 1000, `${most} bytes of a diff`);
+    const bytes = [...flatten(s)]
+      .filter(([k]) => k.startsWith('taken/'))
+      .reduce((n, [k, v]) => n + k.length + v.length, 0);
+    assert.ok(bytes < 50000, `${bytes} bytes in all`);
+    const back = unflatten(flatten(s));
+    assert.equal(back.taken, s.taken);
+    for (let v = 1; v <= count; v++) {
+      const outcome = takenOutcome(back.taken, v * 3, `order ${v * 3}`);
+      assert.is.not(outcome, 'not-taken', `version ${v * 3}`);
+      if (v > count - takenLeast) assert.is(outcome, 'taken', `version ${v * 3}`);
+    }
+    assert.is(takenOutcome(back.taken, 3, 'order 3'), 'forgotten');
+    assert.is(takenOutcome(back.taken, count * 3, 'another'), 'not-taken');
+    assert.is(takenOutcome(back.taken, count * 3 + 1, `order ${count * 3}`), 'not-taken');
+  },
+);
+
 orders('a version that begins or ends as another is told apart', () => {
   const taken: TakenChanges = withTaken(withTaken(new Map(), 1, 'a'), 21, 'b');
   assert.is(takenOutcome(taken, 1, 'a'), 'taken');
@@ -95,90 +151,115 @@
   assert.is(takenOutcome(new Map(), 1, 'a'), 'not-taken');
 });
 
-orders('hundreds of changes, eight under way, patches among them: each that was taken is acknowledged again anywhere', async () => {
-  const d = await up(61);
-  const { w } = d;
-  const rng = seededRng(61);
-  const anyControl = (): Machine | undefined => w.of('control')[Math.floor(rng() * 3)];
-  const taken: Order[] = [put(0, 1)];
-  assert.is(await d.status(put(0, 1)), 200);
-  let version = 1;
-  const lost: Order[] = [];
-  const operator = async (n: number): Promise<void> => {
-    for (let k = 0; taken.length < 520; k++) {
-      const base = version;
-      const next = base + 1 + ((n + k) % 3);
-      const o = k % 2 === 0 ? put(base, next, `${n} ${k}`) : patching(base, next, `x${n}`);
-      const status = (await d.send(o, anyControl()))?.status;
-      assert.ok(status === 200 || status === 412, `${status}`);
-      if (status === 200) taken.push(o);
-      else lost.push(o);
-      if (status === 200) version = Math.max(version, next);
-      const again = taken[Math.floor(rng() * taken.length)];
-      if (again && k % 4 === 0) assert.is((await d.send(again, anyControl()))?.status, 200, 'a taken order sent again');
-    }
-  };
-  await w.clock.finish('operators', Promise.all(Array.from({ length: 8 }, (_, n) => operator(n))), 300000);
-  assert.ok(taken.length >= 520 && lost.length > 50, `${taken.length} taken, ${lost.length} lost`);
-  for (const [n, o] of taken.entries()) if (n % 5 === 0) assert.is(await d.status(o, anyControl()), 200, `order ${n}`);
-  for (const o of lost.slice(0, 40)) assert.is(await d.status(o, anyControl()), 412);
-  w.master?.kill('power');
-  await w.clock.until('a new master', () => w.master !== undefined, 20000);
-  for (const o of [...taken.slice(0, 5), ...taken.slice(-5)]) assert.is(await d.status(o), 200);
-  d.check();
-});
-
-orders('a patch whose base passes between its two steps is refused, or acknowledged if it was the one that won', async () => {
-  const d = await up(62);
-  const { w } = d;
-  assert.is(await d.status(put(0, 1)), 200);
-  const node = w.master?.control;
-  if (!node) throw new Error('no master');
-  const patched = patching(1, 3, 'r2');
-  const midway = (between: () => Promise<Outcome | undefined>) =>
-    new OperatorDesk(async (o) => {
-      if (o.method === 'PUT') await between();
-      return node.operate(o);
-    });
-  const rival = put(1, 3, 'rival');
-  const overtaken = midway(() => d.send(rival)).change('PATCH', '1', patched.body);
-  assert.is((await w.clock.finish('overtaken', overtaken, 20000)).status, 412);
-  const second = patching(3, 5, 'r3');
-  const overtakenByItself = midway(async () => {
-    await d.send(second);
-    return d.send(put(5, 8, 'later'));
-  }).change('PATCH', '3', second.body);
-  assert.is((await w.clock.finish('its own', overtakenByItself, 20000)).status, 200);
-  assert.is(await d.status(patched), 412);
-  assert.is(w.committed?.config?.version, 8);
-  d.check();
-});
+orders(
+  'hundreds of changes, eight under way, patches among them: each that was taken is acknowledged again anywhere',
+  async () => {
+    const d = await up(61);
+    const { w } = d;
+    const rng = seededRng(61);
+    const anyControl = (): Machine | undefined => w.of('control')[Math.floor(rng() * 3)];
+    const taken: Order[] = [put(0, 1)];
+    assert.is(await d.status(put(0, 1)), 200);
+    let version = 1;
+    const lost: Order[] = [];
+    const operator = async (n: number): Promise<void> => {
+      for (let k = 0; taken.length < 520; k++) {
+        const base = version;
+        const next = base + 1 + ((n + k) % 3);
+        const o = k % 2 === 0 ? put(base, next, `${n} ${k}`) : patching(base, next, `x${n}`);
+        const status = (await d.send(o, anyControl()))?.status;
+        assert.ok(status === 200 || status === 412, `${status}`);
+        if (status === 200) taken.push(o);
+        else lost.push(o);
+        if (status === 200) version = Math.max(version, next);
+        const again = taken[Math.floor(rng() * taken.length)];
+        if (again && k % 4 === 0)
+          assert.is((await d.send(again, anyControl()))?.status, 200, 'a taken order sent again');
+      }
+    };
+    await w.clock.finish(
+      'operators',
+      Promise.all(Array.from({ length: 8 }, (_, n) => operator(n))),
+      300000,
+    );
+    assert.ok(
+      taken.length >= 520 && lost.length > 50,
+      `${taken.length} taken, ${lost.length} lost`,
+    );
+    for (const [n, o] of taken.entries())
+      if (n % 5 === 0) assert.is(await d.status(o, anyControl()), 200, `order ${n}`);
+    for (const o of lost.slice(0, 40)) assert.is(await d.status(o, anyControl()), 412);
+    w.master?.kill('power');
+    await w.clock.until('a new master', () => w.master !== undefined, 20000);
+    for (const o of [...taken.slice(0, 5), ...taken.slice(-5)]) assert.is(await d.status(o), 200);
+    d.check();
+  },
+);
 
-orders('two resends at once on different controls are both acknowledged, and change once', async () => {
-  const d = await up(63);
-  const { w } = d;
-  assert.is(await d.status(put(0, 1)), 200);
-  for (const o of [put(1, 2, 'a'), patching(2, 4, 'r2')]) {
-    const both = Promise.all(w.of('control').map((at) => d.send(o, at)));
-    assert.equal((await w.clock.finish('both', both, 20000)).map((x) => x?.status), [200, 200, 200]);
-    assert.is(w.committed?.config?.version, o.version);
-  }
-  d.check();
-});
+orders(
+  'a patch whose base passes between its two steps is refused, or acknowledged if it was the one that won',
+  async () => {
+    const d = await up(62);
+    const { w } = d;
+    assert.is(await d.status(put(0, 1)), 200);
+    const node = w.master?.control;
+    if (!node) throw new Error('no master');
+    const patched = patching(1, 3, 'r2');
+    const midway = (between: () => Promise<Outcome | undefined>) =>
+      new OperatorDesk(async (o) => {
+        if (o.method === 'PUT') await between();
+        return node.operate(o);
+      });
+    const rival = put(1, 3, 'rival');
+    const overtaken = midway(() => d.send(rival)).change('PATCH', '1', patched.body);
+    assert.is((await w.clock.finish('overtaken', overtaken, 20000)).status, 412);
+    const second = patching(3, 5, 'r3');
+    const overtakenByItself = midway(async () => {
+      await d.send(second);
+      return d.send(put(5, 8, 'later'));
+    }).change('PATCH', '3', second.body);
+    assert.is((await w.clock.finish('its own', overtakenByItself, 20000)).status, 200);
+    assert.is(await d.status(patched), 412);
+    assert.is(w.committed?.config?.version, 8);
+    d.check();
+  },
+);
 
-orders('the same number for two changes: one is confirmed, the other is refused whenever it is sent', async () => {
-  for (const seed of [64, 65, 66]) {
-    const d = await up(seed);
+orders(
+  'two resends at once on different controls are both acknowledged, and change once',
+  async () => {
+    const d = await up(63);
     const { w } = d;
     assert.is(await d.status(put(0, 1)), 200);
-    const rivals = [put(1, 4, 'one'), put(1, 4, 'two'), patching(1, 4, 'r5')];
-    const race = Promise.all(rivals.map((o, n) => d.send(o, w.of('control')[n])));
-    const got = (await w.clock.finish('race', race, 20000)).map((o) => o?.status);
-    assert.equal([...got].sort(), [200, 412, 412]);
-    for (const at of w.of('control')) for (const [n, o] of rivals.entries()) assert.is(await d.status(o, at), got[n]);
+    for (const o of [put(1, 2, 'a'), patching(2, 4, 'r2')]) {
+      const both = Promise.all(w.of('control').map((at) => d.send(o, at)));
+      assert.equal(
+        (await w.clock.finish('both', both, 20000)).map((x) => x?.status),
+        [200, 200, 200],
+      );
+      assert.is(w.committed?.config?.version, o.version);
+    }
     d.check();
-  }
-});
+  },
+);
+
+orders(
+  'the same number for two changes: one is confirmed, the other is refused whenever it is sent',
+  async () => {
+    for (const seed of [64, 65, 66]) {
+      const d = await up(seed);
+      const { w } = d;
+      assert.is(await d.status(put(0, 1)), 200);
+      const rivals = [put(1, 4, 'one'), put(1, 4, 'two'), patching(1, 4, 'r5')];
+      const race = Promise.all(rivals.map((o, n) => d.send(o, w.of('control')[n])));
+      const got = (await w.clock.finish('race', race, 20000)).map((o) => o?.status);
+      assert.equal([...got].sort(), [200, 412, 412]);
+      for (const at of w.of('control'))
+        for (const [n, o] of rivals.entries()) assert.is(await d.status(o, at), got[n]);
+      d.check();
+    }
+  },
+);
 
 /** Sends a change to a master that is cut off from its peers just after its publish left it, or just before. */
 const unheard = async (seed: number, reachesPeer: boolean) => {
@@ -202,34 +283,47 @@
   return { d, w, old, lost };
 };
 
-orders('a change that got no majority and is adopted by the next master is acknowledged when sent again', async () => {
-  const { d, w, lost } = await unheard(67, true);
-  assert.is(w.committed?.config?.version, 3, 'the next master adopted it');
-  assert.is(await d.status(lost), 200);
-  assert.is(await d.status(put(1, 3, 'rival')), 412);
-  d.check();
-});
+orders(
+  'a change that got no majority and is adopted by the next master is acknowledged when sent again',
+  async () => {
+    const { d, w, lost } = await unheard(67, true);
+    assert.is(w.committed?.config?.version, 3, 'the next master adopted it');
+    assert.is(await d.status(lost), 200);
+    assert.is(await d.status(put(1, 3, 'rival')), 412);
+    d.check();
+  },
+);
 
-orders('a change that got no majority, with another taken under its number meanwhile, is refused when sent again', async () => {
-  const { d, w, old, lost } = await unheard(68, false);
-  assert.is(w.committed?.config?.version, 1);
-  const rival = put(1, 3, 'rival');
-  assert.is(await d.status(rival), 200);
-  assert.is(await d.status(lost), 412);
-  w.start([old]);
-  await w.clock.run(5000);
-  for (const at of w.of('control')) {
-    assert.is(await d.status(lost, at), 412);
-    assert.is(await d.status(rival, at), 200);
-  }
-  d.check();
-});
+orders(
+  'a change that got no majority, with another taken under its number meanwhile, is refused when sent again',
+  async () => {
+    const { d, w, old, lost } = await unheard(68, false);
+    assert.is(w.committed?.config?.version, 1);
+    const rival = put(1, 3, 'rival');
+    assert.is(await d.status(rival), 200);
+    assert.is(await d.status(lost), 412);
+    w.start([old]);
+    await w.clock.run(5000);
+    for (const at of w.of('control')) {
+      assert.is(await d.status(lost, at), 412);
+      assert.is(await d.status(rival, at), 200);
+    }
+    d.check();
+  },
+);
 
 orders('an invalid order is refused each time, also where its base has passed', async () => {
   const d = await up(69);
   assert.is(await d.status(put(0, 5)), 200);
-  const invalid = [put(5, 5), put(5, 4), { ...put(5, 7), body: '{"edition":7}' }, { ...patching(5, 7, 'r'), body: '{"edition":7,"remove":{"depots":["d1"]}}' }, patching(5, 5, 'r')];
-  for (const at of d.w.of('control')) for (const o of invalid) assert.is(await d.status(o, at), 400);
+  const invalid = [
+    put(5, 5),
+    put(5, 4),
+    { ...put(5, 7), body: '{"edition":7}' },
+    { ...patching(5, 7, 'r'), body: '{"edition":7,"remove":{"depots":["d1"]}}' },
+    patching(5, 5, 'r'),
+  ];
+  for (const at of d.w.of('control'))
+    for (const o of invalid) assert.is(await d.status(o, at), 400);
   assert.is(await d.status(put(5, 9)), 200);
   for (const o of invalid) assert.ok([400, 412].includes(await d.status(o)), o.body);
   d.check();
--- a/tests/src/path.test.ts
+++ b/tests/src/path.test.ts
@@ -10,13 +10,22 @@
 const reported: CallerRecord[] = [];
 const caller = new Caller('shop', (t) => reported.push(t));
 const fleet = new Fleet({
-  dir: join(tmpdir(), `tillerstair-path-${process.pid}`), sizes: smallSizes, house, cuts: false, affinity: true, log: 'info',
+  dir: join(tmpdir(), `tillerstair-path-${process.pid}`),
+  sizes: smallSizes,
+  house,
+  cuts: false,
+  affinity: true,
+  log: 'info',
 });
 
 whole.before(async () => {
   await fleet.build();
   fleet.start();
-  await until('a master', 30000, async () => (await fleet.operator.any('GET', '/v1/status')).status === 200);
+  await until(
+    'a master',
+    30000,
+    async () => (await fleet.operator.any('GET', '/v1/status')).status === 200,
+  );
 });
 
 whole.after(async () => {
@@ -24,7 +33,13 @@
 });
 
 whole('a configuration handed in serves a streamed turn, its history and a tool call', async () => {
-  const shape = { base: 0, turnPools: [house.modelPool], callPools: [house.servicePool], extraRoutes: 0, note: 'first' };
+  const shape = {
+    base: 0,
+    turnPools: [house.modelPool],
+    callPools: [house.servicePool],
+    extraRoutes: 0,
+    note: 'first',
+  };
   const text = configFor(house, shape);
   const put = await fleet.operator.any('PUT', '/v1/config', text);
   assert.is(put.status, 200);
@@ -35,7 +50,10 @@
   assert.is(made.reported, 'done');
   const first = await caller.turn(b, made.program, null, 'What is in stock? #k1', 'k1');
   assert.is(first.reported, 'done');
-  assert.equal(first.chunks, first.chunks.map((_, i) => i));
+  assert.equal(
+    first.chunks,
+    first.chunks.map((_, i) => i),
+  );
   assert.ok(first.chunks.length > 0);
   const second = await caller.turn(a, made.program, first.turn, 'And tomorrow? #k2', 'k2');
   assert.is(second.reported, 'done');
--- a/tests/src/placement.test.ts
+++ b/tests/src/placement.test.ts
@@ -3,8 +3,21 @@
 import { tuned } from '@tillerstair/control';
 import { checkRecords } from '@tillerstair/checker';
 import { Life, seededRng, SimClock, SimServers, stormConfig } from '@tillerstair/sim';
-import { checkConfig, digestOf, bootstrapState, reduce, weightKey, type State } from '@tillerstair/state';
-import { chainOf, AdmissionQueue, Placement, prefixesOf, tableOf } from '@tillerstair/session-owner';
+import {
+  checkConfig,
+  digestOf,
+  bootstrapState,
+  reduce,
+  weightKey,
+  type State,
+} from '@tillerstair/state';
+import {
+  chainOf,
+  AdmissionQueue,
+  Placement,
+  prefixesOf,
+  tableOf,
+} from '@tillerstair/session-owner';
 import { lasting, RpcError } from '@tillerstair/wire';
 import { five, recordsOf, worldUp } from './util.js';
 
@@ -12,26 +25,82 @@
 
 const text = JSON.stringify({
   base: 0,
-  pools: [{ name: 'new', kind: 'model' }, { name: 'old', kind: 'model' }],
-  routes: [{ name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'new', share: 7 }, { pool: 'old', share: 3 }] }],
+  pools: [
+    { name: 'new', kind: 'model' },
+    { name: 'old', kind: 'model' },
+  ],
+  routes: [
+    {
+      name: 'chat',
+      match: { kind: 'turn', path: '/chat' },
+      shares: [
+        { pool: 'new', share: 7 },
+        { pool: 'old', share: 3 },
+      ],
+    },
+  ],
 });
 const route = checkConfig(text).config?.routes[0];
 if (!route) throw new Error('no route');
 
 const stateWith = (ids: readonly (readonly [string, string])[]): State =>
   ids.reduce<State>(
-    (s, [id, pool]) => reduce(s, { kind: 'server', server: { id, pool, url: `http://127.0.0.1:1/${id}`, draining: false, down: false, zone: '', places: 0 } }),
-    { ...bootstrapState('x', [], 8), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), changeId: '' } },
+    (s, [id, pool]) =>
+      reduce(s, {
+        kind: 'server',
+        server: {
+          id,
+          pool,
+          url: `http://127.0.0.1:1/${id}`,
+          draining: false,
+          down: false,
+          zone: '',
+          places: 0,
+        },
+      }),
+    {
+      ...bootstrapState('x', [], 8),
+      config: {
+        version: 1,
+        text,
+        digest: digestOf(text),
+        compiled: JSON.stringify(checkConfig(text).config),
+        changeId: '',
+      },
+    },
   );
 
-const six = [['n1', 'new'], ['n2', 'new'], ['n3', 'new'], ['o1', 'old'], ['o2', 'old'], ['o3', 'old']] as const;
+const six = [
+  ['n1', 'new'],
+  ['n2', 'new'],
+  ['n3', 'new'],
+  ['o1', 'old'],
+  ['o2', 'old'],
+  ['o3', 'old'],
+] as const;
 
 const placing = (s: State, affinity = true) => {
   const clock = new SimClock();
   const table = tableOf(s, undefined);
   const servers = new SimServers(clock, seededRng(1));
-  const bounds = { poll: 250, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, reportValidFor: 500 };
-  return { clock, placement: new Placement(clock, servers.backend(new Life()), chainOf(affinity), bounds, () => table, () => 16) };
+  const bounds = {
+    poll: 250,
+    pollWithin: 250,
+    retryBad: 1000,
+    sightWithin: Infinity,
+    reportValidFor: 500,
+  };
+  return {
+    clock,
+    placement: new Placement(
+      clock,
+      servers.backend(new Life()),
+      chainOf(affinity),
+      bounds,
+      () => table,
+      () => 16,
+    ),
+  };
 };
 
 place('shares are kept to within rounding, whatever the weights say', () => {
@@ -64,7 +133,11 @@
 });
 
 place('a slow server gets less, a busy warm one loses to an idle cold one', () => {
-  const s = stateWith([['n1', 'new'], ['n2', 'new'], ['n3', 'new']]);
+  const s = stateWith([
+    ['n1', 'new'],
+    ['n2', 'new'],
+    ['n3', 'new'],
+  ]);
   const slow = reduce(s, { kind: 'weights', weights: new Map([[weightKey('new', 'n1'), 0.25]]) });
   const { placement } = placing(slow);
   const count = new Map<string, number>();
@@ -90,9 +163,24 @@
   const before = s.servers.get('n1');
   if (!before) throw new Error('no server');
   assert.is(placing(s).placement.allowed(before, route), true);
-  assert.is(placing(reduce(s, { kind: 'server-mark', id: 'n1', draining: true })).placement.allowed(before, route), false);
-  assert.is(placing(reduce(s, { kind: 'server-gone', id: 'n1' })).placement.allowed(before, route), false);
-  assert.is(placing(reduce(s, { kind: 'server', server: { ...before, pool: 'other' } })).placement.allowed(before, route), false);
+  assert.is(
+    placing(reduce(s, { kind: 'server-mark', id: 'n1', draining: true })).placement.allowed(
+      before,
+      route,
+    ),
+    false,
+  );
+  assert.is(
+    placing(reduce(s, { kind: 'server-gone', id: 'n1' })).placement.allowed(before, route),
+    false,
+  );
+  assert.is(
+    placing(reduce(s, { kind: 'server', server: { ...before, pool: 'other' } })).placement.allowed(
+      before,
+      route,
+    ),
+    false,
+  );
 });
 
 place('weights move by steps towards what servers do, and stay put when nothing changes', () => {
@@ -112,96 +200,151 @@
   assert.equal(tuned(s, new Map()), s.weights);
 });
 
-place('urgent goes first, ordinary is not starved, the line is bounded, the late and the gone leave', async () => {
-  const clock = new SimClock();
-  const admissionQueue = new AdmissionQueue<string>(clock, () => 12);
-  let free = 0;
-  const pick = (): string | undefined => (free > 0 ? (free--, 'server') : undefined);
-  const order: string[] = [];
-  const never = lasting().signal;
-  const enter = (name: string, urgent: boolean, within = 1000, gone = never) =>
-    admissionQueue.enter(urgent, within, gone, pick).then(
-      () => order.push(name),
-      (e: unknown) => order.push(`${name} ${e instanceof RpcError ? e.code : 'other'}`),
-    );
-  for (let i = 0; i < 10; i++) {
-    void enter('o', false);
-    void enter('u', true);
-  }
-  await clock.settle();
-  for (let i = 0; i < 10; i++) {
-    free = 1;
-    admissionQueue.pump();
+place(
+  'urgent goes first, ordinary is not starved, the line is bounded, the late and the gone leave',
+  async () => {
+    const clock = new SimClock();
+    const admissionQueue = new AdmissionQueue<string>(clock, () => 12);
+    let free = 0;
+    const pick = (): string | undefined => (free > 0 ? (free--, 'server') : undefined);
+    const order: string[] = [];
+    const never = lasting().signal;
+    const enter = (name: string, urgent: boolean, within = 1000, gone = never) =>
+      admissionQueue.enter(urgent, within, gone, pick).then(
+        () => order.push(name),
+        (e: unknown) => order.push(`${name} ${e instanceof RpcError ? e.code : 'other'}`),
+      );
+    for (let i = 0; i < 10; i++) {
+      void enter('o', false);
+      void enter('u', true);
+    }
     await clock.settle();
-  }
-  assert.equal(order.join(''), 'uuuuouuuuo');
-  const gone = new AbortController();
-  void enter('g', false, 1000, gone.signal);
-  for (let i = 0; i < 10; i++) void enter('f', false);
-  await clock.settle();
-  assert.ok(order.some((x) => x === 'f queue-full'));
-  gone.abort();
-  await clock.settle();
-  assert.ok(order.includes('g gone'));
-  await clock.run(1100);
-  assert.ok(order.includes('f queue-timeout'));
-  assert.is(admissionQueue.waiting, 0);
-});
+    for (let i = 0; i < 10; i++) {
+      free = 1;
+      admissionQueue.pump();
+      await clock.settle();
+    }
+    assert.equal(order.join(''), 'uuuuouuuuo');
+    const gone = new AbortController();
+    void enter('g', false, 1000, gone.signal);
+    for (let i = 0; i < 10; i++) void enter('f', false);
+    await clock.settle();
+    assert.ok(order.some((x) => x === 'f queue-full'));
+    gone.abort();
+    await clock.settle();
+    assert.ok(order.includes('g gone'));
+    await clock.run(1100);
+    assert.ok(order.includes('f queue-timeout'));
+    assert.is(admissionQueue.waiting, 0);
+  },
+);
 
-place('a server that fails for one front only stays in use by the others; one silent to all is soon down for all', async () => {
-  const w = await worldUp(91, five);
-  const ps = await w.clock.finish('programs', Promise.all(w.of('front').map((m) => w.program(900, m))), 20000);
-  const down = (): boolean => w.committed?.servers.get('m1')?.down ?? false;
-  w.servers.cutFronts.add('front-0>m1');
-  const from = w.clock.now();
-  let i = 0;
-  const offer = async (ms: number): Promise<void> => {
+place(
+  'a server that fails for one front only stays in use by the others; one silent to all is soon down for all',
+  async () => {
+    const w = await worldUp(91, five);
+    const ps = await w.clock.finish(
+      'programs',
+      Promise.all(w.of('front').map((m) => w.program(900, m))),
+      20000,
+    );
+    const down = (): boolean => w.committed?.servers.get('m1')?.down ?? false;
+    w.servers.cutFronts.add('front-0>m1');
+    const from = w.clock.now();
+    let i = 0;
+    const offer = async (ms: number): Promise<void> => {
+      const going: Promise<unknown>[] = [];
+      for (const end = w.clock.now() + ms; w.clock.now() < end;) {
+        ps.forEach((p, n) =>
+          going.push(w.turn(p.program, null, `s #${i++}`, `s${i}`, w.of('front')[n])),
+        );
+        await w.clock.run(150);
+        assert.ok(
+          w.clock.now() < from + 1500 || !down(),
+          'one front alone takes no server from all',
+        );
+      }
+      await w.clock.finish('turns', Promise.all(going), 60000);
+    };
+    await offer(6000);
+    assert.ok(
+      w.servers.executed.filter((r) => r.server === 'm1' && r.began > from + 1500).length > 10,
+    );
+    assert.equal(
+      w.reported.filter((t) => t.reported !== 'done').map((t) => t.errorCode),
+      [],
+    );
+    w.servers.set('m1', { refuses: true });
+    const took = await w.clock.until('down', down, 10000);
+    assert.ok(took < 3000, `${took} ms`);
+    w.servers.set('m1', { refuses: false });
+    w.servers.cutFronts.clear();
+    assert.ok((await w.clock.until('up', () => !down(), 10000)) < 3000);
+  },
+);
+
+place(
+  "work is split by the operator's shares while weights are tuned and the master changes",
+  async () => {
+    const w = await worldUp(92, five);
+    for (const [id, pool] of [
+      ['m3', 'models'],
+      ['n1', 'others'],
+      ['n2', 'others'],
+    ])
+      await w.operate(
+        'PUT',
+        `/v1/servers/${id}`,
+        JSON.stringify({ pool, url: 'http://127.0.0.1:1' }),
+      );
+    const { config } = checkConfig(
+      stormConfig({ base: 1, turnPools: ['models', 'others'], callPool: 'shop', extra: 0 }),
+    );
+    const shares = [
+      { pool: 'models', share: 3 },
+      { pool: 'others', share: 1 },
+    ];
+    const routes = config?.routes.map((l) => (l.name === 'chat' ? { ...l, shares } : l));
+    assert.is(
+      (await w.operate('PUT', '/v1/config', JSON.stringify({ ...config, routes }))).status,
+      200,
+    );
+    w.servers.set('m1', { slow: 4 });
+    await w.clock.run(1000);
+    const ps = await w.clock.finish(
+      'programs',
+      Promise.all(Array.from({ length: 60 }, () => w.program(900))),
+      20000,
+    );
+    const from = w.clock.now();
     const going: Promise<unknown>[] = [];
-    for (const end = w.clock.now() + ms; w.clock.now() < end; ) {
-      ps.forEach((p, n) => going.push(w.turn(p.program, null, `s #${i++}`, `s${i}`, w.of('front')[n])));
-      await w.clock.run(150);
-      assert.ok(w.clock.now() < from + 1500 || !down(), 'one front alone takes no server from all');
+    const tuned = (): number => w.committed?.weights.get(weightKey('models', 'm1')) ?? 1;
+    let least = 1;
+    for (let i = 0; i < 900; i++) {
+      const p = ps[i % ps.length];
+      if (p) going.push(w.turn(p.program, null, `w #${i}`, `w${i}`));
+      if (i === 450) w.master?.kill();
+      least = Math.min(least, tuned());
+      await w.clock.run(20);
     }
     await w.clock.finish('turns', Promise.all(going), 60000);
-  };
-  await offer(6000);
-  assert.ok(w.servers.executed.filter((r) => r.server === 'm1' && r.began > from + 1500).length > 10);
-  assert.equal(w.reported.filter((t) => t.reported !== 'done').map((t) => t.errorCode), []);
-  w.servers.set('m1', { refuses: true });
-  const took = await w.clock.until('down', down, 10000);
-  assert.ok(took < 3000, `${took} ms`);
-  w.servers.set('m1', { refuses: false });
-  w.servers.cutFronts.clear();
-  assert.ok((await w.clock.until('up', () => !down(), 10000)) < 3000);
-});
-
-place('work is split by the operator\'s shares while weights are tuned and the master changes', async () => {
-  const w = await worldUp(92, five);
-  for (const [id, pool] of [['m3', 'models'], ['n1', 'others'], ['n2', 'others']]) await w.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
-  const { config } = checkConfig(stormConfig({ base: 1, turnPools: ['models', 'others'], callPool: 'shop', extra: 0 }));
-  const shares = [{ pool: 'models', share: 3 }, { pool: 'others', share: 1 }];
-  const routes = config?.routes.map((l) => (l.name === 'chat' ? { ...l, shares } : l));
-  assert.is((await w.operate('PUT', '/v1/config', JSON.stringify({ ...config, routes }))).status, 200);
-  w.servers.set('m1', { slow: 4 });
-  await w.clock.run(1000);
-  const ps = await w.clock.finish('programs', Promise.all(Array.from({ length: 60 }, () => w.program(900))), 20000);
-  const from = w.clock.now();
-  const going: Promise<unknown>[] = [];
-  const tuned = (): number => w.committed?.weights.get(weightKey('models', 'm1')) ?? 1;
-  let least = 1;
-  for (let i = 0; i < 900; i++) {
-    const p = ps[i % ps.length];
-    if (p) going.push(w.turn(p.program, null, `w #${i}`, `w${i}`));
-    if (i === 450) w.master?.kill();
-    least = Math.min(least, tuned());
-    await w.clock.run(20);
-  }
-  await w.clock.finish('turns', Promise.all(going), 60000);
-  assert.ok(least < 0.6, `weight ${least}`);
-  const row = { kind: 'generate' as const, from, to: w.clock.now(), shares: [['models', 3], ['others', 1]] as const, rounding: 12 };
-  const outcome = checkRecords(recordsOf(w, { shares: [row] })).find((v) => v.rule.includes('shares'));
-  assert.equal(outcome?.breaches, []);
-  assert.ok((outcome?.checked ?? 0) >= 2);
-});
+    assert.ok(least < 0.6, `weight ${least}`);
+    const row = {
+      kind: 'generate' as const,
+      from,
+      to: w.clock.now(),
+      shares: [
+        ['models', 3],
+        ['others', 1],
+      ] as const,
+      rounding: 12,
+    };
+    const outcome = checkRecords(recordsOf(w, { shares: [row] })).find((v) =>
+      v.rule.includes('shares'),
+    );
+    assert.equal(outcome?.breaches, []);
+    assert.ok((outcome?.checked ?? 0) >= 2);
+  },
+);
 
 place.run();
--- a/tests/src/platform.test.ts
+++ b/tests/src/platform.test.ts
@@ -9,7 +9,14 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { InvalidSettingsError } from '@tillerstair/settings';
-import { agentSettings, controlSettings, platformList, proxySettings, readSettings, storeSettings } from '@tillerstair/platform';
+import {
+  agentSettings,
+  controlSettings,
+  platformList,
+  proxySettings,
+  readSettings,
+  storeSettings,
+} from '@tillerstair/platform';
 import { RpcError } from '@tillerstair/wire';
 
 const adapter = suite('the adapter: settings and the list of servers');
@@ -45,25 +52,50 @@
     assert.is(store.addr, '10.1.0.33:7387');
     assert.is(store.name, 'vault-gangnam-a-1');
     assert.is(store.retentionMs, 180000);
-    assert.equal(store.bounds, { serveWithin: 12000, inForceWithin: 2000, drainingWithin: 3000, heartbeatInterval: 500, failureTimeout: 1800 });
+    assert.equal(store.bounds, {
+      serveWithin: 12000,
+      inForceWithin: 2000,
+      drainingWithin: 3000,
+      heartbeatInterval: 500,
+      failureTimeout: 1800,
+    });
     assert.equal(store.seeds, ['10.1.0.34:7385', '10.2.0.38:7385', '10.1.0.34:7385']);
     assert.is(controlSettings(s).mayBootstrap, true);
     assert.is(controlSettings(s).losses, 1);
     assert.is(proxySettings(s).asksServers, false);
     assert.is(agentSettings(s).proxy, proxySettings(s).feed);
-    const ports = [proxySettings(s).addr, proxySettings(s).feed, proxySettings(s).http, agentSettings(s).addr, agentSettings(s).http, controlSettings(s).addr, controlSettings(s).http, store.addr, store.http];
+    const ports = [
+      proxySettings(s).addr,
+      proxySettings(s).feed,
+      proxySettings(s).http,
+      agentSettings(s).addr,
+      agentSettings(s).http,
+      controlSettings(s).addr,
+      controlSettings(s).http,
+      store.addr,
+      store.http,
+    ];
     assert.is(new Set(ports).size, ports.length);
-    assert.ok(ports.every((a) => Number(a.split(':')[1]) >= 7380 && Number(a.split(':')[1]) <= 7395));
+    assert.ok(
+      ports.every((a) => Number(a.split(':')[1]) >= 7380 && Number(a.split(':')[1]) <= 7395),
+    );
   }),
 );
 
-adapter('the losses to bear come from what is to be withstood, whichever kind asks for the most', async () => {
-  for (const [withstand, losses] of [
-    ['{ machineLosses: 1, zones: 0, regionLosses: 0 }', 1], ['{ machineLosses: 2, zones: 0, regionLosses: 0 }', 2],
-    ['{ machineLosses: 0, zones: 1, regionLosses: 0 }', 1], ['{ machineLosses: 3, zones: 1 }', 3],
-  ] as const)
-    await withFile(text(`withstand: ${withstand}`), (path) => assert.is(controlSettings(readSettings(path)).losses, losses));
-});
+adapter(
+  'the losses to bear come from what is to be withstood, whichever kind asks for the most',
+  async () => {
+    for (const [withstand, losses] of [
+      ['{ machineLosses: 1, zones: 0, regionLosses: 0 }', 1],
+      ['{ machineLosses: 2, zones: 0, regionLosses: 0 }', 2],
+      ['{ machineLosses: 0, zones: 1, regionLosses: 0 }', 1],
+      ['{ machineLosses: 3, zones: 1 }', 3],
+    ] as const)
+      await withFile(text(`withstand: ${withstand}`), (path) =>
+        assert.is(controlSettings(readSettings(path)).losses, losses),
+      );
+  },
+);
 
 adapter('settings that lack something are found with their place, all together', () =>
   withFile('nodeName: "x"\nzone: 3\nseedNodes: []\n', (path) => {
@@ -72,13 +104,17 @@
       assert.unreachable();
     } catch (e) {
       assert.instance(e, InvalidSettingsError);
-      const found = e instanceof InvalidSettingsError ? e.findings.map((f) => f.place.split(' ')[1]) : [];
+      const found =
+        e instanceof InvalidSettingsError ? e.findings.map((f) => f.place.split(' ')[1]) : [];
       assert.equal(found.sort(), ['nodeIp', 'portRange', 'seedNodes', 'timeBounds', 'zone']);
     }
   }),
 );
 
-const listAt = async <T>(serve: RequestListener, work: (addr: string) => Promise<T>): Promise<T> => {
+const listAt = async <T>(
+  serve: RequestListener,
+  work: (addr: string) => Promise<T>,
+): Promise<T> => {
   const server = createServer(serve);
   await new Promise<void>((done) => server.listen(0, '127.0.0.1', () => done()));
   const at: AddressInfo | string | null = server.address();
@@ -91,14 +127,32 @@
   }
 };
 
-const entry = (n: number, state = 'accepting') => ({ serverId: `i-${n}`, depot: 'd', address: `10.0.0.${n}:80`, zone: 'a', berths: 6, state, edition: 'v1', coldLeftMs: 0 });
-const outcome = (addr: string): Promise<unknown> => platformList(() => addr).read(2000).catch((e: unknown) => (e instanceof RpcError ? 'errorCode' : e));
+const entry = (n: number, state = 'accepting') => ({
+  serverId: `i-${n}`,
+  depot: 'd',
+  address: `10.0.0.${n}:80`,
+  zone: 'a',
+  berths: 6,
+  state,
+  edition: 'v1',
+  coldLeftMs: 0,
+});
+const outcome = (addr: string): Promise<unknown> =>
+  platformList(() => addr)
+    .read(2000)
+    .catch((e: unknown) => (e instanceof RpcError ? 'errorCode' : e));
 
 adapter('the list is read page by page, whole', () =>
   listAt(
     (req, res) => {
       const second = req.url?.includes('pageToken=p%2B2') ?? false;
-      res.end(JSON.stringify(second ? { servers: [entry(2, 'winding_down')], nextToken: null } : { servers: [entry(1)], nextToken: 'p+2' }));
+      res.end(
+        JSON.stringify(
+          second
+            ? { servers: [entry(2, 'winding_down')], nextToken: null }
+            : { servers: [entry(1)], nextToken: 'p+2' },
+        ),
+      );
     },
     async (addr) => {
       assert.equal(await platformList(() => addr).read(2000), [
@@ -109,24 +163,33 @@
   ),
 );
 
-adapter('a list that is refused, cut, unreadable or lacks a page is an error, never a short list', async () => {
-  const first = JSON.stringify({ servers: [entry(1)], nextToken: 'x' });
-  const bad: readonly RequestListener[] = [
-    (_req, res) => res.writeHead(429).end(),
-    (_req, res) => res.end('{"servers":['),
-    (_req, res) => res.end(JSON.stringify({ servers: [entry(1)] })),
-    (req, res) => (req.url?.includes('pageToken') ? res.writeHead(503).end() : res.end(first)),
-    (req, res) => (req.url?.includes('pageToken') ? res.destroy() : res.end(first)),
-  ];
-  for (const serve of bad) assert.is(await listAt(serve, outcome), 'errorCode');
-});
+adapter(
+  'a list that is refused, cut, unreadable or lacks a page is an error, never a short list',
+  async () => {
+    const first = JSON.stringify({ servers: [entry(1)], nextToken: 'x' });
+    const bad: readonly RequestListener[] = [
+      (_req, res) => res.writeHead(429).end(),
+      (_req, res) => res.end('{"servers":['),
+      (_req, res) => res.end(JSON.stringify({ servers: [entry(1)] })),
+      (req, res) => (req.url?.includes('pageToken') ? res.writeHead(503).end() : res.end(first)),
+      (req, res) => (req.url?.includes('pageToken') ? res.destroy() : res.end(first)),
+    ];
+    for (const serve of bad) assert.is(await listAt(serve, outcome), 'errorCode');
+  },
+);
 
 adapter('the bundle is made, and says how it is called', async () => {
   const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
   const run = promisify(execFile);
   await run(process.execPath, [join(root, 'platform', 'build.mjs')]);
-  const said = await run(process.execPath, [join(root, 'target', 'tillerstair.cjs'), 'nobody']).catch((e: unknown) => String(e));
-  assert.match(String(said), 'usage: tillerstair front-proxy | control-node | front-agent | store-node');
+  const said = await run(process.execPath, [
+    join(root, 'target', 'tillerstair.cjs'),
+    'nobody',
+  ]).catch((e: unknown) => String(e));
+  assert.match(
+    String(said),
+    'usage: tillerstair front-proxy | control-node | front-agent | store-node',
+  );
 });
 
 adapter.run();
--- a/tests/src/quorum-read.test.ts
+++ b/tests/src/quorum-read.test.ts
@@ -7,28 +7,57 @@
 
 const reads = suite('a quorum read');
 
-const bounds = zenBounds({ serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 });
+const bounds = zenBounds({
+  serveWithin: 12000,
+  drainingWithin: 3000,
+  heartbeatInterval: 1000,
+  failureTimeout: 3000,
+});
 const roundTrip = 10;
 const term = 4;
 
-const member = (id: string): Member => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
+const member = (id: string): Member => ({
+  id,
+  kind: 'control',
+  addr: id,
+  http: '',
+  zone: '',
+  data: '',
+  name: '',
+});
 const stateOf = (now: readonly string[], next: readonly string[], version = 7): State => ({
-  ...bootstrapState('x', [...new Set([...now, ...next])].map(member), 1), term, version, voters: { current: now, next },
+  ...bootstrapState('x', [...new Set([...now, ...next])].map(member), 1),
+  term,
+  version,
+  voters: { current: now, next },
 });
 
 /** A master `a` among voters of which some answer, each with its term. */
-const master = (state: State, terms: ReadonlyMap<string, number>, more: { readonly deposed?: boolean } = {}) => {
+const master = (
+  state: State,
+  terms: ReadonlyMap<string, number>,
+  more: { readonly deposed?: boolean } = {},
+) => {
   const clock = new SimClock();
   const held = { state, asked: 0, later: 0 };
   const lost = new AbortController();
   const read = new QuorumRead({
-    me: member('a'), clock, bounds, term, lost: lost.signal, committed: () => held.state, deposed: () => more.deposed ?? false,
+    me: member('a'),
+    clock,
+    bounds,
+    term,
+    lost: lost.signal,
+    committed: () => held.state,
+    deposed: () => more.deposed ?? false,
     onLaterTerm: (t) => {
       held.later = t;
       lost.abort();
     },
     transport: {
-      self: 'a', onLost: () => undefined, serve: async () => undefined, close: async () => undefined,
+      self: 'a',
+      onLost: () => undefined,
+      serve: async () => undefined,
+      close: async () => undefined,
       call: async (to, _kind, _body, { within }) => {
         held.asked++;
         const answer = terms.get(to);
@@ -41,7 +70,11 @@
   return { clock, held, read };
 };
 
-const outcome = (work: Promise<State>): Promise<string> => work.then((s) => `version ${s.version}`, (e: unknown) => toRpcError(e).code);
+const outcome = (work: Promise<State>): Promise<string> =>
+  work.then(
+    (s) => `version ${s.version}`,
+    (e: unknown) => toRpcError(e).code,
+  );
 
 const three = ['a', 'b', 'c'];
 
@@ -52,25 +85,56 @@
 
 reads('silence of the others refuses within 1.25 heartbeats', async () => {
   const { clock, read } = master(stateOf(three, three), new Map());
-  assert.is(await clock.finish('read', outcome(read.confirm()), bounds.heartbeatInterval * 1.25 + 1), 'unavailable');
+  assert.is(
+    await clock.finish('read', outcome(read.confirm()), bounds.heartbeatInterval * 1.25 + 1),
+    'unavailable',
+  );
 });
 
 reads('a joint change needs a majority of both groups', async () => {
   const next = ['c', 'd', 'e'];
-  const onlyOld = master(stateOf(three, next), new Map([['b', term], ['c', term]]));
-  assert.is(await onlyOld.clock.finish('old', outcome(onlyOld.read.confirm()), 2000), 'unavailable');
-  const both = master(stateOf(three, next), new Map([['b', term], ['c', term], ['d', term]]));
+  const onlyOld = master(
+    stateOf(three, next),
+    new Map([
+      ['b', term],
+      ['c', term],
+    ]),
+  );
+  assert.is(
+    await onlyOld.clock.finish('old', outcome(onlyOld.read.confirm()), 2000),
+    'unavailable',
+  );
+  const both = master(
+    stateOf(three, next),
+    new Map([
+      ['b', term],
+      ['c', term],
+      ['d', term],
+    ]),
+  );
   assert.is(await both.clock.finish('both', outcome(both.read.confirm()), 2000), 'version 7');
 });
 
 reads('an answer of a later term does not count, and is told', async () => {
-  const { clock, held, read } = master(stateOf(three, three), new Map([['b', term + 1], ['c', term + 1]]));
+  const { clock, held, read } = master(
+    stateOf(three, three),
+    new Map([
+      ['b', term + 1],
+      ['c', term + 1],
+    ]),
+  );
   assert.is(await clock.finish('read', outcome(read.confirm()), 2000), 'unavailable');
   assert.is(held.later, term + 1);
 });
 
 reads('an answer of an earlier term does not count', async () => {
-  const { clock, read } = master(stateOf(three, three), new Map([['b', term - 1], ['c', term - 1]]));
+  const { clock, read } = master(
+    stateOf(three, three),
+    new Map([
+      ['b', term - 1],
+      ['c', term - 1],
+    ]),
+  );
   assert.is(await clock.finish('read', outcome(read.confirm()), 2000), 'unavailable');
 });
 
@@ -79,16 +143,25 @@
   assert.is(await clock.finish('read', outcome(read.confirm()), 2000), 'unavailable');
 });
 
-reads('a call that comes while a round runs waits for the next, which all such calls share', async () => {
-  const { clock, held, read } = master(stateOf(three, three), new Map([['b', term], ['c', term]]));
-  const first = outcome(read.confirm());
-  await clock.run(roundTrip / 2);
-  assert.is(held.asked, 2);
-  held.state = stateOf(three, three, 8);
-  const later = [read.confirm(), read.confirm(), read.confirm()].map(outcome);
-  const got = await clock.finish('all', Promise.all([first, ...later]), roundTrip * 4);
-  assert.equal(got, ['version 7', 'version 8', 'version 8', 'version 8']);
-  assert.is(held.asked, 4);
-});
+reads(
+  'a call that comes while a round runs waits for the next, which all such calls share',
+  async () => {
+    const { clock, held, read } = master(
+      stateOf(three, three),
+      new Map([
+        ['b', term],
+        ['c', term],
+      ]),
+    );
+    const first = outcome(read.confirm());
+    await clock.run(roundTrip / 2);
+    assert.is(held.asked, 2);
+    held.state = stateOf(three, three, 8);
+    const later = [read.confirm(), read.confirm(), read.confirm()].map(outcome);
+    const got = await clock.finish('all', Promise.all([first, ...later]), roundTrip * 4);
+    assert.equal(got, ['version 7', 'version 8', 'version 8', 'version 8']);
+    assert.is(held.asked, 4);
+  },
+);
 
 reads.run();
--- a/tests/src/receiver.test.ts
+++ b/tests/src/receiver.test.ts
@@ -8,13 +8,24 @@
 
 const receiver = suite('publish receiver');
 
-const memberOf = (id: string): Member => ({ id, kind: 'control', addr: id, http: '', zone: '', data: '', name: '' });
+const memberOf = (id: string): Member => ({
+  id,
+  kind: 'control',
+  addr: id,
+  http: '',
+  zone: '',
+  data: '',
+  name: '',
+});
 const master = memberOf('a');
 const bootstrapped = bootstrapState('cluster', [master, memberOf('b')], 1);
 const stateAt = (version: number): State => ({ ...bootstrapped, term: 2, version, master: 'a' });
 
 const publishOf = (s: State): object => ({
-  from: master, term: s.term, clusterId: s.clusterId, packed: deflateSync(JSON.stringify({ full: [...flatten(s)] })).toString('base64'),
+  from: master,
+  term: s.term,
+  clusterId: s.clusterId,
+  packed: deflateSync(JSON.stringify({ full: [...flatten(s)] })).toString('base64'),
 });
 
 /** Lets a test decide when a vote is on disk. */
@@ -36,8 +47,17 @@
 receiver('an older state that waited for its vote never replaces a newer one', async () => {
   const electionStore = new SlowVoteKeep('b');
   await electionStore.accept(bootstrapped);
-  const r = new Receiver({ electionStore, onApplied: async () => undefined, knows: () => true, onTerm: () => undefined, onPublished: () => undefined });
-  const older = r.onPublish(publishOf(stateAt(4))).then((a) => a.outcome, (e: unknown) => toRpcError(e).code);
+  const r = new Receiver({
+    electionStore,
+    onApplied: async () => undefined,
+    knows: () => true,
+    onTerm: () => undefined,
+    onPublished: () => undefined,
+  });
+  const older = r.onPublish(publishOf(stateAt(4))).then(
+    (a) => a.outcome,
+    (e: unknown) => toRpcError(e).code,
+  );
   assert.equal(await r.onPublish(publishOf(stateAt(5))), { outcome: 'accepted' });
   electionStore.voteSynced();
   assert.is(await older, 'stale-state');
--- a/tests/src/renamed-keys.test.ts
+++ b/tests/src/renamed-keys.test.ts
@@ -8,7 +8,9 @@
   JSON.stringify({
     base: 0,
     pools: [{ name: 'm', kind: 'model' }],
-    [key]: [{ name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'm', share: 1 }] }],
+    [key]: [
+      { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: 'm', share: 1 }] },
+    ],
   });
 
 keys('a key that was renamed is a finding that names the new one', () => {
--- a/tests/src/storm-worker.ts
+++ b/tests/src/storm-worker.ts
@@ -8,7 +8,13 @@
 const stormMs = 40000;
 
 const runSeed = async (seed: number, proven: Set<string>, struck: Set<string>): Promise<void> => {
-  const storm = new Storm({ seed, sizes: deploymentOf(seed), ms: stormMs, plan: planOf(seed, stormMs, faultKinds), chats: 40 });
+  const storm = new Storm({
+    seed,
+    sizes: deploymentOf(seed),
+    ms: stormMs,
+    plan: planOf(seed, stormMs, faultKinds),
+    chats: 40,
+  });
   try {
     const records = await storm.run();
     assertNoBreach(records);
--- a/tests/src/troubles.test.ts
+++ b/tests/src/troubles.test.ts
@@ -26,7 +26,20 @@
   ['core_cut', ['', 'one_way', 'seeds', 'both', 'reset', 'refuse']],
   ['config_change', ['route', 'weights', 'timeout', 'tenant', 'quota', 'idle']],
   ['config_race', ['']],
-  ['bad_config', ['cut_short', 'unknown_service', 'same_place', 'no_weight', 'no_timeout', 'old_version', 'same_version', 'stale_match', 'shared_key']],
+  [
+    'bad_config',
+    [
+      'cut_short',
+      'unknown_service',
+      'same_place',
+      'no_weight',
+      'no_timeout',
+      'old_version',
+      'same_version',
+      'stale_match',
+      'shared_key',
+    ],
+  ],
   ['retire', ['', 'wipe']],
   ['srv_crash', ['', 'dark', 'gone']],
   ['srv_slow', ['']],
@@ -50,9 +63,19 @@
 ];
 
 /** Faults of the storms beyond the kinds of the page. */
-const beyond: ReadonlySet<string> = new Set(['kill-proxy', 'freeze-proxy', 'kill-agent', 'lossy', 'drain-front']);
+const beyond: ReadonlySet<string> = new Set([
+  'kill-proxy',
+  'freeze-proxy',
+  'kill-agent',
+  'lossy',
+  'drain-front',
+]);
 /** Kinds that no fault can bring about, since nothing in the product could notice them. */
-const unnoticed: ReadonlySet<string> = new Set(['clock_step', 'clock_step / back', 'clock_step / ahead']);
+const unnoticed: ReadonlySet<string> = new Set([
+  'clock_step',
+  'clock_step / back',
+  'clock_step / ahead',
+]);
 
 interface Row {
   readonly kind: string;
@@ -60,27 +83,36 @@
   readonly tests: readonly string[];
 }
 
-const quoted = (cell: string): readonly string[] => [...cell.matchAll(/`([^`]+)`/g)].map(([, name = '']) => name);
+const quoted = (cell: string): readonly string[] =>
+  [...cell.matchAll(/`([^`]+)`/g)].map(([, name = '']) => name);
 
 const rows = async (): Promise<readonly Row[]> => {
   const text = await readFile(join(root, 'docs', 'never-list.md'), 'utf8');
   const section = text.slice(text.indexOf('## Every kind of trouble'));
   return section.split('\n').flatMap((line) => {
     const [, kind = '', faults = '', tests = ''] = line.split('|').map((cell) => cell.trim());
-    return kind === '' || kind === 'kind / way' || kind.startsWith('---') ? [] : [{ kind, faults: quoted(faults), tests: quoted(tests) }];
+    return kind === '' || kind === 'kind / way' || kind.startsWith('---')
+      ? []
+      : [{ kind, faults: quoted(faults), tests: quoted(tests) }];
   });
 };
 
 const troubles = suite('the table of troubles');
 
 troubles('has a row for every kind and way, and no other', async () => {
-  const wanted = kinds.flatMap(([kind, ways]) => ways.map((way) => (way === '' ? kind : `${kind} / ${way}`)));
+  const wanted = kinds.flatMap(([kind, ways]) =>
+    ways.map((way) => (way === '' ? kind : `${kind} / ${way}`)),
+  );
   assert.equal((await rows()).map((r) => r.kind).sort(), wanted.sort());
 });
 
 troubles('names faults that the storms have, at least one a row', async () => {
   for (const r of await rows()) {
-    assert.equal(r.faults.filter((f) => !faultKinds.includes(f)), [], r.kind);
+    assert.equal(
+      r.faults.filter((f) => !faultKinds.includes(f)),
+      [],
+      r.kind,
+    );
     assert.is(r.faults.length === 0, unnoticed.has(r.kind), r.kind);
   }
 });
@@ -93,7 +125,11 @@
 troubles('names tests that there are, at least one a row', async () => {
   for (const r of await rows()) {
     assert.ok(r.tests.length > 0, r.kind);
-    assert.equal(r.tests.filter((t) => !existsSync(join(root, 'tests', 'src', `${t}.test.ts`))), [], r.kind);
+    assert.equal(
+      r.tests.filter((t) => !existsSync(join(root, 'tests', 'src', `${t}.test.ts`))),
+      [],
+      r.kind,
+    );
   }
 });
 
--- a/tests/src/util.ts
+++ b/tests/src/util.ts
@@ -1,9 +1,28 @@
 import * as assert from 'uvu/assert';
-import { checkRecords, noRecords, type PassRecord, type ExecutionRecord, type Records } from '@tillerstair/checker';
-import { passAt, passHost, passRoutes, World, type Machine, type PassSpec, type WorldSizes } from '@tillerstair/sim';
+import {
+  checkRecords,
+  noRecords,
+  type PassRecord,
+  type ExecutionRecord,
+  type Records,
+} from '@tillerstair/checker';
+import {
+  passAt,
+  passHost,
+  passRoutes,
+  World,
+  type Machine,
+  type PassSpec,
+  type WorldSizes,
+} from '@tillerstair/sim';
 import { slotOf } from '@tillerstair/state';
 
-export const configText = (base: number, turnPool = 'models', callPool = 'shop', extra = 0): string =>
+export const configText = (
+  base: number,
+  turnPool = 'models',
+  callPool = 'shop',
+  extra = 0,
+): string =>
   JSON.stringify({
     base,
     pools: [
@@ -11,17 +30,31 @@
       { name: callPool, kind: 'service' },
     ],
     routes: [
-      { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: [{ pool: turnPool, share: 1 }] },
-      { name: 'hold', match: { kind: 'call', path: '/hold' }, acting: true, shares: [{ pool: callPool, share: 1 }] },
+      {
+        name: 'chat',
+        match: { kind: 'turn', path: '/chat' },
+        shares: [{ pool: turnPool, share: 1 }],
+      },
+      {
+        name: 'hold',
+        match: { kind: 'call', path: '/hold' },
+        acting: true,
+        shares: [{ pool: callPool, share: 1 }],
+      },
       ...Array.from({ length: extra }, (_, i) => ({
-        name: `x${i}`, match: { kind: 'call', path: `/x/${i}` }, shares: [{ pool: callPool, share: 1 }],
+        name: `x${i}`,
+        match: { kind: 'call', path: `/x/${i}` },
+        shares: [{ pool: callPool, share: 1 }],
       })),
     ],
     budgets: { program: 1000, turn: 16 },
   });
 
 export const servers: readonly (readonly [string, string])[] = [
-  ['m1', 'models'], ['m2', 'models'], ['s1', 'shop'], ['s2', 'shop'],
+  ['m1', 'models'],
+  ['m2', 'models'],
+  ['s1', 'shop'],
+  ['s2', 'shop'],
 ];
 
 export const small: WorldSizes = { controls: 3, stores: 3, fronts: 2 };
@@ -34,23 +67,51 @@
   return w;
 };
 
-export const passText = (base: number, turnPool = 'models', callPool = 'shop', ownPool = 'memo', more: object = {}): string =>
+export const passText = (
+  base: number,
+  turnPool = 'models',
+  callPool = 'shop',
+  ownPool = 'memo',
+  more: object = {},
+): string =>
   JSON.stringify({
     base,
     pools: [
-      ...['models', 'others'].map((name) => ({ name, kind: 'model', engine: { places: 4, memoryTokens: 100000, blockTokens: 1 } })),
-      { name: 'shop', kind: 'service' }, { name: 'mart', kind: 'service' }, { name: 'memo', kind: 'service', remembersKeys: true },
+      ...['models', 'others'].map((name) => ({
+        name,
+        kind: 'model',
+        engine: { places: 4, memoryTokens: 100000, blockTokens: 1 },
+      })),
+      { name: 'shop', kind: 'service' },
+      { name: 'mart', kind: 'service' },
+      { name: 'memo', kind: 'service', remembersKeys: true },
     ],
     routes: [
       ...passRoutes([turnPool], callPool),
-      { name: 'own', match: { kind: 'pass', host: passHost, path: '/own/' }, pass: { manner: 'keyed', tries: 2, deadlineMs: 8000 }, shares: [{ pool: ownPool, share: 1 }] },
+      {
+        name: 'own',
+        match: { kind: 'pass', host: passHost, path: '/own/' },
+        pass: { manner: 'keyed', tries: 2, deadlineMs: 8000 },
+        shares: [{ pool: ownPool, share: 1 }],
+      },
     ],
     ...more,
   });
 
-const passServers: readonly (readonly [string, string])[] = [...servers, ['k1', 'memo'], ['k2', 'memo'], ['n1', 'others'], ['z1', 'mart']];
+const passServers: readonly (readonly [string, string])[] = [
+  ...servers,
+  ['k1', 'memo'],
+  ['k2', 'memo'],
+  ['n1', 'others'],
+  ['z1', 'mart'],
+];
 
-export const passUp = async (seed: number, sizes: WorldSizes, more: object = {}, retentionMs?: number): Promise<World> => {
+export const passUp = async (
+  seed: number,
+  sizes: WorldSizes,
+  more: object = {},
+  retentionMs?: number,
+): Promise<World> => {
   const w = new World(seed, sizes);
   if (retentionMs !== undefined) w.retentionMs = retentionMs;
   await w.bringUp((base) => passText(base, 'models', 'shop', 'memo', more), passServers);
@@ -58,15 +119,21 @@
 };
 
 /** Sends on a pass route and lets time go on until the caller has heard. */
-export const passed = (w: World, spec: PassSpec, at?: Machine): Promise<PassRecord> => w.clock.finish(spec.path, passAt(w, spec, at), 60000);
+export const passed = (w: World, spec: PassSpec, at?: Machine): Promise<PassRecord> =>
+  w.clock.finish(spec.path, passAt(w, spec, at), 60000);
 
-export const runsOf = (w: World, attempt: string): readonly ExecutionRecord[] => w.servers.executed.filter((r) => r.attempt === attempt);
+export const runsOf = (w: World, attempt: string): readonly ExecutionRecord[] =>
+  w.servers.executed.filter((r) => r.attempt === attempt);
 
 export const restart = async (w: World): Promise<void> => {
   for (const m of w.machines) m.kill('power');
   await w.clock.run(500);
   w.start();
-  await w.clock.until('serving', () => w.readyFronts().length === w.of('front').length && w.slotsOpen(), 20000);
+  await w.clock.until(
+    'serving',
+    () => w.readyFronts().length === w.of('front').length && w.slotsOpen(),
+    20000,
+  );
   await w.clock.run(500);
 };
 
@@ -76,7 +143,17 @@
   executed: w.servers.executed,
   passes: w.passes,
   perTurn: 16,
-  configs: [{ version: 1, text: '', turnPools: ['models'], callPools: ['shop'], sentAt: -1e9, reported: 'done', reportedAt: 0 }],
+  configs: [
+    {
+      version: 1,
+      text: '',
+      turnPools: ['models'],
+      callPools: ['shop'],
+      sentAt: -1e9,
+      reported: 'done',
+      reportedAt: 0,
+    },
+  ],
   readBack: { version: 1, text: '' },
   ...more,
 });
@@ -92,4 +169,5 @@
   return w.of('front').find((m) => m.front?.p.id === slot?.owner);
 };
 
-export const acts = (w: World, key: string): number => w.servers.executed.filter((r) => r.key === `t/${key}`).length;
+export const acts = (w: World, key: string): number =>
+  w.servers.executed.filter((r) => r.key === `t/${key}`).length;
--- a/tests/src/wire.test.ts
+++ b/tests/src/wire.test.ts
@@ -3,11 +3,21 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { freePorts } from '@tillerstair/fleet';
-import { ConnectionRefusedError, toRpcError, splitAddr, TcpTransport, type RpcError } from '@tillerstair/wire';
+import {
+  ConnectionRefusedError,
+  toRpcError,
+  splitAddr,
+  TcpTransport,
+  type RpcError,
+} from '@tillerstair/wire';
 
 const wire = suite('connections over TCP');
 
-const pair = async (): Promise<{ a: TcpTransport; b: TcpTransport; close: () => Promise<void> }> => {
+const pair = async (): Promise<{
+  a: TcpTransport;
+  b: TcpTransport;
+  close: () => Promise<void>;
+}> => {
   const [p = 0, q = 0] = await freePorts(2);
   const a = new TcpTransport(`127.0.0.1:${p}`);
   const b = new TcpTransport(`127.0.0.1:${q}`);
@@ -37,60 +47,69 @@
   );
   all.forEach(({ v, chunks }, i) => {
     assert.equal(v, { from: a.self, of: i });
-    assert.equal(chunks, [0, 1, 2].map((n) => ({ n, of: i })));
+    assert.equal(
+      chunks,
+      [0, 1, 2].map((n) => ({ n, of: i })),
+    );
   });
   await close();
 });
 
-wire('no listener is "refused, not run"; a connection that closes under way is "lost, unknown"; silence is "too late, unknown"', async () => {
-  const { a, b, close } = await pair();
-  const refused = await errorFrom(a.call(b.self, 'x', 1, { within: 1000 }));
-  assert.instance(refused, ConnectionRefusedError);
-  assert.is(refused.executed, 'no');
-  let seen: (v: unknown) => void = () => undefined;
-  const arrived = new Promise((done) => (seen = done));
-  await b.serve(async (rpc) => {
-    seen(rpc.body);
-    return new Promise(() => undefined);
-  });
-  const late = await errorFrom(a.call(b.self, 'x', 2, { within: 50 }));
-  assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
-  const losing = errorFrom(a.call(b.self, 'x', 3, { within: 5000 }));
-  const heard = new Promise<string>((done) => a.onLost(done));
-  await arrived;
-  await b.close();
-  const lost = await losing;
-  assert.equal([lost.code, lost.executed], ['connection-lost', 'unknown']);
-  assert.is(await heard, b.self);
-  await close();
-});
+wire(
+  'no listener is "refused, not run"; a connection that closes under way is "lost, unknown"; silence is "too late, unknown"',
+  async () => {
+    const { a, b, close } = await pair();
+    const refused = await errorFrom(a.call(b.self, 'x', 1, { within: 1000 }));
+    assert.instance(refused, ConnectionRefusedError);
+    assert.is(refused.executed, 'no');
+    let seen: (v: unknown) => void = () => undefined;
+    const arrived = new Promise((done) => (seen = done));
+    await b.serve(async (rpc) => {
+      seen(rpc.body);
+      return new Promise(() => undefined);
+    });
+    const late = await errorFrom(a.call(b.self, 'x', 2, { within: 50 }));
+    assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
+    const losing = errorFrom(a.call(b.self, 'x', 3, { within: 5000 }));
+    const heard = new Promise<string>((done) => a.onLost(done));
+    await arrived;
+    await b.close();
+    const lost = await losing;
+    assert.equal([lost.code, lost.executed], ['connection-lost', 'unknown']);
+    assert.is(await heard, b.self);
+    await close();
+  },
+);
 
-wire('a caller that goes away is heard of, and nonsense closes only its own connection', async () => {
-  const { a, b, close } = await pair();
-  let began: () => void = () => undefined;
-  const underWay = new Promise<void>((done) => (began = done));
-  let left: () => void = () => undefined;
-  const aborted = new Promise<void>((done) => (left = done));
-  await b.serve(async (rpc, _emit, gone) => {
-    if (rpc.kind !== 'long') return 'fine';
-    gone.addEventListener('abort', () => left());
-    began();
-    return new Promise(() => undefined);
-  });
-  const ctl = new AbortController();
-  const going = errorFrom(a.call(b.self, 'long', 1, { within: 5000, gone: ctl.signal }));
-  await underWay;
-  ctl.abort();
-  assert.is((await going).code, 'gone');
-  await aborted;
-  const raw = connect(splitAddr(b.self));
-  const closed = new Promise<void>((done) => raw.on('close', () => done()));
-  raw.on('error', () => undefined);
-  raw.write('{"hello":"x","to":"y"}\nnonsense\n');
-  await closed;
-  assert.is(await a.call(b.self, 'short', 1, { within: 2000 }), 'fine');
-  await close();
-});
+wire(
+  'a caller that goes away is heard of, and nonsense closes only its own connection',
+  async () => {
+    const { a, b, close } = await pair();
+    let began: () => void = () => undefined;
+    const underWay = new Promise<void>((done) => (began = done));
+    let left: () => void = () => undefined;
+    const aborted = new Promise<void>((done) => (left = done));
+    await b.serve(async (rpc, _emit, gone) => {
+      if (rpc.kind !== 'long') return 'fine';
+      gone.addEventListener('abort', () => left());
+      began();
+      return new Promise(() => undefined);
+    });
+    const ctl = new AbortController();
+    const going = errorFrom(a.call(b.self, 'long', 1, { within: 5000, gone: ctl.signal }));
+    await underWay;
+    ctl.abort();
+    assert.is((await going).code, 'gone');
+    await aborted;
+    const raw = connect(splitAddr(b.self));
+    const closed = new Promise<void>((done) => raw.on('close', () => done()));
+    raw.on('error', () => undefined);
+    raw.write('{"hello":"x","to":"y"}\nnonsense\n');
+    await closed;
+    assert.is(await a.call(b.self, 'short', 1, { within: 2000 }), 'fine');
+    await close();
+  },
+);
 
 wire('a call whose caller is gone before it is written is not run and sends nothing', async () => {
   const { a, b, close } = await pair();
@@ -99,12 +118,17 @@
     seen.push(rpc.body);
     return 'fine';
   });
-  const before = await errorFrom(a.call(b.self, 'x', 'before', { within: 500, gone: AbortSignal.abort() }));
+  const before = await errorFrom(
+    a.call(b.self, 'x', 'before', { within: 500, gone: AbortSignal.abort() }),
+  );
   const opening = new AbortController();
   const going = errorFrom(a.call(b.self, 'x', 'opening', { within: 500, gone: opening.signal }));
   opening.abort();
   const during = await going;
-  assert.equal([before.code, before.executed, during.code, during.executed], ['gone', 'no', 'gone', 'no']);
+  assert.equal(
+    [before.code, before.executed, during.code, during.executed],
+    ['gone', 'no', 'gone', 'no'],
+  );
   assert.is(await a.call(b.self, 'x', 'next', { within: 2000 }), 'fine');
   assert.equal(seen, ['next']);
   await close();
@@ -121,45 +145,51 @@
   await close();
 });
 
-wire('a connection on which nothing was heard for its bound is left, and the next call opens a new one', async () => {
-  const [p = 0, q = 0] = await freePorts(2);
-  const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
-  const opened: Socket[] = [];
-  const failureTimeout = createServer((s) => {
-    opened.push(s);
-    s.on('error', () => undefined);
-    s.resume();
-  });
-  failureTimeout.listen(q, '127.0.0.1');
-  await once(failureTimeout, 'listening');
-  const to = `127.0.0.1:${q}`;
-  const lost: string[] = [];
-  a.onLost((addr) => lost.push(addr));
-  const beside = errorFrom(a.call(to, 'x', 0, { within: 4000 }));
-  const late = await errorFrom(a.call(to, 'x', 1, { within: 250 }));
-  assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
-  const other = await beside;
-  assert.equal([other.code, other.executed], ['connection-lost', 'unknown']);
-  assert.equal(lost, [to]);
-  assert.is((await errorFrom(a.call(to, 'x', 2, { within: 250 }))).code, 'request-timeout');
-  assert.is(opened.length, 2);
-  failureTimeout.close();
-  await a.close();
-});
+wire(
+  'a connection on which nothing was heard for its bound is left, and the next call opens a new one',
+  async () => {
+    const [p = 0, q = 0] = await freePorts(2);
+    const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+    const opened: Socket[] = [];
+    const failureTimeout = createServer((s) => {
+      opened.push(s);
+      s.on('error', () => undefined);
+      s.resume();
+    });
+    failureTimeout.listen(q, '127.0.0.1');
+    await once(failureTimeout, 'listening');
+    const to = `127.0.0.1:${q}`;
+    const lost: string[] = [];
+    a.onLost((addr) => lost.push(addr));
+    const beside = errorFrom(a.call(to, 'x', 0, { within: 4000 }));
+    const late = await errorFrom(a.call(to, 'x', 1, { within: 250 }));
+    assert.equal([late.code, late.executed], ['request-timeout', 'unknown']);
+    const other = await beside;
+    assert.equal([other.code, other.executed], ['connection-lost', 'unknown']);
+    assert.equal(lost, [to]);
+    assert.is((await errorFrom(a.call(to, 'x', 2, { within: 250 }))).code, 'request-timeout');
+    assert.is(opened.length, 2);
+    failureTimeout.close();
+    await a.close();
+  },
+);
 
-wire('a connection on which other calls are heard of is kept, though one call is late', async () => {
-  const [p = 0, q = 0] = await freePorts(2);
-  const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
-  const b = new TcpTransport(`127.0.0.1:${q}`);
-  const lost: string[] = [];
-  a.onLost((addr) => lost.push(addr));
-  await b.serve(async (rpc) => (rpc.kind === 'long' ? new Promise(() => undefined) : 'fine'));
-  const late = errorFrom(a.call(b.self, 'long', 1, { within: 250 }));
-  assert.is(await a.call(b.self, 'short', 2, { within: 5000 }), 'fine');
-  assert.is((await late).code, 'request-timeout');
-  assert.is(await a.call(b.self, 'short', 3, { within: 5000 }), 'fine');
-  assert.equal(lost, []);
-  await Promise.all([a.close(), b.close()]);
-});
+wire(
+  'a connection on which other calls are heard of is kept, though one call is late',
+  async () => {
+    const [p = 0, q = 0] = await freePorts(2);
+    const a = new TcpTransport(`127.0.0.1:${p}`, `127.0.0.1:${p}`, 150);
+    const b = new TcpTransport(`127.0.0.1:${q}`);
+    const lost: string[] = [];
+    a.onLost((addr) => lost.push(addr));
+    await b.serve(async (rpc) => (rpc.kind === 'long' ? new Promise(() => undefined) : 'fine'));
+    const late = errorFrom(a.call(b.self, 'long', 1, { within: 250 }));
+    assert.is(await a.call(b.self, 'short', 2, { within: 5000 }), 'fine');
+    assert.is((await late).code, 'request-timeout');
+    assert.is(await a.call(b.self, 'short', 3, { within: 5000 }), 'fine');
+    assert.equal(lost, []);
+    await Promise.all([a.close(), b.close()]);
+  },
+);
 
 wire.run();
--- a/tests/src/zen.test.ts
+++ b/tests/src/zen.test.ts
@@ -6,10 +6,12 @@
 const seeds = [1, 2, 3, 4, 5];
 
 zen('the same seed gives the same run, another seed another', async () => {
-  const runs = await Promise.all([1, 1, 2].map(async (seed) => {
-    const w = await worldUp(seed, small);
-    return `${w.clock.now()} ${w.net.messages} ${w.master?.addr ?? ''}`;
-  }));
+  const runs = await Promise.all(
+    [1, 1, 2].map(async (seed) => {
+      const w = await worldUp(seed, small);
+      return `${w.clock.now()} ${w.net.messages} ${w.master?.addr ?? ''}`;
+    }),
+  );
   assert.is(runs[0], runs[1]);
   assert.is.not(runs[0], runs[2]);
 });
@@ -20,7 +22,11 @@
     const old = w.master;
     const term = old?.control?.zen.term ?? 0;
     old?.kill('power');
-    const took = await w.clock.until('another master', () => w.master !== undefined && w.master !== old, 8000);
+    const took = await w.clock.until(
+      'another master',
+      () => w.master !== undefined && w.master !== old,
+      8000,
+    );
     assert.ok(took < 4000, `took ${took}`);
     assert.ok((w.master?.control?.zen.term ?? 0) > term);
     const got = await w.operate('GET', '/v1/config');
@@ -38,7 +44,17 @@
     const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 1));
     assert.is(put.status, 200);
     old?.wake();
-    const late = oldNode ? await w.clock.finish('late put', oldNode.operate({ method: 'PUT', path: '/v1/config', body: configText(1, 'models', 'shop', 9) }), 30000) : undefined;
+    const late = oldNode
+      ? await w.clock.finish(
+          'late put',
+          oldNode.operate({
+            method: 'PUT',
+            path: '/v1/config',
+            body: configText(1, 'models', 'shop', 9),
+          }),
+          30000,
+        )
+      : undefined;
     assert.ok(late && late.status !== 200, JSON.stringify(late));
     await w.clock.run(5000);
     assert.is(w.masters().length, 1);
@@ -55,10 +71,16 @@
     const minority = [master, others[0]].flatMap((m) => (m ? [m.addr] : []));
     const rest = w.machines.map((m) => m.addr).filter((a) => !minority.includes(a));
     w.net.cutBoth(minority, rest);
-    const lost = master ? w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 7), master, 30000) : undefined;
+    const lost = master
+      ? w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 7), master, 30000)
+      : undefined;
     const reported = await lost;
     assert.is.not(reported?.status, 200);
-    await w.clock.until('a master on the other side', () => w.masters().some((m) => !minority.includes(m.addr)), 12000);
+    await w.clock.until(
+      'a master on the other side',
+      () => w.masters().some((m) => !minority.includes(m.addr)),
+      12000,
+    );
     const winner = w.masters().find((m) => !minority.includes(m.addr));
     const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 2), winner);
     assert.is(put.status, 200);
@@ -71,31 +93,47 @@
   }
 });
 
-zen('after everything loses power serving is back within the bound with its configuration', async () => {
-  for (const seed of seeds) {
-    const w = await worldUp(seed, five);
-    const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 3));
-    assert.is(put.status, 200);
-    for (const m of w.machines) m.kill('power');
-    await w.clock.run(1000);
-    w.start();
-    const took = await w.clock.until('serving', () => w.readyFronts().length === 3 && w.slotsOpen(), 12000);
-    assert.ok(took < 12000, `took ${took}`);
-    const got = await w.operate('GET', '/v1/config');
-    assert.match(JSON.stringify(got.body), 'x2');
-    const p = await w.clock.finish('program', w.program(100), 10000);
-    assert.is(p.reported, 'done');
-  }
-});
+zen(
+  'after everything loses power serving is back within the bound with its configuration',
+  async () => {
+    for (const seed of seeds) {
+      const w = await worldUp(seed, five);
+      const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 3));
+      assert.is(put.status, 200);
+      for (const m of w.machines) m.kill('power');
+      await w.clock.run(1000);
+      w.start();
+      const took = await w.clock.until(
+        'serving',
+        () => w.readyFronts().length === 3 && w.slotsOpen(),
+        12000,
+      );
+      assert.ok(took < 12000, `took ${took}`);
+      const got = await w.operate('GET', '/v1/config');
+      assert.match(JSON.stringify(got.body), 'x2');
+      const p = await w.clock.finish('program', w.program(100), 10000);
+      assert.is(p.reported, 'done');
+    }
+  },
+);
 
 zen('a winner that missed the newest state takes it from a joiner before it leads', async () => {
   for (const seed of seeds) {
     const w = await worldUp(seed, small);
     const old = w.master;
-    const [behind, ahead] = w.of('control').filter((m) => m !== old).sort((a, b) => ((a.control?.id ?? '') < (b.control?.id ?? '') ? -1 : 1));
+    const [behind, ahead] = w
+      .of('control')
+      .filter((m) => m !== old)
+      .sort((a, b) => ((a.control?.id ?? '') < (b.control?.id ?? '') ? -1 : 1));
     if (!old || !behind || !ahead) throw new Error('three controls are needed');
-    w.net.cutBoth([behind.addr], w.machines.map((m) => m.addr).filter((a) => a !== behind.addr));
-    assert.is((await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 4), old)).status, 200);
+    w.net.cutBoth(
+      [behind.addr],
+      w.machines.map((m) => m.addr).filter((a) => a !== behind.addr),
+    );
+    assert.is(
+      (await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 4), old)).status,
+      200,
+    );
     assert.is(behind.control?.zen.accepted?.config?.version, 1);
     old.kill('power');
     w.net.mend();
@@ -111,7 +149,15 @@
     const [a, b] = w.of('control');
     const both = await w.clock.finish(
       'both',
-      Promise.all([a, b].map((m, i) => m?.control?.operate({ method: 'PUT', path: '/v1/config', body: configText(1, 'models', 'shop', i + 1) }))),
+      Promise.all(
+        [a, b].map((m, i) =>
+          m?.control?.operate({
+            method: 'PUT',
+            path: '/v1/config',
+            body: configText(1, 'models', 'shop', i + 1),
+          }),
+        ),
+      ),
       20000,
     );
     assert.equal(both.map((o) => o?.status).sort(), [200, 409]);
@@ -142,7 +188,8 @@
       w.at(`control-${i}`).kill();
       const fresh = w.add('control', ['control-3', 'control-4', `control-${5 + i}`]);
       fresh.start();
-      const swapped = () => fresh.control?.zen.accepted?.voters.current.includes(fresh.control.id) ?? false;
+      const swapped = () =>
+        fresh.control?.zen.accepted?.voters.current.includes(fresh.control.id) ?? false;
       await w.clock.until(`swap ${i}`, swapped, 30000);
     }
     const voters = w.master?.control?.zen.accepted?.voters.current ?? [];
@@ -155,29 +202,50 @@
   }
 });
 
-zen('a control that lost its disk and came back at the same address does not vote for who it was', async () => {
-  for (const seed of seeds) {
-    const w = await worldUp(seed, small);
-    const master = w.master;
-    const [c, d] = w.of('control').filter((m) => m !== master);
-    if (!c || !d) throw new Error('no controls');
-    const before = c.control?.id ?? '';
-    c.kill('power');
-    c.platter.wipe();
-    c.start();
-    await w.clock.until('back as another', () => {
-      const id = c.control?.id;
-      return id !== undefined && id !== before && (master?.control?.zen.leading?.committed?.nodes.has(id) ?? false);
-    }, 8000);
-    d.kill();
-    const put = await w.operate('PUT', '/v1/config', configText(1, 'models', 'shop', 1), master, 30000);
-    assert.is.not(put.status, 200, 'one of three voters is no majority');
-    d.start();
-    const voters = () => w.committed?.voters.current ?? [];
-    await w.clock.until('it votes as who it is now', () => voters().includes(c.control?.id ?? 'none'), 30000);
-    assert.not.ok(voters().includes(before));
-    assert.is((await w.operate('GET', '/v1/config')).status, 200);
-  }
-});
+zen(
+  'a control that lost its disk and came back at the same address does not vote for who it was',
+  async () => {
+    for (const seed of seeds) {
+      const w = await worldUp(seed, small);
+      const master = w.master;
+      const [c, d] = w.of('control').filter((m) => m !== master);
+      if (!c || !d) throw new Error('no controls');
+      const before = c.control?.id ?? '';
+      c.kill('power');
+      c.platter.wipe();
+      c.start();
+      await w.clock.until(
+        'back as another',
+        () => {
+          const id = c.control?.id;
+          return (
+            id !== undefined &&
+            id !== before &&
+            (master?.control?.zen.leading?.committed?.nodes.has(id) ?? false)
+          );
+        },
+        8000,
+      );
+      d.kill();
+      const put = await w.operate(
+        'PUT',
+        '/v1/config',
+        configText(1, 'models', 'shop', 1),
+        master,
+        30000,
+      );
+      assert.is.not(put.status, 200, 'one of three voters is no majority');
+      d.start();
+      const voters = () => w.committed?.voters.current ?? [];
+      await w.clock.until(
+        'it votes as who it is now',
+        () => voters().includes(c.control?.id ?? 'none'),
+        30000,
+      );
+      assert.not.ok(voters().includes(before));
+      assert.is((await w.operate('GET', '/v1/config')).status, 200);
+    }
+  },
+);
 
 zen.run();
