A slot is opened with as few replicas as a quorum needs; others are fenced after

Change: askQuorum asks a quorum, replaces one that fails at once and one that is late after a third of the time for a write; the rest are fenced with one page once the slot is open, so that a joining replica may read from any. Ruled out: leaving the rest unfenced (a joining replica reads only from fenced ones). store/replica-store imports Item once.

--- a/packages/session-owner/src/index.ts
+++ b/packages/session-owner/src/index.ts
@@ -10,3 +10,4 @@
 export * from './calls.js';
 export * from './events.js';
 export * from './streams.js';
+export * from './quorum-ask.js';
--- a/packages/session-owner/src/slot-replicator.ts
+++ b/packages/session-owner/src/slot-replicator.ts
@@ -16,13 +16,18 @@
   RpcError,
   toRpcError,
   pause,
+  wholeMs,
   type Transport,
   type Clock,
   type Log,
 } from '@tillerstair/wire';
+import { askQuorum } from './quorum-ask.js';
 import type { Table } from './table.js';
 import { Cost } from './messages.js';
 
+/** A further replica is asked once this share of the time for a write has passed without a quorum. */
+const hedgeShare = 1 / 3;
+
 export interface ReplicatorParts {
   readonly clock: Clock;
   readonly transport: Transport;
@@ -126,21 +131,12 @@
   private async fenceOnce(ownershipEpoch: number): Promise<boolean> {
     const slot = this.slot;
     if (!slot) return true;
-    const seen = new Map<string, Map<string, Item>>();
-    await new Promise<void>((done) => {
-      let left = slot.replicas.length;
-      const one = () => {
-        left--;
-        if (left <= 0 || seen.size >= this.quorum) done();
-      };
-      if (left === 0) done();
-      for (const id of slot.replicas)
-        void this.fenced(id, ownershipEpoch)
-          .then((items) => {
-            seen.set(id, items);
-          })
-          .catch(() => undefined)
-          .finally(one);
+    const seen = await askQuorum({
+      clock: this.p.clock,
+      ids: this.preferred(slot.replicas),
+      quorum: this.quorum,
+      hedgeAfterMs: wholeMs(this.p.putWithin * hedgeShare),
+      ask: (id) => this.fenced(id, ownershipEpoch),
     });
     if (seen.size < this.quorum)
       throw new RpcError('unavailable', `${seen.size} of ${slot.replicas.length} replicas fenced`);
@@ -174,9 +170,31 @@
     this.p.log.debug(
       `Slot ${this.n} is open at ownership epoch ${ownershipEpoch} with ${merged.size} items.`,
     );
+    this.fenceOthers(slot, ownershipEpoch, seen);
     return true;
   }
 
+  /** Live replicas first; each slot begins with another one, so that slots opened together spread their reads. */
+  private preferred(ids: readonly string[]): readonly string[] {
+    const nodes = this.p.table()?.state.nodes;
+    const start = ids.length === 0 ? 0 : this.n % ids.length;
+    const rotated = [...ids.slice(start), ...ids.slice(0, start)];
+    return [...rotated.filter((id) => nodes?.has(id)), ...rotated.filter((id) => !nodes?.has(id))];
+  }
+
+  /** Replicas that were not needed to open the slot are fenced too: a joining replica may read from any. */
+  private fenceOthers(
+    slot: Slot,
+    ownershipEpoch: number,
+    asked: ReadonlyMap<string, unknown>,
+  ): void {
+    for (const id of slot.replicas)
+      if (!asked.has(id))
+        this.ask(id, 'store/fence', { slot: this.n, ownershipEpoch, after: '' }).catch(
+          () => undefined,
+        );
+  }
+
   private async fenced(id: string, ownershipEpoch: number): Promise<Map<string, Item>> {
     const items = new Map<string, Item>();
     for await (const page of pagesFrom((after) =>
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -1,12 +1,5 @@
 import { z } from 'zod';
-import {
-  groupOf,
-  Item,
-  newerItem,
-  pageBytes,
-  type Item as ItemT,
-  type Paged,
-} from '@tillerstair/state';
+import { groupOf, Item, newerItem, pageBytes, type Paged } from '@tillerstair/state';
 import {
   hostPace,
   Journal,
@@ -49,19 +42,19 @@
   readonly n: number;
   readonly to: string;
   readonly slot: number;
-  readonly items: readonly ItemT[];
+  readonly items: readonly Item[];
 }
 
 interface SlotReplica {
   fenced: number;
-  readonly items: Map<string, ItemT>;
+  readonly items: Map<string, Item>;
   readonly touched: Map<string, number>;
 }
 
 interface SlotSnapshot {
   readonly slot: number;
   readonly fenced: number;
-  readonly items: readonly ItemT[];
+  readonly items: readonly Item[];
 }
 
 function* recordsOf(slots: readonly SlotSnapshot[], hints: readonly HintRecord[]): Generator<Rec> {
@@ -196,7 +189,7 @@
     return s;
   }
 
-  async write(slot: number, ownershipEpoch: number, items: readonly ItemT[]): Promise<void> {
+  async write(slot: number, ownershipEpoch: number, items: readonly Item[]): Promise<void> {
     this.slotAtEpoch(slot, ownershipEpoch);
     await this.put({ t: 'put', slot, ownershipEpoch, items: [...items] });
   }
@@ -213,7 +206,7 @@
   private page(s: SlotReplica, after: string): Paged {
     if (after !== '' && !s.items.has(after))
       throw new RpcError('page-gone', 'the page asked for has aged away; begin anew');
-    const items: ItemT[] = [];
+    const items: Item[] = [];
     let bytes = 0;
     let found = after === '';
     for (const item of s.items.values()) {
@@ -234,13 +227,13 @@
     return this.journal.append({ t: 'fence', slot: 0, ownershipEpoch: 0 });
   }
 
-  async read(slot: number, ownershipEpoch: number, key: string): Promise<ItemT | null> {
+  async read(slot: number, ownershipEpoch: number, key: string): Promise<Item | null> {
     return this.slotAtEpoch(slot, ownershipEpoch).items.get(key) ?? null;
   }
 
   /** The turn so named and, after it, those that it goes on from, as far as they are held here; the newest first. */
-  find(turn: string): readonly ItemT[] {
-    const out: ItemT[] = [];
+  find(turn: string): readonly Item[] {
+    const out: Item[] = [];
     for (let at = this.byTurn.get(turn); at;) {
       const item = this.slots.get(at.slot)?.items.get(at.key);
       const after = item && Followed.safeParse(item.value);
@@ -263,7 +256,7 @@
     return this.page(s, after);
   }
 
-  async hand(slot: number, items: readonly ItemT[]): Promise<void> {
+  async hand(slot: number, items: readonly Item[]): Promise<void> {
     const s = this.slot(slot);
     const fresh = items.filter((i) => {
       const old = s.items.get(i.key);
@@ -273,7 +266,7 @@
     else await this.synced();
   }
 
-  async hint(to: string, slot: number, items: readonly ItemT[]): Promise<void> {
+  async hint(to: string, slot: number, items: readonly Item[]): Promise<void> {
     if (this.hints.size >= this.bounds.hintsMost)
       throw new RpcError('hints-full', `${this.hints.size} hints are held already`);
     await this.put({ t: 'hint', n: ++this.hintSeq, to, slot, items: [...items] });
