A stopping front takes no new work into its slots once its callers have left

Change: once the time for callers to leave is over, the owner answers 'taking-over' to new requests of its slots; what is under way ends, the slots are released, and the forwarding front waits for the next owner or tells 503. Ruled out: a longer stopWithin (a slot with overlapping streams never comes to rest).

--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -94,8 +94,10 @@
       this.active > 0 ||
       (this.owner.leaseValid && this.owner.holdsSlots) ||
       clock.now() - from < linger;
-    while (busy() && clock.now() - from < bounds.stopWithin)
+    while (busy() && clock.now() - from < bounds.stopWithin) {
+      if (clock.now() - from >= linger) this.owner.stopTaking();
       await pause(clock, bounds.heartbeatInterval / 20);
+    }
     this.owner.stop();
     await this.p.transport.close();
   }
--- a/packages/session-owner/src/session-owner.ts
+++ b/packages/session-owner/src/session-owner.ts
@@ -48,6 +48,7 @@
 
 export class SessionOwner {
   private table: Table | undefined;
+  private closing = false;
   private leaseRenewedAt = -Infinity;
   private readonly replicators = new Map<number, SlotReplicator>();
   private readonly watches = new Set<Watch>();
@@ -202,11 +203,20 @@
     return this.table?.state.slots[slot]?.owner ?? '';
   }
 
+  /**
+   * Takes no further requests into its slots; what is under way goes on. A slot that always has a request
+   * under way would otherwise never be released, and its last ones would end with the process.
+   */
+  stopTaking(): void {
+    this.closing = true;
+  }
+
   replicator(key: string): SlotReplicator {
     const n = this.slotFor(key);
     const replicator = this.replicators.get(n);
     if (!replicator) throw new RpcError('not-owner', `slot ${n} has another owner`);
-    if (!replicator.taking) throw new RpcError('taking-over', `slot ${n} is being taken over`);
+    if (this.closing || !replicator.taking)
+      throw new RpcError('taking-over', `slot ${n} is being taken over`);
     return replicator;
   }
 
