--- a/packages/sim/src/config-calls.ts
+++ b/packages/sim/src/config-calls.ts
@@ -13,13 +13,17 @@
 const answerToChange = (status: number): ConfigAnswer => {
   if (status === 200) return { kind: 'taken' };
   if (status === 409 || status === 412) return { kind: 'refused' };
-  return status === 503 || status === 400 || status === 422 ? { kind: 'no-effect' } : { kind: 'unclear' };
+  return status === 503 || status === 400 || status === 422
+    ? { kind: 'no-effect' }
+    : { kind: 'unclear' };
 };
 
 const answerToRead = (o: Outcome | undefined): ConfigAnswer => {
   if (o?.status === 404) return { kind: 'value', version: 0, content: '' };
   const got = Value.safeParse(o?.status === 200 ? o.body : undefined);
-  return got.success ? { kind: 'value', version: got.data.version, content: digestOf(got.data.text) } : { kind: 'no-effect' };
+  return got.success
+    ? { kind: 'value', version: got.data.version, content: digestOf(got.data.text) }
+    : { kind: 'no-effect' };
 };
 
 /** Sends operators' calls on the configuration and keeps them, with their answers, for the check of the history. */
@@ -33,8 +37,17 @@
   }
 
   /** Keeps a call as unanswered until its answer comes. */
-  async record<T>(what: ConfigCall['what'], send: () => Promise<T>, answerOf: (got: T) => ConfigAnswer): Promise<T> {
-    const row: ConfigCall = { what, calledAt: this.clock.now(), answeredAt: Infinity, answer: { kind: 'unclear' } };
+  async record<T>(
+    what: ConfigCall['what'],
+    send: () => Promise<T>,
+    answerOf: (got: T) => ConfigAnswer,
+  ): Promise<T> {
+    const row: ConfigCall = {
+      what,
+      calledAt: this.clock.now(),
+      answeredAt: Infinity,
+      answer: { kind: 'unclear' },
+    };
     const at = this.rows.push(row) - 1;
     const got = await send();
     this.rows[at] = { ...row, answeredAt: this.clock.now(), answer: answerOf(got) };
@@ -45,10 +58,18 @@
     const { base, version = base + 1 } = Change.parse(JSON.parse(text));
     const digest = digestOf(text);
     const what = { kind: 'change' as const, changeId: digest, base, version, content: digest };
-    return this.record(what, () => send({ method: 'PUT', path: '/v1/config', body: text }), (o) => answerToChange(o?.status ?? 0));
+    return this.record(
+      what,
+      () => send({ method: 'PUT', path: '/v1/config', body: text }),
+      (o) => answerToChange(o?.status ?? 0),
+    );
   }
 
   read(send: SendOperation): Promise<Outcome | undefined> {
-    return this.record({ kind: 'read' }, () => send({ method: 'GET', path: '/v1/config', body: '' }), answerToRead);
+    return this.record(
+      { kind: 'read' },
+      () => send({ method: 'GET', path: '/v1/config', body: '' }),
+      answerToRead,
+    );
   }
 }
--- a/packages/sim/src/control-model.ts
+++ b/packages/sim/src/control-model.ts
@@ -60,7 +60,10 @@
 }
 
 /** Plays one run as it stands and returns what it broke. */
-export const replayModel = async ({ seed, controls, actions }: ModelRun, trace?: (line: string) => void): Promise<readonly ModelFinding[]> => {
+export const replayModel = async (
+  { seed, controls, actions }: ModelRun,
+  trace?: (line: string) => void,
+): Promise<readonly ModelFinding[]> => {
   const rig = new ModelRig(seed, controls);
   if (trace) rig.trace = trace;
   await rig.begin();
@@ -70,26 +73,40 @@
 };
 
 /** Makes seeded runs until one breaks a rule; the same seed makes the same runs. */
-export const checkControlModel = async ({ seed, runs, longest, except = [] }: ModelChoice): Promise<ModelResult> => {
+export const checkControlModel = async ({
+  seed,
+  runs,
+  longest,
+  except = [],
+}: ModelChoice): Promise<ModelResult> => {
   let failed: FailedRun | undefined;
   let checked = 0;
-  const commands = fc.commands(anyAction.map((each) => each.map((a) => new ActionCommand(a, except))), { maxCommands: longest, size: 'max' });
-  const property = fc.asyncProperty(fc.nat(1 << 20), fc.constantFrom(3, 3, 3, 5), commands, async (worldSeed, controls, list) => {
-    const rig = new ModelRig(worldSeed, controls);
-    try {
-      await rig.begin();
-      mustBeSound(rig, except);
-      await fc.asyncModelRun(() => ({ model: rig, real: rig }), list);
-      await rig.finish();
-      mustBeSound(rig, except);
-    } catch (e) {
-      failed = { run: rig.run, findings: findingsOf(rig, except) };
-      throw e;
-    } finally {
-      checked += rig.history.checked;
-    }
-  });
+  const commands = fc.commands(
+    anyAction.map((each) => each.map((a) => new ActionCommand(a, except))),
+    { maxCommands: longest, size: 'max' },
+  );
+  const property = fc.asyncProperty(
+    fc.nat(1 << 20),
+    fc.constantFrom(3, 3, 3, 5),
+    commands,
+    async (worldSeed, controls, list) => {
+      const rig = new ModelRig(worldSeed, controls);
+      try {
+        await rig.begin();
+        mustBeSound(rig, except);
+        await fc.asyncModelRun(() => ({ model: rig, real: rig }), list);
+        await rig.finish();
+        mustBeSound(rig, except);
+      } catch (e) {
+        failed = { run: rig.run, findings: findingsOf(rig, except) };
+        throw e;
+      } finally {
+        checked += rig.history.checked;
+      }
+    },
+  );
   const details = await fc.check(property, { seed, numRuns: runs });
-  if (details.failed && !failed) throw new Error(`the model test itself failed: ${String(details.errorInstance)}`);
+  if (details.failed && !failed)
+    throw new Error(`the model test itself failed: ${String(details.errorInstance)}`);
   return { runs: details.numRuns, checked, failed };
 };
--- a/packages/sim/src/faults-disk.ts
+++ b/packages/sim/src/faults-disk.ts
@@ -19,20 +19,24 @@
 };
 
 /** One disk is in trouble for a time. */
-const trouble = (kind: MachineKind, set: Platter): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m || (kind === 'store' && c.tools.diskBusy)) return '';
-  set(m.platter, true);
-  c.tools.after(c.span, () => set(m.platter, false));
-  return m.addr;
-};
+const trouble =
+  (kind: MachineKind, set: Platter): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m || (kind === 'store' && c.tools.diskBusy)) return '';
+    set(m.platter, true);
+    c.tools.after(c.span, () => set(m.platter, false));
+    return m.addr;
+  };
 
 /** One machine loses its disk and comes back blank. */
-const wipe = (kind: MachineKind): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m) return '';
-  return c.tools.losesDisk(() => c.tools.wipe(m, c.span)) && m.addr;
-};
+const wipe =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m) return '';
+    return c.tools.losesDisk(() => c.tools.wipe(m, c.span)) && m.addr;
+  };
 
 export const diskFaults: FaultTable = new Map<string, Fault>(
   kinds.flatMap((kind): [string, Fault][] => [
--- a/packages/sim/src/faults-members.ts
+++ b/packages/sim/src/faults-members.ts
@@ -1,12 +1,20 @@
 /** Faults and works that change which machines there are: added, replaced, emptied, drained; settings read again. */
 import type { Machine } from './machine.js';
-import { pickOf, type Fault, type FaultContext, type FaultTable, type MachineKind } from './storm-fault.js';
+import {
+  pickOf,
+  type Fault,
+  type FaultContext,
+  type FaultTable,
+  type MachineKind,
+} from './storm-fault.js';
 
-const swap = (kind: MachineKind): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m) return '';
-  return c.tools.losesDisk(() => c.tools.swap(m)) && m.addr;
-};
+const swap =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m) return '';
+    return c.tools.losesDisk(() => c.tools.swap(m)) && m.addr;
+  };
 
 const swapSeeds: Fault = (c) =>
   c.tools.losesDisk(async () => {
@@ -14,24 +22,33 @@
   });
 
 /** The new machine starts first; then the old one is told to stop and does not come back. */
-const planned = (kind: MachineKind): Fault => (c) => {
-  const old = c.tools.target(c, kind);
-  if (!old) return '';
-  const started = c.tools.losesDisk(async () => {
-    c.w.add(kind).start();
-    await c.storm.wait(2 * c.w.bounds.failureTimeout);
-    if (!old.up) c.tools.restart(old);
-    await Promise.race([old.stopInOrder().catch(() => undefined), c.storm.wait(2 * c.w.bounds.failureTimeout)]);
-    if (old.up) old.kill('power');
-    c.w.remove(old);
-    await c.tools.whole(kind);
-  });
-  return started && old.addr;
-};
+const planned =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const old = c.tools.target(c, kind);
+    if (!old) return '';
+    const started = c.tools.losesDisk(async () => {
+      c.w.add(kind).start();
+      await c.storm.wait(2 * c.w.bounds.failureTimeout);
+      if (!old.up) c.tools.restart(old);
+      await Promise.race([
+        old.stopInOrder().catch(() => undefined),
+        c.storm.wait(2 * c.w.bounds.failureTimeout),
+      ]);
+      if (old.up) old.kill('power');
+      c.w.remove(old);
+      await c.tools.whole(kind);
+    });
+    return started && old.addr;
+  };
 
 const isEmpty = (c: FaultContext, id: string): boolean => {
   const s = c.w.committed;
-  return s !== undefined && s.retiring.has(id) && s.slots.every((x) => x.joiningReplicas.length === 0 && !x.replicas.includes(id));
+  return (
+    s !== undefined &&
+    s.retiring.has(id) &&
+    s.slots.every((x) => x.joiningReplicas.length === 0 && !x.replicas.includes(id))
+  );
 };
 
 const askUntilTaken = async (c: FaultContext, method: string, path: string): Promise<void> => {
@@ -53,36 +70,48 @@
 };
 
 /** A store is emptied and goes; with `thenWipe` another one loses its disk right after. */
-const empty = (thenWipe: boolean): Fault => (c) =>
-  c.tools.losesDisk(async () => {
-    const old = pickOf(c.rng, c.tools.up('store'));
-    if (!old) return;
-    await emptyStore(c, old);
-    const other = thenWipe ? pickOf(c.rng, c.tools.up('store')) : undefined;
-    if (other) await c.tools.wipe(other, c.span);
-  });
+const empty =
+  (thenWipe: boolean): Fault =>
+  (c) =>
+    c.tools.losesDisk(async () => {
+      const old = pickOf(c.rng, c.tools.up('store'));
+      if (!old) return;
+      await emptyStore(c, old);
+      const other = thenWipe ? pickOf(c.rng, c.tools.up('store')) : undefined;
+      if (other) await c.tools.wipe(other, c.span);
+    });
 
 const mostSpares = 2;
 
-const add = (kind: MachineKind, most: number): Fault => (c) => {
-  if (c.w.of(kind).length >= most) return '';
-  c.w.add(kind).start();
-  return 'added';
-};
+const add =
+  (kind: MachineKind, most: number): Fault =>
+  (c) => {
+    if (c.w.of(kind).length >= most) return '';
+    c.w.add(kind).start();
+    return 'added';
+  };
 
 /** A machine is added and goes again without a word. */
-const addAndKill = (kind: MachineKind): Fault => (c) => {
-  const spares = c.w.of(kind).length - (kind === 'control' ? (c.w.committed?.voters.current.length ?? Infinity) : 0);
-  if (spares >= mostSpares) return '';
-  const m = c.w.add(kind);
-  m.start();
-  c.tools.after(c.span, () => {
-    if (!c.w.machines.includes(m) || c.w.committed?.voters.next.includes(m.control?.id ?? '') !== false) return;
-    m.kill();
-    c.w.remove(m);
-  });
-  return m.addr;
-};
+const addAndKill =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const spares =
+      c.w.of(kind).length -
+      (kind === 'control' ? (c.w.committed?.voters.current.length ?? Infinity) : 0);
+    if (spares >= mostSpares) return '';
+    const m = c.w.add(kind);
+    m.start();
+    c.tools.after(c.span, () => {
+      if (
+        !c.w.machines.includes(m) ||
+        c.w.committed?.voters.next.includes(m.control?.id ?? '') !== false
+      )
+        return;
+      m.kill();
+      c.w.remove(m);
+    });
+    return m.addr;
+  };
 
 /** A front stops in order and is removed. */
 const removeFront: Fault = (c) => {
@@ -90,7 +119,10 @@
   if (!m || c.w.of('front').length < 3) return '';
   c.storm.track(
     (async () => {
-      await Promise.race([m.stopInOrder().catch(() => undefined), c.storm.wait(6 * c.w.bounds.heartbeatInterval)]);
+      await Promise.race([
+        m.stopInOrder().catch(() => undefined),
+        c.storm.wait(6 * c.w.bounds.heartbeatInterval),
+      ]);
       if (m.up) m.kill();
       c.w.remove(m);
     })(),
--- a/packages/sim/src/faults-network.ts
+++ b/packages/sim/src/faults-network.ts
@@ -1,38 +1,54 @@
 /** Faults of the network: cuts of every form, connections reset, messages late and lost. */
 import type { Machine } from './machine.js';
 import type { CutManner } from './sim-net.js';
-import { pickOf, type Fault, type FaultContext, type FaultTable, type MachineKind } from './storm-fault.js';
+import {
+  pickOf,
+  type Fault,
+  type FaultContext,
+  type FaultTable,
+  type MachineKind,
+} from './storm-fault.js';
 
 const kinds: readonly MachineKind[] = ['control', 'store', 'front'];
 
-const cut = (kind: MachineKind, manner: CutManner): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m || (kind === 'store' && c.tools.diskBusy)) return '';
-  c.tools.isolate([m], c.span, 'both', manner);
-  return m.addr;
-};
+const cut =
+  (kind: MachineKind, manner: CutManner): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m || (kind === 'store' && c.tools.diskBusy)) return '';
+    c.tools.isolate([m], c.span, 'both', manner);
+    return m.addr;
+  };
 
-const oneWay = (kind: MachineKind): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m) return '';
-  c.tools.isolate([m], c.span, c.rng() < 0.5 ? 'out' : 'in');
-  return m.addr;
-};
+const oneWay =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m) return '';
+    c.tools.isolate([m], c.span, c.rng() < 0.5 ? 'out' : 'in');
+    return m.addr;
+  };
 
 /** The controls in an order that differs from fault to fault. */
-const shuffled = (c: FaultContext): readonly Machine[] => [...c.w.of('control')].sort((a, b) => ((a.n * 7 + c.n) % 5) - ((b.n * 7 + c.n) % 5));
+const shuffled = (c: FaultContext): readonly Machine[] =>
+  [...c.w.of('control')].sort((a, b) => ((a.n * 7 + c.n) % 5) - ((b.n * 7 + c.n) % 5));
 
-const splitControls = (share: number): Fault => (c) => {
-  const all = shuffled(c);
-  c.tools.isolate(all.slice(0, Math.floor(all.length * share)), c.span);
-  return 'cut';
-};
+const splitControls =
+  (share: number): Fault =>
+  (c) => {
+    const all = shuffled(c);
+    c.tools.isolate(all.slice(0, Math.floor(all.length * share)), c.span);
+    return 'cut';
+  };
 
 /** A minority of the controls is cut off, and machines are restarted with those as their seeds. */
 const cutSeeds: Fault = (c) => {
   const all = shuffled(c);
   const away = all.slice(0, Math.floor((all.length - 1) / 2));
-  const restarted = pickOf(c.rng, [...c.tools.up('front'), ...c.tools.up('store')].filter(() => !c.tools.diskBusy));
+  const restarted = pickOf(
+    c.rng,
+    [...c.tools.up('front'), ...c.tools.up('store')].filter(() => !c.tools.diskBusy),
+  );
   if (away.length === 0 || !restarted) return '';
   c.w.namedSeeds = [...away, ...all].slice(0, 3).map((m) => m.addr);
   c.tools.isolate(away, c.span);
@@ -75,22 +91,28 @@
 };
 
 /** Half of a machine's connections are reset, several times. */
-const resetConnections = (kind: MachineKind): Fault => (c) => {
-  const m = c.tools.target(c, kind);
-  if (!m) return '';
-  const share = 0.5;
-  for (let n = 0; n < 5; n++)
-    c.tools.after((c.span / 5) * n, () => {
-      c.w.net.reset(m.addr, share);
-      c.w.net.reset(`${m.addr}/data`, share);
-    });
-  return m.addr;
-};
+const resetConnections =
+  (kind: MachineKind): Fault =>
+  (c) => {
+    const m = c.tools.target(c, kind);
+    if (!m) return '';
+    const share = 0.5;
+    for (let n = 0; n < 5; n++)
+      c.tools.after((c.span / 5) * n, () => {
+        c.w.net.reset(m.addr, share);
+        c.w.net.reset(`${m.addr}/data`, share);
+      });
+    return m.addr;
+  };
 
 /** Messages are late, so that later ones overtake them, and some are lost. */
 const lossy: Fault = (c) => {
   const { net } = c.w;
-  const fate = (): { lost: boolean; lateBy: number; repeats: number } => ({ lost: c.rng() < 0.02, lateBy: c.rng() < 0.1 ? c.rng() * 300 : 0, repeats: 0 });
+  const fate = (): { lost: boolean; lateBy: number; repeats: number } => ({
+    lost: c.rng() < 0.02,
+    lateBy: c.rng() < 0.1 ? c.rng() * 300 : 0,
+    repeats: 0,
+  });
   net.fate = fate;
   c.tools.after(c.span, () => {
     if (net.fate === fate) net.fate = undefined;
@@ -100,7 +122,9 @@
 
 export const networkFaults: FaultTable = new Map<string, Fault>([
   ...kinds.flatMap((kind): [string, Fault][] => [
-    [`cut-${kind}`, cut(kind, 'silent')], [`oneway-${kind}`, oneWay(kind)], [`reset-${kind}`, resetConnections(kind)],
+    [`cut-${kind}`, cut(kind, 'silent')],
+    [`oneway-${kind}`, oneWay(kind)],
+    [`reset-${kind}`, resetConnections(kind)],
   ]),
   ['cut-reset', cut('control', 'reset')],
   ['cut-refuse', cut('control', 'refuse')],
--- a/packages/sim/src/faults-operator.ts
+++ b/packages/sim/src/faults-operator.ts
@@ -2,17 +2,19 @@
 import type { Machine } from './machine.js';
 import type { Fault, FaultContext, FaultTable } from './storm-fault.js';
 
-const repeated = (n: number, run: (c: FaultContext) => Promise<void>): Fault => (c) => {
-  c.storm.track(
-    (async () => {
-      for (let i = 0; i < n; i++) {
-        await run(c);
-        await c.storm.wait(100 + c.rng() * 900);
-      }
-    })(),
-  );
-  return `${n}`;
-};
+const repeated =
+  (n: number, run: (c: FaultContext) => Promise<void>): Fault =>
+  (c) => {
+    c.storm.track(
+      (async () => {
+        for (let i = 0; i < n; i++) {
+          await run(c);
+          await c.storm.wait(100 + c.rng() * 900);
+        }
+      })(),
+    );
+    return `${n}`;
+  };
 
 const race: Fault = (c) => {
   c.storm.track(Promise.all([c.storm.reconfigure(), c.storm.reconfigure()]));
@@ -49,57 +51,63 @@
 };
 
 /** The machine that took a change is struck right after it was acknowledged, or at a time after it was sent. */
-const atChange = (strike: Strike, when: 'acknowledged' | 'timed'): Fault => (c) => {
-  const { storm, tools } = c;
-  if (storm.onChange || tools.diskBusy) return '';
-  const hit = (m: Machine): void => {
-    if (m.up && !tools.diskBusy) strike(c, m);
+const atChange =
+  (strike: Strike, when: 'acknowledged' | 'timed'): Fault =>
+  (c) => {
+    const { storm, tools } = c;
+    if (storm.onChange || tools.diskBusy) return '';
+    const hit = (m: Machine): void => {
+      if (m.up && !tools.diskBusy) strike(c, m);
+    };
+    storm.onChange = (m, answered) => {
+      storm.onChange = undefined;
+      if (!m) return;
+      if (when === 'timed') {
+        tools.after(5 + c.rng() * 395, () => hit(m));
+        return;
+      }
+      void answered.then((r) => {
+        if (r?.status === 200) tools.after(c.rng() * 4, () => hit(m));
+      });
+    };
+    storm.track(storm.reconfigure());
+    return when;
   };
-  storm.onChange = (m, answered) => {
-    storm.onChange = undefined;
-    if (!m) return;
-    if (when === 'timed') {
-      tools.after(5 + c.rng() * 395, () => hit(m));
-      return;
-    }
-    void answered.then((r) => {
-      if (r?.status === 200) tools.after(c.rng() * 4, () => hit(m));
+
+/** A control that was killed gets a change as soon as it is back, again and again until it answers. */
+const meetReturn =
+  (changes: number): Fault =>
+  (c) => {
+    const m = c.tools.target(c, 'control');
+    if (!m) return '';
+    m.kill();
+    c.tools.after(Math.min(c.span, 2000), () => {
+      c.tools.restart(m);
+      c.storm.track(
+        (async () => {
+          for (let n = 0; n < 20 && !m.control; n++) await c.storm.wait(5);
+          await Promise.all(Array.from({ length: changes }, () => c.storm.reconfigure(1, m)));
+        })(),
+      );
     });
+    return m.addr;
   };
-  storm.track(storm.reconfigure());
-  return when;
-};
 
-/** A control that was killed gets a change as soon as it is back, again and again until it answers. */
-const meetReturn = (changes: number): Fault => (c) => {
-  const m = c.tools.target(c, 'control');
-  if (!m) return '';
-  m.kill();
-  c.tools.after(Math.min(c.span, 2000), () => {
-    c.tools.restart(m);
+/** A control that is cut off gets changes during the cut. */
+const meetCut =
+  (changes: number): Fault =>
+  (c) => {
+    const m = c.tools.target(c, 'control');
+    if (!m) return '';
+    c.tools.isolate([m], c.span);
     c.storm.track(
       (async () => {
-        for (let n = 0; n < 20 && !m.control; n++) await c.storm.wait(5);
+        await c.storm.wait(c.rng() * c.span);
         await Promise.all(Array.from({ length: changes }, () => c.storm.reconfigure(1, m)));
       })(),
     );
-  });
-  return m.addr;
-};
-
-/** A control that is cut off gets changes during the cut. */
-const meetCut = (changes: number): Fault => (c) => {
-  const m = c.tools.target(c, 'control');
-  if (!m) return '';
-  c.tools.isolate([m], c.span);
-  c.storm.track(
-    (async () => {
-      await c.storm.wait(c.rng() * c.span);
-      await Promise.all(Array.from({ length: changes }, () => c.storm.reconfigure(1, m)));
-    })(),
-  );
-  return m.addr;
-};
+    return m.addr;
+  };
 
 /** Soon after a control is back, a server leaves. */
 const leaveAtReturn: Fault = (c) => {
--- a/packages/sim/src/faults-server.ts
+++ b/packages/sim/src/faults-server.ts
@@ -5,11 +5,13 @@
 const drainingMs = 4000;
 
 /** One server is in trouble for a time. */
-const trouble = (f: Partial<SimFaults>): Fault => (c) => {
-  c.w.servers.set(c.server, f);
-  c.tools.after(c.span, () => c.w.servers.heal(c.server));
-  return c.server;
-};
+const trouble =
+  (f: Partial<SimFaults>): Fault =>
+  (c) => {
+    c.w.servers.set(c.server, f);
+    c.tools.after(c.span, () => c.w.servers.heal(c.server));
+    return c.server;
+  };
 
 /** A server is well and unwell by turns. */
 const flapping: Fault = (c) => {
@@ -83,24 +85,29 @@
 };
 
 /** A server crashes for good while it is at work, and stays on the list for a time. */
-const gone = (how: Partial<SimFaults>): Fault => (c) => {
-  const id = `g${c.n}`;
-  c.storm.track(
-    (async () => {
-      await comes(c, id);
-      await c.storm.wait(drainingMs / 2);
-      c.w.servers.set(id, how);
-      await c.storm.wait(c.span);
-      await persist(c, 'DELETE', `/v1/servers/${id}`);
-    })(),
-  );
-  return id;
-};
+const gone =
+  (how: Partial<SimFaults>): Fault =>
+  (c) => {
+    const id = `g${c.n}`;
+    c.storm.track(
+      (async () => {
+        await comes(c, id);
+        await c.storm.wait(drainingMs / 2);
+        c.w.servers.set(id, how);
+        await c.storm.wait(c.span);
+        await persist(c, 'DELETE', `/v1/servers/${id}`);
+      })(),
+    );
+    return id;
+  };
 
 /** The fronts of one zone reach a server no longer. */
 const oneZone: Fault = (c) => {
   const zone = Math.floor(c.rng() * c.w.zones);
-  const pairs = c.w.of('front').filter((m) => m.n % c.w.zones === zone).map((m) => `${m.addr}>${c.server}`);
+  const pairs = c.w
+    .of('front')
+    .filter((m) => m.n % c.w.zones === zone)
+    .map((m) => `${m.addr}>${c.server}`);
   for (const pair of pairs) c.w.servers.cutFronts.add(pair);
   c.tools.after(c.span, () => pairs.forEach((pair) => c.w.servers.cutFronts.delete(pair)));
   return pairs.join(' ');
--- a/packages/sim/src/machine.ts
+++ b/packages/sim/src/machine.ts
@@ -3,7 +3,12 @@
 import { Front } from '@tillerstair/proxy';
 import { replicationFor } from '@tillerstair/state';
 import { openStoreDisk, StoreNode, type ReplicaStore } from '@tillerstair/store';
-import { DiskElectionStore, reloadableBounds, type OuterBounds, type ReloadableBounds } from '@tillerstair/zen';
+import {
+  DiskElectionStore,
+  reloadableBounds,
+  type OuterBounds,
+  type ReloadableBounds,
+} from '@tillerstair/zen';
 import { noLog, type Log } from '@tillerstair/wire';
 import { Life } from './sim-clock.js';
 import { SimPlatter } from './sim-disk.js';
@@ -51,7 +56,8 @@
   private log(part: string): Log {
     const w = this.world;
     if (!w.trace) return noLog;
-    const at = (text: string): void => w.trace?.(`${w.clock.now().toFixed(1)} ${this.addr} ${part}: ${text}`);
+    const at = (text: string): void =>
+      w.trace?.(`${w.clock.now().toFixed(1)} ${this.addr} ${part}: ${text}`);
     return { debug: at, info: at, warn: at, error: at };
   }
 
@@ -70,7 +76,13 @@
     const w = this.world;
     const clock = life.clock(w.clock);
     const transport = w.net.transport(this.addr, life);
-    const common = { seeds: this.seeds, clock, transport, bounds: this.settings.bounds, log: this.log('zen') };
+    const common = {
+      seeds: this.seeds,
+      clock,
+      transport,
+      bounds: this.settings.bounds,
+      log: this.log('zen'),
+    };
     const { zone } = this;
     if (this.kind === 'front') {
       await this.beginProxy(proxyLife);
@@ -79,18 +91,34 @@
     }
     const disk = this.platter.disk(clock, life);
     const freshId = (): string => `${this.kind.charAt(0)}${w.freshId()}`;
-    const pace = { clock, syncWithin: w.bounds.syncWithin, retryEvery: w.bounds.diskRetryEvery, log: this.log('disk') };
+    const pace = {
+      clock,
+      syncWithin: w.bounds.syncWithin,
+      retryEvery: w.bounds.diskRetryEvery,
+      log: this.log('disk'),
+    };
     const member = { kind: this.kind, addr: this.addr, http: '', zone, data: '', name: this.name };
     if (this.kind === 'control') {
       const electionStore = await DiskElectionStore.open(disk, freshId, w.longAt, pace);
       const me = { id: electionStore.persisted.id, ...member };
-      const node = new ControlNode({ ...common, me, electionStore, slots: w.slots, replication: replicationFor(w.losses), list: w.list?.reader(this.addr, life) });
+      const node = new ControlNode({
+        ...common,
+        me,
+        electionStore,
+        slots: w.slots,
+        replication: replicationFor(w.losses),
+        list: w.list?.reader(this.addr, life),
+      });
       await node.start();
       this.control = node;
       return;
     }
     const { electionStore, replicaStore } = await openStoreDisk({
-      disk, clock, pace: { ...pace, syncWithin: w.bounds.failureTimeout }, freshId, longAt: w.longAt,
+      disk,
+      clock,
+      pace: { ...pace, syncWithin: w.bounds.failureTimeout },
+      freshId,
+      longAt: w.longAt,
       bounds: { journalLongAt: w.longAt, retentionMs: w.retentionMs, hintsMost: w.hintsMost },
     });
     const me = { id: electionStore.persisted.id, ...member };
@@ -103,8 +131,18 @@
   private async beginAgent(life: Life): Promise<void> {
     const w = this.world;
     const agent = new Agent({
-      seeds: this.seeds, clock: life.clock(w.clock), transport: w.net.transport(this.addr, life), bounds: this.settings.bounds, log: this.log('zen'), addr: this.addr,
-      http: '', zone: this.zone, name: this.name, proxy: `${this.addr}/feed`, stopWithin: 5 * this.settings.bounds.heartbeatInterval, loop: w.net.transport(`${this.addr}/loop`, life),
+      seeds: this.seeds,
+      clock: life.clock(w.clock),
+      transport: w.net.transport(this.addr, life),
+      bounds: this.settings.bounds,
+      log: this.log('zen'),
+      addr: this.addr,
+      http: '',
+      zone: this.zone,
+      name: this.name,
+      proxy: `${this.addr}/feed`,
+      stopWithin: 5 * this.settings.bounds.heartbeatInterval,
+      loop: w.net.transport(`${this.addr}/loop`, life),
     });
     await agent.start();
     this.agent = agent;
@@ -115,12 +153,26 @@
     const clock = life.clock(w.clock);
     const { heartbeatInterval, failureTimeout, readLease } = this.settings.bounds;
     const front = new Front({
-      id: `f${w.freshId()}`, clock, transport: w.net.transport(`${this.addr}/data`, life), backend: w.servers.backend(life, this.addr),
-      bounds: { heartbeatInterval, putWithin: failureTimeout / 2, readLease, poll: heartbeatInterval / 4, retentionMs: w.retentionMs, stopWithin: 5 * heartbeatInterval }, log: this.log('proxy'), affinity: true,
+      id: `f${w.freshId()}`,
+      clock,
+      transport: w.net.transport(`${this.addr}/data`, life),
+      backend: w.servers.backend(life, this.addr),
+      bounds: {
+        heartbeatInterval,
+        putWithin: failureTimeout / 2,
+        readLease,
+        poll: heartbeatInterval / 4,
+        retentionMs: w.retentionMs,
+        stopWithin: 5 * heartbeatInterval,
+      },
+      log: this.log('proxy'),
+      affinity: true,
     });
     const feed = w.net.transport(`${this.addr}/feed`, life);
     await feed.serve(async (rpc) =>
-      rpc.kind === 'front/hello' ? { id: front.p.id, addr: `${this.addr}/data`, http: '' } : front.feed(rpc.body),
+      rpc.kind === 'front/hello'
+        ? { id: front.p.id, addr: `${this.addr}/data`, http: '' }
+        : front.feed(rpc.body),
     );
     await front.start();
     this.front = front;
@@ -148,7 +200,12 @@
 
   /** Tells every process of this machine to stop (SIGTERM); resolves when they have ended. */
   async stopInOrder(): Promise<void> {
-    await Promise.all([this.front?.stop(), this.agent?.stop(), this.control?.stop(), this.store?.stop()]);
+    await Promise.all([
+      this.front?.stop(),
+      this.agent?.stop(),
+      this.control?.stop(),
+      this.store?.stop(),
+    ]);
     this.kill();
   }
 
--- a/packages/sim/src/model-actions.ts
+++ b/packages/sim/src/model-actions.ts
@@ -9,7 +9,12 @@
 
 /** One step of a run; `at` picks a machine by its index among those there are, `ms` is a time of the simulated clock. */
 export type ModelAction =
-  | { readonly kind: 'network'; readonly lost: number; readonly late: number; readonly repeated: number }
+  | {
+      readonly kind: 'network';
+      readonly lost: number;
+      readonly late: number;
+      readonly repeated: number;
+    }
   | { readonly kind: 'cut'; readonly at: number; readonly way: CutWay; readonly ms: number }
   | { readonly kind: 'split'; readonly members: number; readonly ms: number }
   | { readonly kind: 'freeze'; readonly at: number; readonly ms: number }
@@ -40,7 +45,10 @@
   readonly actions: readonly ModelAction[];
 }
 
-const at = fc.oneof({ weight: 2, arbitrary: fc.constant(atMaster) }, { weight: 3, arbitrary: fc.nat(6) });
+const at = fc.oneof(
+  { weight: 2, arbitrary: fc.constant(atMaster) },
+  { weight: 3, arbitrary: fc.nat(6) },
+);
 const span = fc.constantFrom(5, 60, 300, 900, 2500, 5000);
 const pause = fc.constantFrom(5, 60, 300, 900, 2500);
 const way = fc.constantFrom<CutWay>('both', 'in', 'out');
@@ -56,7 +64,11 @@
   fc.record({ kind: fc.constant('wipe'), at, ms: span }),
   fc.record({ kind: fc.constant('replace'), at, planned: fc.boolean() }),
   fc.constant({ kind: 'add' }),
-  fc.record({ kind: fc.constantFrom<DiskTrouble>('slow-disk', 'full-disk', 'stalled-disk'), at, ms: span }),
+  fc.record({
+    kind: fc.constantFrom<DiskTrouble>('slow-disk', 'full-disk', 'stalled-disk'),
+    at,
+    ms: span,
+  }),
   fc.constant({ kind: 'heal' }),
 ];
 
@@ -71,4 +83,11 @@
 const wait: fc.Arbitrary<ModelAction> = fc.record({ kind: fc.constant('wait'), ms: pause });
 
 /** Every action, requests and waits as often as all troubles together. */
-export const anyAction: readonly fc.Arbitrary<ModelAction>[] = [...troubles, ...requests, ...requests, wait, wait, wait];
+export const anyAction: readonly fc.Arbitrary<ModelAction>[] = [
+  ...troubles,
+  ...requests,
+  ...requests,
+  wait,
+  wait,
+  wait,
+];
--- a/packages/sim/src/model-history.ts
+++ b/packages/sim/src/model-history.ts
@@ -42,7 +42,14 @@
 const keyOf = (m: StateVersion): string => `${m.term}.${m.version}`;
 
 const fingerprintOf = (s: State): string =>
-  JSON.stringify([s.clusterId, s.config?.version, s.config?.digest, s.voters, [...s.nodes.keys()].sort(), [...s.servers.keys()].sort()]);
+  JSON.stringify([
+    s.clusterId,
+    s.config?.version,
+    s.config?.digest,
+    s.voters,
+    [...s.nodes.keys()].sort(),
+    [...s.servers.keys()].sort(),
+  ]);
 
 /** The committed states and acknowledged changes of one run, in the order in which they were seen. */
 export class ModelHistory {
@@ -70,7 +77,11 @@
   }
 
   begin(): CallStart {
-    return { committedVersion: this.committedVersion, hasConfig: this.newest?.config !== undefined, acknowledged: this.acknowledgedVersion };
+    return {
+      committedVersion: this.committedVersion,
+      hasConfig: this.newest?.config !== undefined,
+      acknowledged: this.acknowledgedVersion,
+    };
   }
 
   /** Records a state that some node has committed. */
@@ -83,16 +94,24 @@
     const fingerprint = fingerprintOf(s);
     const known = this.fingerprints.get(key);
     if (known !== undefined) {
-      if (known !== fingerprint) this.broken('committed state is kept', `${by} holds another state ${key}: ${fingerprint}, not ${known}`);
+      if (known !== fingerprint)
+        this.broken(
+          'committed state is kept',
+          `${by} holds another state ${key}: ${fingerprint}, not ${known}`,
+        );
       return;
     }
     this.fingerprints.set(key, fingerprint);
     const master = this.masters.get(s.term);
-    if (master !== undefined && master !== s.master) this.broken('one master a term', `term ${s.term}: ${master} and ${s.master}`);
+    if (master !== undefined && master !== s.master)
+      this.broken('one master a term', `term ${s.term}: ${master} and ${s.master}`);
     this.masters.set(s.term, s.master);
     const { newest } = this;
     if (newest && !newer(mark, versionOf(newest))) {
-      this.broken('committed state is kept', `${by} commits ${key} after ${keyOf(versionOf(newest))}`);
+      this.broken(
+        'committed state is kept',
+        `${by} commits ${key} after ${keyOf(versionOf(newest))}`,
+      );
       return;
     }
     this.advance(by, s);
@@ -101,21 +120,33 @@
   private advance(by: string, s: State): void {
     const before = this.committedVersion;
     const { config } = s;
-    if ((config?.version ?? 0) < before) this.broken('committed state is kept', `${by} goes back from configuration ${before} to ${config?.version ?? 0}`);
+    if ((config?.version ?? 0) < before)
+      this.broken(
+        'committed state is kept',
+        `${by} goes back from configuration ${before} to ${config?.version ?? 0}`,
+      );
     this.newest = s;
     if (config) this.content(config.version, config.digest, `committed by ${by}`);
   }
 
   private content(version: number, digest: string, what: string): void {
     const known = this.contents.get(version);
-    if (known !== undefined && known !== digest) this.broken('one content a version', `version ${version}: ${known.slice(0, 6)} and ${digest.slice(0, 6)} (${what})`);
+    if (known !== undefined && known !== digest)
+      this.broken(
+        'one content a version',
+        `version ${version}: ${known.slice(0, 6)} and ${digest.slice(0, 6)} (${what})`,
+      );
     this.contents.set(version, known ?? digest);
   }
 
   /** A change was acknowledged. */
   acknowledged(c: SentConfig, by: string): void {
     this.checks++;
-    if (this.committedVersion < c.version) this.broken('acknowledged changes are committed', `${by} acknowledged ${c.version}, committed is ${this.committedVersion}`);
+    if (this.committedVersion < c.version)
+      this.broken(
+        'acknowledged changes are committed',
+        `${by} acknowledged ${c.version}, committed is ${this.committedVersion}`,
+      );
     this.content(c.version, c.digest, `acknowledged by ${by}`);
     this.acknowledgedVersion = Math.max(this.acknowledgedVersion, c.version);
   }
@@ -125,19 +156,36 @@
     this.checks++;
     const now = this.committedVersion;
     const who = `${by} refused ${c.version} on ${c.base} (${c.digest.slice(0, 6)})`;
-    if (this.contents.get(c.version) === c.digest) this.broken('refusals are true', `${who}, which had been taken`);
-    else if (start.committedVersion === c.base && now === c.base) this.broken('refusals are true', `${who}, and ${c.base} was current all the time`);
+    if (this.contents.get(c.version) === c.digest)
+      this.broken('refusals are true', `${who}, which had been taken`);
+    else if (start.committedVersion === c.base && now === c.base)
+      this.broken('refusals are true', `${who}, and ${c.base} was current all the time`);
     if (current !== undefined && (current < start.committedVersion || current > now))
-      this.broken('refusals are true', `${who} since ${current} is current, which was ${start.committedVersion} to ${now}`);
+      this.broken(
+        'refusals are true',
+        `${who} since ${current} is current, which was ${start.committedVersion} to ${now}`,
+      );
   }
 
   /** A read found a configuration, or none. */
-  read(found: { readonly version: number; readonly digest: string } | undefined, by: string, start: CallStart): void {
+  read(
+    found: { readonly version: number; readonly digest: string } | undefined,
+    by: string,
+    start: CallStart,
+  ): void {
     this.checks++;
     const version = found?.version ?? 0;
     const least = Math.max(start.acknowledged, start.committedVersion);
-    if (version < least) this.broken('reads hold every acknowledged change', `${by} read ${version}, ${least} had been committed`);
-    if (version > this.committedVersion) this.broken('reads hold every acknowledged change', `${by} read ${version}, committed is ${this.committedVersion}`);
+    if (version < least)
+      this.broken(
+        'reads hold every acknowledged change',
+        `${by} read ${version}, ${least} had been committed`,
+      );
+    if (version > this.committedVersion)
+      this.broken(
+        'reads hold every acknowledged change',
+        `${by} read ${version}, committed is ${this.committedVersion}`,
+      );
     if (found) this.content(found.version, found.digest, `read at ${by}`);
   }
 }
--- a/packages/sim/src/model-nodes.ts
+++ b/packages/sim/src/model-nodes.ts
@@ -19,7 +19,9 @@
 const markText = (m: StateVersion): string => `${m.term}.${m.version}`;
 
 const publishedMark = (packed: string): StateVersion => {
-  const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
+  const payload = Payload.parse(
+    JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')),
+  );
   if ('diff' in payload) return payload.diff.to;
   const head = new Map(payload.full).get('head') ?? '{}';
   return versionOf(z.object({ term: z.number(), version: z.number() }).parse(JSON.parse(head)));
@@ -32,7 +34,10 @@
   private readonly acknowledged = new Map<string, StateVersion>();
   private readonly stored = new Map<string, StateVersion>();
   private readonly held = new Map<string, Held>();
-  private readonly applied = new Map<Machine, { readonly life: object; readonly mark: StateVersion }>();
+  private readonly applied = new Map<
+    Machine,
+    { readonly life: object; readonly mark: StateVersion }
+  >();
   private readonly identities = new Map<Machine, string>();
 
   constructor(private readonly history: ModelHistory) {}
@@ -57,7 +62,11 @@
     const { to } = Addressed.parse(a.body);
     const key = `${to} ${term}`;
     const before = this.votes.get(key);
-    if (before !== undefined && before !== from.id) this.history.broken('one vote a term', `${to} votes for ${before} and ${from.id} in term ${term}`);
+    if (before !== undefined && before !== from.id)
+      this.history.broken(
+        'one vote a term',
+        `${to} votes for ${before} and ${from.id} in term ${term}`,
+      );
     this.votes.set(key, from.id);
     this.grantedTerms.set(to, Math.max(term, this.grantedTerms.get(to) ?? 0));
   }
@@ -67,7 +76,8 @@
     const { packed, term } = Publish.parse(a.body);
     const { to } = Addressed.parse(a.body);
     const mark = publishedMark(packed);
-    if (newer(mark, this.acknowledged.get(to) ?? versionOf(undefined))) this.acknowledged.set(to, mark);
+    if (newer(mark, this.acknowledged.get(to) ?? versionOf(undefined)))
+      this.acknowledged.set(to, mark);
     if (newer(mark, this.stored.get(to) ?? versionOf(undefined))) this.stored.set(to, mark);
     this.grantedTerms.set(to, Math.max(term, this.grantedTerms.get(to) ?? 0));
   }
@@ -79,13 +89,24 @@
     const { id } = control;
     const before = this.identities.get(m);
     if (before !== undefined && before !== id && this.acknowledged.has(before))
-      this.history.broken('terms and versions never go back', `${m.addr} forgot who it was: ${before} is ${id} now`);
+      this.history.broken(
+        'terms and versions never go back',
+        `${m.addr} forgot who it was: ${before} is ${id} now`,
+      );
     this.identities.set(m, id);
     const mark = versionOf(control.zen.accepted);
     const least = this.acknowledged.get(id);
-    if (least && newer(least, mark)) this.history.broken('terms and versions never go back', `${m.addr} holds ${markText(mark)}, had stored ${markText(least)}`);
+    if (least && newer(least, mark))
+      this.history.broken(
+        'terms and versions never go back',
+        `${m.addr} holds ${markText(mark)}, had stored ${markText(least)}`,
+      );
     const granted = this.grantedTerms.get(id) ?? 0;
-    if (control.zen.term < granted) this.history.broken('terms and versions never go back', `${m.addr} is in term ${control.zen.term}, had promised ${granted}`);
+    if (control.zen.term < granted)
+      this.history.broken(
+        'terms and versions never go back',
+        `${m.addr} is in term ${control.zen.term}, had promised ${granted}`,
+      );
     this.observeApplied(m, control.zen.applied);
     this.observeStored(m, id, mark, now);
   }
@@ -94,14 +115,29 @@
     const mark = versionOf(s);
     const before = this.applied.get(m);
     if (before?.life === m.life && newer(before.mark, mark))
-      this.history.broken('terms and versions never go back', `${m.addr} applies ${markText(mark)} after ${markText(before.mark)}`);
+      this.history.broken(
+        'terms and versions never go back',
+        `${m.addr} applies ${markText(mark)} after ${markText(before.mark)}`,
+      );
     this.applied.set(m, { life: m.life, mark });
   }
 
   private observeStored(m: Machine, id: string, mark: StateVersion, now: number): void {
     const held = this.held.get(id);
-    if (!held || markText(held.mark) !== markText(mark) || m.life.frozen || m.platter.delay > 1 || m.platter.full || m.platter.stalled) this.held.set(id, { mark, ownedSinceEpoch: now });
-    else if (now - held.ownedSinceEpoch > syncedAfterMs && newer(mark, this.stored.get(id) ?? versionOf(undefined))) this.stored.set(id, mark);
+    if (
+      !held ||
+      markText(held.mark) !== markText(mark) ||
+      m.life.frozen ||
+      m.platter.delay > 1 ||
+      m.platter.full ||
+      m.platter.stalled
+    )
+      this.held.set(id, { mark, ownedSinceEpoch: now });
+    else if (
+      now - held.ownedSinceEpoch > syncedAfterMs &&
+      newer(mark, this.stored.get(id) ?? versionOf(undefined))
+    )
+      this.stored.set(id, mark);
   }
 
   /** Whether the disk that holds this identity has the state. */
--- a/packages/sim/src/model-rig.ts
+++ b/packages/sim/src/model-rig.ts
@@ -3,7 +3,13 @@
 import { digestOf } from '@tillerstair/state';
 import { z } from 'zod';
 import type { Machine } from './machine.js';
-import { atMaster, type CutWay, type DiskTrouble, type ModelAction, type ModelRun } from './model-actions.js';
+import {
+  atMaster,
+  type CutWay,
+  type DiskTrouble,
+  type ModelAction,
+  type ModelRun,
+} from './model-actions.js';
 import { ModelHistory, type CallStart, type SentConfig } from './model-history.js';
 import { ModelNodes } from './model-nodes.js';
 import type { SimPlatter } from './sim-disk.js';
@@ -11,7 +17,12 @@
 import { seededRng, World } from './world.js';
 
 /** Short bounds, so that a run of a minute of them stays cheap. */
-const bounds = { serveWithin: 2400, drainingWithin: 600, heartbeatInterval: 200, failureTimeout: 600 };
+const bounds = {
+  serveWithin: 2400,
+  drainingWithin: 600,
+  heartbeatInterval: 200,
+  failureTimeout: 600,
+};
 const mostControls = 7;
 /** Once all troubles have ended, reads and changes succeed within this time. */
 const healedWithinMs = 60000;
@@ -87,8 +98,13 @@
   private mayLoseDisk(m: Machine): boolean {
     const s = this.history.newest;
     if (!s) return false;
-    const kept = new Set(this.w.machines.filter((x) => x !== m).map((x) => this.nodes.identityOf(x)));
-    return [s.voters.current, s.voters.next].every((group) => group.filter((id) => kept.has(id) && this.nodes.stores(id, s)).length * 2 > group.length);
+    const kept = new Set(
+      this.w.machines.filter((x) => x !== m).map((x) => this.nodes.identityOf(x)),
+    );
+    return [s.voters.current, s.voters.next].every(
+      (group) =>
+        group.filter((id) => kept.has(id) && this.nodes.stores(id, s)).length * 2 > group.length,
+    );
   }
 
   private at(n: number): Machine {
@@ -152,7 +168,11 @@
       case 'cut':
         return this.cut([this.at(a.at)], a.way, a.ms);
       case 'split':
-        return this.cut(this.w.machines.filter((_, i) => ((a.members >> i) & 1) === 1), 'both', a.ms);
+        return this.cut(
+          this.w.machines.filter((_, i) => ((a.members >> i) & 1) === 1),
+          'both',
+          a.ms,
+        );
       case 'freeze':
         return this.freeze(this.at(a.at), a.ms);
       case 'kill':
@@ -172,7 +192,14 @@
       case 'stalled-disk':
         return this.troubleDisk(this.at(a.at), a.kind, a.ms);
       case 'put':
-        return this.put(this.at(a.at), this.configOn(a.stale ? Math.max(0, this.history.committedVersion - 1) : this.history.committedVersion));
+        return this.put(
+          this.at(a.at),
+          this.configOn(
+            a.stale
+              ? Math.max(0, this.history.committedVersion - 1)
+              : this.history.committedVersion,
+          ),
+        );
       case 'race':
         this.put(this.at(a.at), this.configOn(this.history.committedVersion));
         return this.put(this.at(a.other), this.configOn(this.history.committedVersion));
@@ -254,7 +281,9 @@
   }
 
   private configOn(base: number): SentConfig {
-    const text = stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: 0 }) + ' '.repeat(this.sent.length + 1);
+    const text =
+      stormConfig({ base, turnPools: ['models'], callPool: 'shop', extra: 0 }) +
+      ' '.repeat(this.sent.length + 1);
     const config = { version: base + 1, base, digest: digestOf(text), text };
     this.sent.push(config);
     return config;
@@ -279,7 +308,12 @@
   }
 
   /** Calls a control as a client does: while its process is frozen or dead, nothing is taken and nothing answered. */
-  private call(m: Machine, method: string, body: string, onAnswer: (out: Outcome, start: CallStart) => void): void {
+  private call(
+    m: Machine,
+    method: string,
+    body: string,
+    onAnswer: (out: Outcome, start: CallStart) => void,
+  ): void {
     const { control, life } = m;
     if (!control) return;
     const start = this.history.begin();
--- a/packages/sim/src/pass.ts
+++ b/packages/sim/src/pass.ts
@@ -1,6 +1,12 @@
 import type { PassRecord } from '@tillerstair/checker';
 import { passOn } from '@tillerstair/proxy';
-import { packed, unpacked, Passed, type PassAsk, type CallOutcome } from '@tillerstair/session-owner';
+import {
+  packed,
+  unpacked,
+  Passed,
+  type PassAsk,
+  type CallOutcome,
+} from '@tillerstair/session-owner';
 import { toRpcError } from '@tillerstair/wire';
 import type { Machine } from './machine.js';
 import type { World } from './world.js';
@@ -24,9 +30,16 @@
 export const passHost = 'a.example';
 
 /** Routes of every manner at `passHost`, for tests and storms; `turnPools` answer in streams. */
-export const passRoutes = (turnPools: readonly string[], callPool: string, deadlineMs = 8000): readonly object[] => {
+export const passRoutes = (
+  turnPools: readonly string[],
+  callPool: string,
+  deadlineMs = 8000,
+): readonly object[] => {
   const route = (name: string, pass: object, pools: readonly string[]): object => ({
-    name: `pass-${name}`, match: { kind: 'pass', host: passHost, path: `/${name}/` }, pass: { deadlineMs, ...pass }, shares: pools.map((pool) => ({ pool, share: 1 })),
+    name: `pass-${name}`,
+    match: { kind: 'pass', host: passHost, path: `/${name}/` },
+    pass: { deadlineMs, ...pass },
+    shares: pools.map((pool) => ({ pool, share: 1 })),
   });
   return [
     route('keyed', { manner: 'keyed', tries: 2 }, [callPool]),
@@ -40,7 +53,13 @@
 
 const mannerOf = (path: string): PassRecord['manner'] => {
   const name = path.split('/')[1];
-  return name === 'keyed' || name === 'own' ? 'keyed' : name === 'once' ? 'once' : name === 'again' ? 'repeatable' : 'stream';
+  return name === 'keyed' || name === 'own'
+    ? 'keyed'
+    : name === 'once'
+      ? 'once'
+      : name === 'again'
+        ? 'repeatable'
+        : 'stream';
 };
 
 const askOf = (w: World, spec: PassSpec): PassAsk => {
@@ -52,8 +71,21 @@
   if (program !== '') headers.push(['x-program', program]);
   if (streamed) headers.push(['x-tokens', `10,${most}`]);
   return {
-    tenant: 't', host: passHost, method: 'POST', path, headers, body: packed(Buffer.from(spec.body ?? '', 'latin1')), attempt, key, left: spec.left ?? 8000, program, budget, most,
-    parts: spec.parts ?? [], after: spec.after ?? '', resume: spec.resume ?? '',
+    tenant: 't',
+    host: passHost,
+    method: 'POST',
+    path,
+    headers,
+    body: packed(Buffer.from(spec.body ?? '', 'latin1')),
+    attempt,
+    key,
+    left: spec.left ?? 8000,
+    program,
+    budget,
+    most,
+    parts: spec.parts ?? [],
+    after: spec.after ?? '',
+    resume: spec.resume ?? '',
   };
 };
 
@@ -66,10 +98,16 @@
   const v = await w.sendAsCaller(
     at,
     (front, emit, gone) =>
-      passOn(front, ask, emit, spec.leaves ? AbortSignal.any([gone, spec.leaves]) : gone).catch((e: unknown): CallOutcome => {
-        const m = toRpcError(e);
-        return { outcome: m.code === 'not-ready' ? 'refused' : 'unknown', status: 503, errorCode: m.code };
-      }),
+      passOn(front, ask, emit, spec.leaves ? AbortSignal.any([gone, spec.leaves]) : gone).catch(
+        (e: unknown): CallOutcome => {
+          const m = toRpcError(e);
+          return {
+            outcome: m.code === 'not-ready' ? 'refused' : 'unknown',
+            status: 503,
+            errorCode: m.code,
+          };
+        },
+      ),
     (n, text) => {
       if (n === 0) begun = true;
       else got += text;
@@ -77,9 +115,22 @@
   );
   const whole = Passed.safeParse(v.body);
   const row: PassRecord = {
-    manner: mannerOf(ask.path), path: ask.path, resumable: ask.path.startsWith('/live/'), key: ask.key, attempt: ask.attempt, program: ask.program, budget: ask.budget,
-    most: ask.most, after: ask.after, input: spec.body ?? '', from, to: w.clock.now(), reported: v.outcome === 'done' ? 'done' : begun && got !== '' ? 'partial' : v.outcome,
-    status: whole.success ? whole.data.status : v.outcome === 'done' ? 200 : v.status, errorCode: v.errorCode ?? '', retryAfter: v.retryAfter ?? 0,
+    manner: mannerOf(ask.path),
+    path: ask.path,
+    resumable: ask.path.startsWith('/live/'),
+    key: ask.key,
+    attempt: ask.attempt,
+    program: ask.program,
+    budget: ask.budget,
+    most: ask.most,
+    after: ask.after,
+    input: spec.body ?? '',
+    from,
+    to: w.clock.now(),
+    reported: v.outcome === 'done' ? 'done' : begun && got !== '' ? 'partial' : v.outcome,
+    status: whole.success ? whole.data.status : v.outcome === 'done' ? 200 : v.status,
+    errorCode: v.errorCode ?? '',
+    retryAfter: v.retryAfter ?? 0,
     body: whole.success ? unpacked(whole.data.body).toString('latin1') : got,
   };
   w.passes.push(row);
--- a/packages/sim/src/sim-backend.ts
+++ b/packages/sim/src/sim-backend.ts
@@ -1,5 +1,12 @@
 import type { Server } from '@tillerstair/state';
-import type { Act, Backend, Ended, Generate, LoadReport, Passing } from '@tillerstair/session-owner';
+import type {
+  Act,
+  Backend,
+  Ended,
+  Generate,
+  LoadReport,
+  Passing,
+} from '@tillerstair/session-owner';
 import type { ExecutionRecord } from '@tillerstair/checker';
 import { pause, type Clock } from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
@@ -27,7 +34,20 @@
   readonly errs: boolean;
 }
 
-const healthy: SimFaults = { refuses: false, draining: false, loseEvery: 0, cutEvery: 0, slow: 1, declines: false, tears: false, lies: false, mute: false, dark: false, resets: false, errs: false };
+const healthy: SimFaults = {
+  refuses: false,
+  draining: false,
+  loseEvery: 0,
+  cutEvery: 0,
+  slow: 1,
+  declines: false,
+  tears: false,
+  lies: false,
+  mute: false,
+  dark: false,
+  resets: false,
+  errs: false,
+};
 
 export class SimServers {
   readonly executed: ExecutionRecord[] = [];
@@ -61,13 +81,20 @@
   }
 
   private note(s: Server, executed: Omit<ExecutionRecord, 'server' | 'pool' | 'at'>): void {
-    this.executed.push({ ...executed, server: s.id, pool: s.pool, at: this.clock.now(), said: executed.kind === 'pass' ? executed.said : executed.said.slice(-60) });
+    this.executed.push({
+      ...executed,
+      server: s.id,
+      pool: s.pool,
+      at: this.clock.now(),
+      said: executed.kind === 'pass' ? executed.said : executed.said.slice(-60),
+    });
   }
 
   backend(life: Life, front = ''): Backend {
     const clock = this.clock;
     const frontClock = life.clock(clock);
-    const refuses = (s: Server): boolean => this.of(s.id).refuses || this.cutFronts.has(`${front}>${s.id}`);
+    const refuses = (s: Server): boolean =>
+      this.of(s.id).refuses || this.cutFronts.has(`${front}>${s.id}`);
     const gate = async <T>(v: T): Promise<T> => {
       await pause(frontClock, 0.3);
       return v;
@@ -76,7 +103,12 @@
       await pause(frontClock, within, gone);
       return { kind: 'lost', text: 'the server is silent' };
     };
-    const leave = async (s: Server, still: () => boolean, gone: AbortSignal, within: number): Promise<Ended | undefined> => {
+    const leave = async (
+      s: Server,
+      still: () => boolean,
+      gone: AbortSignal,
+      within: number,
+    ): Promise<Ended | undefined> => {
       this.asked++;
       await pause(frontClock, 0.5);
       if (!still()) return { kind: 'declined', text: 'taken back' };
@@ -93,7 +125,14 @@
         if (back) return back;
         const nth = ++this.served;
         const began = clock.now();
-        const executed = { kind: 'generate' as const, key: '', attempt: g.requestId, program: g.id.split('/')[0] ?? '', began, said: g.messages.at(-1)?.text ?? '' };
+        const executed = {
+          kind: 'generate' as const,
+          key: '',
+          attempt: g.requestId,
+          program: g.id.split('/')[0] ?? '',
+          began,
+          said: g.messages.at(-1)?.text ?? '',
+        };
         const total = Math.min(g.maxTokens, 4 + Math.floor(this.rng() * 12));
         const cutAt = f.cutEvery > 0 && nth % f.cutEvery === 0 ? Math.floor(total / 2) : -1;
         let reply = '';
@@ -112,7 +151,8 @@
         }
         this.enter(s, -1);
         this.note(s, { ...executed, reply, complete: true, tokens: total });
-        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0)) return gate({ kind: 'lost', text: 'the end was lost' });
+        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0))
+          return gate({ kind: 'lost', text: 'the end was lost' });
         return gate({ kind: 'done', code: 200, body: total });
       },
       act: async (s: Server, a: Act, gone, within, still): Promise<Ended> => {
@@ -124,8 +164,19 @@
         this.enter(s, 1);
         await pause(clock, (10 + this.rng() * 30) * f.slow);
         this.enter(s, -1);
-        this.note(s, { kind: 'act', key: a.key, attempt: a.requestId, program: '', began, said: a.path, reply: '', complete: true, tokens: 0 });
-        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0)) return gate({ kind: 'lost', text: 'the outcome was lost' });
+        this.note(s, {
+          kind: 'act',
+          key: a.key,
+          attempt: a.requestId,
+          program: '',
+          began,
+          said: a.path,
+          reply: '',
+          complete: true,
+          tokens: 0,
+        });
+        if (f.errs || (f.loseEvery > 0 && nth % f.loseEvery === 0))
+          return gate({ kind: 'lost', text: 'the outcome was lost' });
         return gate({ kind: 'done', code: 200, body: { did: a.path, key: a.key, by: s.id } });
       },
       pass: async (s: Server, p: Passing, sink, gone, left, still): Promise<Ended> => {
@@ -135,12 +186,23 @@
         const nth = ++this.served;
         const began = clock.now();
         this.enter(s, 1);
-        const executed: Passed = await passRun({ by: s.id, nth, faults: f, clock, rng: this.rng, life, gone }, p, sink);
+        const executed: Passed = await passRun(
+          { by: s.id, nth, faults: f, clock, rng: this.rng, life, gone },
+          p,
+          sink,
+        );
         this.enter(s, -1);
-        this.note(s, { kind: 'pass', attempt: p.attempt, began, said: Buffer.from(p.body).toString('latin1'), ...executed });
+        this.note(s, {
+          kind: 'pass',
+          attempt: p.attempt,
+          began,
+          said: Buffer.from(p.body).toString('latin1'),
+          ...executed,
+        });
         if (!executed.complete) return gate({ kind: 'lost', text: 'the answer stopped' });
         if (f.lies) return gate({ kind: 'lost', text: 'the server spoke of another try' });
-        if (f.loseEvery > 0 && nth % f.loseEvery === 0) return gate({ kind: 'lost', text: 'the answer was lost' });
+        if (f.loseEvery > 0 && nth % f.loseEvery === 0)
+          return gate({ kind: 'lost', text: 'the answer was lost' });
         return gate({ kind: 'done', code: 200, body: null });
       },
       load: async (s: Server, within: number): Promise<LoadReport> => {
--- a/packages/sim/src/sim-clock.ts
+++ b/packages/sim/src/sim-clock.ts
@@ -99,8 +99,10 @@
     const t0 = this.time;
     await this.settle();
     while (!ready()) {
-      if (this.time - t0 > within) throw new Error(`${what}: not within ${within} ms of simulated time`);
-      if (!(await this.step(t0 + within + 1))) throw new Error(`${what}: not within ${within} ms of simulated time`);
+      if (this.time - t0 > within)
+        throw new Error(`${what}: not within ${within} ms of simulated time`);
+      if (!(await this.step(t0 + within + 1)))
+        throw new Error(`${what}: not within ${within} ms of simulated time`);
     }
     return this.time - t0;
   }
--- a/packages/sim/src/sim-disk.ts
+++ b/packages/sim/src/sim-disk.ts
@@ -68,7 +68,10 @@
     this.names = this.namesAfterPowerLoss();
     this.syncedNames = new Map(this.names);
     for (const f of this.names.values()) {
-      const extra = f.cached.length > f.synced.length ? Math.floor(this.rng() * (f.cached.length - f.synced.length + 1)) : 0;
+      const extra =
+        f.cached.length > f.synced.length
+          ? Math.floor(this.rng() * (f.cached.length - f.synced.length + 1))
+          : 0;
       f.synced = Buffer.from(f.cached.subarray(0, f.synced.length + extra));
       f.cached = f.synced;
     }
--- a/packages/sim/src/sim-list.ts
+++ b/packages/sim/src/sim-list.ts
@@ -34,7 +34,15 @@
   }
 
   put(v: Partial<Listed> & Pick<Listed, 'id' | 'pool'>): number {
-    return this.change((servers) => servers.set(v.id, { url: 'http://127.0.0.1:1', zone: 'zone-0', places: 16, draining: false, ...v }));
+    return this.change((servers) =>
+      servers.set(v.id, {
+        url: 'http://127.0.0.1:1',
+        zone: 'zone-0',
+        places: 16,
+        draining: false,
+        ...v,
+      }),
+    );
   }
 
   mark(id: string): number {
@@ -63,7 +71,8 @@
       read: async (within) => {
         this.reads.push({ at: this.clock.now(), by });
         await pause(clock, this.hanging ? within : this.took / 2);
-        if (this.failing || this.hanging || this.cut.has(by)) throw new Error('the list cannot be read');
+        if (this.failing || this.hanging || this.cut.has(by))
+          throw new Error('the list cannot be read');
         const servers = this.shown();
         await pause(clock, this.took / 2);
         return servers;
--- a/packages/sim/src/sim-net.ts
+++ b/packages/sim/src/sim-net.ts
@@ -1,4 +1,14 @@
-import { ConnectionLostError, ConnectionRefusedError, RpcError, toRpcError, RequestTimeoutError, type CallBounds, type Transport, type Clock, type Handler } from '@tillerstair/wire';
+import {
+  ConnectionLostError,
+  ConnectionRefusedError,
+  RpcError,
+  toRpcError,
+  RequestTimeoutError,
+  type CallBounds,
+  type Transport,
+  type Clock,
+  type Handler,
+} from '@tillerstair/wire';
 import type { Life } from './sim-clock.js';
 
 interface Host {
@@ -62,7 +72,13 @@
   apart: (from: string, to: string) => number = () => 0;
   readonly largest = new Map<string, number>();
 
-  private weigh(kind: string, text: string, from: string, to: string, part: 'body' | 'chunk' | 'response'): void {
+  private weigh(
+    kind: string,
+    text: string,
+    from: string,
+    to: string,
+    part: 'body' | 'chunk' | 'response',
+  ): void {
     this.heard?.({ from, to, kind, bytes: Buffer.byteLength(text) + headOf(kind, part) });
     if (text.length > (this.largest.get(kind) ?? 0)) this.largest.set(kind, text.length);
   }
@@ -99,14 +115,18 @@
 
   private carry(from: string, to: string, run: () => void): void {
     const fate = this.fate?.(from, to) ?? delivered;
-    for (let n = 0; n < fate.repeats; n++) this.clock.after(1 + this.rng() * (1 + fate.lateBy), run);
+    for (let n = 0; n < fate.repeats; n++)
+      this.clock.after(1 + this.rng() * (1 + fate.lateBy), run);
     if (fate.lost) return;
     if (fate.lateBy > 0) {
       this.clock.after(0.3 + fate.lateBy, run);
       return;
     }
     const pair = `${from}>${to}`;
-    const at = Math.max(this.clock.now() + 0.3 + this.rng() * 0.7 + this.apart(from, to), (this.lastAt.get(pair) ?? 0) + 0.001);
+    const at = Math.max(
+      this.clock.now() + 0.3 + this.rng() * 0.7 + this.apart(from, to),
+      (this.lastAt.get(pair) ?? 0) + 0.001,
+    );
     this.lastAt.set(pair, at);
     this.clock.after(at - this.clock.now(), run);
   }
@@ -144,7 +164,14 @@
     if (this.hosts.get(addr)?.life === life) this.hosts.delete(addr);
   }
 
-  call(from: string, mine: Life, to: string, kind: string, body: unknown, bounds: CallBounds): Promise<unknown> {
+  call(
+    from: string,
+    mine: Life,
+    to: string,
+    kind: string,
+    body: unknown,
+    bounds: CallBounds,
+  ): Promise<unknown> {
     const sent = JSON.stringify(body ?? null);
     this.weigh(kind, sent, from, to, 'body');
     const wire: unknown = JSON.parse(sent);
--- a/packages/sim/src/sim-pass.ts
+++ b/packages/sim/src/sim-pass.ts
@@ -15,14 +15,23 @@
 export interface PassBy {
   readonly by: string;
   readonly nth: number;
-  readonly faults: { readonly loseEvery: number; readonly cutEvery: number; readonly slow: number; readonly tears: boolean; readonly lies: boolean; readonly errs: boolean };
+  readonly faults: {
+    readonly loseEvery: number;
+    readonly cutEvery: number;
+    readonly slow: number;
+    readonly tears: boolean;
+    readonly lies: boolean;
+    readonly errs: boolean;
+  };
   readonly clock: Clock;
   readonly rng: () => number;
   readonly life: Life;
   readonly gone: AbortSignal;
 }
 
-const allBytes = Array.from({ length: 256 }, (_, i) => String.fromCharCode(i)).filter((c) => c !== '\n' && c !== '\r').join('');
+const allBytes = Array.from({ length: 256 }, (_, i) => String.fromCharCode(i))
+  .filter((c) => c !== '\n' && c !== '\r')
+  .join('');
 
 /** How many events the answer to a try has, whichever server makes it. */
 export const eventsIn = (attempt: string): number => 4 + slotOf(attempt, 6);
@@ -34,11 +43,18 @@
   const from = p.resume === '' ? 0 : Number(p.resume) + 1;
   const total = streamed ? eventsIn(p.attempt) : 1;
   const failsAt = faults.errs && streamed ? from : -1;
-  const cutAt = faults.cutEvery > 0 && x.nth % faults.cutEvery === 0 ? Math.floor((from + total) / 2) : -1;
+  const cutAt =
+    faults.cutEvery > 0 && x.nth % faults.cutEvery === 0 ? Math.floor((from + total) / 2) : -1;
   const say = (text: string): void => {
     if (!faults.lies) life.do(() => sink.bytes(text));
   };
-  if (!faults.lies) life.do(() => sink.head({ status: faults.errs && !streamed ? 500 : 200, headers: [['content-type', streamed ? 'text/event-stream' : 'application/json']] }));
+  if (!faults.lies)
+    life.do(() =>
+      sink.head({
+        status: faults.errs && !streamed ? 500 : 200,
+        headers: [['content-type', streamed ? 'text/event-stream' : 'application/json']],
+      }),
+    );
   let reply = '';
   let n = from;
   for (; n < total; n++) {
@@ -57,5 +73,11 @@
     say(text.slice(0, at));
     say(text.slice(at));
   }
-  return { key: word('operation-key'), program: word('x-program'), reply, complete: n >= total, tokens: streamed ? n - from : 0 };
+  return {
+    key: word('operation-key'),
+    program: word('x-program'),
+    reply,
+    complete: n >= total,
+    tokens: streamed ? n - from : 0,
+  };
 };
--- a/packages/sim/src/storm-config.ts
+++ b/packages/sim/src/storm-config.ts
@@ -12,13 +12,31 @@
 const usualDeadlineMs = 8000;
 const usualIdleMs = 60000;
 
-export const stormConfig = ({ base, turnPools, callPool, extra, variant = 0 }: StormConfig): string => {
-  const call = (name: string, path: string, more: object = {}): object => ({ name, match: { kind: 'call', path }, shares: [{ pool: callPool, share: 1 }], ...more });
+export const stormConfig = ({
+  base,
+  turnPools,
+  callPool,
+  extra,
+  variant = 0,
+}: StormConfig): string => {
+  const call = (name: string, path: string, more: object = {}): object => ({
+    name,
+    match: { kind: 'call', path },
+    shares: [{ pool: callPool, share: 1 }],
+    ...more,
+  });
   return JSON.stringify({
     base,
-    pools: [...turnPools.map((name) => ({ name, kind: 'model' })), { name: callPool, kind: 'service' }],
+    pools: [
+      ...turnPools.map((name) => ({ name, kind: 'model' })),
+      { name: callPool, kind: 'service' },
+    ],
     routes: [
-      { name: 'chat', match: { kind: 'turn', path: '/chat' }, shares: turnPools.map((pool, i) => ({ pool, share: 1 + ((variant + i * variant) % 3) })) },
+      {
+        name: 'chat',
+        match: { kind: 'turn', path: '/chat' },
+        shares: turnPools.map((pool, i) => ({ pool, share: 1 + ((variant + i * variant) % 3) })),
+      },
       call('hold', '/hold', { acting: true }),
       call('alarm', '/alarm', { acting: true, urgent: true }),
       ...passRoutes(turnPools, callPool, usualDeadlineMs - (variant % 4) * 500),
--- a/packages/sim/src/storm-fault.ts
+++ b/packages/sim/src/storm-fault.ts
@@ -30,7 +30,12 @@
   readonly lostAnswers: LostAnswers;
   wait(ms: number): Promise<void>;
   track(work: Promise<unknown>): void;
-  operate(at: Machine | undefined, method: string, path: string, body?: string): Promise<Outcome | undefined>;
+  operate(
+    at: Machine | undefined,
+    method: string,
+    path: string,
+    body?: string,
+  ): Promise<Outcome | undefined>;
   /** Sends a change that adds some routes, to a machine of choice or any. */
   reconfigure(more?: number, at?: Machine): Promise<void>;
   badConfig(n: number): Promise<void>;
@@ -63,9 +68,11 @@
 /** Faults by name. */
 export type FaultTable = ReadonlyMap<string, Fault>;
 
-export const pickOf = <T>(rng: () => number, from: readonly T[]): T | undefined => from[Math.floor(rng() * from.length)];
+export const pickOf = <T>(rng: () => number, from: readonly T[]): T | undefined =>
+  from[Math.floor(rng() * from.length)];
 
-export const serverFor = (rng: () => number): string => pickOf(rng, faultyServers) ?? faultyServers[0];
+export const serverFor = (rng: () => number): string =>
+  pickOf(rng, faultyServers) ?? faultyServers[0];
 
 /** State and steps that several faults need. */
 export class FaultTools {
@@ -106,13 +113,25 @@
   }
 
   /** Cuts machines off from all others, or from those of some kinds only. */
-  isolate(ms: readonly Machine[], span: number, ways: 'both' | 'out' | 'in' = 'both', manner: CutManner = 'silent', from?: readonly MachineKind[]): void {
+  isolate(
+    ms: readonly Machine[],
+    span: number,
+    ways: 'both' | 'out' | 'in' = 'both',
+    manner: CutManner = 'silent',
+    from?: readonly MachineKind[],
+  ): void {
     const { w } = this.storm;
     const of = (m: Machine): readonly string[] => [m.addr, `${m.addr}/data`];
     const mine = ms.flatMap(of);
-    const rest = w.machines.filter((m) => !ms.includes(m) && (from?.includes(m.kind) ?? true)).flatMap(of);
-    const out: readonly (readonly [string, string])[] = mine.flatMap((a) => rest.map((b): readonly [string, string] => [a, b]));
-    const back: readonly (readonly [string, string])[] = out.map(([a, b]): readonly [string, string] => [b, a]);
+    const rest = w.machines
+      .filter((m) => !ms.includes(m) && (from?.includes(m.kind) ?? true))
+      .flatMap(of);
+    const out: readonly (readonly [string, string])[] = mine.flatMap((a) =>
+      rest.map((b): readonly [string, string] => [a, b]),
+    );
+    const back: readonly (readonly [string, string])[] = out.map(
+      ([a, b]): readonly [string, string] => [b, a],
+    );
     const pairs = [...(ways === 'in' ? [] : out), ...(ways === 'out' ? [] : back)];
     for (const [a, b] of pairs) w.net.cut(a, b, manner);
     this.after(span, () => w.net.uncut(pairs));
@@ -141,8 +160,19 @@
       const s = w.committed;
       if (!s) continue;
       const ids = w.of(kind).map((m) => (kind === 'store' ? m.store?.id : m.control?.id) ?? 'none');
-      if (kind === 'store' && s.slots.every((x) => x.joiningReplicas.length === 0 && x.replicas.every((id) => ids.includes(id)))) return;
-      if (kind === 'control' && s.voters.current.every((id) => ids.includes(id)) && s.voters.current.join() === s.voters.next.join()) return;
+      if (
+        kind === 'store' &&
+        s.slots.every(
+          (x) => x.joiningReplicas.length === 0 && x.replicas.every((id) => ids.includes(id)),
+        )
+      )
+        return;
+      if (
+        kind === 'control' &&
+        s.voters.current.every((id) => ids.includes(id)) &&
+        s.voters.current.join() === s.voters.next.join()
+      )
+        return;
     }
     throw new Error(`${kind}s were not whole again in time`);
   }
--- a/packages/sim/src/storm-faults.ts
+++ b/packages/sim/src/storm-faults.ts
@@ -5,10 +5,23 @@
 import { networkFaults } from './faults-network.js';
 import { operatorFaults } from './faults-operator.js';
 import { serverFaults } from './faults-server.js';
-import { FaultTools, serverFor, type FaultTable, type Planned, type StormActions } from './storm-fault.js';
+import {
+  FaultTools,
+  serverFor,
+  type FaultTable,
+  type Planned,
+  type StormActions,
+} from './storm-fault.js';
 import { seededRng } from './world.js';
 
-const faults: FaultTable = new Map([...machineFaults, ...diskFaults, ...networkFaults, ...membershipFaults, ...serverFaults, ...operatorFaults]);
+const faults: FaultTable = new Map([
+  ...machineFaults,
+  ...diskFaults,
+  ...networkFaults,
+  ...membershipFaults,
+  ...serverFaults,
+  ...operatorFaults,
+]);
 
 /** The names of all faults. */
 export const faultKinds: readonly string[] = [...faults.keys()];
@@ -25,6 +38,16 @@
     const rng = seededRng(actions.spec.seed * 104729 + p.n);
     const span = 500 + rng() * 7000;
     const server = serverFor(rng);
-    return (await faults.get(p.fault)?.({ tools: this, storm: actions, w: actions.w, rng, span, n: p.n, server })) ?? '';
+    return (
+      (await faults.get(p.fault)?.({
+        tools: this,
+        storm: actions,
+        w: actions.w,
+        rng,
+        span,
+        n: p.n,
+        server,
+      })) ?? ''
+    );
   }
 }
--- a/packages/sim/src/storm-pass.ts
+++ b/packages/sim/src/storm-pass.ts
@@ -6,7 +6,11 @@
 const tries = 3;
 
 /** Sends a request again, as a new try each time, until it is done or would be run again. */
-const persist = async (s: Storm, spec: PassSpec, twins: number): Promise<PassRecord | undefined> => {
+const persist = async (
+  s: Storm,
+  spec: PassSpec,
+  twins: number,
+): Promise<PassRecord | undefined> => {
   for (let k = 0; k < tries; k++) {
     if (s.w.rng() < twins) s.trackPass(passAt(s.w, spec));
     const reported = await passAt(s.w, spec);
@@ -30,17 +34,33 @@
   const turn: PassSpec = { path: '/turn/x', program, budget, most: 10 };
   let after = '';
   for (let i = 0; i < 3; i++) {
-    const reported = await persist(s, { ...turn, after, body: `${n}-${i} ${i === 1 ? allBytes : ''}` }, 0.1);
+    const reported = await persist(
+      s,
+      { ...turn, after, body: `${n}-${i} ${i === 1 ? allBytes : ''}` },
+      0.1,
+    );
     if (reported) {
-      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, after: reported.attempt, body: 'branch' }));
-      if (w.rng() < 0.2) s.trackPass(passAt(w, { ...turn, program: `${program}h`, after: reported.attempt, body: 'helper' }));
-      if (w.rng() < 0.2) s.trackPass(later(s, { ...turn, program: `${program}l`, after: reported.attempt, body: 'later' }));
+      if (w.rng() < 0.2)
+        s.trackPass(passAt(w, { ...turn, after: reported.attempt, body: 'branch' }));
+      if (w.rng() < 0.2)
+        s.trackPass(
+          passAt(w, { ...turn, program: `${program}h`, after: reported.attempt, body: 'helper' }),
+        );
+      if (w.rng() < 0.2)
+        s.trackPass(
+          later(s, { ...turn, program: `${program}l`, after: reported.attempt, body: 'later' }),
+        );
       after = reported.attempt;
     }
     await Promise.all([
       persist(s, { path: '/keyed/x', key: `q${n}-${i}`, body: `${n}-${i}` }, 0.3),
       persist(s, { path: '/live/x', body: `${n}-${i}` }, 0),
-      ...(w.rng() < 0.5 ? [passAt(w, { path: '/once/x', body: `${n}-${i}` }), passAt(w, { path: '/again/x', body: `${n}-${i}` })] : []),
+      ...(w.rng() < 0.5
+        ? [
+            passAt(w, { path: '/once/x', body: `${n}-${i}` }),
+            passAt(w, { path: '/again/x', body: `${n}-${i}` }),
+          ]
+        : []),
       ...(w.rng() < 0.3 ? [passAt(w, { path: '/flow/x', body: `${n}-${i}` })] : []),
     ]);
   }
--- a/packages/sim/src/storm-plan.ts
+++ b/packages/sim/src/storm-plan.ts
@@ -21,7 +21,7 @@
 export const planOf = (seed: number, ms: number, kinds: readonly string[]): readonly Planned[] => {
   const rng = seededRng(seed * 7919 + 1);
   const out: Planned[] = [];
-  for (let at = 500; at < ms; ) {
+  for (let at = 500; at < ms;) {
     const gap = rng() < 0.35 ? rng() * 300 : 500 + rng() * 5500;
     at += gap;
     out.push({ n: out.length, gap, fault: dealt(kinds, seed * dealtPerPlan + out.length) });
@@ -29,7 +29,8 @@
   return out;
 };
 
-const between = (rng: () => number, least: number, most: number): number => least + Math.floor(rng() * (most - least + 1));
+const between = (rng: () => number, least: number, most: number): number =>
+  least + Math.floor(rng() * (most - least + 1));
 
 /** Draws the sizes, zones and bounds of one seed's deployment; every tenth has eight fronts. */
 export const deploymentOf = (seed: number): WorldSizes => {
--- a/packages/sim/src/world.ts
+++ b/packages/sim/src/world.ts
@@ -37,7 +37,12 @@
   readonly zones?: number;
 }
 
-const usualOuter: OuterBounds = { serveWithin: 12000, drainingWithin: 3000, heartbeatInterval: 1000, failureTimeout: 3000 };
+const usualOuter: OuterBounds = {
+  serveWithin: 12000,
+  drainingWithin: 3000,
+  heartbeatInterval: 1000,
+  failureTimeout: 3000,
+};
 
 export class World {
   readonly rng;
@@ -81,7 +86,9 @@
   }
 
   freshId(): string {
-    return `${Math.floor(this.rng() * 36 ** 4).toString(36).padStart(4, '0')}${++this.ids}`;
+    return `${Math.floor(this.rng() * 36 ** 4)
+      .toString(36)
+      .padStart(4, '0')}${++this.ids}`;
   }
 
   of(kind: Machine['kind']): readonly Machine[] {
@@ -107,7 +114,12 @@
   }
 
   get seeds(): readonly string[] {
-    return this.namedSeeds ?? this.of('control').slice(0, 3).map((m) => m.addr);
+    return (
+      this.namedSeeds ??
+      this.of('control')
+        .slice(0, 3)
+        .map((m) => m.addr)
+    );
   }
 
   get committed(): State | undefined {
@@ -123,35 +135,59 @@
   }
 
   masters(): readonly Machine[] {
-    return this.of('control').filter((m) => m.up && !m.life.frozen && m.control?.zen.leading?.committed !== undefined);
+    return this.of('control').filter(
+      (m) => m.up && !m.life.frozen && m.control?.zen.leading?.committed !== undefined,
+    );
   }
 
   get master(): Machine | undefined {
-    return [...this.masters()].sort((a, b) => (b.control?.zen.term ?? 0) - (a.control?.zen.term ?? 0))[0];
+    return [...this.masters()].sort(
+      (a, b) => (b.control?.zen.term ?? 0) - (a.control?.zen.term ?? 0),
+    )[0];
   }
 
   readyFronts(): readonly Machine[] {
-    return this.of('front').filter((m) => m.up && !m.life.frozen && m.front?.owner.readiness().ready === true);
+    return this.of('front').filter(
+      (m) => m.up && !m.life.frozen && m.front?.owner.readiness().ready === true,
+    );
   }
 
-  async operate(method: string, path: string, body = '', at?: Machine, within = 20000): Promise<Outcome> {
+  async operate(
+    method: string,
+    path: string,
+    body = '',
+    at?: Machine,
+    within = 20000,
+  ): Promise<Outcome> {
     const m = at ?? this.master ?? this.of('control').find((x) => x.up);
     const node = m?.control;
     if (!node) return { status: 0, body: null };
     return this.clock.finish(`${method} ${path}`, node.operate({ method, path, body }), within);
   }
 
-  async bringUp(configText: (base: number) => string, servers: readonly (readonly [string, string])[]): Promise<void> {
+  async bringUp(
+    configText: (base: number) => string,
+    servers: readonly (readonly [string, string])[],
+  ): Promise<void> {
     this.start();
     await this.clock.until('a master', () => this.master !== undefined, 12000);
     const put = await this.operate('PUT', '/v1/config', configText(0));
     if (put.status !== 200) throw new Error(`config: ${JSON.stringify(put)}`);
     for (const [id, pool] of servers) {
-      const r = await this.operate('PUT', `/v1/servers/${id}`, JSON.stringify({ pool, url: 'http://127.0.0.1:1' }));
+      const r = await this.operate(
+        'PUT',
+        `/v1/servers/${id}`,
+        JSON.stringify({ pool, url: 'http://127.0.0.1:1' }),
+      );
       if (r.status !== 200) throw new Error(`server: ${JSON.stringify(r)}`);
     }
     const fronts = this.of('front').length;
-    await this.clock.until('fronts', () => this.readyFronts().length === fronts && this.slotsOpen() && this.knowAll(servers.length), 20000);
+    await this.clock.until(
+      'fronts',
+      () =>
+        this.readyFronts().length === fronts && this.slotsOpen() && this.knowAll(servers.length),
+      20000,
+    );
   }
 
   private knowAll(servers: number): boolean {
@@ -160,7 +196,10 @@
 
   slotsOpen(): boolean {
     const s = this.committed;
-    return s !== undefined && s.slots.every((slot) => s.nodes.has(slot.owner) && slot.joiningReplicas.length === 0);
+    return (
+      s !== undefined &&
+      s.slots.every((slot) => s.nodes.has(slot.owner) && slot.joiningReplicas.length === 0)
+    );
   }
 
   slotsServed(): boolean {
@@ -174,12 +213,26 @@
     return up[Math.floor(this.rng() * up.length)];
   }
 
-  private ask(kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call', slotKey: string, body: unknown, at: Machine | undefined, onChunk: EmitChunk): Promise<CallOutcome> {
-    return this.sendAsCaller(at, (front, emit, gone) => front.forward({ kind, slotKey, body, within: 120000 }, emit, gone), onChunk);
+  private ask(
+    kind: 'front/program' | 'front/turn' | 'front/history' | 'front/call',
+    slotKey: string,
+    body: unknown,
+    at: Machine | undefined,
+    onChunk: EmitChunk,
+  ): Promise<CallOutcome> {
+    return this.sendAsCaller(
+      at,
+      (front, emit, gone) => front.forward({ kind, slotKey, body, within: 120000 }, emit, gone),
+      onChunk,
+    );
   }
 
   /** Runs a request at a front as its caller hears it: nothing more comes from a front that died. */
-  async sendAsCaller(at: Machine | undefined, ask: (front: Front, emit: EmitChunk, gone: AbortSignal) => Promise<CallOutcome>, onChunk: EmitChunk): Promise<CallOutcome> {
+  async sendAsCaller(
+    at: Machine | undefined,
+    ask: (front: Front, emit: EmitChunk, gone: AbortSignal) => Promise<CallOutcome>,
+    onChunk: EmitChunk,
+  ): Promise<CallOutcome> {
     const m = this.front(at);
     const front = m?.front;
     if (!front) return { outcome: 'refused', status: 0, errorCode: 'no-front' };
@@ -204,14 +257,33 @@
         gone.abort();
         end(lost);
       });
-      run.then((v) => life.do(() => end(v)), () => life.do(() => end(lost)));
+      run.then(
+        (v) => life.do(() => end(v)),
+        () => life.do(() => end(lost)),
+      );
     });
   }
 
-  private record(t: Partial<ReplyRecord> & Pick<ReplyRecord, 'kind' | 'from'>, v: CallOutcome): ReplyRecord {
+  private record(
+    t: Partial<ReplyRecord> & Pick<ReplyRecord, 'kind' | 'from'>,
+    v: CallOutcome,
+  ): ReplyRecord {
     const row: ReplyRecord = {
-      tenant: 't', program: '', key: '', attempt: '', turn: '', after: '', to: this.clock.now(), reported: v.outcome, errorCode: v.errorCode ?? '',
-      chunks: [], text: '', tokens: 0, sent: '', retryAfter: v.retryAfter ?? 0, ...t,
+      tenant: 't',
+      program: '',
+      key: '',
+      attempt: '',
+      turn: '',
+      after: '',
+      to: this.clock.now(),
+      reported: v.outcome,
+      errorCode: v.errorCode ?? '',
+      chunks: [],
+      text: '',
+      tokens: 0,
+      sent: '',
+      retryAfter: v.retryAfter ?? 0,
+      ...t,
     };
     this.reported.push(row);
     return row;
@@ -219,19 +291,34 @@
 
   async program(budget: number, at?: Machine, parent?: string): Promise<ReplyRecord> {
     const from = this.clock.now();
-    const pid = parent === undefined ? `p-${this.freshId()}` : `${rootOf(parent)}~${this.freshId()}`;
+    const pid =
+      parent === undefined ? `p-${this.freshId()}` : `${rootOf(parent)}~${this.freshId()}`;
     const ask = { tenant: 't', pid, budget, ...(parent === undefined ? {} : { parent }) };
     const v = await this.ask('front/program', `p/${rootOf(pid)}`, ask, at, () => undefined);
     return this.record({ kind: 'program', from, program: pid, sent: String(budget) }, v);
   }
 
-  async turn(program: string, after: string | null, words: string, key: string, at?: Machine): Promise<ReplyRecord> {
+  async turn(
+    program: string,
+    after: string | null,
+    words: string,
+    key: string,
+    at?: Machine,
+  ): Promise<ReplyRecord> {
     const from = this.clock.now();
     const chunks: number[] = [];
     let text = '';
     const attempt = `i${++this.ids}`;
     const sent = words.padEnd(60, ' ');
-    const ask = { tenant: 't', pid: program, after, path: '/chat', words: sent, key, requestId: attempt };
+    const ask = {
+      tenant: 't',
+      pid: program,
+      after,
+      path: '/chat',
+      words: sent,
+      key,
+      requestId: attempt,
+    };
     const v = await this.ask('front/turn', `p/${rootOf(program)}`, ask, at, (n, t) => {
       chunks.push(n);
       text += t;
@@ -239,22 +326,62 @@
     const end = End.safeParse(v.body);
     const reported = v.outcome === 'done' ? 'done' : chunks.length > 0 ? 'partial' : v.outcome;
     const more = end.success ? { turn: end.data.end.turn, tokens: end.data.end.tokens } : {};
-    return this.record({ kind: 'turn', from, program, key, attempt, after: after ?? '', sent, chunks: [...chunks], text, reported, ...more }, v);
+    return this.record(
+      {
+        kind: 'turn',
+        from,
+        program,
+        key,
+        attempt,
+        after: after ?? '',
+        sent,
+        chunks: [...chunks],
+        text,
+        reported,
+        ...more,
+      },
+      v,
+    );
   }
 
   async fetch(program: string, turn: string, at?: Machine): Promise<ReplyRecord> {
     const from = this.clock.now();
-    const v = await this.ask('front/history', `p/${rootOf(program)}`, { tenant: 't', pid: program, turn }, at, () => undefined);
+    const v = await this.ask(
+      'front/history',
+      `p/${rootOf(program)}`,
+      { tenant: 't', pid: program, turn },
+      at,
+      () => undefined,
+    );
     const got = z.object({ text: z.string() }).safeParse(v.body);
-    return this.record({ kind: 'fetch', from, program, turn, text: got.success ? got.data.text : '' }, v);
+    return this.record(
+      { kind: 'fetch', from, program, turn, text: got.success ? got.data.text : '' },
+      v,
+    );
   }
 
   async call(key: string, path: string, body: unknown, at?: Machine): Promise<ReplyRecord> {
     const from = this.clock.now();
     const text = JSON.stringify(body);
     const attempt = `i${++this.ids}`;
-    const v = await this.ask('front/call', opKeyOf('t', key), { tenant: 't', path, key, body: text, requestId: attempt }, at, () => undefined);
+    const v = await this.ask(
+      'front/call',
+      opKeyOf('t', key),
+      { tenant: 't', path, key, body: text, requestId: attempt },
+      at,
+      () => undefined,
+    );
     const did = Did.safeParse(v.body);
-    return this.record({ kind: 'call', from, key, attempt, sent: text, text: did.success ? `${did.data.by} ${did.data.key}` : '' }, v);
+    return this.record(
+      {
+        kind: 'call',
+        from,
+        key,
+        attempt,
+        sent: text,
+        text: did.success ? `${did.data.by} ${did.data.key}` : '',
+      },
+      v,
+    );
   }
 }
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -33,7 +33,8 @@
 
   async start(): Promise<void> {
     this.http = await serveHttp(this.addr, async (req, res, url) => {
-      if (url.pathname === '/load') return sendJson(res, 200, { busy: this.busy, draining: this.faults.draining ?? false });
+      if (url.pathname === '/load')
+        return sendJson(res, 200, { busy: this.busy, draining: this.faults.draining ?? false });
       if (url.pathname === '/faults') {
         this.set(Faults.parse(JSON.parse(await readBody(req, 4096))));
         return sendJson(res, 200, this.faults);
--- a/packages/stand-ins/src/main-model.ts
+++ b/packages/stand-ins/src/main-model.ts
@@ -16,8 +16,13 @@
 if (typeof addr === 'string') {
   const file: unknown = options['ledger'];
   const spec = {
-    id: String(options['id']), pool: String(options['pool']), addr, slots: 8, cacheKb: 4096,
-    msPerToken: Number(options['msPerToken']), prefillMsPerKb: Number(options['prefillMsPerKb']),
+    id: String(options['id']),
+    pool: String(options['pool']),
+    addr,
+    slots: 8,
+    cacheKb: 4096,
+    msPerToken: Number(options['msPerToken']),
+    prefillMsPerKb: Number(options['prefillMsPerKb']),
   };
   await new ModelServer(spec, new Ledger(typeof file === 'string' ? file : undefined)).start();
 } else if (!options['help']) {
--- a/packages/stand-ins/src/main-service.ts
+++ b/packages/stand-ins/src/main-service.ts
@@ -13,7 +13,13 @@
 const addr: unknown = options['addr'];
 if (typeof addr === 'string') {
   const file: unknown = options['ledger'];
-  const spec = { id: String(options['id']), pool: String(options['pool']), addr, leastMs: 10, mostMs: 40 };
+  const spec = {
+    id: String(options['id']),
+    pool: String(options['pool']),
+    addr,
+    leastMs: 10,
+    mostMs: 40,
+  };
   await new ServiceServer(spec, new Ledger(typeof file === 'string' ? file : undefined)).start();
 } else if (!options['help']) {
   process.stderr.write('stand-in-service: --addr: must be given\n');
--- a/packages/stand-ins/src/model.ts
+++ b/packages/stand-ins/src/model.ts
@@ -22,20 +22,30 @@
 });
 const block = 256;
 
-export const blocksOf = (messages: readonly { role: string; text: string }[]): readonly string[] => {
+export const blocksOf = (
+  messages: readonly { role: string; text: string }[],
+): readonly string[] => {
   const out: string[] = [];
   let h = '';
   for (const m of messages)
     for (let i = 0; i < m.text.length; i += block) {
-      h = createHash('sha1').update(h).update(m.role).update(m.text.slice(i, i + block)).digest('base64url').slice(0, 12);
+      h = createHash('sha1')
+        .update(h)
+        .update(m.role)
+        .update(m.text.slice(i, i + block))
+        .digest('base64url')
+        .slice(0, 12);
       out.push(h);
     }
   return out;
 };
 
-export const replyTo = (messages: readonly { role: string; text: string }[], most: number): readonly string[] => {
+export const replyTo = (
+  messages: readonly { role: string; text: string }[],
+  most: number,
+): readonly string[] => {
   const h = createHash('sha256').update(JSON.stringify(messages)).digest();
-  const count = Math.max(1, Math.min(most, 8 + (h[0] ?? 0) % 24));
+  const count = Math.max(1, Math.min(most, 8 + ((h[0] ?? 0) % 24)));
   return Array.from({ length: count }, (_, i) => `w${(h[i % 32] ?? 0).toString(36)}${i} `);
 };
 
@@ -66,7 +76,11 @@
     try {
       const slow = this.faults.slow ?? 1;
       const crowd = Math.max(1, this.busy / this.spec.slots);
-      await pause(hostClock, ((blocks.length - cached) * block * this.spec.prefillMsPerKb * slow) / 1024, gone.signal);
+      await pause(
+        hostClock,
+        ((blocks.length - cached) * block * this.spec.prefillMsPerKb * slow) / 1024,
+        gone.signal,
+      );
       res.writeHead(200, { 'content-type': 'application/x-ndjson' });
       for (const text of replyTo(g.messages, g.maxTokens)) {
         if (gone.signal.aborted) return;
@@ -88,8 +102,21 @@
     } finally {
       this.busy--;
       this.ledger.add({
-        kind: 'generate', server: this.spec.id, pool: this.spec.pool, id: g.id, key: '', attempt: attemptOf(req), program: g.id.split('/')[0] ?? '', began, at: Date.now(), tokens, cached, prompt: blocks.length,
-        said: saidOf(g.messages.at(-1)?.text ?? ''), reply, complete,
+        kind: 'generate',
+        server: this.spec.id,
+        pool: this.spec.pool,
+        id: g.id,
+        key: '',
+        attempt: attemptOf(req),
+        program: g.id.split('/')[0] ?? '',
+        began,
+        at: Date.now(),
+        tokens,
+        cached,
+        prompt: blocks.length,
+        said: saidOf(g.messages.at(-1)?.text ?? ''),
+        reply,
+        complete,
       });
     }
   }
--- a/packages/stand-ins/src/service.ts
+++ b/packages/stand-ins/src/service.ts
@@ -30,16 +30,32 @@
     const began = Date.now();
     try {
       const span = this.spec.mostMs - this.spec.leastMs;
-      await pause(hostClock, this.spec.leastMs + ((nth * 7919) % 100) / 100 * span);
+      await pause(hostClock, this.spec.leastMs + (((nth * 7919) % 100) / 100) * span);
       this.ledger.add({
-        kind: 'act', server: this.spec.id, pool: this.spec.pool, id: act.id, key: typeof key === 'string' ? key : '', attempt: attemptOf(req), program: '', began, at: Date.now(), tokens: 0, cached: 0, prompt: 0,
-        said: act.path, reply: '', complete: true,
+        kind: 'act',
+        server: this.spec.id,
+        pool: this.spec.pool,
+        id: act.id,
+        key: typeof key === 'string' ? key : '',
+        attempt: attemptOf(req),
+        program: '',
+        began,
+        at: Date.now(),
+        tokens: 0,
+        cached: 0,
+        prompt: 0,
+        said: act.path,
+        reply: '',
+        complete: true,
       });
       if (this.loses(this.faults.loseEnd, nth)) {
         res.destroy();
         return;
       }
-      sendJson(res, 200, { id: act.id, result: { did: act.path, key: key ?? null, by: this.spec.id, n: nth } });
+      sendJson(res, 200, {
+        id: act.id,
+        result: { did: act.path, key: key ?? null, by: this.spec.id, n: nth },
+      });
     } finally {
       this.busy--;
     }
--- a/packages/state/src/compiled.ts
+++ b/packages/state/src/compiled.ts
@@ -12,13 +12,19 @@
       connections: z.number(),
       remembersKeys: z.boolean(),
       check: z.string(),
-      engine: z.object({ places: z.number(), memoryTokens: z.number(), blockTokens: z.number() }).optional(),
+      engine: z
+        .object({ places: z.number(), memoryTokens: z.number(), blockTokens: z.number() })
+        .optional(),
     }),
   ),
   routes: z.array(
     z.object({
       name: z.string(),
-      match: z.object({ kind: z.enum(['turn', 'call', 'pass']), host: z.string(), path: z.string() }),
+      match: z.object({
+        kind: z.enum(['turn', 'call', 'pass']),
+        host: z.string(),
+        path: z.string(),
+      }),
       acting: z.boolean(),
       urgent: z.boolean(),
       pass: z
@@ -38,8 +44,18 @@
   ),
   tuning: z.boolean(),
   budgets: z.object({ program: z.number(), turn: z.number() }),
-  bounds: z.object({ turnMs: z.number(), callMs: z.number(), queue: z.number(), perServer: z.number() }),
-  limits: z.object({ headerBytes: z.number(), bodyBytes: z.number(), headerWaitMs: z.number(), idleMs: z.number() }),
+  bounds: z.object({
+    turnMs: z.number(),
+    callMs: z.number(),
+    queue: z.number(),
+    perServer: z.number(),
+  }),
+  limits: z.object({
+    headerBytes: z.number(),
+    bodyBytes: z.number(),
+    headerWaitMs: z.number(),
+    idleMs: z.number(),
+  }),
 });
 
 const known = new WeakMap<ConfigRecord, Config>();
--- a/packages/state/src/flat.ts
+++ b/packages/state/src/flat.ts
@@ -1,10 +1,25 @@
 import { z } from 'zod';
-import { ConfigRecord, Head, StateVersion, Member, versionOf, isSameVersion, Server, Slot, type State } from './state.js';
+import {
+  ConfigRecord,
+  Head,
+  StateVersion,
+  Member,
+  versionOf,
+  isSameVersion,
+  Server,
+  Slot,
+  type State,
+} from './state.js';
 
 export type Flat = ReadonlyMap<string, string>;
 
 export const Entries = z.array(z.tuple([z.string(), z.string()]));
-export const Diff = z.object({ base: StateVersion, to: StateVersion, set: Entries, drop: z.array(z.string()) });
+export const Diff = z.object({
+  base: StateVersion,
+  to: StateVersion,
+  set: Entries,
+  drop: z.array(z.string()),
+});
 export type Diff = z.infer<typeof Diff>;
 
 export class BadState extends Error {}
@@ -21,7 +36,14 @@
 
 export const flatten = (s: State): Flat => {
   const out = new Map<string, string>();
-  const head: Head = { clusterId: s.clusterId, term: s.term, version: s.version, master: s.master, voters: s.voters, replication: s.replication };
+  const head: Head = {
+    clusterId: s.clusterId,
+    term: s.term,
+    version: s.version,
+    master: s.master,
+    voters: s.voters,
+    replication: s.replication,
+  };
   out.set('head', JSON.stringify(head));
   for (const [id, m] of s.nodes) out.set(`node/${id}`, JSON.stringify(m));
   for (const [id, m] of s.votingMembers) out.set(`voter/${id}`, JSON.stringify(m));
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -1,23 +1,33 @@
 import { z } from 'zod';
 
-export const Item = z.object({
-  key: z.string(),
-  ownershipEpoch: z.number(),
-  seq: z.number(),
-  value: z.unknown(),
-}).readonly();
+export const Item = z
+  .object({
+    key: z.string(),
+    ownershipEpoch: z.number(),
+    seq: z.number(),
+    value: z.unknown(),
+  })
+  .readonly();
 export type Item = z.infer<typeof Item>;
 
-export const newerItem = (a: Item, b: Item): boolean => a.ownershipEpoch > b.ownershipEpoch || (a.ownershipEpoch === b.ownershipEpoch && a.seq > b.seq);
-export const sameItem = (a: Item, b: Item): boolean => a.ownershipEpoch === b.ownershipEpoch && a.seq === b.seq;
+export const newerItem = (a: Item, b: Item): boolean =>
+  a.ownershipEpoch > b.ownershipEpoch || (a.ownershipEpoch === b.ownershipEpoch && a.seq > b.seq);
+export const sameItem = (a: Item, b: Item): boolean =>
+  a.ownershipEpoch === b.ownershipEpoch && a.seq === b.seq;
 
 export const Put = z.object({ slot: z.number(), ownershipEpoch: z.number(), items: z.array(Item) });
-export const Fence = z.object({ slot: z.number(), ownershipEpoch: z.number(), after: z.string().default('') });
+export const Fence = z.object({
+  slot: z.number(),
+  ownershipEpoch: z.number(),
+  after: z.string().default(''),
+});
 export const Paged = z.object({ items: z.array(Item), next: z.string() });
 export type Paged = z.infer<typeof Paged>;
 
-export async function* pagesFrom(ask: (after: string) => Promise<unknown>): AsyncGenerator<readonly Item[]> {
-  for (let after = ''; ; ) {
+export async function* pagesFrom(
+  ask: (after: string) => Promise<unknown>,
+): AsyncGenerator<readonly Item[]> {
+  for (let after = ''; ;) {
     const page = Paged.parse(await ask(after));
     yield page.items;
     if (page.next === '') return;
--- a/packages/state/src/reduce.ts
+++ b/packages/state/src/reduce.ts
@@ -7,34 +7,49 @@
   | { readonly kind: 'config'; readonly record: ConfigRecord }
   | { readonly kind: 'server'; readonly server: Server }
   | { readonly kind: 'server-gone'; readonly id: string }
-  | { readonly kind: 'server-mark'; readonly id: string; readonly draining?: boolean; readonly down?: boolean }
+  | {
+      readonly kind: 'server-mark';
+      readonly id: string;
+      readonly draining?: boolean;
+      readonly down?: boolean;
+    }
   | { readonly kind: 'voters'; readonly out: string; readonly in: Member | undefined }
-  | { readonly kind: 'filled'; readonly store: string; readonly slot: number; readonly ownershipEpoch: number }
+  | {
+      readonly kind: 'filled';
+      readonly store: string;
+      readonly slot: number;
+      readonly ownershipEpoch: number;
+    }
   | { readonly kind: 'transferred'; readonly slot: number; readonly ownershipEpoch: number }
   | { readonly kind: 'retire'; readonly id: string; readonly on: boolean }
   | { readonly kind: 'weights'; readonly weights: ReadonlyMap<string, number> };
 
-const withEntry = <V>(m: ReadonlyMap<string, V>, k: string, v: V): ReadonlyMap<string, V> => new Map(m).set(k, v);
+const withEntry = <V>(m: ReadonlyMap<string, V>, k: string, v: V): ReadonlyMap<string, V> =>
+  new Map(m).set(k, v);
 const without = <V>(m: ReadonlyMap<string, V>, k: string): ReadonlyMap<string, V> => {
   const out = new Map(m);
   out.delete(k);
   return out;
 };
 
-const isSameMember = (a: Member | undefined, b: Member): boolean => JSON.stringify(a) === JSON.stringify(b);
+const isSameMember = (a: Member | undefined, b: Member): boolean =>
+  JSON.stringify(a) === JSON.stringify(b);
 
 /** The order to empty a store stands for its name until it is taken back, also when it comes back with another disk. */
 const inheritsRetiring = (s: State, member: Member): boolean =>
-  member.kind === 'store' &&
-  member.name !== '' &&
-  [...s.retiring.values()].includes(member.name);
+  member.kind === 'store' && member.name !== '' && [...s.retiring.values()].includes(member.name);
 
 /** What tells one change of the configuration from others: its sender's order key, or else its digest. */
-export const changeIdOf = (c: { readonly changeId?: string | undefined; readonly digest: string }): string => c.changeId || c.digest;
+export const changeIdOf = (c: {
+  readonly changeId?: string | undefined;
+  readonly digest: string;
+}): string => c.changeId || c.digest;
 
 const withoutRetiring = (retiring: State['retiring'], id: string): State['retiring'] => {
   const name = retiring.get(id) ?? '';
-  return new Map([...retiring].filter(([other, its]) => other !== id && (name === '' || its !== name)));
+  return new Map(
+    [...retiring].filter(([other, its]) => other !== id && (name === '' || its !== name)),
+  );
 };
 
 export const reduce = (s: State, a: Action): State => {
@@ -44,16 +59,28 @@
       const kept = [...s.nodes].filter(([id, m]) => id === a.member.id || m.addr !== a.member.addr);
       return {
         ...s,
-        retiring: inheritsRetiring(s, a.member) ? withEntry(s.retiring, a.member.id, a.member.name) : s.retiring,
+        retiring: inheritsRetiring(s, a.member)
+          ? withEntry(s.retiring, a.member.id, a.member.name)
+          : s.retiring,
         nodes: new Map(kept).set(a.member.id, a.member),
-        votingMembers: s.votingMembers.has(a.member.id) ? withEntry(s.votingMembers, a.member.id, a.member) : s.votingMembers,
+        votingMembers: s.votingMembers.has(a.member.id)
+          ? withEntry(s.votingMembers, a.member.id, a.member)
+          : s.votingMembers,
       };
     }
     case 'leave':
       if (!s.nodes.has(a.id)) return s;
-      return { ...s, nodes: without(s.nodes, a.id), retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring };
+      return {
+        ...s,
+        nodes: without(s.nodes, a.id),
+        retiring: s.nodes.get(a.id)?.kind === 'front' ? without(s.retiring, a.id) : s.retiring,
+      };
     case 'config':
-      return { ...s, config: a.record, taken: withTaken(s.taken, a.record.version, changeIdOf(a.record)) };
+      return {
+        ...s,
+        config: a.record,
+        taken: withTaken(s.taken, a.record.version, changeIdOf(a.record)),
+      };
     case 'server':
       return { ...s, servers: withEntry(s.servers, a.server.id, a.server) };
     case 'server-gone':
@@ -78,19 +105,38 @@
     }
     case 'filled': {
       const old = s.slots[a.slot];
-      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !old.joiningReplicas.includes(a.store)) return s;
-      const slot = { ...old, replicas: replicasAfter(old), joiningReplicas: [], replacedReplica: '', ownershipEpoch: old.ownershipEpoch + 1 };
+      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !old.joiningReplicas.includes(a.store))
+        return s;
+      const slot = {
+        ...old,
+        replicas: replicasAfter(old),
+        joiningReplicas: [],
+        replacedReplica: '',
+        ownershipEpoch: old.ownershipEpoch + 1,
+      };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
     case 'transferred': {
       const old = s.slots[a.slot];
-      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !s.nodes.has(old.transferTarget)) return s;
-      const slot = { ...old, owner: old.transferTarget, ownershipEpoch: old.ownershipEpoch + 1, ownedSinceEpoch: old.ownershipEpoch + 1, transferTarget: '' };
+      if (!old || old.ownershipEpoch !== a.ownershipEpoch || !s.nodes.has(old.transferTarget))
+        return s;
+      const slot = {
+        ...old,
+        owner: old.transferTarget,
+        ownershipEpoch: old.ownershipEpoch + 1,
+        ownedSinceEpoch: old.ownershipEpoch + 1,
+        transferTarget: '',
+      };
       return { ...s, slots: s.slots.with(a.slot, slot) };
     }
     case 'retire': {
       if (s.retiring.has(a.id) === a.on) return s;
-      return { ...s, retiring: a.on ? withEntry(s.retiring, a.id, s.nodes.get(a.id)?.name ?? '') : withoutRetiring(s.retiring, a.id) };
+      return {
+        ...s,
+        retiring: a.on
+          ? withEntry(s.retiring, a.id, s.nodes.get(a.id)?.name ?? '')
+          : withoutRetiring(s.retiring, a.id),
+      };
     }
     case 'weights':
       return { ...s, weights: a.weights };
--- a/packages/state/src/replication.ts
+++ b/packages/state/src/replication.ts
@@ -7,12 +7,17 @@
 /** Replicas of a slot, and the write quorum among them; any two quorums share a replica. */
 export const Replication = z
   .object({ replicas: z.number().int().positive(), quorum: z.number().int().positive() })
-  .refine((r) => r.quorum <= r.replicas && 2 * r.quorum > r.replicas, { message: 'two quorums must share a replica' })
+  .refine((r) => r.quorum <= r.replicas && 2 * r.quorum > r.replicas, {
+    message: 'two quorums must share a replica',
+  })
   .readonly();
 export type Replication = z.infer<typeof Replication>;
 
 /** The smallest replication that keeps every write, and a quorum, through `losses` losses at once. */
-export const replicationFor = (losses: number): Replication => ({ replicas: 2 * losses + 1, quorum: losses + 1 });
+export const replicationFor = (losses: number): Replication => ({
+  replicas: 2 * losses + 1,
+  quorum: losses + 1,
+});
 
 /** Used where nothing is stated: one loss is borne. */
 export const defaultReplication: Replication = replicationFor(1);
--- a/packages/state/src/taken.ts
+++ b/packages/state/src/taken.ts
@@ -17,7 +17,8 @@
 /** How many of the latest changes are surely remembered; older ones may be forgotten. */
 export const takenLeast = blockLength * (blocksMost - 1);
 
-const keyOf = (changeId: string): string => createHash('sha256').update(changeId).digest('base64url').slice(0, keyLength);
+const keyOf = (changeId: string): string =>
+  createHash('sha256').update(changeId).digest('base64url').slice(0, keyLength);
 
 const entryOf = (version: number, changeId: string): string => `${version}=${keyOf(changeId)}`;
 
@@ -31,7 +32,10 @@
   const entries = entriesOf(taken.get(last) ?? '');
   const fits = entries.length < blockLength;
   const block = fits ? last : last + 1;
-  const next = new Map(taken).set(block, [...(fits ? entries : []), entryOf(version, changeId)].join(' '));
+  const next = new Map(taken).set(
+    block,
+    [...(fits ? entries : []), entryOf(version, changeId)].join(' '),
+  );
   next.delete(block - blocksMost);
   return next;
 };
@@ -43,7 +47,11 @@
 };
 
 /** Whether the change that made this version under this order key was taken; a version older than the record is in doubt. */
-export const takenOutcome = (taken: TakenChanges, version: number, changeId: string): TakenOutcome => {
+export const takenOutcome = (
+  taken: TakenChanges,
+  version: number,
+  changeId: string,
+): TakenOutcome => {
   const entry = entryOf(version, changeId);
   if ([...taken.values()].some((block) => entriesOf(block).includes(entry))) return 'taken';
   return version < coveredFrom(taken) ? 'forgotten' : 'not-taken';
--- a/packages/store/src/node.ts
+++ b/packages/store/src/node.ts
@@ -1,10 +1,27 @@
 import pLimit from 'p-limit';
-import { nodeViewOf, compiledOf, FindTurn, Hand, Hint, replicasToWrite, pagesFrom, Put, Read, Fence, turnRetentionOf, type NodeView, type State } from '@tillerstair/state';
+import {
+  nodeViewOf,
+  compiledOf,
+  FindTurn,
+  Hand,
+  Hint,
+  replicasToWrite,
+  pagesFrom,
+  Put,
+  Read,
+  Fence,
+  turnRetentionOf,
+  type NodeView,
+  type State,
+} from '@tillerstair/state';
 import { lasting, RpcError, toRpcError, pause, type RpcRequest } from '@tillerstair/wire';
 import { ZenNode, type ZenParts } from '@tillerstair/zen';
 import type { ReplicaStore } from './replica-store.js';
 
-export interface StoreParts extends Omit<ZenParts, 'slots' | 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'> {
+export interface StoreParts extends Omit<
+  ZenParts,
+  'slots' | 'settle' | 'onApplied' | 'report' | 'onReport' | 'onLead'
+> {
   readonly replicaStore: ReplicaStore;
 }
 
@@ -54,7 +71,13 @@
   }
 
   nodeView(): NodeView {
-    const b = nodeViewOf(this.p.me.id, 'store', this.zen.term, this.zen.masterSeen?.id ?? '', this.zen.applied);
+    const b = nodeViewOf(
+      this.p.me.id,
+      'store',
+      this.zen.term,
+      this.zen.masterSeen?.id ?? '',
+      this.zen.applied,
+    );
     const c = this.p.replicaStore.counts();
     return { ...b, facts: [...b.facts, ['own hints', String(c.hints)]] };
   }
@@ -81,7 +104,8 @@
       }
       case 'store/find': {
         const { turn, slots } = FindTurn.parse(rpc.body);
-        if (slots.some((n) => !this.keeps(n))) throw new RpcError('moved', 'another store keeps one of these slots now');
+        if (slots.some((n) => !this.keeps(n)))
+          throw new RpcError('moved', 'another store keeps one of these slots now');
         await replicaStore.synced();
         return { items: replicaStore.find(turn) };
       }
@@ -112,7 +136,9 @@
         await this.p.replicaStore.dropOld(turnRetentionOf(compiledOf(s.config)));
         await this.p.replicaStore.forgetSlots((n) => {
           const slot = this.newest?.slots[n];
-          return slot && slot.replicas.length > 0 && !replicasToWrite(slot).includes(this.p.me.id) ? slot.ownershipEpoch : -1;
+          return slot && slot.replicas.length > 0 && !replicasToWrite(slot).includes(this.p.me.id)
+            ? slot.ownershipEpoch
+            : -1;
         });
       } catch (e) {
         log.warn(`Repair stopped: ${toRpcError(e).message}.`);
@@ -132,7 +158,12 @@
         const wanted = slot !== undefined && replicasToWrite(slot).includes(to);
         if (wanted && member) {
           try {
-            await transport.call(member.addr, 'store/hand', { slot: h.slot, items: h.items }, { within: bounds.failureTimeout });
+            await transport.call(
+              member.addr,
+              'store/hand',
+              { slot: h.slot, items: h.items },
+              { within: bounds.failureTimeout },
+            );
           } catch (e) {
             log.debug(`Handing over to ${member.addr} failed: ${toRpcError(e).message}.`);
             break;
@@ -151,7 +182,8 @@
       const early = new AbortController();
       this.wake = () => early.abort();
       this.newest?.slots.forEach((slot, n) => {
-        if (!slot.joiningReplicas.includes(me.id) || this.refilling.get(n) === slot.ownershipEpoch) return;
+        if (!slot.joiningReplicas.includes(me.id) || this.refilling.get(n) === slot.ownershipEpoch)
+          return;
         this.refilling.set(n, slot.ownershipEpoch);
         void this.refillUntilFull(n, slot.ownershipEpoch);
       });
@@ -174,7 +206,12 @@
     }
   }
 
-  private async refillOne(s: State, slot: number, ownershipEpoch: number, sources: readonly string[]): Promise<void> {
+  private async refillOne(
+    s: State,
+    slot: number,
+    ownershipEpoch: number,
+    sources: readonly string[],
+  ): Promise<void> {
     const { transport, replicaStore, bounds, me, log } = this.p;
     const { quorum } = s.replication;
     let pulled = 0;
@@ -183,8 +220,18 @@
       if (!member || pulled === quorum) continue;
       try {
         const ask = async (after: string): Promise<unknown> => {
-          if (after !== '') await pause(this.p.clock, bounds.heartbeatInterval / pagesPerHeartbeat, this.gone.signal);
-          return transport.call(member.addr, 'store/pull', { slot, ownershipEpoch, after }, { within: bounds.failureTimeout });
+          if (after !== '')
+            await pause(
+              this.p.clock,
+              bounds.heartbeatInterval / pagesPerHeartbeat,
+              this.gone.signal,
+            );
+          return transport.call(
+            member.addr,
+            'store/pull',
+            { slot, ownershipEpoch, after },
+            { within: bounds.failureTimeout },
+          );
         };
         for await (const page of pagesFrom(ask)) await replicaStore.hand(slot, page);
         pulled++;
@@ -192,9 +239,15 @@
         log.debug(`Pulling slot ${slot} from ${member.addr} failed: ${toRpcError(e).message}.`);
       }
     }
-    if (pulled < quorum) throw new RpcError('unavailable', `${pulled} of ${quorum} replicas that are needed reply`);
+    if (pulled < quorum)
+      throw new RpcError('unavailable', `${pulled} of ${quorum} replicas that are needed reply`);
     const master = this.zen.masterSeen;
     if (!master) throw new RpcError('unavailable', 'no master is known');
-    await transport.call(master.addr, 'control/filled', { store: me.id, slot, ownershipEpoch }, { within: bounds.failureTimeout });
+    await transport.call(
+      master.addr,
+      'control/filled',
+      { store: me.id, slot, ownershipEpoch },
+      { within: bounds.failureTimeout },
+    );
   }
 }
--- a/packages/store/src/open.ts
+++ b/packages/store/src/open.ts
@@ -23,14 +23,18 @@
  * first: a store that goes on under the old one would count as a replica of what it no longer holds.
  */
 export const openStoreDisk = async (p: StoreDiskParts): Promise<StoreDisk> => {
-  const openKeep = (): Promise<DiskElectionStore> => DiskElectionStore.open(p.disk, p.freshId, p.longAt, p.pace);
-  const openReplicaStore = (): Promise<ReplicaStore> => ReplicaStore.open(p.disk, p.clock, p.bounds, p.pace);
+  const openKeep = (): Promise<DiskElectionStore> =>
+    DiskElectionStore.open(p.disk, p.freshId, p.longAt, p.pace);
+  const openReplicaStore = (): Promise<ReplicaStore> =>
+    ReplicaStore.open(p.disk, p.clock, p.bounds, p.pace);
   const electionStore = await openKeep();
   try {
     return { electionStore, replicaStore: await openReplicaStore() };
   } catch (e) {
     if (isDiskTrouble(e)) throw e;
-    p.pace.log?.warn(`${replicaStoreLog} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${replicaStoreLog}.damaged, starting as a new store.`);
+    p.pace.log?.warn(
+      `${replicaStoreLog} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${replicaStoreLog}.damaged, starting as a new store.`,
+    );
     await electionStore.forget(p.disk);
     await untilDiskTakes(p.pace, replicaStoreLog, () => p.disk.setAside(replicaStoreLog));
     return { electionStore: await openKeep(), replicaStore: await openReplicaStore() };
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -1,13 +1,37 @@
 import { z } from 'zod';
-import { groupOf, Item, newerItem, pageBytes, type Item as ItemT, type Paged } from '@tillerstair/state';
-import { hostPace, Journal, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
+import {
+  groupOf,
+  Item,
+  newerItem,
+  pageBytes,
+  type Item as ItemT,
+  type Paged,
+} from '@tillerstair/state';
+import {
+  hostPace,
+  Journal,
+  type Disk,
+  type JournalOwner,
+  type JournalPace,
+} from '@tillerstair/journal';
 import { RpcError, type Clock } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
-  z.object({ t: z.literal('put'), slot: z.number(), ownershipEpoch: z.number(), items: z.array(Item) }),
+  z.object({
+    t: z.literal('put'),
+    slot: z.number(),
+    ownershipEpoch: z.number(),
+    items: z.array(Item),
+  }),
   z.object({ t: z.literal('fence'), slot: z.number(), ownershipEpoch: z.number() }),
   z.object({ t: z.literal('drop'), slot: z.number(), groups: z.array(z.string()) }),
-  z.object({ t: z.literal('hint'), n: z.number(), to: z.string(), slot: z.number(), items: z.array(Item) }),
+  z.object({
+    t: z.literal('hint'),
+    n: z.number(),
+    to: z.string(),
+    slot: z.number(),
+    items: z.array(Item),
+  }),
   z.object({ t: z.literal('transferred'), n: z.number() }),
 ]);
 type Rec = z.infer<typeof Rec>;
@@ -68,8 +92,18 @@
     journal.recoverFrom(() => this.whole());
   }
 
-  static async open(disk: Disk, clock: Clock, bounds: ReplicaStoreBounds, pace: JournalPace = { ...hostPace, clock }): Promise<ReplicaStore> {
-    return Journal.openFor(disk, replicaStoreLog, pace, (journal) => new ReplicaStore(journal, clock, bounds));
+  static async open(
+    disk: Disk,
+    clock: Clock,
+    bounds: ReplicaStoreBounds,
+    pace: JournalPace = { ...hostPace, clock },
+  ): Promise<ReplicaStore> {
+    return Journal.openFor(
+      disk,
+      replicaStoreLog,
+      pace,
+      (journal) => new ReplicaStore(journal, clock, bounds),
+    );
   }
 
   /** Takes a record that was read from the log. */
@@ -140,19 +174,25 @@
     this.journal.mustBeWritable();
     this.take(r);
     await this.journal.append(r);
-    if (this.journal.long(this.bounds.journalLongAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
+    if (this.journal.long(this.bounds.journalLongAt))
+      void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
   /** All that is held now: references are taken at once, the records are made as they are written. */
   private whole(): Iterable<Rec> {
-    const slots = [...this.slots].map(([slot, s]): SlotSnapshot => ({ slot, fenced: s.fenced, items: [...s.items.values()] }));
+    const slots = [...this.slots].map(([slot, s]): SlotSnapshot => ({
+      slot,
+      fenced: s.fenced,
+      items: [...s.items.values()],
+    }));
     const hints = [...this.hints.values()];
     return { [Symbol.iterator]: () => recordsOf(slots, hints) };
   }
 
   private slotAtEpoch(slot: number, ownershipEpoch: number): SlotReplica {
     const s = this.slot(slot);
-    if (ownershipEpoch < s.fenced) throw new RpcError('stale-epoch', `slot ${slot} is fenced at ownership epoch ${s.fenced}`);
+    if (ownershipEpoch < s.fenced)
+      throw new RpcError('stale-epoch', `slot ${slot} is fenced at ownership epoch ${s.fenced}`);
     return s;
   }
 
@@ -171,7 +211,8 @@
   }
 
   private page(s: SlotReplica, after: string): Paged {
-    if (after !== '' && !s.items.has(after)) throw new RpcError('page-gone', 'the page asked for has aged away; begin anew');
+    if (after !== '' && !s.items.has(after))
+      throw new RpcError('page-gone', 'the page asked for has aged away; begin anew');
     const items: ItemT[] = [];
     let bytes = 0;
     let found = after === '';
@@ -180,7 +221,8 @@
         found = item.key === after;
         continue;
       }
-      if (items.length > 0 && bytes > pageBytes / 2) return { items, next: items.at(-1)?.key ?? '' };
+      if (items.length > 0 && bytes > pageBytes / 2)
+        return { items, next: items.at(-1)?.key ?? '' };
       items.push(item);
       bytes += JSON.stringify(item).length;
     }
@@ -199,19 +241,25 @@
   /** The turn so named and, after it, those that it goes on from, as far as they are held here; the newest first. */
   find(turn: string): readonly ItemT[] {
     const out: ItemT[] = [];
-    for (let at = this.byTurn.get(turn); at; ) {
+    for (let at = this.byTurn.get(turn); at;) {
       const item = this.slots.get(at.slot)?.items.get(at.key);
       const after = item && Followed.safeParse(item.value);
       if (!item || out.includes(item)) break;
       out.push(item);
-      at = after?.success ? this.byTurn.get(encodeURIComponent(after.data.after).replaceAll('~', '%7E')) : undefined;
+      at = after?.success
+        ? this.byTurn.get(encodeURIComponent(after.data.after).replaceAll('~', '%7E'))
+        : undefined;
     }
     return out;
   }
 
   pull(slot: number, ownershipEpoch: number, after: string): Paged {
     const s = this.slot(slot);
-    if (s.fenced < ownershipEpoch) throw new RpcError('not-fenced', `slot ${slot} is not fenced at ownership epoch ${ownershipEpoch} yet`);
+    if (s.fenced < ownershipEpoch)
+      throw new RpcError(
+        'not-fenced',
+        `slot ${slot} is not fenced at ownership epoch ${ownershipEpoch} yet`,
+      );
     return this.page(s, after);
   }
 
@@ -226,7 +274,8 @@
   }
 
   async hint(to: string, slot: number, items: readonly ItemT[]): Promise<void> {
-    if (this.hints.size >= this.bounds.hintsMost) throw new RpcError('hints-full', `${this.hints.size} hints are held already`);
+    if (this.hints.size >= this.bounds.hintsMost)
+      throw new RpcError('hints-full', `${this.hints.size} hints are held already`);
     await this.put({ t: 'hint', n: ++this.hintSeq, to, slot, items: [...items] });
   }
 
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -1,5 +1,11 @@
 import { randomBytes } from 'node:crypto';
-import { closeHttp, servePages, stderrLog, type Running, type StoreSettings } from '@tillerstair/settings';
+import {
+  closeHttp,
+  servePages,
+  stderrLog,
+  type Running,
+  type StoreSettings,
+} from '@tillerstair/settings';
 import { FolderDisk } from '@tillerstair/journal';
 import { hostClock, sendJson, TcpTransport } from '@tillerstair/wire';
 import { reloadableBounds, storePace } from '@tillerstair/zen';
@@ -12,14 +18,41 @@
   const { bounds, replace } = reloadableBounds(settings.bounds);
   const pace = storePace(hostClock, bounds, log);
   const freshId = (): string => `s-${randomBytes(6).toString('hex')}`;
-  const { electionStore, replicaStore } = await openStoreDisk({ disk, clock: hostClock, pace, bounds: settings, freshId, longAt: settings.journalLongAt });
-  const me = { id: electionStore.persisted.id, kind: 'store' as const, addr: settings.addr, http: settings.http, zone: settings.zone, data: '', name: settings.name };
+  const { electionStore, replicaStore } = await openStoreDisk({
+    disk,
+    clock: hostClock,
+    pace,
+    bounds: settings,
+    freshId,
+    longAt: settings.journalLongAt,
+  });
+  const me = {
+    id: electionStore.persisted.id,
+    kind: 'store' as const,
+    addr: settings.addr,
+    http: settings.http,
+    zone: settings.zone,
+    data: '',
+    name: settings.name,
+  };
   const transport = new TcpTransport(settings.addr, settings.listen);
-  const node = new StoreNode({ me, seeds: settings.seeds, clock: hostClock, transport, electionStore, replicaStore, bounds, log });
+  const node = new StoreNode({
+    me,
+    seeds: settings.seeds,
+    clock: hostClock,
+    transport,
+    electionStore,
+    replicaStore,
+    bounds,
+    log,
+  });
   await node.start();
   const readiness = () => {
     const master = node.zen.masterSeen;
-    return { ready: master !== undefined && node.zen.applied !== undefined, why: master ? `master ${master.addr}` : 'no master is known' };
+    return {
+      ready: master !== undefined && node.zen.applied !== undefined,
+      why: master ? `master ${master.addr}` : 'no master is known',
+    };
   };
   const http = await servePages(settings.http, readiness, async (_req, res, url) => {
     if (url.pathname === '/v1/view') return sendJson(res, 200, node.nodeView());
--- a/packages/wire/src/clock.ts
+++ b/packages/wire/src/clock.ts
@@ -1,6 +1,8 @@
 import { setMaxListeners } from 'node:events';
 
-export interface TimerHandle { stop(): void }
+export interface TimerHandle {
+  stop(): void;
+}
 
 export interface Clock {
   now(): number;
@@ -32,7 +34,12 @@
     gone?.addEventListener('abort', early, { once: true });
   });
 
-export const within = <T>(clock: Clock, ms: number, work: Promise<T>, late: () => Error): Promise<T> =>
+export const within = <T>(
+  clock: Clock,
+  ms: number,
+  work: Promise<T>,
+  late: () => Error,
+): Promise<T> =>
   new Promise((done, fail) => {
     const timer = clock.after(ms, () => fail(late()));
     work.then(
--- a/packages/wire/src/errors.ts
+++ b/packages/wire/src/errors.ts
@@ -35,4 +35,6 @@
   e instanceof TypeError || e instanceof RangeError || e instanceof ReferenceError;
 
 export const toRpcError = (e: unknown): RpcError =>
-  e instanceof RpcError ? e : new RpcError('internal', e instanceof Error ? e.message : String(e), 'unknown');
+  e instanceof RpcError
+    ? e
+    : new RpcError('internal', e instanceof Error ? e.message : String(e), 'unknown');
--- a/packages/wire/src/http.ts
+++ b/packages/wire/src/http.ts
@@ -44,7 +44,12 @@
 export const serveHttp = (addr: string, page: Page): Promise<Server> => {
   const server = createServer((req, res) => {
     const url = urlOf(req.url ?? '/');
-    if (!url) return sendJson(res, 400, { executed: 'no', errorCode: 'bad-path', text: 'the path cannot be read' });
+    if (!url)
+      return sendJson(res, 400, {
+        executed: 'no',
+        errorCode: 'bad-path',
+        text: 'the path cannot be read',
+      });
     page(req, res, url).catch((e: unknown) => {
       if (e instanceof BodyTooLarge) {
         sendJson(res, 413, { executed: 'no', errorCode: 'body-too-large', text: e.message });
--- a/packages/wire/src/tcp.ts
+++ b/packages/wire/src/tcp.ts
@@ -3,7 +3,13 @@
 import { z } from 'zod';
 import type { CallBounds, Transport, Handler } from './transport.js';
 import { hostClock, type TimerHandle } from './clock.js';
-import { ConnectionLostError, ConnectionRefusedError, RpcError, toRpcError, RequestTimeoutError } from './errors.js';
+import {
+  ConnectionLostError,
+  ConnectionRefusedError,
+  RpcError,
+  toRpcError,
+  RequestTimeoutError,
+} from './errors.js';
 
 const Hello = z.object({ hello: z.string(), to: z.string() });
 const Ask = z.object({ id: z.number(), kind: z.string(), body: z.unknown() });
@@ -12,7 +18,9 @@
   id: z.number(),
   chunk: z.unknown().optional(),
   response: z.unknown().optional(),
-  error: z.object({ code: z.string(), text: z.string(), executed: z.enum(['no', 'unknown', 'yes']) }).optional(),
+  error: z
+    .object({ code: z.string(), text: z.string(), executed: z.enum(['no', 'unknown', 'yes']) })
+    .optional(),
 });
 
 interface Waiting {
@@ -179,7 +187,8 @@
         const sentAt = hostClock.now();
         const timer: TimerHandle = hostClock.after(bounds.within, () => {
           cancel();
-          if (connection.heardAt < sentAt && hostClock.now() - connection.heardAt > this.openWithin) connection.socket.destroy();
+          if (connection.heardAt < sentAt && hostClock.now() - connection.heardAt > this.openWithin)
+            connection.socket.destroy();
           fail(new RequestTimeoutError(to));
         });
         stop.add(() => timer.stop());
--- a/packages/zen/src/bootstrap.ts
+++ b/packages/zen/src/bootstrap.ts
@@ -24,14 +24,19 @@
 export const closureOf = (v: BootstrapView): { members: readonly Member[]; why: string } => {
   const answered = new Set([v.me.addr, ...v.pingResponses.map((p) => p.from.addr)]);
   const unresponsive = v.seeds.filter((s) => !answered.has(s));
-  if (unresponsive.length > 0) return { members: [], why: `seeds ${unresponsive.join(', ')} have not replied` };
+  if (unresponsive.length > 0)
+    return { members: [], why: `seeds ${unresponsive.join(', ')} have not replied` };
   const bootstrapped = v.pingResponses.find((p) => p.clusterId !== '');
-  if (bootstrapped) return { members: [], why: `${bootstrapped.from.addr} knows a bootstrapped cluster` };
+  if (bootstrapped)
+    return { members: [], why: `${bootstrapped.from.addr} knows a bootstrapped cluster` };
   const members = new Map<string, Member>([[v.me.id, v.me]]);
   for (const p of v.pingResponses) if (p.from.kind === 'control') members.set(p.from.id, p.from);
-  const heard = [...v.heardOf, ...v.pingResponses.flatMap((p) => p.known)].filter((m) => m.kind === 'control');
+  const heard = [...v.heardOf, ...v.pingResponses.flatMap((p) => p.known)].filter(
+    (m) => m.kind === 'control',
+  );
   const missing = heard.filter((m) => !members.has(m.id) && !answered.has(m.addr));
-  if (missing.length > 0) return { members: [], why: `${missing.map((m) => m.addr).join(', ')} heard of but silent` };
+  if (missing.length > 0)
+    return { members: [], why: `${missing.map((m) => m.addr).join(', ')} heard of but silent` };
   return { members: [...members.values()].sort((a, b) => (a.id < b.id ? -1 : 1)), why: '' };
 };
 
@@ -58,19 +63,37 @@
       this.since = this.clock.now();
       return false;
     }
-    if (this.clock.now() - this.since < this.bounds.bootstrapStillFor || members[0]?.id !== view.me.id) return false;
+    if (
+      this.clock.now() - this.since < this.bounds.bootstrapStillFor ||
+      members[0]?.id !== view.me.id
+    )
+      return false;
     if (!(await this.bootstrapVote(view.me, members))) return false;
-    const votes = await Promise.all(members.filter((m) => m.id !== view.me.id).map((m) => this.ask(view.me, m, members)));
-    if (!votes.every(Boolean) || named(this.electionStore.persisted.bootstrapVote) !== name || this.electionStore.persisted.accepted) return false;
+    const votes = await Promise.all(
+      members.filter((m) => m.id !== view.me.id).map((m) => this.ask(view.me, m, members)),
+    );
+    if (
+      !votes.every(Boolean) ||
+      named(this.electionStore.persisted.bootstrapVote) !== name ||
+      this.electionStore.persisted.accepted
+    )
+      return false;
     const clusterId = clusterIdOf(members);
-    await this.electionStore.accept(bootstrapState(clusterId, members, this.slots, this.replication));
+    await this.electionStore.accept(
+      bootstrapState(clusterId, members, this.slots, this.replication),
+    );
     this.log.info(`Bootstrapped cluster ${clusterId} with ${members.length} controls.`);
     return true;
   }
 
   private async ask(me: Member, to: Member, members: readonly Member[]): Promise<boolean> {
     try {
-      const back = await this.transport.call(to.addr, 'zen/bootstrap', { from: me, members }, { within: this.bounds.joinWait });
+      const back = await this.transport.call(
+        to.addr,
+        'zen/bootstrap',
+        { from: me, members },
+        { within: this.bounds.joinWait },
+      );
       return Voted.parse(back).yes;
     } catch (e) {
       this.log.warn(`No bootstrapping vote from ${to.addr}: ${toRpcError(e).message}.`);
--- a/packages/zen/src/candidate.ts
+++ b/packages/zen/src/candidate.ts
@@ -15,13 +15,25 @@
   readonly newest: State;
 }
 
-export const gatherVotes = async (p: Asking, acc: State, term: number, joiners: readonly Member[]): Promise<GatheredVotes> => {
+export const gatherVotes = async (
+  p: Asking,
+  acc: State,
+  term: number,
+  joiners: readonly Member[],
+): Promise<GatheredVotes> => {
   const { me, clock, transport, bounds } = p;
   const granted = new Set<string>();
   let newest: State = acc;
   const body = { from: me, term, clusterId: acc.clusterId, have: versionOf(acc) };
   const each = joiners.map(async (member) => {
-    const got = ValidateResponse.parse(await transport.call(member.addr, 'zen/validate', { ...body, to: member.id }, { within: bounds.joinWait }));
+    const got = ValidateResponse.parse(
+      await transport.call(
+        member.addr,
+        'zen/validate',
+        { ...body, to: member.id },
+        { within: bounds.joinWait },
+      ),
+    );
     const theirs = got.state ? unflatten(new Map(got.state)) : undefined;
     if (theirs && newer(versionOf(theirs), versionOf(newest))) newest = theirs;
     granted.add(member.id);
--- a/packages/zen/src/elect.ts
+++ b/packages/zen/src/elect.ts
@@ -1,4 +1,10 @@
-import { newer, quorum, type StateVersion, type Member, type VotingConfiguration } from '@tillerstair/state';
+import {
+  newer,
+  quorum,
+  type StateVersion,
+  type Member,
+  type VotingConfiguration,
+} from '@tillerstair/state';
 import type { PingResponse } from './messages.js';
 
 export interface Self {
@@ -12,12 +18,20 @@
 }
 
 export type Choice =
-  | { readonly kind: 'master'; readonly member: Member; readonly by: 'reported' | 'former' | 'active' }
+  | {
+      readonly kind: 'master';
+      readonly member: Member;
+      readonly by: 'reported' | 'former' | 'active';
+    }
   | { readonly kind: 'none'; readonly why: string };
 
-const first = (ms: readonly Member[]): Member | undefined => [...ms].sort((a, b) => (a.id < b.id ? -1 : a.id > b.id ? 1 : 0))[0];
+const first = (ms: readonly Member[]): Member | undefined =>
+  [...ms].sort((a, b) => (a.id < b.id ? -1 : a.id > b.id ? 1 : 0))[0];
 
-export const votersSeen = (self: Self, pingResponses: readonly PingResponse[]): VotingConfiguration | undefined => {
+export const votersSeen = (
+  self: Self,
+  pingResponses: readonly PingResponse[],
+): VotingConfiguration | undefined => {
   let voters = self.voters;
   let stateVersion = self.accepted;
   for (const p of pingResponses)
@@ -28,8 +42,10 @@
   return voters;
 };
 
-export const enough = (voters: VotingConfiguration | undefined, actives: readonly Member[]): boolean =>
-  voters !== undefined && quorum(voters, new Set(actives.map((m) => m.id)));
+export const enough = (
+  voters: VotingConfiguration | undefined,
+  actives: readonly Member[],
+): boolean => voters !== undefined && quorum(voters, new Set(actives.map((m) => m.id)));
 
 export const elect = (self: Self, replies: readonly PingResponse[]): Choice => {
   const pingResponses = replies.filter((p) => p.eligible);
@@ -44,12 +60,18 @@
 
   const self1 = self.member.kind === 'control' && self.writable !== false ? [self.member] : [];
   const actives = [...pingResponses.map((p) => p.from), ...self1];
-  if (!enough(votersSeen(self, pingResponses), actives)) return { kind: 'none', why: 'too few eligible members replied' };
+  if (!enough(votersSeen(self, pingResponses), actives))
+    return { kind: 'none', why: 'too few eligible members replied' };
   const able = pingResponses.filter((p) => p.canWin);
   const mine = self.canWin ? [self.member] : [];
-  const former = [...able.filter((p) => p.joinedBefore).map((p) => p.from), ...(self.joinedBefore ? mine : [])];
+  const former = [
+    ...able.filter((p) => p.joinedBefore).map((p) => p.from),
+    ...(self.joinedBefore ? mine : []),
+  ];
   const old = first(former);
   if (old) return { kind: 'master', member: old, by: 'former' };
   const best = first([...able.map((p) => p.from), ...mine]);
-  return best ? { kind: 'master', member: best, by: 'active' } : { kind: 'none', why: 'no member can win' };
+  return best
+    ? { kind: 'master', member: best, by: 'active' }
+    : { kind: 'none', why: 'no member can win' };
 };
--- a/packages/zen/src/election-store.ts
+++ b/packages/zen/src/election-store.ts
@@ -1,6 +1,26 @@
 import { z } from 'zod';
-import { Diff, diffOf, Entries, flatten, versionOf, Member, newer, patch, unflatten, type StateVersion, type State } from '@tillerstair/state';
-import { hostPace, isDiskTrouble, Journal, untilDiskTakes, type Disk, type JournalOwner, type JournalPace } from '@tillerstair/journal';
+import {
+  Diff,
+  diffOf,
+  Entries,
+  flatten,
+  versionOf,
+  Member,
+  newer,
+  patch,
+  unflatten,
+  type StateVersion,
+  type State,
+} from '@tillerstair/state';
+import {
+  hostPace,
+  isDiskTrouble,
+  Journal,
+  untilDiskTakes,
+  type Disk,
+  type JournalOwner,
+  type JournalPace,
+} from '@tillerstair/journal';
 import { pause } from '@tillerstair/wire';
 
 const Rec = z.discriminatedUnion('t', [
@@ -20,7 +40,13 @@
   readonly accepted: State | undefined;
 }
 
-const blank: PersistentState = { id: '', term: 0, votedFor: '', bootstrapVote: [], accepted: undefined };
+const blank: PersistentState = {
+  id: '',
+  term: 0,
+  votedFor: '',
+  bootstrapVote: [],
+  accepted: undefined,
+};
 
 /** The log does not prove that it is whole: what it says last must not be counted on. */
 export class LogNotWhole extends Error {}
@@ -44,17 +70,25 @@
 
 const patched = (base: State | undefined, diff: Diff): State => {
   const next = base && patch(base, diff);
-  if (!next) throw new LogNotWhole(`a change of version ${diff.base.version} follows version ${base?.version ?? 'none'}`);
+  if (!next)
+    throw new LogNotWhole(
+      `a change of version ${diff.base.version} follows version ${base?.version ?? 'none'}`,
+    );
   return next;
 };
 
 const mustFollow = (before: PersistentState, after: PersistentState): void => {
-  if (after.term < before.term) throw new LogNotWhole(`term ${after.term} follows term ${before.term}`);
+  if (after.term < before.term)
+    throw new LogNotWhole(`term ${after.term} follows term ${before.term}`);
   if (after.term === before.term && before.votedFor !== '' && after.votedFor !== before.votedFor)
     throw new LogNotWhole(`term ${after.term} is promised to two`);
-  if (after.accepted && after.accepted.term > after.term) throw new LogNotWhole(`a state of term ${after.accepted.term} was accepted in term ${after.term}`);
+  if (after.accepted && after.accepted.term > after.term)
+    throw new LogNotWhole(
+      `a state of term ${after.accepted.term} was accepted in term ${after.term}`,
+    );
   const went = before.accepted && after.accepted !== before.accepted;
-  if (went && !newer(versionOf(after.accepted), versionOf(before.accepted))) throw new LogNotWhole('an older state follows a newer one');
+  if (went && !newer(versionOf(after.accepted), versionOf(before.accepted)))
+    throw new LogNotWhole('an older state follows a newer one');
 };
 
 /** What a log says, if each of its records follows from those before it. */
@@ -65,14 +99,16 @@
 
   restore(raw: unknown): void {
     const record = Rec.parse(raw);
-    if (this.persisted.id === '' && record.t !== 'id') throw new LogNotWhole('its beginning is missing');
+    if (this.persisted.id === '' && record.t !== 'id')
+      throw new LogNotWhole('its beginning is missing');
     const after = take(this.persisted, record);
     mustFollow(this.persisted, after);
     this.persisted = after;
   }
 }
 
-const openWhole = (disk: Disk, pace: JournalPace): Promise<Replay> => Journal.openFor(disk, logName, pace, (journal) => new Replay(journal));
+const openWhole = (disk: Disk, pace: JournalPace): Promise<Replay> =>
+  Journal.openFor(disk, logName, pace, (journal) => new Replay(journal));
 
 /**
  * A damaged log is kept under another name, and the member starts as one that lost its disk: with a fresh id and no state.
@@ -83,7 +119,9 @@
     return await openWhole(disk, pace);
   } catch (e) {
     if (isDiskTrouble(e)) throw e;
-    pace.log?.warn(`${logName} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${logName}.damaged, starting as a new member.`);
+    pace.log?.warn(
+      `${logName} is not whole (${e instanceof Error ? e.message : String(e)}): kept as ${logName}.damaged, starting as a new member.`,
+    );
     await untilDiskTakes(pace, logName, () => disk.setAside(logName));
     return openWhole(disk, pace);
   }
@@ -110,7 +148,12 @@
     journal.recoverFrom(() => this.whole());
   }
 
-  static async open(disk: Disk, freshId: () => string, longAt: number, pace: JournalPace = hostPace): Promise<DiskElectionStore> {
+  static async open(
+    disk: Disk,
+    freshId: () => string,
+    longAt: number,
+    pace: JournalPace = hostPace,
+  ): Promise<DiskElectionStore> {
     const { journal, persisted } = await openOrStartAnew(disk, pace);
     const electionStore = new DiskElectionStore(journal, persisted, longAt);
     if (!persisted.id) await electionStore.start(freshId(), pace);
@@ -142,7 +185,8 @@
     this.persisted = next;
     this.last = this.journal.append(r);
     await this.last;
-    if (this.journal.long(this.longAt)) void this.journal.rewrite(() => this.whole()).catch(() => undefined);
+    if (this.journal.long(this.longAt))
+      void this.journal.rewrite(() => this.whole()).catch(() => undefined);
   }
 
   private whole(): readonly Rec[] {
@@ -150,7 +194,9 @@
     return [
       { t: 'id', id },
       { t: 'vote', term, to: votedFor },
-      ...(bootstrapVote.length > 0 ? [{ t: 'bootstrap-vote' as const, members: [...bootstrapVote] }] : []),
+      ...(bootstrapVote.length > 0
+        ? [{ t: 'bootstrap-vote' as const, members: [...bootstrapVote] }]
+        : []),
       ...(accepted ? [{ t: 'full' as const, state: [...flatten(accepted)] }] : []),
     ];
   }
@@ -171,7 +217,8 @@
   accept(state: State): Promise<void> {
     const old = this.persisted.accepted;
     const next = { ...this.persisted, accepted: state };
-    if (!old || old.clusterId !== state.clusterId) return this.put({ t: 'full', state: [...flatten(state)] }, next);
+    if (!old || old.clusterId !== state.clusterId)
+      return this.put({ t: 'full', state: [...flatten(state)] }, next);
     return this.put({ t: 'diff', diff: diffOf(old, state) }, next);
   }
 }
--- a/packages/zen/src/leave.ts
+++ b/packages/zen/src/leave.ts
@@ -15,9 +15,19 @@
  * Tells the master that this node stops in order; a master commits its own leave before it steps down, so that
  * its vote can pass to a spare with the same commit. Waits for one heartbeat at most.
  */
-export const sayLeave = async (p: LeaveParts, master: Member | undefined, leading: MasterView | undefined): Promise<void> => {
+export const sayLeave = async (
+  p: LeaveParts,
+  master: Member | undefined,
+  leading: MasterView | undefined,
+): Promise<void> => {
   const { me, clock, transport, bounds } = p;
-  if (master) await transport.call(master.addr, 'zen/leave', { from: me }, { within: bounds.heartbeatInterval });
+  if (master)
+    await transport.call(
+      master.addr,
+      'zen/leave',
+      { from: me },
+      { within: bounds.heartbeatInterval },
+    );
   if (!leading) return;
   const left = leading.submit((s) => reduce(s, { kind: 'leave', id: me.id }));
   await within(clock, bounds.heartbeatInterval, left, () => new RequestTimeoutError(me.addr));
--- a/packages/zen/src/messages.ts
+++ b/packages/zen/src/messages.ts
@@ -19,11 +19,21 @@
 });
 export type PingResponse = z.infer<typeof PingResponse>;
 
-export const Join = z.object({ from: Member, term: z.number(), accepted: StateVersion, clusterId: z.string() });
+export const Join = z.object({
+  from: Member,
+  term: z.number(),
+  accepted: StateVersion,
+  clusterId: z.string(),
+});
 export type Join = z.infer<typeof Join>;
 
 const Addressed = z.object({ from: Member, to: z.string() });
-const addressed: ReadonlySet<string> = new Set(['zen/validate', 'zen/publish', 'zen/commit', 'zen/node-ping']);
+const addressed: ReadonlySet<string> = new Set([
+  'zen/validate',
+  'zen/publish',
+  'zen/commit',
+  'zen/node-ping',
+]);
 
 export const mustBeFor = (me: Member, rpc: RpcRequest, learn: (from: Member) => void): void => {
   if (!addressed.has(rpc.kind)) return;
@@ -32,7 +42,12 @@
   if (to !== me.id) throw new RpcError('other-node', `${to} is another node, this is ${me.id}`);
 };
 
-export const Validate = z.object({ from: Member, term: z.number(), clusterId: z.string(), have: StateVersion });
+export const Validate = z.object({
+  from: Member,
+  term: z.number(),
+  clusterId: z.string(),
+  have: StateVersion,
+});
 export const ValidateResponse = z.object({ accepted: StateVersion, state: Entries.optional() });
 export type ValidateResponse = z.infer<typeof ValidateResponse>;
 
@@ -48,10 +63,26 @@
 export const Commit = z.object({ from: Member, stateVersion: StateVersion });
 
 export const NodePing = z.object({ from: Member, term: z.number(), clusterId: z.string() });
-export const NodePingResponse = z.object({ term: z.number(), applied: StateVersion, report: z.unknown() });
+export const NodePingResponse = z.object({
+  term: z.number(),
+  applied: StateVersion,
+  report: z.unknown(),
+});
 
-export const MasterPing = z.object({ from: Member, term: z.number(), applied: StateVersion, report: z.unknown() });
-export const MasterPingResponse = z.object({ leading: z.boolean(), listed: z.boolean(), term: z.number(), committed: StateVersion, age: z.number(), reported: z.unknown().optional() });
+export const MasterPing = z.object({
+  from: Member,
+  term: z.number(),
+  applied: StateVersion,
+  report: z.unknown(),
+});
+export const MasterPingResponse = z.object({
+  leading: z.boolean(),
+  listed: z.boolean(),
+  term: z.number(),
+  committed: StateVersion,
+  age: z.number(),
+  reported: z.unknown().optional(),
+});
 
 export const BootstrapVote = z.object({ from: Member, members: z.array(Member) });
 export const Voted = z.object({ yes: z.boolean() });
--- a/packages/zen/src/pinger.ts
+++ b/packages/zen/src/pinger.ts
@@ -87,7 +87,8 @@
       }
     };
     spread();
-    if (open > 0) await pause(this.clock, this.bounds.pingWait, AbortSignal.any([gone, early.signal]));
+    if (open > 0)
+      await pause(this.clock, this.bounds.pingWait, AbortSignal.any([gone, early.signal]));
     return { at, pingResponses: [...pingResponses.values()] };
   }
 }
--- a/packages/zen/src/quorum-read.ts
+++ b/packages/zen/src/quorum-read.ts
@@ -80,12 +80,19 @@
   }
 
   /** Asks one voter until it answers, the round is over or its time is up. */
-  private async ask(member: Member, clusterId: string, end: number, over: AbortSignal): Promise<boolean> {
+  private async ask(
+    member: Member,
+    clusterId: string,
+    end: number,
+    over: AbortSignal,
+  ): Promise<boolean> {
     const { clock, transport, bounds, me, term, lost } = this.p;
     while (clock.now() < end && !lost.aborted && !over.aborted) {
       try {
         const body = { from: me, to: member.id, term, clusterId };
-        const pingResponse = NodePingResponse.parse(await transport.call(member.addr, 'zen/node-ping', body, { within: end - clock.now() }));
+        const pingResponse = NodePingResponse.parse(
+          await transport.call(member.addr, 'zen/node-ping', body, { within: end - clock.now() }),
+        );
         if (pingResponse.term > term) this.p.onLaterTerm(pingResponse.term, member.addr);
         return pingResponse.term === term;
       } catch (e) {
--- a/packages/zen/src/reach.ts
+++ b/packages/zen/src/reach.ts
@@ -10,10 +10,21 @@
 }
 
 /** Resolves with the ids of the nodes that replied in the ping's own term within one heartbeat. */
-export const reachNow = async ({ transport, bounds }: ReachParts, ping: NodePing, peers: readonly Member[]): Promise<ReadonlySet<string>> => {
+export const reachNow = async (
+  { transport, bounds }: ReachParts,
+  ping: NodePing,
+  peers: readonly Member[],
+): Promise<ReadonlySet<string>> => {
   const reached = new Set([ping.from.id]);
   const ask = async (member: Member): Promise<void> => {
-    const reply = NodePingResponse.parse(await transport.call(member.addr, 'zen/node-ping', { ...ping, to: member.id }, { within: bounds.heartbeatInterval }));
+    const reply = NodePingResponse.parse(
+      await transport.call(
+        member.addr,
+        'zen/node-ping',
+        { ...ping, to: member.id },
+        { within: bounds.heartbeatInterval },
+      ),
+    );
     if (reply.term === ping.term) reached.add(member.id);
   };
   await Promise.allSettled(peers.filter((m) => m.id !== ping.from.id).map(ask));
--- a/packages/zen/src/read-lease.ts
+++ b/packages/zen/src/read-lease.ts
@@ -22,7 +22,11 @@
   /** Renews the lease if a majority of the voters answered in this round and none of those holds a newer state. */
   renewFromRound(round: Round, applied: State | undefined, ownId: string): void {
     if (!applied || !applied.nodes.has(ownId)) return;
-    const notNewer = new Set(round.pingResponses.filter((g) => !newer(g.accepted, versionOf(applied))).map((g) => g.from.id));
+    const notNewer = new Set(
+      round.pingResponses
+        .filter((g) => !newer(g.accepted, versionOf(applied)))
+        .map((g) => g.from.id),
+    );
     if (quorum(applied.voters, notNewer)) this.renew(round.at);
   }
 }
--- a/packages/zen/src/receiver.ts
+++ b/packages/zen/src/receiver.ts
@@ -1,5 +1,14 @@
 import { inflateSync } from 'node:zlib';
-import { versionOf, newer, patch, isSameVersion, unflatten, type StateVersion, type Member, type State } from '@tillerstair/state';
+import {
+  versionOf,
+  newer,
+  patch,
+  isSameVersion,
+  unflatten,
+  type StateVersion,
+  type Member,
+  type State,
+} from '@tillerstair/state';
 import { TaskQueue, RpcError } from '@tillerstair/wire';
 import type { ElectionStore } from './election-store.js';
 import { Payload, Publish } from './messages.js';
@@ -32,9 +41,14 @@
     const mine = electionStore.persisted.accepted?.clusterId ?? '';
     if (mine ? mine !== clusterId : !this.p.knows(from.id))
       throw new RpcError('other-cluster', 'this node is not of that cluster');
-    if (term < electionStore.persisted.term || (term === electionStore.persisted.term && electionStore.persisted.votedFor !== from.id))
+    if (
+      term < electionStore.persisted.term ||
+      (term === electionStore.persisted.term && electionStore.persisted.votedFor !== from.id)
+    )
       throw new RpcError('stale-term', `term ${electionStore.persisted.term} is promised`);
-    const payload = Payload.parse(JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')));
+    const payload = Payload.parse(
+      JSON.parse(inflateSync(Buffer.from(packed, 'base64')).toString('utf8')),
+    );
     const acc = electionStore.persisted.accepted;
     let next: State;
     if ('diff' in payload) {
@@ -46,12 +60,15 @@
       next = unflatten(new Map(payload.full));
       if (acc && isSameVersion(versionOf(acc), versionOf(next))) return this.held();
     }
-    if (next.term !== term || (acc && !newer(versionOf(next), versionOf(acc)))) throw new RpcError('stale-state', 'a newer state is held');
+    if (next.term !== term || (acc && !newer(versionOf(next), versionOf(acc))))
+      throw new RpcError('stale-state', 'a newer state is held');
     this.p.onTerm(term, from);
     if (term > electionStore.persisted.term) await electionStore.recordVote(term, from.id);
-    if (electionStore.persisted.term !== term) throw new RpcError('stale-term', `term ${electionStore.persisted.term} is promised`);
+    if (electionStore.persisted.term !== term)
+      throw new RpcError('stale-term', `term ${electionStore.persisted.term} is promised`);
     const acceptedMeanwhile = electionStore.persisted.accepted;
-    if (acceptedMeanwhile && !newer(versionOf(next), versionOf(acceptedMeanwhile))) throw new RpcError('stale-state', 'a newer state was accepted meanwhile');
+    if (acceptedMeanwhile && !newer(versionOf(next), versionOf(acceptedMeanwhile)))
+      throw new RpcError('stale-state', 'a newer state was accepted meanwhile');
     await electionStore.accept(next);
     this.p.onPublished(from);
     return { outcome: 'accepted' };
@@ -67,7 +84,8 @@
     if (!acc) throw new RpcError('not-held', 'that state is not held');
     const { applied } = this;
     if (applied && !newer(stateVersion, versionOf(applied))) return {};
-    if (!isSameVersion(versionOf(acc), stateVersion)) throw new RpcError('not-held', 'that state is not held');
+    if (!isSameVersion(versionOf(acc), stateVersion))
+      throw new RpcError('not-held', 'that state is not held');
     await this.apply(acc);
     return {};
   }
--- a/packages/zen/src/stepped-down.ts
+++ b/packages/zen/src/stepped-down.ts
@@ -9,9 +9,14 @@
   readonly bounds: ZenBounds;
 }
 
-export const tellSteppedDown = ({ me, transport, bounds }: SteppedDownParts, state: State | undefined): void => {
+export const tellSteppedDown = (
+  { me, transport, bounds }: SteppedDownParts,
+  state: State | undefined,
+): void => {
   for (const member of state?.nodes.values() ?? []) {
     if (member.id === me.id) continue;
-    transport.call(member.addr, 'zen/stepped-down', { from: me }, { within: bounds.heartbeatInterval }).catch(() => undefined);
+    transport
+      .call(member.addr, 'zen/stepped-down', { from: me }, { within: bounds.heartbeatInterval })
+      .catch(() => undefined);
   }
 };
--- a/packages/zen/src/vote.ts
+++ b/packages/zen/src/vote.ts
@@ -4,11 +4,16 @@
 import type { ElectionStore } from './election-store.js';
 import { Validate, type ValidateResponse } from './messages.js';
 
-export const grantVote = async (electionStore: ElectionStore, joiningId: string | undefined, body: unknown): Promise<ValidateResponse> => {
+export const grantVote = async (
+  electionStore: ElectionStore,
+  joiningId: string | undefined,
+  body: unknown,
+): Promise<ValidateResponse> => {
   const v = Validate.parse(body);
   if (joiningId !== v.from.id) throw new RpcError('not-joining', 'this node is not joining you');
   const clusterId = electionStore.persisted.accepted?.clusterId ?? '';
-  if (clusterId && clusterId !== v.clusterId) throw new RpcError('other-cluster', `this is cluster ${clusterId}`);
+  if (clusterId && clusterId !== v.clusterId)
+    throw new RpcError('other-cluster', `this is cluster ${clusterId}`);
   const { term, votedFor } = electionStore.persisted;
   if (v.term < term || (v.term === term && votedFor !== v.from.id && votedFor !== ''))
     throw new RpcError('stale-term', `term ${term} is promised to ${votedFor}`);
--- a/tests/days/play.mjs
+++ b/tests/days/play.mjs
@@ -15,7 +15,9 @@
 });
 
 if (!bench || sites.length === 0) {
-  process.stderr.write('usage: FLEETBENCH=PROGRAM node tests/days/play.mjs SITE... [--only NAME] [--small]\n');
+  process.stderr.write(
+    'usage: FLEETBENCH=PROGRAM node tests/days/play.mjs SITE... [--only NAME] [--small]\n',
+  );
   process.exit(2);
 }
 
@@ -23,13 +25,22 @@
 
 const play = (site, day) => {
   const options = values.small ? ['--small'] : [];
-  const run = spawnSync(bench, ['run', site, join(here, day), ...options], { encoding: 'utf8', maxBuffer: 1 << 28 });
-  const trouble = `${run.stdout}${run.stderr}`.split('\n').filter((line) => troubleLines.test(line));
+  const run = spawnSync(bench, ['run', site, join(here, day), ...options], {
+    encoding: 'utf8',
+    maxBuffer: 1 << 28,
+  });
+  const trouble = `${run.stdout}${run.stderr}`
+    .split('\n')
+    .filter((line) => troubleLines.test(line));
   const verdict = run.status === 0 && trouble.length === 0 ? 'kept every rule' : 'see below';
-  process.stdout.write(`${site} ${day}: ${verdict}\n${trouble.map((line) => `  ${line}\n`).join('')}`);
+  process.stdout.write(
+    `${site} ${day}: ${verdict}\n${trouble.map((line) => `  ${line}\n`).join('')}`,
+  );
   return verdict === 'kept every rule';
 };
 
-const days = readdirSync(here).filter((file) => file.endsWith('.toml') && file.includes(values.only));
+const days = readdirSync(here).filter(
+  (file) => file.endsWith('.toml') && file.includes(values.only),
+);
 const results = sites.flatMap((site) => days.map((day) => play(site, day)));
 process.exitCode = results.every(Boolean) ? 0 : 1;
--- a/tests/run.js
+++ b/tests/run.js
@@ -9,13 +9,19 @@
 const uvu = join(dirname(createRequire(import.meta.url).resolve('uvu')), '..', 'bin.js');
 const wanted = new RegExp(process.argv[2] ?? '');
 const alone = new Set(['docs.test.js', 'path.test.js', 'product.test.js', 'settings.test.js']);
-const files = readdirSync(join(here, 'dist')).filter((f) => f.endsWith('.test.js') && wanted.test(f));
+const files = readdirSync(join(here, 'dist')).filter(
+  (f) => f.endsWith('.test.js') && wanted.test(f),
+);
 const running = new Set();
 const hard = setTimeout(() => running.forEach((c) => c.kill('SIGKILL')), 13 * 60 * 1000);
 
 const run = (file) =>
   new Promise((done) => {
-    const child = spawn(process.execPath, [uvu, join(here, 'dist'), `^${file.replaceAll('.', '\\.')}$`], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const child = spawn(
+      process.execPath,
+      [uvu, join(here, 'dist'), `^${file.replaceAll('.', '\\.')}$`],
+      { stdio: ['ignore', 'pipe', 'pipe'] },
+    );
     running.add(child);
     let out = '';
     for (const s of [child.stdout, child.stderr]) {
@@ -30,14 +36,18 @@
       const total = Number(/Total:\s+(\d+)/.exec(plain)?.[1] ?? 0);
       const passed = Number(/Passed:\s+(\d+)/.exec(plain)?.[1] ?? 0);
       const failed = Math.max(total - passed, code === 0 && total > 0 ? 0 : 1);
-      process.stdout.write(failed === 0 ? `${file}: ${passed}\n` : `${file}: ${failed} failed\n${plain}\n`);
+      process.stdout.write(
+        failed === 0 ? `${file}: ${passed}\n` : `${file}: ${failed} failed\n${plain}\n`,
+      );
       done({ passed, failed });
     });
   });
 
 const many = pLimit(6);
 const one = pLimit(1);
-const ends = await Promise.all(files.map((f) => (alone.has(f) ? one(() => many(() => run(f))) : many(() => run(f)))));
+const ends = await Promise.all(
+  files.map((f) => (alone.has(f) ? one(() => many(() => run(f))) : many(() => run(f)))),
+);
 clearTimeout(hard);
 const passed = ends.reduce((n, e) => n + e.passed, 0);
 const failed = ends.reduce((n, e) => n + e.failed, 0);
--- a/tests/src/backend.test.ts
+++ b/tests/src/backend.test.ts
@@ -7,10 +7,23 @@
 
 const backend = suite('what servers do to the client of them');
 const never = new AbortController().signal;
-const say = { id: 'i', messages: [{ role: 'user' as const, text: 'hello' }], maxTokens: 64, requestId: 'i' };
+const say = {
+  id: 'i',
+  messages: [{ role: 'user' as const, text: 'hello' }],
+  maxTokens: 64,
+  requestId: 'i',
+};
 const act = { id: 'i', key: 'k', path: '/hold', body: '{}', requestId: 'i' };
 
-const at = (port: number) => ({ id: 's', pool: 'p', url: `http://127.0.0.1:${port}`, draining: false, down: false, zone: '', places: 0 });
+const at = (port: number) => ({
+  id: 's',
+  pool: 'p',
+  url: `http://127.0.0.1:${port}`,
+  draining: false,
+  down: false,
+  zone: '',
+  places: 0,
+});
 
 const raw = async (lines: readonly string[]): Promise<{ port: number; close: () => void }> => {
   const [port = 0] = await freePorts(1);
@@ -26,22 +39,60 @@
   for (const faults of [{ cutAfter: 1 }, { loseEnd: 1 }]) {
     const [port = 0] = await freePorts(1);
     const model = new ModelServer(
-      { id: 'm', pool: 'p', addr: `127.0.0.1:${port}`, prefillMsPerKb: 0, msPerToken: 1, slots: 8, cacheKb: 64 }, new Ledger(),
+      {
+        id: 'm',
+        pool: 'p',
+        addr: `127.0.0.1:${port}`,
+        prefillMsPerKb: 0,
+        msPerToken: 1,
+        slots: 8,
+        cacheKb: 64,
+      },
+      new Ledger(),
     );
     model.set(faults);
     await model.start();
     const chunks: string[] = [];
-    const ended = await client.generate(at(port), say, (_n, text) => chunks.push(text), never, 5000, () => true);
+    const ended = await client.generate(
+      at(port),
+      say,
+      (_n, text) => chunks.push(text),
+      never,
+      5000,
+      () => true,
+    );
     assert.is(ended.kind, 'lost');
     assert.ok(chunks.length >= 3);
     model.set({ cutAfter: 0, loseEnd: 0 });
-    const whole = await client.generate(at(port), say, () => undefined, never, 5000, () => true);
+    const whole = await client.generate(
+      at(port),
+      say,
+      () => undefined,
+      never,
+      5000,
+      () => true,
+    );
     assert.is(whole.kind, 'done');
     await model.stop();
-    assert.is((await client.generate(at(port), say, () => undefined, never, 5000, () => true)).kind, 'never-left');
+    assert.is(
+      (
+        await client.generate(
+          at(port),
+          say,
+          () => undefined,
+          never,
+          5000,
+          () => true,
+        )
+      ).kind,
+      'never-left',
+    );
   }
   const [port = 0] = await freePorts(1);
-  const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, new Ledger());
+  const service = new ServiceServer(
+    { id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 },
+    new Ledger(),
+  );
   service.set({ loseEnd: 1 });
   await service.start();
   assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'lost');
@@ -52,44 +103,91 @@
   await client.close();
 });
 
-backend('foreign ids, gaps, repeats, false counts and missing ends are never a success', async () => {
-  const client = new HttpBackend({ connectWithin: 500, connections: () => 8 });
-  const chunk = (n: number, id = 'i') => JSON.stringify({ id, n, text: 'x' });
-  const end = (chunks: number, id = 'i') => JSON.stringify({ id, end: true, chunks });
-  const wrong = [
-    [chunk(0, 'other'), end(1)], [chunk(0), chunk(2), end(2)], [chunk(0), chunk(0), end(2)],
-    [chunk(0), end(2)], [chunk(0), end(1, 'other')], [chunk(0)], ['nonsense'], [],
-  ];
-  for (const lines of wrong) {
-    const server = await raw(lines);
-    assert.is((await client.generate(at(server.port), say, () => undefined, never, 3000, () => true)).kind, 'lost', lines.join());
-    server.close();
-  }
-  const good = await raw([chunk(0), chunk(1), end(2)]);
-  assert.is((await client.generate(at(good.port), say, () => undefined, never, 3000, () => true)).kind, 'done');
-  good.close();
-  await client.close();
-});
+backend(
+  'foreign ids, gaps, repeats, false counts and missing ends are never a success',
+  async () => {
+    const client = new HttpBackend({ connectWithin: 500, connections: () => 8 });
+    const chunk = (n: number, id = 'i') => JSON.stringify({ id, n, text: 'x' });
+    const end = (chunks: number, id = 'i') => JSON.stringify({ id, end: true, chunks });
+    const wrong = [
+      [chunk(0, 'other'), end(1)],
+      [chunk(0), chunk(2), end(2)],
+      [chunk(0), chunk(0), end(2)],
+      [chunk(0), end(2)],
+      [chunk(0), end(1, 'other')],
+      [chunk(0)],
+      ['nonsense'],
+      [],
+    ];
+    for (const lines of wrong) {
+      const server = await raw(lines);
+      assert.is(
+        (
+          await client.generate(
+            at(server.port),
+            say,
+            () => undefined,
+            never,
+            3000,
+            () => true,
+          )
+        ).kind,
+        'lost',
+        lines.join(),
+      );
+      server.close();
+    }
+    const good = await raw([chunk(0), chunk(1), end(2)]);
+    assert.is(
+      (
+        await client.generate(
+          at(good.port),
+          say,
+          () => undefined,
+          never,
+          3000,
+          () => true,
+        )
+      ).kind,
+      'done',
+    );
+    good.close();
+    await client.close();
+  },
+);
 
-backend('work that had to wait for its connection is looked at once more before a byte leaves', async () => {
-  const client = new HttpBackend({ connectWithin: 500, connections: () => 8 });
-  const [port = 0] = await freePorts(1);
-  const ledger = new Ledger();
-  const service = new ServiceServer({ id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 }, ledger);
-  await service.start();
-  let looks = 0;
-  const ended = await client.act(at(port), act, never, 5000, () => {
-    looks++;
-    return false;
-  });
-  assert.is(ended.kind, 'declined');
-  assert.is(looks, 1);
-  assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'done');
-  assert.is(ledger.all().length, 1);
-  const taken = await client.generate(at(port), say, () => undefined, never, 5000, () => false);
-  assert.is(taken.kind, 'declined');
-  await service.stop();
-  await client.close();
-});
+backend(
+  'work that had to wait for its connection is looked at once more before a byte leaves',
+  async () => {
+    const client = new HttpBackend({ connectWithin: 500, connections: () => 8 });
+    const [port = 0] = await freePorts(1);
+    const ledger = new Ledger();
+    const service = new ServiceServer(
+      { id: 's', pool: 'p', addr: `127.0.0.1:${port}`, leastMs: 1, mostMs: 2 },
+      ledger,
+    );
+    await service.start();
+    let looks = 0;
+    const ended = await client.act(at(port), act, never, 5000, () => {
+      looks++;
+      return false;
+    });
+    assert.is(ended.kind, 'declined');
+    assert.is(looks, 1);
+    assert.is((await client.act(at(port), act, never, 5000, () => true)).kind, 'done');
+    assert.is(ledger.all().length, 1);
+    const taken = await client.generate(
+      at(port),
+      say,
+      () => undefined,
+      never,
+      5000,
+      () => false,
+    );
+    assert.is(taken.kind, 'declined');
+    await service.stop();
+    await client.close();
+  },
+);
 
 backend.run();
--- a/tests/src/batch.test.ts
+++ b/tests/src/batch.test.ts
@@ -1,7 +1,14 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Life, seededRng, SimClock, SimServers } from '@tillerstair/sim';
-import { checkConfig, digestOf, bootstrapState, reduce, type Server, type State } from '@tillerstair/state';
+import {
+  checkConfig,
+  digestOf,
+  bootstrapState,
+  reduce,
+  type Server,
+  type State,
+} from '@tillerstair/state';
 import { chainOf, partsOf, Placement, tableOf, type Part } from '@tillerstair/session-owner';
 
 const batches = suite('placement among servers that run batches');
@@ -9,70 +16,158 @@
 const places = 4;
 const text = JSON.stringify({
   base: 0,
-  pools: [{ name: 'big', kind: 'model', engine: { places, memoryTokens: 100000, blockTokens: 1 } }, { name: 'plain', kind: 'service' }],
+  pools: [
+    { name: 'big', kind: 'model', engine: { places, memoryTokens: 100000, blockTokens: 1 } },
+    { name: 'plain', kind: 'service' },
+  ],
   routes: [
-    { name: 'talk', match: { kind: 'pass', path: '/talk/' }, pass: { manner: 'stream', deadlineMs: 1000 }, shares: [{ pool: 'big', share: 1 }] },
-    { name: 'do', match: { kind: 'pass', path: '/do/' }, pass: { manner: 'once', deadlineMs: 1000 }, shares: [{ pool: 'plain', share: 1 }] },
+    {
+      name: 'talk',
+      match: { kind: 'pass', path: '/talk/' },
+      pass: { manner: 'stream', deadlineMs: 1000 },
+      shares: [{ pool: 'big', share: 1 }],
+    },
+    {
+      name: 'do',
+      match: { kind: 'pass', path: '/do/' },
+      pass: { manner: 'once', deadlineMs: 1000 },
+      shares: [{ pool: 'plain', share: 1 }],
+    },
   ],
 });
 const [talk, plain] = checkConfig(text).config?.routes ?? [];
 if (!talk || !plain) throw new Error('no routes');
 const perPlace = 100000 / places / 25;
 
-const server = (id: string, pool: string, room = 0): Server => ({ id, pool, url: `http://127.0.0.1:1/${id}`, draining: false, down: false, zone: '', places: room });
+const server = (id: string, pool: string, room = 0): Server => ({
+  id,
+  pool,
+  url: `http://127.0.0.1:1/${id}`,
+  draining: false,
+  down: false,
+  zone: '',
+  places: room,
+});
 
 const placing = (servers: readonly Server[], zone = '') => {
   const clock = new SimClock();
   const me = { id: 'f', kind: 'front' as const, addr: '', http: '', zone, data: '', name: '' };
   const state: State = servers.reduce<State>((s, v) => reduce(s, { kind: 'server', server: v }), {
-    ...bootstrapState('x', [], 8), nodes: new Map([['f', me]]), config: { version: 1, text, digest: digestOf(text), compiled: JSON.stringify(checkConfig(text).config), changeId: '' },
+    ...bootstrapState('x', [], 8),
+    nodes: new Map([['f', me]]),
+    config: {
+      version: 1,
+      text,
+      digest: digestOf(text),
+      compiled: JSON.stringify(checkConfig(text).config),
+      changeId: '',
+    },
   });
   const table = tableOf(state, undefined);
   const sims = new SimServers(clock, seededRng(1));
-  const bounds = { poll: 0, pollWithin: 250, retryBad: 1000, sightWithin: Infinity, reportValidFor: 500 };
-  const placement = new Placement(clock, sims.backend(new Life()), chainOf(true), bounds, () => table, () => 16, 'f');
+  const bounds = {
+    poll: 0,
+    pollWithin: 250,
+    retryBad: 1000,
+    sightWithin: Infinity,
+    reportValidFor: 500,
+  };
+  const placement = new Placement(
+    clock,
+    sims.backend(new Life()),
+    chainOf(true),
+    bounds,
+    () => table,
+    () => 16,
+    'f',
+  );
   return { clock, placement, at: (id: string) => state.servers.get(id) ?? server(id, 'none') };
 };
 const big = (...ids: readonly string[]) => placing(ids.map((id) => server(id, 'big')));
 const prompt = (tokens: number, name = 'a'): readonly Part[] => partsOf([[name, tokens]]);
 
-batches('a warm server is kept to until what runs there outweighs the tokens to be read anew', () => {
-  for (const [tokens, stays] of [[0.5, 1], [1.5, 2], [2.5, 3], [50, places]] as const) {
-    const { placement, at } = big('w', 'c');
-    const parts = prompt(tokens * perPlace);
-    placement.begin(at('w'), parts);
-    const got: string[] = [];
-    while (got.length < places && placement.pick(talk, parts, '', new Set())?.id === 'w') {
-      got.push('w');
+batches(
+  'a warm server is kept to until what runs there outweighs the tokens to be read anew',
+  () => {
+    for (const [tokens, stays] of [
+      [0.5, 1],
+      [1.5, 2],
+      [2.5, 3],
+      [50, places],
+    ] as const) {
+      const { placement, at } = big('w', 'c');
+      const parts = prompt(tokens * perPlace);
       placement.begin(at('w'), parts);
+      const got: string[] = [];
+      while (got.length < places && placement.pick(talk, parts, '', new Set())?.id === 'w') {
+        got.push('w');
+        placement.begin(at('w'), parts);
+      }
+      assert.is(got.length + 1, stays, `${tokens}`);
+      assert.is(placement.pick(talk, parts, '', new Set())?.id, 'c');
     }
-    assert.is(got.length + 1, stays, `${tokens}`);
-    assert.is(placement.pick(talk, parts, '', new Set())?.id, 'c');
-  }
-});
+  },
+);
 
 batches('only what is held from the first part on counts as warm', () => {
   const { placement, at } = big('w', 'c');
-  placement.begin(at('w'), partsOf([['a', 5 * perPlace], ['b', 5 * perPlace]]));
+  placement.begin(
+    at('w'),
+    partsOf([
+      ['a', 5 * perPlace],
+      ['b', 5 * perPlace],
+    ]),
+  );
   placement.begin(at('c'), []);
   placement.begin(at('c'), []);
-  assert.is(placement.pick(talk, partsOf([['a', 5 * perPlace], ['x', perPlace]]), '', new Set())?.id, 'w');
+  assert.is(
+    placement.pick(
+      talk,
+      partsOf([
+        ['a', 5 * perPlace],
+        ['x', perPlace],
+      ]),
+      '',
+      new Set(),
+    )?.id,
+    'w',
+  );
   placement.end(at('c'), true);
   placement.end(at('c'), true);
-  assert.is(placement.pick(talk, partsOf([['x', perPlace], ['b', 5 * perPlace]]), '', new Set())?.id, 'c');
+  assert.is(
+    placement.pick(
+      talk,
+      partsOf([
+        ['x', perPlace],
+        ['b', 5 * perPlace],
+      ]),
+      '',
+      new Set(),
+    )?.id,
+    'c',
+  );
 });
 
-batches('a server in the own zone comes first, unless one far off holds more than a place is worth', () => {
-  const zoned: readonly Server[] = [{ ...server('n', 'big'), zone: 'Here' }, { ...server('f', 'big'), zone: 'there' }];
-  const { placement, at } = placing(zoned, 'here');
-  assert.is(placement.pick(talk, prompt(perPlace, 'x'), '', new Set())?.id, 'n');
-  for (const [tokens, id] of [[0.5, 'n'], [1.5, 'f']] as const) {
-    const parts = prompt(tokens * perPlace, `t${tokens}`);
-    placement.begin(at('f'), parts);
-    placement.end(at('f'), true);
-    assert.is(placement.pick(talk, parts, '', new Set())?.id, id);
-  }
-});
+batches(
+  'a server in the own zone comes first, unless one far off holds more than a place is worth',
+  () => {
+    const zoned: readonly Server[] = [
+      { ...server('n', 'big'), zone: 'Here' },
+      { ...server('f', 'big'), zone: 'there' },
+    ];
+    const { placement, at } = placing(zoned, 'here');
+    assert.is(placement.pick(talk, prompt(perPlace, 'x'), '', new Set())?.id, 'n');
+    for (const [tokens, id] of [
+      [0.5, 'n'],
+      [1.5, 'f'],
+    ] as const) {
+      const parts = prompt(tokens * perPlace, `t${tokens}`);
+      placement.begin(at('f'), parts);
+      placement.end(at('f'), true);
+      assert.is(placement.pick(talk, parts, '', new Set())?.id, id);
+    }
+  },
+);
 
 batches('no more than its places are given to a server, whatever it holds', () => {
   const { placement, at } = big('w');
@@ -98,7 +193,7 @@
   assert.is(placement.pick(plain, [], '', new Set()), undefined);
 });
 
-batches('a server\'s own word of its load counts for a while, then no more', async () => {
+batches("a server's own word of its load counts for a while, then no more", async () => {
   const { clock, placement, at } = big('a', 'b');
   const parts = prompt(perPlace / 10);
   const first = placement.pick(talk, parts, '', new Set())?.id ?? '';
--- a/tests/src/config-history.test.ts
+++ b/tests/src/config-history.test.ts
@@ -9,40 +9,107 @@
 const unclear: ConfigAnswer = { kind: 'unclear' };
 const notRun: ConfigAnswer = { kind: 'no-effect' };
 
-const change = (changeId: string, base: number, version: number, calledAt: number, answeredAt: number, answer: ConfigAnswer): ConfigCall => ({
-  what: { kind: 'change', changeId, base, version, content: changeId }, calledAt, answeredAt, answer,
+const change = (
+  changeId: string,
+  base: number,
+  version: number,
+  calledAt: number,
+  answeredAt: number,
+  answer: ConfigAnswer,
+): ConfigCall => ({
+  what: { kind: 'change', changeId, base, version, content: changeId },
+  calledAt,
+  answeredAt,
+  answer,
 });
-const read = (calledAt: number, answeredAt: number, version: number, content: string): ConfigCall => ({
-  what: { kind: 'read' }, calledAt, answeredAt, answer: { kind: 'value', version, content },
+const read = (
+  calledAt: number,
+  answeredAt: number,
+  version: number,
+  content: string,
+): ConfigCall => ({
+  what: { kind: 'read' },
+  calledAt,
+  answeredAt,
+  answer: { kind: 'value', version, content },
 });
 
 const a = change('a', 0, 2, 0, 10, taken);
 const b = change('b', 2, 5, 20, 30, taken);
 
 const sound: readonly (readonly [string, readonly ConfigCall[]])[] = [
-  ['changes and reads one after the other', [read(0, 1, 0, ''), a, read(11, 12, 2, 'a'), b, read(31, 32, 5, 'b')]],
-  ['a read under way with a change sees either', [a, b, read(19, 31, 2, 'a'), read(19, 31, 5, 'b')]],
-  ['an unclear change that happened after its end', [a, change('x', 2, 4, 20, 30, unclear), read(40, 41, 2, 'a'), read(60, 61, 4, 'x')]],
-  ['an unclear change that never happened', [a, change('x', 2, 4, 11, 12, unclear), b, read(40, 41, 5, 'b')]],
-  ['an unclear change sent again and acknowledged', [a, change('x', 2, 4, 11, 12, unclear), change('x', 2, 4, 20, 30, taken), change('x', 2, 4, 40, 50, taken)]],
+  [
+    'changes and reads one after the other',
+    [read(0, 1, 0, ''), a, read(11, 12, 2, 'a'), b, read(31, 32, 5, 'b')],
+  ],
+  [
+    'a read under way with a change sees either',
+    [a, b, read(19, 31, 2, 'a'), read(19, 31, 5, 'b')],
+  ],
+  [
+    'an unclear change that happened after its end',
+    [a, change('x', 2, 4, 20, 30, unclear), read(40, 41, 2, 'a'), read(60, 61, 4, 'x')],
+  ],
+  [
+    'an unclear change that never happened',
+    [a, change('x', 2, 4, 11, 12, unclear), b, read(40, 41, 5, 'b')],
+  ],
+  [
+    'an unclear change sent again and acknowledged',
+    [
+      a,
+      change('x', 2, 4, 11, 12, unclear),
+      change('x', 2, 4, 20, 30, taken),
+      change('x', 2, 4, 40, 50, taken),
+    ],
+  ],
   ['a refusal by a change under way', [a, change('x', 2, 4, 15, 25, refused), b]],
-  ['a change refused, as another took its number', [a, change('x', 2, 5, 15, 40, refused), b, change('x', 2, 5, 50, 60, refused)]],
-  ['one that did not run and was refused later', [a, change('x', 2, 5, 11, 12, notRun), b, change('x', 2, 5, 40, 41, refused)]],
+  [
+    'a change refused, as another took its number',
+    [a, change('x', 2, 5, 15, 40, refused), b, change('x', 2, 5, 50, 60, refused)],
+  ],
+  [
+    'one that did not run and was refused later',
+    [a, change('x', 2, 5, 11, 12, notRun), b, change('x', 2, 5, 40, 41, refused)],
+  ],
   ['a call that never ended', [a, change('x', 2, 4, 11, Infinity, unclear), read(20, 21, 4, 'x')]],
-  ['two unclear ones under one number, one read', [a, change('x', 2, 4, 11, 12, unclear), change('y', 2, 4, 11, 12, unclear), change('z', 4, 6, 20, 30, taken), read(40, 41, 6, 'z')]],
+  [
+    'two unclear ones under one number, one read',
+    [
+      a,
+      change('x', 2, 4, 11, 12, unclear),
+      change('y', 2, 4, 11, 12, unclear),
+      change('z', 4, 6, 20, 30, taken),
+      read(40, 41, 6, 'z'),
+    ],
+  ],
 ];
 
 const doctored: readonly (readonly [string, readonly ConfigCall[]])[] = [
   ['a stale read from a cut-off master', [a, b, read(31, 40, 2, 'a')]],
   ['a false refusal from old state', [a, b, change('c', 5, 7, 40, 50, refused)]],
-  ['a false refusal though nothing else was taken', [a, change('c', 2, 7, 40, 50, refused), read(60, 61, 2, 'a')]],
+  [
+    'a false refusal though nothing else was taken',
+    [a, change('c', 2, 7, 40, 50, refused), read(60, 61, 2, 'a')],
+  ],
   ['two confirmed under one number', [a, change('x', 2, 5, 15, 40, taken), b]],
   ['two confirmed on one base', [a, change('x', 2, 4, 15, 40, taken), b]],
   ['a taken order refused when sent again', [a, b, change('a', 0, 2, 40, 50, refused)]],
-  ['an unclear order that was read, refused when sent again', [a, change('x', 2, 4, 11, 12, unclear), read(20, 21, 4, 'x'), change('x', 2, 4, 40, 50, refused)]],
+  [
+    'an unclear order that was read, refused when sent again',
+    [
+      a,
+      change('x', 2, 4, 11, 12, unclear),
+      read(20, 21, 4, 'x'),
+      change('x', 2, 4, 40, 50, refused),
+    ],
+  ],
   ['an acknowledged change lost', [a, b, change('x', 2, 4, 40, 50, taken), read(60, 61, 4, 'x')]],
   ['an acknowledged change lost, the configuration with it', [a, read(20, 21, 0, '')]],
-  ['versions going back', [a, change('x', 2, 4, 11, Infinity, unclear), read(20, 21, 4, 'x'), read(30, 31, 2, 'a')]],
+  [
+    'versions going back',
+    [a, change('x', 2, 4, 11, Infinity, unclear), read(20, 21, 4, 'x'), read(30, 31, 2, 'a')],
+  ],
   ['led with old state', [a, b, change('c', 2, 8, 40, 50, taken), read(60, 61, 8, 'c')]],
   ['a change seen before it was sent', [a, read(11, 12, 5, 'b'), b]],
   ['a version with another content', [a, read(11, 12, 2, 'b')]],
@@ -80,7 +147,13 @@
 
 history('thousands of calls, many of them at once, are checked', () => {
   assert.equal(configHistory(long).breaches, []);
-  assert.is(configHistory([...long, read(versions * 100, versions * 100 + 1, versions - 1, `c${versions - 2}`)]).breaches.length, 1);
+  assert.is(
+    configHistory([
+      ...long,
+      read(versions * 100, versions * 100 + 1, versions - 1, `c${versions - 2}`),
+    ]).breaches.length,
+    1,
+  );
 });
 
 history.run();
--- a/tests/src/control-model.test.ts
+++ b/tests/src/control-model.test.ts
@@ -10,7 +10,14 @@
 const regressions: ReadonlyMap<string, ModelRun> = new Map([
   [
     'a follower that catches up in a new term stores an older state over a newer one',
-    { seed: 98969, controls: 3, actions: [{ kind: 'freeze', at: 2, ms: 2500 }, { kind: 'wait', ms: 6000 }] },
+    {
+      seed: 98969,
+      controls: 3,
+      actions: [
+        { kind: 'freeze', at: 2, ms: 2500 },
+        { kind: 'wait', ms: 6000 },
+      ],
+    },
   ],
   [
     'an order is refused for one of the same batch that is not committed yet',
@@ -37,9 +44,26 @@
     assert.equal(await replayModel(run), []);
   });
 
-const member: Member = { id: 'a', kind: 'control', addr: 'control-0', http: '', zone: '', data: '', name: '' };
-const stateAt = (term: number, version: number, master: string, configVersion: number, digest: string): State => ({
-  ...bootstrapState('cluster', [member], 1), term, version, master,
+const member: Member = {
+  id: 'a',
+  kind: 'control',
+  addr: 'control-0',
+  http: '',
+  zone: '',
+  data: '',
+  name: '',
+};
+const stateAt = (
+  term: number,
+  version: number,
+  master: string,
+  configVersion: number,
+  digest: string,
+): State => ({
+  ...bootstrapState('cluster', [member], 1),
+  term,
+  version,
+  master,
   config: ConfigRecord.parse({ version: configVersion, text: '', digest, compiled: '' }),
 });
 const rulesBroken = (listReport: (h: ModelHistory) => void): readonly string[] => {
@@ -51,25 +75,75 @@
 const change = { version: 4, base: 3, digest: 'four', text: '' };
 
 model('doctored histories are caught', () => {
-  assert.equal(rulesBroken(() => undefined), []);
-  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 6, 'b', 3, 'three'))), ['one master a term']);
-  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 5, 'a', 3, 'other'))), ['committed state is kept']);
-  assert.equal(rulesBroken((h) => h.committed('b', stateAt(1, 4, 'a', 3, 'three'))), ['committed state is kept']);
-  assert.equal(rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 2, 'two'))), ['committed state is kept']);
-  assert.equal(rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 3, 'other'))), ['one content a version']);
-  assert.equal(rulesBroken((h) => h.acknowledged(change, 'a')), ['acknowledged changes are committed']);
-  assert.equal(rulesBroken((h) => h.acknowledged({ ...change, version: 3 }, 'a')), ['one content a version']);
+  assert.equal(
+    rulesBroken(() => undefined),
+    [],
+  );
+  assert.equal(
+    rulesBroken((h) => h.committed('b', stateAt(1, 6, 'b', 3, 'three'))),
+    ['one master a term'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.committed('b', stateAt(1, 5, 'a', 3, 'other'))),
+    ['committed state is kept'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.committed('b', stateAt(1, 4, 'a', 3, 'three'))),
+    ['committed state is kept'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 2, 'two'))),
+    ['committed state is kept'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.committed('b', stateAt(2, 6, 'b', 3, 'other'))),
+    ['one content a version'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.acknowledged(change, 'a')),
+    ['acknowledged changes are committed'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.acknowledged({ ...change, version: 3 }, 'a')),
+    ['one content a version'],
+  );
 });
 
 model('doctored refusals and reads are caught', () => {
-  assert.equal(rulesBroken((h) => h.refused(change, 'a', h.begin(), 3)), ['refusals are true']);
-  assert.equal(rulesBroken((h) => h.refused({ ...change, version: 3, base: 2, digest: 'three' }, 'a', h.begin(), 3)), ['refusals are true']);
-  assert.equal(rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 2)), ['refusals are true']);
-  assert.equal(rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 3)), []);
-  assert.equal(rulesBroken((h) => h.read({ version: 2, digest: 'two' }, 'a', h.begin())), ['reads hold every acknowledged change']);
-  assert.equal(rulesBroken((h) => h.read({ version: 4, digest: 'four' }, 'a', h.begin())), ['reads hold every acknowledged change']);
-  assert.equal(rulesBroken((h) => h.read(undefined, 'a', h.begin())), ['reads hold every acknowledged change']);
-  assert.equal(rulesBroken((h) => h.read({ version: 3, digest: 'three' }, 'a', h.begin())), []);
+  assert.equal(
+    rulesBroken((h) => h.refused(change, 'a', h.begin(), 3)),
+    ['refusals are true'],
+  );
+  assert.equal(
+    rulesBroken((h) =>
+      h.refused({ ...change, version: 3, base: 2, digest: 'three' }, 'a', h.begin(), 3),
+    ),
+    ['refusals are true'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 2)),
+    ['refusals are true'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.refused({ ...change, base: 2, version: 3 }, 'a', h.begin(), 3)),
+    [],
+  );
+  assert.equal(
+    rulesBroken((h) => h.read({ version: 2, digest: 'two' }, 'a', h.begin())),
+    ['reads hold every acknowledged change'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.read({ version: 4, digest: 'four' }, 'a', h.begin())),
+    ['reads hold every acknowledged change'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.read(undefined, 'a', h.begin())),
+    ['reads hold every acknowledged change'],
+  );
+  assert.equal(
+    rulesBroken((h) => h.read({ version: 3, digest: 'three' }, 'a', h.begin())),
+    [],
+  );
 });
 
 model.run();
--- a/tests/src/docs.test.ts
+++ b/tests/src/docs.test.ts
@@ -11,14 +11,22 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const house = { ...seoul, models: 2, services: 1 };
 const fleet = new Fleet({
-  dir: join(tmpdir(), `tillerstair-docs-${process.pid}`), sizes: smallSizes, house, cuts: false, affinity: true, log: 'info',
+  dir: join(tmpdir(), `tillerstair-docs-${process.pid}`),
+  sizes: smallSizes,
+  house,
+  cuts: false,
+  affinity: true,
+  log: 'info',
 });
 
 const plain = Object.entries(process.env).filter(([k]) => !['FORCE_COLOR', 'NO_COLOR'].includes(k));
 
 const shell = (script: string, env: ReadonlyMap<string, string>): Promise<string> =>
   new Promise((done) => {
-    const child = spawn('bash', ['-c', script], { cwd: root, env: Object.fromEntries([...plain, ...env]) });
+    const child = spawn('bash', ['-c', script], {
+      cwd: root,
+      env: Object.fromEntries([...plain, ...env]),
+    });
     let out = '';
     child.stdout.on('data', (b) => (out += String(b)));
     child.stderr.on('data', (b) => (out += String(b)));
@@ -28,8 +36,18 @@
 docs.before(async () => {
   await fleet.build();
   fleet.start();
-  await until('a master', 30000, async () => (await fleet.operator.any('GET', '/v1/status')).status === 200);
-  const shape = { base: 0, turnPools: [house.modelPool], callPools: [house.servicePool], extraRoutes: 0, note: 'first' };
+  await until(
+    'a master',
+    30000,
+    async () => (await fleet.operator.any('GET', '/v1/status')).status === 200,
+  );
+  const shape = {
+    base: 0,
+    turnPools: [house.modelPool],
+    callPools: [house.servicePool],
+    extraRoutes: 0,
+    note: 'first',
+  };
   assert.is((await fleet.operator.any('PUT', '/v1/config', configFor(house, shape))).status, 200);
   await fleet.register();
   await until('fronts', 30000, () => fleet.ready('front'));
@@ -42,10 +60,18 @@
   const blocks = [...text.matchAll(/```sh\n([\s\S]*?)```\n```text\n([\s\S]*?)```/g)];
   assert.ok(blocks.length >= 7, `${blocks.length} examples`);
   const [front = '', other = ''] = fleet.fronts;
-  const env = new Map([['TILLERCTL_AT', fleet.of('control')[0]?.http ?? ''], ['FRONT', front], ['OTHER', other]]);
+  const env = new Map([
+    ['TILLERCTL_AT', fleet.of('control')[0]?.http ?? ''],
+    ['FRONT', front],
+    ['OTHER', other],
+  ]);
   for (const [, script = '', expected = ''] of blocks) {
     const out = await shell(script, env);
-    const pattern = expected.trim().split('…').map((s) => s.replace(/[.*+?^${}()|[\]\\]/g, '\\$&')).join('[^\\n]*?');
+    const pattern = expected
+      .trim()
+      .split('…')
+      .map((s) => s.replace(/[.*+?^${}()|[\]\\]/g, '\\$&'))
+      .join('[^\\n]*?');
     assert.match(out.trim(), new RegExp(`^${pattern}$`), `${script}gave\n${out}`);
   }
 });
--- a/tests/src/events.test.ts
+++ b/tests/src/events.test.ts
@@ -19,15 +19,28 @@
   return { passed, count: e.count, lastId: e.lastId, data: e.data, torn: e.torn };
 };
 
-const made = (rng: () => number): { readonly text: string; readonly data: string; readonly lastId: string; readonly count: number } => {
-  const bytes = (n: number): string => Array.from({ length: n }, () => String.fromCharCode(Math.floor(rng() * 256))).join('').replaceAll(/[\r\n]/g, 'x');
+const made = (
+  rng: () => number,
+): {
+  readonly text: string;
+  readonly data: string;
+  readonly lastId: string;
+  readonly count: number;
+} => {
+  const bytes = (n: number): string =>
+    Array.from({ length: n }, () => String.fromCharCode(Math.floor(rng() * 256)))
+      .join('')
+      .replaceAll(/[\r\n]/g, 'x');
   let text = '';
   let data = '';
   let lastId = '';
   let count = 0;
   for (let n = 0; n < 6; n++) {
     const eol = rng() < 0.5 ? '\n' : '\r\n';
-    const lines = Array.from({ length: 1 + Math.floor(rng() * 3) }, () => `x${bytes(Math.floor(rng() * 12))}`);
+    const lines = Array.from(
+      { length: 1 + Math.floor(rng() * 3) },
+      () => `x${bytes(Math.floor(rng() * 12))}`,
+    );
     if (rng() < 0.2) text += `: a comment${eol}${eol}`;
     if (rng() < 0.8) {
       lastId = String(n);
@@ -45,13 +58,25 @@
   for (let seed = 1; seed <= 40; seed++) {
     const { text, data, lastId, count } = made(seededRng(seed));
     for (let at = 0; at <= text.length; at++)
-      assert.equal(fed([text.slice(0, at), text.slice(at)]), { passed: text, count, lastId, data, torn: false }, `seed ${seed}, byte ${at}`);
-    assert.equal(fed([...text]), { passed: text, count, lastId, data, torn: false }, `seed ${seed}, byte by byte`);
+      assert.equal(
+        fed([text.slice(0, at), text.slice(at)]),
+        { passed: text, count, lastId, data, torn: false },
+        `seed ${seed}, byte ${at}`,
+      );
+    assert.equal(
+      fed([...text]),
+      { passed: text, count, lastId, data, torn: false },
+      `seed ${seed}, byte by byte`,
+    );
   }
 });
 
 events('lines of one event may end in different ways', () => {
-  for (const text of ['id: 1\r\ndata: a\n\r\n', 'id: 1\ndata: a\r\n\n', 'id: 1\r\ndata: a\r\n\r\n']) {
+  for (const text of [
+    'id: 1\r\ndata: a\n\r\n',
+    'id: 1\ndata: a\r\n\n',
+    'id: 1\r\ndata: a\r\n\r\n',
+  ]) {
     const got = fed([...text]);
     assert.equal([got.count, got.lastId, got.data], [1, '1', 'a\n'], JSON.stringify(text));
   }
@@ -62,7 +87,11 @@
   const next = 'id: 8\ndata: eight\n\n';
   for (let at = 1; at < next.length; at++) {
     const got = fed([whole, next.slice(0, at)]);
-    assert.equal(got, { passed: whole, count: 1, lastId: '7', data: 'seven\n', torn: true }, `byte ${at}`);
+    assert.equal(
+      got,
+      { passed: whole, count: 1, lastId: '7', data: 'seven\n', torn: true },
+      `byte ${at}`,
+    );
   }
 });
 
