Send a keyed operation that may have run only to the service that has it

Cause: the record of a key said only that "every server involved records keys". That is true of two services of which each knows its own keys alone. Each path asked the route of the moment instead of the key.

Change: the stored intent names the only pool that may run the operation (OpValue.recordedBy). It is synced anew before the operation goes to another pool, which happens only after the first one declined. Once it may have run, PlacementRequest.requiredPool keeps every attempt, later try and later owner at that pool, while the route leads there and the pool records keys (key-records.ts); else the outcome stays unknown. The intent is checked once more as the first byte is sent. This also answers keys that were left unknown before: at a pool with a single server, at a route that another pool without a record of keys shares, and for a try that joined one which ended in silence.

Records: `recorded` is no longer read nor written. A record of the version before names no pool and stays unknown; that version does not send an operation again whose record lacks `recorded`.

--- a/packages/session-owner/src/attempt-machine.ts
+++ b/packages/session-owner/src/attempt-machine.ts
@@ -25,6 +25,8 @@
   readonly promptParts: readonly PrefixBlock[];
   /** The pool that served the preceding turn, which is preferred; empty if there is none. */
   readonly stickyPool: string;
+  /** The only pool whose servers may be assigned; empty if those of all pools of the route may be. */
+  readonly requiredPool: string;
   /** Ids of the servers that must not be assigned, since they were tried before. */
   readonly excluded: ReadonlySet<string>;
   /** Maximum time to wait for a server, in ms. */
@@ -54,6 +56,8 @@
   readonly path: string;
   readonly promptParts: readonly PrefixBlock[];
   readonly stickyPool: string;
+  /** Read before each wait for a server. */
+  readonly requiredPool: string;
   /** Time on the owner's clock, in ms, by which a server must be assigned; all attempts of the request share it. */
   readonly deadline: number;
   /** Aborted when the caller disconnects; cancels the wait for a server. */
@@ -108,10 +112,10 @@
   }
 
   private place(timeoutMs: number): Promise<Server | RpcError> {
-    const { kind, path, promptParts, stickyPool, signal } = this.attempts;
+    const { kind, path, promptParts, stickyPool, requiredPool, signal } = this.attempts;
     const excluded = this.tried;
     return this.dispatcher
-      .place({ kind, path, promptParts, stickyPool, excluded, timeoutMs, signal })
+      .place({ kind, path, promptParts, stickyPool, requiredPool, excluded, timeoutMs, signal })
       .catch(toRpcError);
   }
 
--- a/packages/session-owner/src/calls.ts
+++ b/packages/session-owner/src/calls.ts
@@ -3,9 +3,9 @@
  *
  * Holds the keyed operations that are running here; their intents and results are in the slot's replicas. A key is
  * bound to one request body, and a finished operation is answered from its record. An operation that may have run is
- * sent again only if every server involved keeps its own record of keys, so that it takes effect at most once;
- * otherwise its outcome stays "unknown" (`docs/design.md`, "A tool call"). This depends on the record: a record that
- * does not parse is treated as absent (`stored-values.ts`).
+ * sent again only to the pool that has it in its own record of keys, so that it takes effect at most once; otherwise
+ * its outcome stays "unknown" (`docs/design.md`, "A tool call"). This depends on the record: a record that does not
+ * parse is treated as absent (`stored-values.ts`).
  */
 import type { Server } from '@tillerstair/state';
 import { toRpcError, UnavailableError, withTimeout } from '@tillerstair/wire';
@@ -19,13 +19,9 @@
   type CallOutcome,
   type PassRequest,
 } from './messages.js';
+import { mayAskAgain, noPool } from './key-records.js';
 import { done, outcomeOfError, refused, routeUnknown, unknown } from './outcomes.js';
-import {
-  OperationAttempts,
-  routeRecordsKeys,
-  type Operation,
-  type OperationHistory,
-} from './operation-attempts.js';
+import { OperationAttempts, type Operation, type OperationHistory } from './operation-attempts.js';
 import type { OwnerServices } from './owner-services.js';
 import { retryAfterSeconds, status } from './refusals.js';
 import { shortDigest } from './short-digest.js';
@@ -147,8 +143,9 @@
       const outcome = this.outcomeOfRecord(operation, existing.data);
       if (outcome) return outcome;
     }
+    const recordedBy = mayHaveRun ? existing.data.recordedBy : noPool;
     // Not aborted when the caller disconnects: the outcome of a keyed operation that has begun must be recorded.
-    const outcome = this.run(operation, { replicator, mayHaveRun }, neverAborted());
+    const outcome = this.run(operation, { replicator, recordedBy }, neverAborted());
     this.running.set(key, { digest, outcome });
     const endRequest = replicator.beginRequest();
     return outcome.finally(() => {
@@ -157,27 +154,34 @@
     });
   }
 
+  /**
+   * Waits for the outcome of the running request with the same key. If that one ends as unknown, for example at its own
+   * deadline, this one goes on in the time that it has left: the service that has the run may still answer.
+   */
   private async join(operation: Operation, running: RunningOperation): Promise<CallOutcome> {
     if (running.digest !== operation.digest) return otherBody();
     const { clock } = this.owner;
     const remainingMs = operation.deadline - clock.now();
     const timeoutError = (): Error => new UnavailableError('running', inProgress);
-    return withTimeout(clock, remainingMs, running.outcome, timeoutError).catch(() =>
+    const joined = withTimeout(clock, remainingMs, running.outcome, timeoutError);
+    const outcome = await joined.catch(() =>
       refused(status.conflict, 'running', inProgress, retryAfterSeconds.otherAttempt),
     );
+    return outcome.outcome === 'unknown' ? this.runOnce(operation) : outcome;
   }
 
   /** The outcome of a repeated operation according to its record; undefined if the operation may be sent again. */
   private outcomeOfRecord(operation: Operation, record: OpValue): CallOutcome | undefined {
     if (record.digest !== operation.digest) return otherBody();
     if (record.status === 'done') return done(record.body, record.code);
-    return record.recorded && routeRecordsKeys(this.owner, operation)
+    const route = this.owner.findRoute(operation.kind, operation.path);
+    return mayAskAgain(this.owner.current?.config, route, record.recordedBy)
       ? undefined
       : unknown('this operation may have run; it is not run again');
   }
 
   private runWithoutKey(operation: Operation, signal: AbortSignal): Promise<CallOutcome> {
-    return this.run(operation, { replicator: undefined, mayHaveRun: false }, signal);
+    return this.run(operation, { replicator: undefined, recordedBy: noPool }, signal);
   }
 
   private async run(
--- a/packages/session-owner/src/operation-attempts.ts
+++ b/packages/session-owner/src/operation-attempts.ts
@@ -2,14 +2,16 @@
  * The `AttemptMachine` hooks of requests with a single, unstreamed response: operations with or without an idempotency
  * key.
  *
- * The intent of a keyed operation is on a quorum of replicas before the operation is sent. An operation that was sent
- * and lost is retried at another server only if running it twice is harmless: the route declares it idempotent, or
- * every server involved records idempotency keys itself. See `docs/design.md`, "A tool call".
+ * The intent of a keyed operation is on a quorum of replicas before the operation is sent. It names the pool that may
+ * run the operation if that pool records idempotency keys; before the operation is sent to another pool, the intent is
+ * written again. An operation that was sent and lost is retried if the route declares it idempotent, or else only at
+ * the pool that has it in its record of keys. See `docs/design.md`, "A tool call".
  */
 import type { RouteKind, Server } from '@tillerstair/state';
-import { toRpcError, type RpcError } from '@tillerstair/wire';
+import { delay, toRpcError, type RpcError } from '@tillerstair/wire';
 import { outcomeWriteAttempts, type Attempts } from './attempt-machine.js';
 import type { BackendOutcome } from './backend.js';
+import { mayAskAgain, noPool, recordingPool } from './key-records.js';
 import type { CallOutcome } from './messages.js';
 import { done, outcomeOfError, refused, unknown } from './outcomes.js';
 import type { OpValue } from './stored-values.js';
@@ -19,6 +21,8 @@
 
 const firstServerError = 500;
 const intentWriteAttempts = 1;
+/** Pause after every server of the required pool has been tried, before they are tried again. */
+const triedAllPauseMs = 50;
 
 /** A request that runs at a server: at most once unless it is idempotent. */
 export interface Operation {
@@ -38,27 +42,15 @@
   send(server: Server, signal: AbortSignal, mayStillRun: () => boolean): Promise<BackendOutcome>;
 }
 
-/** Whether the servers of a pool record idempotency keys themselves; false for a pool that is not configured. */
-const recordsKeys = (owner: OwnerServices, poolName: string): boolean =>
-  owner.current?.config?.pools.some(
-    ({ name, remembersKeys }) => name === poolName && remembersKeys,
-  ) ?? false;
-
-/** Whether all pools in which the operation's route can place it record idempotency keys; false without a route. */
-export const routeRecordsKeys = (owner: OwnerServices, operation: Operation): boolean => {
-  const route = owner.findRoute(operation.kind, operation.path);
-  return (
-    route !== undefined &&
-    route.shares.every(({ pool, share }) => share === 0 || recordsKeys(owner, pool))
-  );
-};
-
 /** The replicator that records an operation, and whether it may have run before. */
 export interface OperationHistory {
   /** The slot's replicator; undefined for a request without a key, for which nothing is stored. */
   readonly replicator: SlotReplicator | undefined;
-  /** Whether the operation may have run under an earlier ownership of the slot. */
-  readonly mayHaveRun: boolean;
+  /**
+   * The pool that has the operation in its record of keys if an earlier request with the key ran it; `noPool` if none
+   * did. An operation that may have run at a pool without a record of keys is not attempted again.
+   */
+  readonly recordedBy: string;
 }
 
 /** The attempts of one operation. */
@@ -70,9 +62,8 @@
   readonly deadline: number;
   /** A disconnect cancels the wait for a server and a request in flight; a placed operation is sent nevertheless. */
   readonly cancelled = false;
-  /** Whether all servers covered by the newest stored intent record idempotency keys; stored as `recorded`. */
-  private allServersRecord = true;
-  private intentStored = false;
+  /** The pool that the newest stored intent names; undefined before the first intent of this request. */
+  private recordedBy: string | undefined;
   private sent = 0;
   /** The result of the newest attempt that may have run; undefined if none may have. */
   private lost: BackendOutcome | undefined;
@@ -89,6 +80,13 @@
     this.deadline = operation.deadline;
   }
 
+  /** Once the operation may have run: the pool that has it in its record of keys. No other pool may be sent it. */
+  get requiredPool(): string {
+    const { recordedBy } = this.history;
+    if (recordedBy !== noPool) return recordedBy;
+    return this.lost ? (this.recordedBy ?? noPool) : noPool;
+  }
+
   refuseBeforePlacing(remainingMs: number): Promise<CallOutcome> | undefined {
     if (remainingMs <= 0) return this.giveUp('no server became free before the deadline');
     if (this.sent >= this.operation.maxAttempts)
@@ -100,7 +98,8 @@
   }
 
   async placementFailed(error: RpcError, tried: Set<string>): Promise<CallOutcome | undefined> {
-    if (tried.size > 0 && this.lost && this.operation.idempotent) {
+    if (tried.size > 0 && this.lost && this.mayRetry) {
+      if (!this.operation.idempotent) await delay(this.owner.clock, triedAllPauseMs, this.signal);
       tried.clear();
       return undefined;
     }
@@ -110,13 +109,13 @@
 
   async record(server: Server): Promise<CallOutcome | undefined> {
     this.serverHealthy = true;
-    const allServersRecord = this.allServersRecord && recordsKeys(this.owner, server.pool);
-    if (!this.intentStored || allServersRecord !== this.allServersRecord) {
-      this.allServersRecord = allServersRecord;
-      const failure = await this.store('intent').then(() => undefined, toRpcError);
-      if (failure) return this.lost ? unknown(failure.message) : outcomeOfError(failure);
-    }
-    this.intentStored = true;
+    const recordedBy = this.recordingPool(server);
+    if (recordedBy === this.recordedBy) return undefined;
+    if (this.requiredPool !== noPool && recordedBy !== this.requiredPool)
+      return unknown(`pool ${server.pool} no longer records keys; the operation may have run`);
+    const failure = await this.store('intent', recordedBy).then(() => undefined, toRpcError);
+    if (failure) return this.lost ? unknown(failure.message) : outcomeOfError(failure);
+    this.recordedBy = recordedBy;
     return undefined;
   }
 
@@ -127,7 +126,8 @@
   }
 
   send(server: Server, mayStillRun: () => boolean): Promise<BackendOutcome> {
-    return this.operation.send(server, this.signal, mayStillRun);
+    const isRecordedSo = (): boolean => this.recordingPool(server) === this.recordedBy;
+    return this.operation.send(server, this.signal, () => mayStillRun() && isRecordedSo());
   }
 
   async complete(_server: Server, ended: BackendOutcome): Promise<CallOutcome | undefined> {
@@ -146,7 +146,7 @@
       case 'lost':
         this.lost = ended;
         if (!this.signal.aborted && this.mayRetry) return undefined;
-        await this.store('unknown').catch(() => undefined);
+        await this.store('unknown', this.recordedBy).catch(() => undefined);
         return unknown(ended.text);
     }
   }
@@ -155,18 +155,24 @@
     this.owner.releaseServer(server, this.serverHealthy);
   }
 
-  /** Whether an operation that may have run may be sent to another server. */
+  /** Whether an operation that may have run may be sent again. */
   private get mayRetry(): boolean {
-    const { operation, history } = this;
-    const keysRecorded =
-      history.replicator !== undefined &&
-      this.allServersRecord &&
-      routeRecordsKeys(this.owner, operation);
-    return (operation.idempotent || keysRecorded) && this.sent < operation.maxAttempts;
+    const { operation, owner } = this;
+    const route = owner.findRoute(operation.kind, operation.path);
+    const isSafe =
+      operation.idempotent || mayAskAgain(owner.current?.config, route, this.requiredPool);
+    return isSafe && this.sent < operation.maxAttempts;
+  }
+
+  /** The pool that has the operation in its record of keys once the server runs it; `noPool` without a key. */
+  private recordingPool(server: Server): string {
+    if (!this.history.replicator) return noPool;
+    return recordingPool(this.owner.current?.config, server.pool);
   }
 
   private async store(
     recordStatus: OpValue['status'],
+    recordedBy = noPool,
     code = 0,
     body: unknown = null,
   ): Promise<void> {
@@ -178,7 +184,7 @@
       digest: operation.digest,
       code,
       body,
-      recorded: this.allServersRecord,
+      recordedBy,
     };
     const writeAttempts = recordStatus === 'intent' ? intentWriteAttempts : outcomeWriteAttempts;
     await history.replicator.putWithRetry(operation.key, value, writeAttempts);
@@ -186,22 +192,25 @@
 
   /**
    * Ends the operation without a result. If an attempt was lost, the outcome is unknown; otherwise it is a refusal, and
-   * a stored intent becomes `unknown` if an earlier ownership may have run the operation, else `void`.
+   * a stored intent becomes `unknown` if an earlier request may have run the operation, else `void`.
    */
   private async giveUp(
     text: string,
     retryAfter: number = retryAfterSeconds.recovery,
   ): Promise<CallOutcome> {
     if (this.lost) return unknown(this.lost.kind === 'lost' ? this.lost.text : text);
-    if (this.intentStored)
-      await this.store(this.history.mayHaveRun ? 'unknown' : 'void').catch(() => undefined);
+    if (this.recordedBy !== undefined) {
+      const { recordedBy } = this.history;
+      const recordStatus = recordedBy === noPool ? 'void' : 'unknown';
+      await this.store(recordStatus, recordedBy).catch(() => undefined);
+    }
     return refused(status.unavailable, 'no-server', text, retryAfter);
   }
 
   /** Stores the result. The outcome is `done` only once a quorum of replicas has it, otherwise `unknown`. */
   private async storeDone(code: number, body: unknown): Promise<CallOutcome> {
     try {
-      await this.store('done', code, body);
+      await this.store('done', this.recordedBy, code, body);
     } catch (error) {
       const { message } = toRpcError(error);
       return unknown(`the operation ran but its outcome could not be stored: ${message}`);
--- a/packages/session-owner/src/server-dispatch.ts
+++ b/packages/session-owner/src/server-dispatch.ts
@@ -1,6 +1,6 @@
 /**
  * Assigns servers to requests: an admission queue in front of the placement, one for each set of pools. Routes with the
- * same set of pools share a queue.
+ * same set of pools share a queue; a request that only one pool may run waits in the queue of that pool.
  *
  * Owns the queues. A server is assigned only under a valid read lease and only if the newest state lists it in a pool
  * of the route; `mayRun` checks both again before anything is sent.
@@ -15,6 +15,12 @@
 /** Maximum number of waiting requests of each class in a queue if there is no configuration. */
 const defaultQueueLimit = 256;
 
+/** The route with one of its pools alone; without pools if the route does not lead there. */
+const restrictToPool = (route: Route, poolName: string): Route => ({
+  ...route,
+  shares: route.shares.filter(({ pool }) => pool === poolName),
+});
+
 /** Dependencies of a `ServerDispatch`. */
 export interface ServerDispatchOptions {
   readonly clock: Clock;
@@ -93,11 +99,15 @@
     }
   }
 
-  /** The route of a request. Throws an `AdmissionError` if there is no route, or if none of its servers is usable. */
-  private usableRoute({ kind, path, excluded }: PlacementRequest): Route {
-    const route = this.findRoute(kind, path);
-    if (!route)
+  /**
+   * The route of a request, restricted to its required pool if there is one. Throws an `AdmissionError` if there is no
+   * route, or if none of its servers is usable.
+   */
+  private usableRoute({ kind, path, requiredPool, excluded }: PlacementRequest): Route {
+    const found = this.findRoute(kind, path);
+    if (!found)
       throw new AdmissionError('no-route', `no route matches ${kind} requests at ${path}`);
+    const route = requiredPool === '' ? found : restrictToPool(found, requiredPool);
     if (!this.placement.hasUsableServer(route, excluded))
       throw new AdmissionError('no-server', `no server of route ${route.name} is usable`);
     return route;
--- a/packages/session-owner/src/stored-values.ts
+++ b/packages/session-owner/src/stored-values.ts
@@ -43,8 +43,12 @@
   /** HTTP status of the result. */
   code: z.number(),
   body: z.unknown(),
-  /** Whether every server that the operation was sent to keeps its own record of keys. */
-  recorded: z.boolean().default(false),
+  /**
+   * The only pool that may have run the operation, if that pool records idempotency keys; empty if the pool records none
+   * or is not known. Replaces `recorded` of earlier versions, which did not name the pool: a record with `recorded` alone
+   * is read with an empty pool, and an earlier version does not send an operation again whose record lacks `recorded`.
+   */
+  recordedBy: z.string().default(''),
 });
 /** A keyed operation's record. */
 export type OpValue = z.infer<typeof OpValue>;
--- a/packages/session-owner/src/stream-attempts.ts
+++ b/packages/session-owner/src/stream-attempts.ts
@@ -62,6 +62,7 @@
   readonly path: string;
   readonly promptParts: readonly PrefixBlock[];
   readonly stickyPool = '';
+  readonly requiredPool = '';
   readonly deadline: number;
   readonly signal: AbortSignal;
   private readonly program: string;
--- a/packages/session-owner/src/turn-attempts.ts
+++ b/packages/session-owner/src/turn-attempts.ts
@@ -62,6 +62,7 @@
   readonly path: string;
   readonly promptParts: readonly PrefixBlock[];
   readonly stickyPool: string;
+  readonly requiredPool = '';
   readonly deadline: number;
   readonly signal: AbortSignal;
   private readonly key: string;
--- a/tests/src/session-owner/keyed-operations.test.ts
+++ b/tests/src/session-owner/keyed-operations.test.ts
@@ -140,41 +140,13 @@
   assert.is(nextOwner.sent.length, 0);
 });
 
-operations('an operation of an earlier ownership reruns only if servers record keys', async () => {
-  for (const [recorded, pools, expected] of [
-    [true, ['memo'], 'done 200'],
-    [false, ['memo'], 'unknown 504 unknown'],
-    [true, ['memo', 'shop'], 'unknown 504 unknown'],
-  ] as const) {
-    const fixture = await SessionOwnerFixture.opened();
-    const request = { path: '/recorded/' };
-    fixture.reply = () => ({ ended: { kind: 'done', code: 200, body: 1 } });
-    await fixture.finish(pass(fixture, request));
-    const stored = fixture.stored(recordKey);
-    if (stored === null || typeof stored !== 'object') throw new Error('operation is not stored');
-    fixture.store(recordKey, { ...stored, status: 'intent', recorded });
-    fixture.configure({
-      ...configuration,
-      routes: configuration.routes.map((route) =>
-        route.name === 'pass-recorded'
-          ? { ...route, shares: pools.map((pool) => ({ pool, share: 1 })) }
-          : route,
-      ),
-    });
-    await fixture.transferAwayAndBack();
-    const sentBefore = fixture.sent.length;
-    assert.is(textOf(await fixture.finish(pass(fixture, request))), expected);
-    assert.is(fixture.sent.length - sentBefore, expected === 'done 200' ? 1 : 0);
-  }
-});
-
 operations('an operation that may have run is not stored as void if it is declined', async () => {
   const fixture = await SessionOwnerFixture.opened();
   const request = { path: '/recorded/' };
   await fixture.finish(pass(fixture, request));
   const stored = fixture.stored(recordKey);
   if (stored === null || typeof stored !== 'object') throw new Error('operation is not stored');
-  fixture.store(recordKey, { ...stored, status: 'intent', recorded: true });
+  fixture.store(recordKey, { ...stored, status: 'intent', recordedBy: 'memo' });
   await fixture.transferAwayAndBack();
   fixture.reply = () => declinedReply;
   assert.is((await fixture.finish(pass(fixture, request))).outcome, 'refused');
@@ -339,15 +311,15 @@
   });
   fixture.removeServers('k2');
   fixture.reply = (index) => (index === 0 ? declinedReply : lostReply);
-  const recordedWhenSent: boolean[] = [];
+  const recordedWhenSent: string[] = [];
   const replyInTurn = fixture.reply;
   fixture.reply = (index, sent) => {
-    recordedWhenSent.push(OpValue.parse(fixture.stored(recordKey)).recorded);
+    recordedWhenSent.push(OpValue.parse(fixture.stored(recordKey)).recordedBy);
     return replyInTurn(index, sent);
   };
   assert.is((await fixture.finish(pass(fixture, { path: '/recorded/' }))).outcome, 'unknown');
   assert.is(fixture.sent[0]?.server, 'k1');
-  assert.equal(recordedWhenSent, [true, false]);
+  assert.equal(recordedWhenSent, ['memo', '']);
 });
 
 operations('a slot is not released while one of its operations is in progress', async () => {
--- a/tests/src/session-owner/owner-readiness.test.ts
+++ b/tests/src/session-owner/owner-readiness.test.ts
@@ -123,6 +123,7 @@
       path: '/chat',
       promptParts: [],
       stickyPool: '',
+      requiredPool: '',
       excluded: new Set(),
       timeoutMs: 300,
       signal: neverAborted,
--- a/tests/src/support/session-owner-fixture.ts
+++ b/tests/src/support/session-owner-fixture.ts
@@ -152,6 +152,8 @@
           serverOf('s2', 'shop'),
           serverOf('k1', 'memo'),
           serverOf('k2', 'memo'),
+          serverOf('l1', 'ledger'),
+          serverOf('l2', 'ledger'),
         ].map((server) => [server.id, server]),
       ),
     };
--- a/tests/src/support/session-owner-state.ts
+++ b/tests/src/support/session-owner-state.ts
@@ -37,13 +37,14 @@
   places: 0,
 });
 
-/** A model pool, two service pools, and a route for each kind of request. */
+/** A model pool, three service pools, two of which record keys, and a route for each kind of request. */
 export const configuration = {
   base: 0,
   pools: [
     { name: 'models', kind: 'model' },
     { name: 'shop', kind: 'service' },
     { name: 'memo', kind: 'service', remembersKeys: true },
+    { name: 'ledger', kind: 'service', remembersKeys: true },
   ],
   routes: [
     {
@@ -60,19 +61,21 @@
     { name: 'look', match: { kind: 'call', path: '/look' }, shares: [{ pool: 'shop', share: 1 }] },
     ...(
       [
-        ['keyed', { manner: 'keyed', tries: 2 }, 'shop'],
-        ['recorded', { manner: 'keyed', tries: 2 }, 'memo'],
-        ['once', { manner: 'once', tries: 2 }, 'shop'],
-        ['again', { manner: 'repeatable', tries: 2 }, 'shop'],
-        ['turn', { manner: 'stream', tries: 2, turnRetentionMs: 60000 }, 'models'],
-        ['flow', { manner: 'stream', tries: 1 }, 'models'],
-        ['live', { manner: 'stream', tries: 2, resumable: true }, 'models'],
+        ['keyed', { manner: 'keyed', tries: 2 }, ['shop']],
+        ['recorded', { manner: 'keyed', tries: 2 }, ['memo']],
+        ['split', { manner: 'keyed', tries: 2 }, ['memo', 'ledger']],
+        ['mixed', { manner: 'keyed', tries: 2 }, ['memo', 'shop']],
+        ['once', { manner: 'once', tries: 2 }, ['shop']],
+        ['again', { manner: 'repeatable', tries: 2 }, ['shop']],
+        ['turn', { manner: 'stream', tries: 2, turnRetentionMs: 60000 }, ['models']],
+        ['flow', { manner: 'stream', tries: 1 }, ['models']],
+        ['live', { manner: 'stream', tries: 2, resumable: true }, ['models']],
       ] as const
-    ).map(([name, pass, pool]) => ({
+    ).map(([name, pass, pools]) => ({
       name: `pass-${name}`,
       match: { kind: 'pass', host, path: `/${name}/` },
       pass: { deadlineMs: 8000, ...pass },
-      shares: [{ pool, share: 1 }],
+      shares: pools.map((pool) => ({ pool, share: 1 })),
     })),
   ],
   budgets: { program: 100, turn: 8 },
