Ask a service that is running a key again until it has the answer

Cause: a declined request did not say why. Change: BackendOutcome `declined` has keyInProgress (409 with the guarantee, on pass routes and on /v1/act). The owner stays at that service, asks again every 100 ms until the deadline, and does not count these attempts. A run that outlasts the request is reported as 409 with executed "unknown", not as refused: after a change of owner the run may be this very try's. Refusal in pass-answer.ts now states mayHaveRun itself instead of deriving it from the status.

--- a/packages/proxy/src/http-backend.ts
+++ b/packages/proxy/src/http-backend.ts
@@ -21,7 +21,7 @@
 import { RequestWithdrawnError, SendGuard } from './send-guard.js';
 import { createServerAgent, type ConnectionLimits } from './server-agent.js';
 import { ActResponse, LoadResponse, NotExecuted, parseLoad } from './server-messages.js';
-import { internalServerError, ok, tooManyRequests } from './status-codes.js';
+import { conflict, internalServerError, ok, tooManyRequests } from './status-codes.js';
 import { readTurnStream } from './turn-stream.js';
 
 const messageOf = (error: unknown): string =>
@@ -38,12 +38,24 @@
   return { kind: withdrawn ? 'declined' : 'never-left', text: messageOf(error) };
 };
 
-/** The outcome for an error status: declined only if the response body guarantees that the request was not run. */
+/**
+ * The outcome for an error status: declined only if the response body guarantees that the request was not run; a 409
+ * then means that a request with the same idempotency key is running.
+ */
 const outcomeOfStatus = (status: number, body: unknown): BackendOutcome =>
   NotExecuted.safeParse(body).success
-    ? { kind: 'declined', text: `server declined with ${status}` }
+    ? {
+        kind: 'declined',
+        text: `server declined with ${status}`,
+        ...(status === conflict ? { keyInProgress: true } : {}),
+      }
     : { kind: 'lost', text: `server failed with ${status}` };
 
+const isFailure = (status: number, body: unknown): boolean =>
+  status >= internalServerError ||
+  status === tooManyRequests ||
+  (status === conflict && NotExecuted.safeParse(body).success);
+
 /** A signal that aborts when the caller disconnects or after `timeoutMs`. */
 const stopSignal = (caller: AbortSignal, timeoutMs: number): AbortSignal =>
   AbortSignal.any([caller, AbortSignal.timeout(Math.ceil(timeoutMs))]);
@@ -223,8 +235,7 @@
       );
       const responseBody: unknown = await response.body.json();
       const { statusCode } = response;
-      if (statusCode >= internalServerError || statusCode === tooManyRequests)
-        return outcomeOfStatus(statusCode, responseBody);
+      if (isFailure(statusCode, responseBody)) return outcomeOfStatus(statusCode, responseBody);
       const result = ActResponse.safeParse(responseBody);
       if (!result.success || result.data.id !== id)
         return { kind: 'lost', text: `the server answered another request than ${id}` };
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -5,6 +5,7 @@
 export * from './headers.js';
 export * from './http-backend.js';
 export * from './messages.js';
+export * from './pass-answer.js';
 export * from './pass-handler.js';
 export * from './send-guard.js';
 export * from './server-agent.js';
--- a/packages/proxy/src/pass-answer.ts
+++ b/packages/proxy/src/pass-answer.ts
@@ -29,16 +29,15 @@
   readonly errorCode: string;
   readonly text: string;
   readonly retryAfter?: number | undefined;
+  /** Whether the request may have run; otherwise the response states that it has not run. */
+  readonly mayHaveRun: boolean;
 }
 
-/**
- * Sends an error response, unless a response has started. With 502 and 504 the request may have run; every other status
- * guarantees that it did not.
- */
+/** Sends an error response, unless a response has started. */
 export const sendRefusal = (res: ServerResponse, refusal: Refusal): void => {
   if (res.destroyed || res.headersSent) return;
-  const { status, errorCode, text, retryAfter } = refusal;
-  const executed = status === badGateway || status === gatewayTimeout ? 'unknown' : 'no';
+  const { status, errorCode, text, retryAfter, mayHaveRun } = refusal;
+  const executed = mayHaveRun ? 'unknown' : 'no';
   const body = JSON.stringify({ executed, errorCode, text });
   const retryHeader = retryAfter === undefined ? [] : [['Retry-After', retryAfterText(retryAfter)]];
   res.writeHead(
@@ -76,6 +75,7 @@
   errorCode: outcome.errorCode ?? 'unknown',
   text: outcome.text ?? '',
   retryAfter: outcome.retryAfter,
+  mayHaveRun: outcome.outcome !== 'refused',
 });
 
 /** Completes the response once a request has ended. A stream that broke off is destroyed: it must not look complete. */
--- a/packages/proxy/src/pass-handler.ts
+++ b/packages/proxy/src/pass-handler.ts
@@ -81,21 +81,28 @@
 /** The error response for a failure in this front; `mayBeForwarded` is true if the request may have been forwarded. */
 const refusalOfFailure = (front: Front, error: unknown, mayBeForwarded: boolean): Refusal => {
   if (error instanceof BodyTooLargeError)
-    return { status: contentTooLarge, errorCode: 'body-too-large', text: error.message };
+    return {
+      status: contentTooLarge,
+      errorCode: 'body-too-large',
+      text: error.message,
+      mayHaveRun: false,
+    };
   if (isNotReady(error))
     return {
       status: serviceUnavailable,
       errorCode: error.code,
       text: error.message,
+      mayHaveRun: false,
       retryAfter: (front.bounds.heartbeatInterval * leaseRetryHeartbeats) / millisecondsPerSecond,
     };
   const { code, message, executed } = toRpcError(error);
   return mayBeForwarded && executed !== 'no'
-    ? { status: badGateway, errorCode: code, text: message }
+    ? { status: badGateway, errorCode: code, text: message, mayHaveRun: true }
     : {
         status: serviceUnavailable,
         errorCode: code,
         text: message,
+        mayHaveRun: false,
         retryAfter: defaultRetryAfterS,
       };
 };
@@ -112,7 +119,7 @@
       const request = await readPassRequest(req, dialect, maxBodyBytes(), elapsedMs);
       if (request.attempt === '') {
         const text = `header ${dialect.attempt}, the id of the attempt, is missing`;
-        sendRefusal(res, { status: badRequest, errorCode: 'no-try', text });
+        sendRefusal(res, { status: badRequest, errorCode: 'no-try', text, mayHaveRun: false });
         return;
       }
       const stream = new StreamWriter(res);
--- a/packages/proxy/src/status-codes.ts
+++ b/packages/proxy/src/status-codes.ts
@@ -6,6 +6,7 @@
 export const badRequest = 400;
 export const notFound = 404;
 export const requestTimeout = 408;
+export const conflict = 409;
 export const contentTooLarge = 413;
 export const misdirectedRequest = 421;
 export const tooEarly = 425;
--- a/packages/session-owner/src/attempt-machine.ts
+++ b/packages/session-owner/src/attempt-machine.ts
@@ -64,8 +64,13 @@
   readonly signal: AbortSignal;
   /** Whether the caller has disconnected and the request must therefore not be sent any more. */
   readonly cancelled: boolean;
-  /** `placing`: called before each wait for a server; an outcome ends the request without waiting. */
-  refuseBeforePlacing(remainingMs: number): CallOutcome | Promise<CallOutcome> | undefined;
+  /**
+   * `placing`: called before each wait for a server; an outcome ends the request without waiting. A promise of
+   * `undefined` delays the wait: the hook is called once more when it has resolved.
+   */
+  refuseBeforePlacing(
+    remainingMs: number,
+  ): CallOutcome | Promise<CallOutcome | undefined> | undefined;
   /** `placing`: called when no server was assigned. May clear `tried`, so that the same servers are tried again. */
   placementFailed(error: RpcError, tried: Set<string>): Promise<CallOutcome | undefined>;
   /** `placed`: stores the intent or reservation on a quorum of replicas, unless it is stored already. */
@@ -101,7 +106,11 @@
     for (;;) {
       const timeoutMs = attempts.deadline - dispatcher.clock.now();
       const refusal = attempts.refuseBeforePlacing(timeoutMs);
-      if (refusal) return refusal;
+      if (refusal) {
+        const outcome = await refusal;
+        if (outcome) return outcome;
+        continue;
+      }
       const server = await this.place(timeoutMs);
       const outcome =
         server instanceof RpcError
--- a/packages/session-owner/src/backend.ts
+++ b/packages/session-owner/src/backend.ts
@@ -13,12 +13,13 @@
 /**
  * The result of sending a request to a server. `never-left`: nothing was sent, since the server could not be reached.
  * `declined`: it was certainly not executed, either because the server said so or because the owner stopped it right
- * before the first byte. `lost`: it is not known whether it was executed. `done`: the server's complete response has
+ * before the first byte; `keyInProgress` is set if the server said that it is running a request with the same
+ * idempotency key. `lost`: it is not known whether it was executed. `done`: the server's complete response has
  * arrived; `code` is its HTTP status.
  */
 export type BackendOutcome =
   | { readonly kind: 'never-left'; readonly text: string }
-  | { readonly kind: 'declined'; readonly text: string }
+  | { readonly kind: 'declined'; readonly text: string; readonly keyInProgress?: true | undefined }
   | { readonly kind: 'lost'; readonly text: string }
   | { readonly kind: 'done'; readonly code: number; readonly body: unknown };
 
--- a/packages/session-owner/src/operation-attempts.ts
+++ b/packages/session-owner/src/operation-attempts.ts
@@ -13,7 +13,7 @@
 import type { BackendOutcome } from './backend.js';
 import { mayAskAgain, noPool, recordingPool } from './key-records.js';
 import type { CallOutcome } from './messages.js';
-import { done, outcomeOfError, refused, unknown } from './outcomes.js';
+import { done, keyInProgress, outcomeOfError, refused, unknown } from './outcomes.js';
 import type { OpValue } from './stored-values.js';
 import type { OwnerServices } from './owner-services.js';
 import { retryAfterSeconds, status } from './refusals.js';
@@ -23,6 +23,8 @@
 const intentWriteAttempts = 1;
 /** Pause after every server of the required pool has been tried, before they are tried again. */
 const triedAllPauseMs = 50;
+/** Pause after a service said that it is running the operation, before it is asked for the result again. */
+const inProgressPauseMs = 100;
 
 /** A request that runs at a server: at most once unless it is idempotent. */
 export interface Operation {
@@ -67,6 +69,9 @@
   private sent = 0;
   /** The result of the newest attempt that may have run; undefined if none may have. */
   private lost: BackendOutcome | undefined;
+  /** Whether a server of the required pool said that it is running the operation. */
+  private isInProgress = false;
+  private pauseBeforePlacing = false;
   private serverHealthy = true;
 
   constructor(
@@ -84,24 +89,25 @@
   get requiredPool(): string {
     const { recordedBy } = this.history;
     if (recordedBy !== noPool) return recordedBy;
-    return this.lost ? (this.recordedBy ?? noPool) : noPool;
+    return this.lost || this.isInProgress ? (this.recordedBy ?? noPool) : noPool;
   }
 
-  refuseBeforePlacing(remainingMs: number): Promise<CallOutcome> | undefined {
+  refuseBeforePlacing(remainingMs: number): Promise<CallOutcome | undefined> | undefined {
     if (remainingMs <= 0) return this.giveUp('no server became free before the deadline');
     if (this.sent >= this.operation.maxAttempts)
       return this.giveUp(
         `all ${this.sent} attempts at a server failed`,
         retryAfterSeconds.otherAttempt,
       );
-    return undefined;
+    if (!this.pauseBeforePlacing) return undefined;
+    this.pauseBeforePlacing = false;
+    return this.pause(Math.min(inProgressPauseMs, remainingMs));
   }
 
   async placementFailed(error: RpcError, tried: Set<string>): Promise<CallOutcome | undefined> {
-    if (tried.size > 0 && this.lost && this.mayRetry) {
-      if (!this.operation.idempotent) await delay(this.owner.clock, triedAllPauseMs, this.signal);
+    if (tried.size > 0 && (this.lost || this.isInProgress) && this.mayRetry) {
       tried.clear();
-      return undefined;
+      return this.operation.idempotent ? undefined : this.pause(triedAllPauseMs);
     }
     const outcome = await this.giveUp(error.message);
     return outcome.outcome === 'refused' ? { ...outcome, ...outcomeOfError(error) } : outcome;
@@ -132,22 +138,21 @@
 
   async complete(_server: Server, ended: BackendOutcome): Promise<CallOutcome | undefined> {
     this.serverHealthy = ended.kind === 'done' || ended.kind === 'declined';
+    if (this.isKeyInProgress(ended)) {
+      // Does not count as an attempt: the service is not asked in vain.
+      this.isInProgress = true;
+      this.pauseBeforePlacing = true;
+      return undefined;
+    }
     if (ended.kind !== 'never-left') this.sent++;
     switch (ended.kind) {
       case 'never-left':
       case 'declined':
         return undefined;
       case 'done':
-        if (ended.code >= firstServerError && this.operation.idempotent && this.mayRetry) {
-          this.lost = ended;
-          return undefined;
-        }
-        return this.storeDone(ended.code, ended.body);
+        return this.completeAnswered(ended);
       case 'lost':
-        this.lost = ended;
-        if (!this.signal.aborted && this.mayRetry) return undefined;
-        await this.store('unknown', this.recordedBy).catch(() => undefined);
-        return unknown(ended.text);
+        return this.completeLost(ended);
     }
   }
 
@@ -155,6 +160,29 @@
     this.owner.releaseServer(server, this.serverHealthy);
   }
 
+  private isKeyInProgress(ended: BackendOutcome): boolean {
+    return ended.kind === 'declined' && ended.keyInProgress === true && this.recordedBy !== noPool;
+  }
+
+  private async completeAnswered(
+    ended: Extract<BackendOutcome, { kind: 'done' }>,
+  ): Promise<CallOutcome | undefined> {
+    if (ended.code >= firstServerError && this.operation.idempotent && this.mayRetry) {
+      this.lost = ended;
+      return undefined;
+    }
+    return this.storeDone(ended.code, ended.body);
+  }
+
+  private async completeLost(
+    ended: Extract<BackendOutcome, { kind: 'lost' }>,
+  ): Promise<CallOutcome | undefined> {
+    this.lost = ended;
+    if (!this.signal.aborted && this.mayRetry) return undefined;
+    await this.store('unknown', this.recordedBy).catch(() => undefined);
+    return unknown(ended.text);
+  }
+
   /** Whether an operation that may have run may be sent again. */
   private get mayRetry(): boolean {
     const { operation, owner } = this;
@@ -170,6 +198,10 @@
     return recordingPool(this.owner.current?.config, server.pool);
   }
 
+  private async pause(ms: number): Promise<undefined> {
+    await delay(this.owner.clock, ms, this.signal);
+  }
+
   private async store(
     recordStatus: OpValue['status'],
     recordedBy = noPool,
@@ -191,14 +223,20 @@
   }
 
   /**
-   * Ends the operation without a result. If an attempt was lost, the outcome is unknown; otherwise it is a refusal, and
-   * a stored intent becomes `unknown` if an earlier request may have run the operation, else `void`.
+   * Ends the operation without a result. If an attempt was lost, the outcome is unknown, and if its service is running
+   * it, that it is in progress; otherwise it is a refusal, and a stored intent becomes `unknown` if an earlier request
+   * may have run the operation, else `void`.
    */
   private async giveUp(
     text: string,
     retryAfter: number = retryAfterSeconds.recovery,
   ): Promise<CallOutcome> {
     if (this.lost) return unknown(this.lost.kind === 'lost' ? this.lost.text : text);
+    if (this.isInProgress)
+      return keyInProgress(
+        `pool ${this.requiredPool} is running an operation with this key`,
+        retryAfterSeconds.otherAttempt,
+      );
     if (this.recordedBy !== undefined) {
       const { recordedBy } = this.history;
       const recordStatus = recordedBy === noPool ? 'void' : 'unknown';
--- a/packages/session-owner/src/outcomes.ts
+++ b/packages/session-owner/src/outcomes.ts
@@ -5,6 +5,7 @@
 const ok = 200;
 const tooManyRequests = 429;
 const unavailable = 503;
+const conflict = 409;
 const gatewayTimeout = 504;
 const millisecondsPerSecond = 1000;
 const routeRetryAfterMs = 300;
@@ -38,6 +39,18 @@
   text,
 });
 
+/**
+ * The outcome of a request whose key is in progress at its service; `retryAfter` is in seconds. It does not say that this
+ * request has not run: the run may be its own, sent by an earlier owner of its slot.
+ */
+export const keyInProgress = (text: string, retryAfter: number): CallOutcome => ({
+  outcome: 'unknown',
+  status: conflict,
+  errorCode: 'running',
+  text,
+  retryAfter,
+});
+
 /** The outcome of a request that failed: `refused` if the error guarantees that it was not executed, else `unknown`. */
 export const outcomeOfError = (error: RpcError): CallOutcome =>
   error.executed === 'no'
--- a/tests/src/proxy/pass-front.test.ts
+++ b/tests/src/proxy/pass-front.test.ts
@@ -9,8 +9,9 @@
   HttpBackend,
   productDialect,
   routePassRequest,
+  sendPassOutcome,
 } from '@tillerstair/proxy';
-import { encodeBody, type PassRequest } from '@tillerstair/session-owner';
+import { encodeBody, keyInProgress, type PassRequest } from '@tillerstair/session-owner';
 import { passHost } from '@tillerstair/sim';
 import { hostClock, ReplicaError, RpcError } from '@tillerstair/wire';
 import {
@@ -116,6 +117,21 @@
   await front.close();
 });
 
+clients(
+  'a key that its service is running is 409, which does not promise that nothing runs',
+  async () => {
+    const outcome = keyInProgress('running', 0.2);
+    const http = createServer((_req, res) => sendPassOutcome(res, outcome)).listen(0, '127.0.0.1');
+    await once(http, 'listening');
+    const { port } = BoundAddress.parse(http.address());
+    const response = await ask(port, '/keyed/x', attemptHeaders('a'));
+    assert.is(response.status, 409);
+    assert.is(headerOf(response.headers, 'retry-after'), '0.2');
+    assert.match(response.body.toString(), '"executed":"unknown"');
+    http.close();
+  },
+);
+
 clients('a front without a lease forwards nothing', async () => {
   const fixture = createFrontFixture();
   fixture.applyWithLease(stateFor('f'));
--- a/tests/src/proxy/server-answers.test.ts
+++ b/tests/src/proxy/server-answers.test.ts
@@ -115,6 +115,35 @@
     );
 });
 
+const json = (res: ServerResponse, status: number, value: unknown): void => {
+  res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
+};
+
+responses('409 with the guarantee that a repeat has not run says that its key runs', async () => {
+  for (const [status, promise, keyInProgress] of [
+    [409, ['X-Not-Run', '1'], true],
+    [503, ['X-Not-Run', '1'], undefined],
+  ] as const)
+    await withServer(
+      (_received, res) => res.writeHead(status, ['X-Request-Id', 'a', ...promise]).end('x'),
+      async (backend, port) => {
+        const ended = await passThrough(backend, port);
+        assert.is(ended.kind === 'declined' && ended.keyInProgress, keyInProgress);
+      },
+    );
+  await withServer(
+    (_received, res) => res.writeHead(409, ['X-Request-Id', 'a']).end('x'),
+    async (backend, port) => assert.is((await passThrough(backend, port)).kind, 'done'),
+  );
+  await withServer(
+    (_received, res) => json(res, 409, { executed: 'no' }),
+    async (backend, port) => {
+      const ended = await actAt(backend, port);
+      assert.is(ended.kind === 'declined' && ended.keyInProgress, true);
+    },
+  );
+});
+
 responses('an invalid load header is ignored', async () => {
   for (const [text, expected] of [
     ['3,1,8', [{ running: 3, waiting: 1, places: 8 }]],
@@ -134,10 +163,6 @@
     );
 });
 
-const json = (res: ServerResponse, status: number, value: unknown): void => {
-  res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value));
-};
-
 responses('a failure of a model server is declined only with its own guarantee', async () => {
   for (const [status, value, kind] of [
     [503, { executed: 'no' }, 'declined'],
@@ -161,6 +186,8 @@
     [503, {}, 'lost'],
     [500, { id: 'i', result: 1 }, 'lost'],
     [404, { id: 'i', result: 1 }, 'done'],
+    [409, { id: 'i', result: 1 }, 'done'],
+    [409, { executed: 'no' }, 'declined'],
     [200, { id: 'other', result: 1 }, 'lost'],
     [200, { result: 1 }, 'lost'],
   ] as const)
--- a/tests/src/session-owner/keyed-services.test.ts
+++ b/tests/src/session-owner/keyed-services.test.ts
@@ -4,14 +4,7 @@
  */
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import {
-  decodeBody,
-  encodeBody,
-  ForwardedResponse,
-  opKeyOf,
-  OpValue,
-  type CallOutcome,
-} from '@tillerstair/session-owner';
+import { OpValue } from '@tillerstair/session-owner';
 import {
   declinedReply,
   gate,
@@ -20,82 +13,19 @@
   statusOf,
   textOf,
 } from '../support/session-owner-fixture.js';
-import { RecordingServices } from '../support/recording-services.js';
-import { configuration, host } from '../support/session-owner-state.js';
+import {
+  afterLostTry,
+  answerOf,
+  configurationWith,
+  recordKey,
+  RecordingServices,
+  send,
+  sendAndWait,
+  unknownOutcome,
+} from '../support/recording-services.js';
+import { configuration } from '../support/session-owner-state.js';
 
 const services = suite('keyed operations of routes with several services');
-const neverAborted = new AbortController().signal;
-const recordKey = opKeyOf('t', 'k');
-const unknownOutcome = 'unknown 504 unknown';
-
-/** Sends a request to the front, as one try of a client; by default with the key `k`. */
-const send = (
-  fixture: SessionOwnerFixture,
-  { path = '/split/', left = 8000, key = 'k' }: { path?: string; left?: number; key?: string } = {},
-): Promise<CallOutcome> =>
-  fixture.owner.calls.runPass(
-    {
-      tenant: 't',
-      host,
-      method: 'POST',
-      path,
-      headers: [],
-      attempt: 'r1',
-      key,
-      left,
-      program: '',
-      budget: null,
-      most: 0,
-      parts: [],
-      after: '',
-      resume: '',
-      body: encodeBody(Buffer.from('b')),
-    },
-    neverAborted,
-  );
-
-/** What a caller sees: the text of the service's answer, or the kind of outcome. */
-const answerOf = (outcome: CallOutcome): string => {
-  const response = ForwardedResponse.safeParse(outcome.body);
-  return response.success ? decodeBody(response.data.body).toString('latin1') : textOf(outcome);
-};
-
-const sendAndWait = async (
-  fixture: SessionOwnerFixture,
-  options: { path?: string; left?: number } = {},
-): Promise<string> => answerOf(await fixture.finish(send(fixture, options)));
-
-/** The configuration with other shares for the route of `/split/`, or with other pools. */
-const configurationWith = (
-  shares: Readonly<Record<string, number>>,
-  recordingPools: readonly string[] = ['memo', 'ledger'],
-): object => ({
-  ...configuration,
-  pools: configuration.pools.map((pool) =>
-    pool.kind === 'service' ? { ...pool, remembersKeys: recordingPools.includes(pool.name) } : pool,
-  ),
-  routes: configuration.routes.map((route) =>
-    route.name === 'pass-split'
-      ? { ...route, shares: Object.entries(shares).map(([pool, share]) => ({ pool, share })) }
-      : route,
-  ),
-});
-
-/** A fixture whose first try with the key ran at a service and was lost on both of its attempts. */
-const afterLostTry = async (
-  first: Readonly<Record<string, number>> = { memo: 1, ledger: 1 },
-): Promise<readonly [SessionOwnerFixture, RecordingServices]> => {
-  const fixture = await SessionOwnerFixture.opened();
-  fixture.configure(configurationWith(first));
-  const recording = new RecordingServices();
-  fixture.reply = (index, sent) => {
-    recording.reply(index, sent);
-    return lostReply;
-  };
-  assert.is(await sendAndWait(fixture), unknownOutcome);
-  fixture.reply = recording.reply;
-  return [fixture, recording];
-};
 
 // Guards against review/1: the attempt after a lost answer went to the other service of the route, which ran it too.
 services('the attempt after a lost answer goes to the service that ran the operation', async () => {
@@ -364,4 +294,17 @@
   },
 );
 
+// An error of the service is its answer, also when it answers a repeat.
+services('a server error in answer to a repeat is final', async () => {
+  const [fixture] = await afterLostTry({ memo: 1 });
+  const sentBefore = fixture.sent.length;
+  fixture.reply = () => ({
+    status: 500,
+    bytes: [],
+    ended: { kind: 'done', code: 500, body: null },
+  });
+  assert.is((await fixture.finish(send(fixture))).outcome, 'done');
+  assert.is(fixture.sent.length - sentBefore, 1);
+});
+
 services.run();
--- a/tests/src/support/recording-services.ts
+++ b/tests/src/support/recording-services.ts
@@ -1,5 +1,23 @@
-/** Scripted services that record idempotency keys: the servers of a pool share one table, other pools do not know it. */
-import { lostReply, type SentRequest, type ServerReply } from './session-owner-fixture.js';
+/**
+ * Scripted services that record idempotency keys, and requests with a key to them. The servers of a pool share one table
+ * of keys, which other pools do not know.
+ */
+import * as assert from 'uvu/assert';
+import {
+  decodeBody,
+  encodeBody,
+  ForwardedResponse,
+  opKeyOf,
+  type CallOutcome,
+} from '@tillerstair/session-owner';
+import {
+  lostReply,
+  SessionOwnerFixture,
+  textOf,
+  type SentRequest,
+  type ServerReply,
+} from './session-owner-fixture.js';
+import { configuration, host } from './session-owner-state.js';
 
 /** How a service's answer to a request gets lost; `undefined` if it arrives. */
 export type Loss = (run: number) => ServerReply | undefined;
@@ -35,3 +53,79 @@
     return this.loss(run) ?? answer;
   };
 }
+
+const neverAborted = new AbortController().signal;
+/** The key of the record of an operation with the idempotency key `k`. */
+export const recordKey = opKeyOf('t', 'k');
+/** The outcome of an operation that may have run, as `textOf` tells it. */
+export const unknownOutcome = 'unknown 504 unknown';
+
+/** Sends a request to the front, as one try of a client; by default with the key `k`. */
+export const send = (
+  fixture: SessionOwnerFixture,
+  { path = '/split/', left = 8000, key = 'k' }: { path?: string; left?: number; key?: string } = {},
+): Promise<CallOutcome> =>
+  fixture.owner.calls.runPass(
+    {
+      tenant: 't',
+      host,
+      method: 'POST',
+      path,
+      headers: [],
+      attempt: 'r1',
+      key,
+      left,
+      program: '',
+      budget: null,
+      most: 0,
+      parts: [],
+      after: '',
+      resume: '',
+      body: encodeBody(Buffer.from('b')),
+    },
+    neverAborted,
+  );
+
+/** What a caller sees: the text of the service's answer, or the kind of outcome. */
+export const answerOf = (outcome: CallOutcome): string => {
+  const response = ForwardedResponse.safeParse(outcome.body);
+  return response.success ? decodeBody(response.data.body).toString('latin1') : textOf(outcome);
+};
+
+/** Sends a request and advances the time until its outcome; returns what the caller sees. */
+export const sendAndWait = async (
+  fixture: SessionOwnerFixture,
+  options: { path?: string; left?: number } = {},
+): Promise<string> => answerOf(await fixture.finish(send(fixture, options)));
+
+/** The configuration with other shares for the route of `/split/`, or with other pools. */
+export const configurationWith = (
+  shares: Readonly<Record<string, number>>,
+  recordingPools: readonly string[] = ['memo', 'ledger'],
+): object => ({
+  ...configuration,
+  pools: configuration.pools.map((pool) =>
+    pool.kind === 'service' ? { ...pool, remembersKeys: recordingPools.includes(pool.name) } : pool,
+  ),
+  routes: configuration.routes.map((route) =>
+    route.name === 'pass-split'
+      ? { ...route, shares: Object.entries(shares).map(([pool, share]) => ({ pool, share })) }
+      : route,
+  ),
+});
+
+/** A fixture whose first try with the key ran at a service and was lost on both of its attempts. */
+export const afterLostTry = async (
+  first: Readonly<Record<string, number>> = { memo: 1, ledger: 1 },
+): Promise<readonly [SessionOwnerFixture, RecordingServices]> => {
+  const fixture = await SessionOwnerFixture.opened();
+  fixture.configure(configurationWith(first));
+  const recording = new RecordingServices();
+  fixture.reply = (index, sent) => {
+    recording.reply(index, sent);
+    return lostReply;
+  };
+  assert.is(await sendAndWait(fixture), unknownOutcome);
+  fixture.reply = recording.reply;
+  return [fixture, recording];
+};
