Treat an operation whose record cannot be read as one that may have run

What callers would see: a keyed operation whose stored record does not parse, for example one written by a later version, was sent to a server as if its key had never been used, so it could run twice.

Change: such a record answers unknown and nothing is sent.

--- a/packages/session-owner/src/calls.ts
+++ b/packages/session-owner/src/calls.ts
@@ -4,8 +4,7 @@
  * Holds the keyed operations that are running here; their intents and results are in the slot's replicas. A key is
  * bound to one request body, and a finished operation is answered from its record. An operation that may have run is
  * sent again only to the pool that has it in its own record of keys, so that it takes effect at most once; otherwise
- * its outcome stays "unknown" (`docs/design.md`, "A tool call"). This depends on the record: a record that does not
- * parse is treated as absent (`stored-values.ts`).
+ * its outcome stays "unknown" (`docs/design.md`, "A tool call"). The same holds for a record that does not parse.
  */
 import type { Server } from '@tillerstair/state';
 import { toRpcError, UnavailableError, withTimeout } from '@tillerstair/wire';
@@ -136,14 +135,12 @@
     const replicator = this.owner.replicator(key);
     const running = this.running.get(key);
     if (running) return this.join(operation, running);
-    // A record that does not parse counts as absent: the operation is sent again (docs/gaps.md, "Decisions to take").
-    const existing = OpValue.safeParse(replicator.get(key));
-    const mayHaveRun = existing.success && existing.data.status !== 'void';
-    if (mayHaveRun) {
-      const outcome = this.outcomeOfRecord(operation, existing.data);
-      if (outcome) return outcome;
-    }
-    const recordedBy = mayHaveRun ? existing.data.recordedBy : noPool;
+    const stored = OpValue.optional().safeParse(replicator.get(key));
+    if (!stored.success) return unknown('the record of this operation cannot be read');
+    const record = stored.data?.status === 'void' ? undefined : stored.data;
+    const known = record && this.outcomeOfRecord(operation, record);
+    if (known) return known;
+    const recordedBy = record?.recordedBy ?? noPool;
     // Not aborted when the caller disconnects: the outcome of a keyed operation that has begun must be recorded.
     const outcome = this.run(operation, { replicator, recordedBy }, neverAborted());
     this.running.set(key, { digest, outcome });
--- a/packages/session-owner/src/stored-values.ts
+++ b/packages/session-owner/src/stored-values.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the values that replicas store for programs, turns and operations. Their property names and enum values
- * are on disk and must not change. A value that does not parse is treated as absent; an operation with such a record
- * would be sent again (`docs/gaps.md`, "Decisions to take").
+ * are on disk and must not change. A value that does not parse is treated as absent, except an operation's: it may have
+ * run.
  */
 import { z } from 'zod';
 
--- a/tests/src/session-owner/keyed-operations.test.ts
+++ b/tests/src/session-owner/keyed-operations.test.ts
@@ -156,6 +156,15 @@
   assert.is(statusOf(fixture.stored(opKeyOf('t', 'fresh'))), 'void');
 });
 
+// A record of a later version may have a form that this one does not know.
+operations('an operation whose record does not parse may have run', async () => {
+  const fixture = await SessionOwnerFixture.opened();
+  fixture.store(recordKey, { t: 'op', status: 'sent to two', digest: '' });
+  await fixture.transferAwayAndBack();
+  assert.is(textOf(await fixture.finish(call(fixture))), 'unknown 504 unknown');
+  assert.is(fixture.sent.length, 0);
+});
+
 operations('a lost operation is unknown and is not sent to another server', async () => {
   const fixture = await SessionOwnerFixture.opened();
   fixture.reply = () => lostReply;
