Let simulated services record keys, and storms split routes over them

Change: the pools memo and ledger share a table of keys each (SimKeyTable): a finished run is answered from it, a running one is declined with keyInProgress, a run that broke off is forgotten. Storms have a keyed route that always leads to both pools with changing shares, and one that moves from one to the other; servers of both are among those that faults strike. New fault lose-in-silence: the answer is lost and the connection stays silent. At the end each unanswered key of the first route is asked for once more.

Checker: a run that broke off at a pool that records keys does not count (users' RULES, "Repeated operations"); new rule "a key whose service can answer gets its answer".

--- a/packages/checker/src/pass-rules.ts
+++ b/packages/checker/src/pass-rules.ts
@@ -35,6 +35,12 @@
 const executionsByAttempt = (records: Records): Executions =>
   groupBy(passExecutions(records), (execution) => execution.attempt);
 
+/** The executions that count towards single execution: all but broken-off ones at servers that record keys. */
+const countedExecutions = (records: Records): readonly ExecutionRecord[] =>
+  passExecutions(records).filter(
+    ({ key, pool, complete }) => complete || key === '' || !records.recordingPools.includes(pool),
+  );
+
 const executionsByKey = (records: Records): Executions =>
   groupBy(
     passExecutions(records).filter((execution) => execution.key !== ''),
@@ -49,12 +55,17 @@
   pass.manner === 'repeatable' || (pass.manner === 'stream' && pass.resumable);
 
 const passesRunOnce = (records: Records): RuleResult => {
-  const executions = executionsByAttempt(records);
+  const counted = countedExecutions(records);
+  const executions = groupBy(counted, (execution) => execution.attempt);
+  const byKey = groupBy(
+    counted.filter((execution) => execution.key !== ''),
+    (execution) => execution.key,
+  );
   const unrepeatable = records.passes.filter((pass) => !mayRepeat(pass));
   const repeatedAttempts = unrepeatable
     .filter((pass) => (executions.get(pass.attempt) ?? []).length > 1)
     .map((pass) => `attempt ${pass.attempt} on ${pass.path} ran more than once`);
-  const repeatedKeys = [...executionsByKey(records)]
+  const repeatedKeys = [...byKey]
     .filter(([, keyed]) => keyed.length > 1)
     .map(([key, keyed]) => `key ${key} of a pass route ran ${keyed.length} times`);
   return {
@@ -64,6 +75,21 @@
   };
 };
 
+const finalAttemptsAreAnswered = (records: Records): RuleResult => {
+  const passes = passesByAttempt(records);
+  const breaches = records.finalAttempts.flatMap((attempt) => {
+    const pass = passes.get(attempt);
+    return pass?.reported === 'done'
+      ? []
+      : [`key ${pass?.key ?? ''} got ${pass?.errorCode ?? 'nothing'} for attempt ${attempt}`];
+  });
+  return {
+    rule: 'a key whose service can answer gets its answer',
+    checked: records.finalAttempts.length,
+    breaches,
+  };
+};
+
 const refusedPassesDidNotRun = (records: Records): RuleResult => {
   const executions = executionsByAttempt(records);
   const refused = records.passes.filter(
@@ -258,6 +284,7 @@
 /** Checks all rules on pass routes; returns one result per rule. */
 export const checkPassRules = (records: Records, tolerances: Tolerances): readonly RuleResult[] => [
   passesRunOnce(records),
+  finalAttemptsAreAnswered(records),
   refusedPassesDidNotRun(records),
   executedPassesWereSent(records),
   completedPassesMatchServerBytes(records),
--- a/packages/checker/src/records.ts
+++ b/packages/checker/src/records.ts
@@ -119,6 +119,13 @@
   readonly drainings: readonly DrainingRecord[];
   readonly shares: readonly SharesRecord[];
   readonly restarts: readonly RestartRecord[];
+  /** The pools whose servers record idempotency keys; there, a run that broke off may be repeated. */
+  readonly recordingPools: readonly string[];
+  /**
+   * Attempts on pass routes whose key a service may have in its record of keys, made when nothing was wrong any more
+   * and the route led to every service that may have the key.
+   */
+  readonly finalAttempts: readonly string[];
   /** The configuration read back at the end of the run; undefined if none could be read. */
   readonly readBack: { readonly version: number; readonly text: string } | undefined;
   /** Maximum number of tokens that one turn may generate. */
@@ -135,6 +142,8 @@
   drainings: [],
   shares: [],
   restarts: [],
+  recordingPools: [],
+  finalAttempts: [],
   readBack: undefined,
   perTurn: 0,
 };
--- a/packages/sim/src/faults-server.ts
+++ b/packages/sim/src/faults-server.ts
@@ -27,7 +27,8 @@
 
 /** All servers of a pool that faults may affect refuse connections at once, for 3 s at most. */
 const poolRefuses: Fault = (context) => {
-  const pool = context.server.startsWith('m') ? ['m1', 'm2'] : ['s1', 's2'];
+  const letter = context.server.charAt(0);
+  const pool = [`${letter}1`, `${letter}2`];
   for (const id of pool) context.world.servers.set(id, { refuses: true });
   context.tools.after(Math.min(context.durationMs, 3000), () =>
     pool.forEach((id) => context.world.servers.heal(id)),
@@ -57,7 +58,15 @@
   return context.server;
 };
 
-const poolOf = (server: string): string => (server.startsWith('m') ? 'models' : 'shop');
+const pools: ReadonlyMap<string, string> = new Map([
+  ['m', 'models'],
+  ['s', 'shop'],
+  ['k', 'memo'],
+  ['l', 'ledger'],
+]);
+
+/** The pool of a server of the storm, by the first letter of its id. */
+const poolOf = (server: string): string => pools.get(server.charAt(0)) ?? 'shop';
 
 const addServer = async (context: FaultContext, id: string): Promise<void> => {
   const body = JSON.stringify({ pool: poolOf(context.server), url: 'http://127.0.0.1:1' });
@@ -128,6 +137,7 @@
 /** The server faults, by the names that plans use. */
 export const serverFaults: FaultTable = new Map<string, Fault>([
   ['lose-outcomes', serverFault({ loseEvery: 3 })],
+  ['lose-in-silence', serverFault({ loseEvery: 3, losesSilently: true })],
   ['cut-streams', serverFault({ cutEvery: 3 })],
   ['tear-events', serverFault({ cutEvery: 2, cutsInsideEvent: true })],
   ['lie', serverFault({ namesOtherAttempt: true })],
--- a/packages/sim/src/pass.ts
+++ b/packages/sim/src/pass.ts
@@ -55,9 +55,21 @@
   ];
 };
 
+/** The share of each pool in a route. */
+export type PoolShares = Readonly<Record<string, number>>;
+
+/** A keyed route at `/NAME/` over services that each record keys. */
+export const recordingRoute = (name: string, shares: PoolShares, deadlineMs = 8000): object => ({
+  name: `pass-${name}`,
+  match: { kind: 'pass', host: passHost, path: `/${name}/` },
+  pass: { manner: 'keyed', tries: 2, deadlineMs },
+  shares: Object.entries(shares).map(([pool, share]) => ({ pool, share })),
+});
+
 const manners: ReadonlyMap<string, PassRecord['manner']> = new Map([
   ['keyed', 'keyed'],
   ['own', 'keyed'],
+  ['moved', 'keyed'],
   ['once', 'once'],
   ['again', 'repeatable'],
 ]);
--- a/packages/sim/src/server-faults.ts
+++ b/packages/sim/src/server-faults.ts
@@ -8,6 +8,8 @@
   readonly draining: boolean;
   /** Loses the end of every n-th response; 0 disables this. */
   readonly loseEvery: number;
+  /** With `loseEvery`: the connection stays silent after a lost response on a pass route, instead of ending. */
+  readonly losesSilently: boolean;
   /** Breaks off every n-th response half way; 0 disables this. */
   readonly cutEvery: number;
   /** Factor by which execution is slowed down; 1 is normal speed. */
@@ -33,6 +35,7 @@
   refuses: false,
   draining: false,
   loseEvery: 0,
+  losesSilently: false,
   cutEvery: 0,
   slow: 1,
   declines: false,
--- a/packages/sim/src/sim-pass.ts
+++ b/packages/sim/src/sim-pass.ts
@@ -5,8 +5,9 @@
 import { isEveryNth, type ServerFaults } from './server-faults.js';
 import type { Incarnation } from './incarnation.js';
 
-/** The record of a request that a server executed. */
+/** The record of a request that a server executed, and the head of its response. */
 export interface PassExecution {
+  readonly head: ResponseHead;
   readonly key: string;
   readonly program: string;
   /** The bytes of the response, up to where it ended or broke off. */
@@ -42,7 +43,8 @@
 export const eventsIn = (attempt: string): number =>
   minEvents + slotForKey(attempt, eventCountChoices);
 
-const headerOf = (request: ForwardedRequest, name: string): string =>
+/** The value of a request's header; empty if the request does not have it. */
+export const headerOf = (request: ForwardedRequest, name: string): string =>
   request.headers.find(([key]) => key === name)?.[1] ?? '';
 
 /** The parts of a response, by number: from `first` up to, not including, `total`; a fault that is off has part -1. */
@@ -95,7 +97,8 @@
   const send = (action: () => void): void => {
     if (!faults.namesOtherAttempt) incarnation.do(action);
   };
-  send(() => sink.head(headOf(plan, faults)));
+  const head = headOf(plan, faults);
+  send(() => sink.head(head));
   let reply = '';
   let part = plan.first;
   for (; part < total; part++) {
@@ -113,6 +116,7 @@
     send(() => sink.bytes(text.slice(splitAt)));
   }
   return {
+    head,
     key: headerOf(request, 'operation-key'),
     program: headerOf(request, 'x-program'),
     reply,
--- a/packages/sim/src/sim-servers.ts
+++ b/packages/sim/src/sim-servers.ts
@@ -5,9 +5,12 @@
 import type { Clock } from '@tillerstair/wire';
 import { healthyServer, type ServerFaults } from './server-faults.js';
 import { SimBackend } from './sim-backend.js';
+import { SimKeyTable } from './sim-key-table.js';
 import type { Incarnation } from './incarnation.js';
 
 const recordedPromptLength = 60;
+/** The pools whose servers record idempotency keys, in every configuration of tests and storms that has them. */
+export const recordingPools = ['memo', 'ledger'] as const;
 
 /** All servers of a world; each front reaches them through its own backend. */
 export class SimServers {
@@ -21,6 +24,9 @@
   healthChecks = 0;
   private readonly faults = new Map<string, ServerFaults>();
   private readonly busy = new Map<string, number>();
+  private readonly keyTables: ReadonlyMap<string, SimKeyTable> = new Map(
+    recordingPools.map((pool) => [pool, new SimKeyTable()]),
+  );
   private served = 0;
 
   constructor(
@@ -48,6 +54,11 @@
     return !this.faultsOf(server.id).refuses && !this.cutFronts.has(`${front}>${server.id}`);
   }
 
+  /** The record of keys that the servers of a pool share; undefined for a pool that records none. */
+  keyTable(pool: string): SimKeyTable | undefined {
+    return this.keyTables.get(pool);
+  }
+
   /** Registers a request and returns its number, which counts the requests of all servers. */
   beginRequest(): number {
     return ++this.served;
--- a/packages/sim/src/storm-operators.ts
+++ b/packages/sim/src/storm-operators.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { ConfigCalls } from './config-calls.js';
 import type { Machine } from './machine.js';
+import { recordingPools } from './sim-servers.js';
 import { invalidConfigs, stormConfig } from './storm-config.js';
 import type { LostAnswers } from './storm-fault.js';
 import type { World } from './world.js';
@@ -74,7 +75,7 @@
       version: 1,
       text,
       turnPools: firstPools,
-      callPools: [callPool],
+      callPools: [callPool, ...recordingPools],
       sentAt: -1e9,
       reported: 'done',
       reportedAt: this.world.clock.now(),
@@ -123,7 +124,7 @@
       version: base + 1,
       text,
       turnPools,
-      callPools: [callPool],
+      callPools: [callPool, ...recordingPools],
       sentAt: clock.now(),
       reported: 'unknown',
       reportedAt: Infinity,
--- a/packages/sim/src/storm.ts
+++ b/packages/sim/src/storm.ts
@@ -12,7 +12,8 @@
 import type { PlannedFault, StormActions } from './storm-fault.js';
 import { Faults } from './storm-faults.js';
 import { StormOperators } from './storm-operators.js';
-import { passChat } from './storm-pass.js';
+import { askUnansweredKeys, passChat } from './storm-pass.js';
+import { recordingPools } from './sim-servers.js';
 import { World } from './world.js';
 
 /** Options of a storm; the same options give the same run. */
@@ -32,6 +33,10 @@
   ['n1', 'others'],
   ['s1', 'shop'],
   ['s2', 'shop'],
+  ['k1', 'memo'],
+  ['k2', 'memo'],
+  ['l1', 'ledger'],
+  ['l2', 'ledger'],
 ] as const;
 
 const tokensPerTurn = 16;
@@ -154,6 +159,11 @@
     await this.operators.recordFirst();
     await this.causePlannedFaults();
     await this.calm();
+    const finalAttempts = await world.clock.finish(
+      'unanswered keys',
+      askUnansweredKeys(this),
+      callersTimeoutMs,
+    );
     const readBack = await this.operators.readConfig();
     return {
       ...emptyRecords,
@@ -164,6 +174,8 @@
       configCalls: this.operators.calls.calls,
       drainings: this.drainings.records,
       restarts: this.restarts,
+      recordingPools,
+      finalAttempts,
       readBack,
       perTurn: tokensPerTurn,
     };
--- a/tests/src/checker/checker-records.ts
+++ b/tests/src/checker/checker-records.ts
@@ -283,6 +283,7 @@
 export const valid: Records = {
   ...emptyRecords,
   passes,
+  finalAttempts: [keyedPass.attempt],
   reported: [
     programReply,
     turnReply,
