Let the soak's services record keys and lose answers, on routes split over them

Change: PassServer can share a KeyTable with the other servers of its service (first answer again; 409 and not run while the key runs) and lose every n-th answer after the run, by a reset or in silence. The soak has two such services, a keyed route that always leads to both and one that moves, both changed by the operators; after the traffic every unanswered key of the first is asked for until it has its answer, which the checker's new rule judges. PersistentConnection.send has a time limit: a request that is never answered now counts as lost, where it stopped the soak for good.

--- a/packages/fleet/src/soak/soak-operators.ts
+++ b/packages/fleet/src/soak/soak-operators.ts
@@ -2,7 +2,7 @@
  * The operators of a soak: they change and read the configuration concurrently at random controls, and retry lost
  * requests.
  */
-import { ConfigCalls, passRoutes } from '@tillerstair/sim';
+import { ConfigCalls, keyedSplitRoutes, passRoutes, recordingPools } from '@tillerstair/sim';
 import { delay, hostClock } from '@tillerstair/wire';
 import { z } from 'zod';
 import { seededRandom } from '../layout.js';
@@ -98,9 +98,11 @@
       pools: [
         { name: streams, kind: 'model' },
         { name: bodies, kind: 'service' },
+        ...recordingPools.map((name) => ({ name, kind: 'service', remembersKeys: true })),
       ],
       routes: [
         ...passRoutes([streams], bodies),
+        ...keyedSplitRoutes(number),
         {
           name: `extra-${number}`,
           match: { kind: 'call', path: `/extra/${number}` },
--- a/packages/fleet/src/soak/soak-rules.ts
+++ b/packages/fleet/src/soak/soak-rules.ts
@@ -9,6 +9,7 @@
   type RuleResult,
 } from '@tillerstair/checker';
 import type { ConfigCall, ExecutionRecord } from '@tillerstair/checker';
+import { recordingPools } from '@tillerstair/sim';
 import type { ClientRequest } from './soak-clients.js';
 import type { SoakOrder } from './soak-operators.js';
 
@@ -50,6 +51,8 @@
 /** All records of a soak. */
 export interface SoakRecords {
   readonly requests: readonly ClientRequest[];
+  /** The last attempts, after all disturbances, with keys that had no answer before. */
+  readonly finalAttempts: readonly string[];
   readonly executed: readonly ExecutionRecord[];
   readonly events: readonly SoakEvent[];
   readonly orders: readonly SoakOrder[];
@@ -159,6 +162,15 @@
     processesExitInTime(records),
     configWasReadBack(records),
     checkConfigHistory(records.configCalls),
-    ...checkPassRules({ ...emptyRecords, passes, executed: records.executed }, defaultTolerances),
+    ...checkPassRules(
+      {
+        ...emptyRecords,
+        passes,
+        executed: records.executed,
+        recordingPools,
+        finalAttempts: records.finalAttempts,
+      },
+      defaultTolerances,
+    ),
   ];
 };
--- a/packages/fleet/src/soak/soak.ts
+++ b/packages/fleet/src/soak/soak.ts
@@ -4,7 +4,14 @@
  * scheduling of the processes is not repeatable.
  */
 import { join } from 'node:path';
-import { ExecutionLog, PassServer } from '@tillerstair/stand-ins';
+import {
+  ExecutionLog,
+  KeyTable,
+  PassServer,
+  type AnswerLoss,
+  type PassServerOptions,
+} from '@tillerstair/stand-ins';
+import { recordingPools } from '@tillerstair/sim';
 import { delay, hostClock } from '@tillerstair/wire';
 import { Fleet, until, type Machine } from '../fleet.js';
 import { freePorts, seoul } from '../layout.js';
@@ -52,8 +59,24 @@
 const readyTimeoutMs = 30000;
 const readBackTimeoutMs = 15000;
 const pool = { streams: 'models', bodies: 'shop' };
-const streamServerCount = 4;
-const bodyServerCount = 2;
+const serverSpeed = { bodyMs: 20, eventMs: 60, fewestEvents: 4, eventRange: 24 };
+
+/** A group of servers of one pool. */
+interface ServerGroup {
+  readonly pool: string;
+  readonly count: number;
+  /** Whether the servers share a record of keys. */
+  readonly recordsKeys?: true;
+  /** How the first server of the group loses answers. */
+  readonly loss?: AnswerLoss;
+}
+
+const serverGroups: readonly ServerGroup[] = [
+  { pool: pool.streams, count: 4 },
+  { pool: pool.bodies, count: 2 },
+  { pool: recordingPools[0], count: 2, recordsKeys: true, loss: { every: 5, how: 'reset' } },
+  { pool: recordingPools[1], count: 2, recordsKeys: true, loss: { every: 7, how: 'silence' } },
+];
 
 /** One soak; it starts its own fleet and closes it at the end. */
 class Soak {
@@ -89,14 +112,12 @@
       const endsAt = startedAt + this.options.sizes.trafficMs;
       const { seed, sizes } = this.options;
       const clients = { seed, clients: sizes.clients, fronts: this.fleet.fronts };
-      const [requests] = await Promise.all([
-        runSoakClients(clients, endsAt),
-        operators.run(endsAt),
-        this.runPlan(startedAt),
-      ]);
+      const disturbances = Promise.all([operators.run(endsAt), this.runPlan(startedAt)]);
+      const settled = disturbances.then(() => this.waitUntilReady());
+      const [traffic] = await Promise.all([runSoakClients(clients, endsAt, settled), disturbances]);
       const configReadBack = await this.readBack(operators);
       const records = {
-        requests,
+        ...traffic,
         executed: this.executions.all(),
         events: this.events,
         orders: operators.orders,
@@ -127,29 +148,37 @@
     );
     operators.orders.length = 0;
     await this.startServers();
-    await until('all fronts to be ready', readyTimeoutMs, () => fleet.ready('front'));
+    await this.waitUntilReady();
     return operators;
   }
 
+  private async waitUntilReady(): Promise<void> {
+    await until('all fronts to be ready', readyTimeoutMs, () => this.fleet.ready('front'));
+  }
+
   private async startServers(): Promise<void> {
-    const ports = await freePorts(streamServerCount + bodyServerCount);
-    for (const [n, port] of ports.entries()) {
-      const options = {
-        id: `server-${n}`,
-        pool: n < streamServerCount ? pool.streams : pool.bodies,
-        addr: `127.0.0.1:${port}`,
-        bodyMs: 20,
-        eventMs: 60,
-        fewestEvents: 4,
-        eventRange: 24,
-      };
-      const server = new PassServer(options, this.executions);
-      this.servers.push(server);
-      await server.start();
-      await this.fleet.registerOne(options.id, options.pool, options.addr);
+    for (const group of serverGroups) {
+      const keyTable = group.recordsKeys ? { keyTable: new KeyTable() } : {};
+      for (const [n, port] of (await freePorts(group.count)).entries()) {
+        const loss = n === 0 && group.loss ? { loss: group.loss } : {};
+        await this.startServer({ ...serverSpeed, ...keyTable, ...loss }, group.pool, port);
+      }
     }
   }
 
+  private async startServer(
+    behavior: Omit<PassServerOptions, 'id' | 'pool' | 'addr'>,
+    serverPool: string,
+    port: number,
+  ): Promise<void> {
+    const id = `server-${this.servers.length}`;
+    const addr = `127.0.0.1:${port}`;
+    const server = new PassServer({ ...behavior, id, pool: serverPool, addr }, this.executions);
+    this.servers.push(server);
+    await server.start();
+    await this.fleet.registerOne(id, serverPool, addr);
+  }
+
   /** Applies each step of the plan at its time; resolves once all stopped machines have been started again. */
   private async runPlan(startedAt: number): Promise<void> {
     await Promise.all(
--- a/packages/sim/src/pass.ts
+++ b/packages/sim/src/pass.ts
@@ -56,16 +56,33 @@
 };
 
 /** The share of each pool in a route. */
-export type PoolShares = Readonly<Record<string, number>>;
+type PoolShares = Readonly<Record<string, number>>;
 
-/** A keyed route at `/NAME/` over services that each record keys. */
-export const recordingRoute = (name: string, shares: PoolShares, deadlineMs = 8000): object => ({
+/** The shares of a route that always leads to both services that record keys. */
+const splitShares = (variant: number): PoolShares => ({
+  memo: 1 + (variant % 3),
+  ledger: 1 + ((variant + 1) % 4),
+});
+
+const movedShares: readonly PoolShares[] = [{ memo: 1 }, { ledger: 1 }, { memo: 1, ledger: 1 }];
+
+/** The shares of a route that moves from one of these services to the other and back. */
+const sharesOfMovedRoute = (variant: number): PoolShares =>
+  movedShares[variant % movedShares.length] ?? { memo: 1 };
+
+const recordingRoute = (name: string, shares: PoolShares, deadlineMs: number): object => ({
   name: `pass-${name}`,
   match: { kind: 'pass', host: passHost, path: `/${name}/` },
   pass: { manner: 'keyed', tries: 2, deadlineMs },
   shares: Object.entries(shares).map(([pool, share]) => ({ pool, share })),
 });
 
+/** Keyed routes over the two services that record keys: one always leads to both, the other moves between them. */
+export const keyedSplitRoutes = (variant: number, deadlineMs = 8000): readonly object[] => [
+  recordingRoute('own', splitShares(variant), deadlineMs),
+  recordingRoute('moved', sharesOfMovedRoute(variant), deadlineMs),
+];
+
 const manners: ReadonlyMap<string, PassRecord['manner']> = new Map([
   ['keyed', 'keyed'],
   ['own', 'keyed'],
--- a/packages/sim/src/storm-config.ts
+++ b/packages/sim/src/storm-config.ts
@@ -1,5 +1,5 @@
 /** The configurations of storms: valid ones that differ from one another, and invalid ones. */
-import { passRoutes, recordingRoute, type PoolShares } from './pass.js';
+import { keyedSplitRoutes, passRoutes } from './pass.js';
 import { recordingPools } from './sim-servers.js';
 
 /** Options of a generated configuration: base version, pools of turns and calls, and number of extra routes. */
@@ -13,18 +13,6 @@
 }
 
 const defaultDeadlineMs = 8000;
-
-/** The shares of a route that always leads to both services that record keys. */
-const splitShares = (variant: number): PoolShares => ({
-  memo: 1 + (variant % 3),
-  ledger: 1 + ((variant + 1) % 4),
-});
-
-const movedShares: readonly PoolShares[] = [{ memo: 1 }, { ledger: 1 }, { memo: 1, ledger: 1 }];
-
-/** The shares of a route that moves from one of these services to the other and back. */
-const sharesOfMovedRoute = (variant: number): PoolShares =>
-  movedShares[variant % movedShares.length] ?? { memo: 1 };
 const defaultIdleMs = 60000;
 
 /** The JSON text of a valid configuration. */
@@ -57,8 +45,7 @@
       call('hold', '/hold', { acting: true }),
       call('alarm', '/alarm', { acting: true, urgent: true }),
       ...passRoutes(turnPools, callPool, defaultDeadlineMs - (variant % 4) * 500),
-      recordingRoute('own', splitShares(variant)),
-      recordingRoute('moved', sharesOfMovedRoute(variant)),
+      ...keyedSplitRoutes(variant),
       ...Array.from({ length: extraRoutes }, (_, i) => call(`x${i}`, `/x/${i}`)),
     ],
     budgets: { program: 1000, turn: 16 },
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,6 +3,7 @@
 export * from './model-server.js';
 export * from './service-server.js';
 export * from './execution-log.js';
+export * from './key-table.js';
 export * from './caller-record.js';
 export * from './caller.js';
 export * from './persistent-connection.js';
--- a/packages/stand-ins/src/pass-server.ts
+++ b/packages/stand-ins/src/pass-server.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { hostClock, delay, readBytes, sendJson, serveHttp } from '@tillerstair/wire';
 import { attemptIdOf, type ExecutionLog } from './execution-log.js';
+import type { KeyTable } from './key-table.js';
 
 /** Options of a pass server. */
 export interface PassServerOptions {
@@ -17,9 +18,23 @@
   readonly fewestEvents: number;
   /** Maximum number of events of a stream beyond `fewestEvents`. */
   readonly eventRange: number;
+  /** The record of keys that this server shares with the others of its service; without one, it records no keys. */
+  readonly keyTable?: KeyTable;
+  /** How the answers to requests that are not streamed get lost; without it, none does. */
+  readonly loss?: AnswerLoss;
+}
+
+/** Which answers of a server get lost after their run has ended whole, and what the caller sees instead. */
+export interface AnswerLoss {
+  /** The answer to every n-th request is lost. */
+  readonly every: number;
+  /** The connection is reset, or stays open without an answer. */
+  readonly how: 'reset' | 'silence';
 }
 
 const maxRequestBytes = 1 << 20;
+const ok = 200;
+const conflict = 409;
 
 const headerOf = (request: IncomingMessage, name: string): string => {
   const value = request.headers[name];
@@ -55,37 +70,54 @@
   private async execute(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const said = (await readBytes(request, maxRequestBytes)).toString('latin1');
     const began = hostClock.now();
-    const requestNumber = ++this.requestCount;
     const attempt = attemptIdOf(request);
     const isStream = headerOf(request, 'x-tokens') !== '';
+    const key = headerOf(request, 'operation-key');
     response.setHeader('X-Request-Id', attempt);
+    if (this.answerFromTable(key, response)) return;
+    const requestNumber = ++this.requestCount;
+    const table = key === '' ? undefined : this.options.keyTable;
+    table?.begin(key);
     this.busy++;
     let reply = '';
+    let complete = false;
     try {
       reply = isStream
         ? await this.streamEvents(response, requestNumber)
-        : await this.sendBody(response, requestNumber);
+        : await this.makeBody(requestNumber);
+      complete = !response.destroyed;
     } finally {
       this.busy--;
+      table?.end(key, complete ? reply : undefined);
       const { id, pool } = this.options;
       this.log.add({
         kind: 'pass',
         server: id,
         pool,
         id: attempt,
-        key: headerOf(request, 'operation-key'),
+        key,
         attempt,
         program: headerOf(request, 'x-program'),
         began,
         at: hostClock.now(),
         said,
         reply,
-        complete: response.writableEnded,
+        complete,
         tokens: 0,
         cached: 0,
         prompt: 0,
       });
     }
+    if (!isStream) this.sendBody(response, reply);
+  }
+
+  /** Answers a request whose key the service runs or has run; false if it is to be run. */
+  private answerFromTable(key: string, response: ServerResponse): boolean {
+    const entry = key === '' ? undefined : this.options.keyTable?.get(key);
+    if (!entry) return false;
+    if (entry.state === 'running') response.writeHead(conflict, { 'X-Not-Run': '1' }).end();
+    else response.writeHead(ok).end(entry.reply);
+    return true;
   }
 
   private async streamEvents(response: ServerResponse, requestNumber: number): Promise<string> {
@@ -103,11 +135,17 @@
     return reply;
   }
 
-  private async sendBody(response: ServerResponse, requestNumber: number): Promise<string> {
+  private async makeBody(requestNumber: number): Promise<string> {
     const { id, bodyMs } = this.options;
     await delay(hostClock, bodyMs);
-    const reply = `${id}.${requestNumber}`;
-    if (!response.destroyed) response.end(reply);
-    return reply;
+    return `${id}.${requestNumber}`;
+  }
+
+  /** Sends the answer to a request that has run, or loses it. */
+  private sendBody(response: ServerResponse, reply: string): void {
+    if (response.destroyed) return;
+    const { loss } = this.options;
+    if (!loss || this.requestCount % loss.every !== 0) response.end(reply);
+    else if (loss.how === 'reset') response.socket?.resetAndDestroy();
   }
 }
--- a/packages/stand-ins/src/persistent-connection.ts
+++ b/packages/stand-ins/src/persistent-connection.ts
@@ -99,16 +99,24 @@
     return this.isClosed;
   }
 
-  /** Sends a request; resolves once its response is complete or the connection has closed. */
-  async send({ path, headers, body }: ConnectionRequest): Promise<ConnectionResponse> {
+  /**
+   * Sends a request; resolves once its response is complete or the connection has closed. Closes the connection if the
+   * response is not complete within `timeoutMs`.
+   */
+  async send(
+    { path, headers, body }: ConnectionRequest,
+    timeoutMs: number,
+  ): Promise<ConnectionResponse> {
     this.received = '';
     const head = [`POST ${path} HTTP/1.1`, ...headers, `Content-Length: ${body.length}`];
     this.socket.write([...head, '', body].join('\r\n'), 'latin1');
     const sentAt = hostClock.now();
+    const timer = hostClock.after(timeoutMs, () => this.close());
     while (!this.isClosed && !decodeBody(this.received).complete)
       await new Promise<void>((resolve) => {
         this.onProgress = resolve;
       });
+    timer.stop();
     const { received } = this;
     return {
       ...decodeBody(received),
--- a/tests/src/fleet/soak-rules.test.ts
+++ b/tests/src/fleet/soak-rules.test.ts
@@ -61,6 +61,7 @@
 
 const noRecords: SoakRecords = {
   requests: [],
+  finalAttempts: [],
   executed: [],
   events: [],
   orders: [],
--- a/tests/src/platform/stopping-front.test.ts
+++ b/tests/src/platform/stopping-front.test.ts
@@ -26,6 +26,8 @@
  * if the request was not forwarded (the platform's `lossSlackMs`).
  */
 const lossSlackMs = 200;
+/** Time after which a connection without an answer is closed, in ms; far beyond the deadline of every request. */
+const answerTimeoutMs = 30_000;
 
 let engine: TestServer;
 let list: Awaited<ReturnType<typeof startServerList>>;
@@ -64,7 +66,7 @@
     'Token-Count: 10,20',
     'Time-Left-Ms: 3000',
   ];
-  return { attempt, ...(await connection.send({ path, headers, body: 'x' })) };
+  return { attempt, ...(await connection.send({ path, headers, body: 'x' }, answerTimeoutMs)) };
 };
 
 const openConnection = (): Promise<PersistentConnection> =>
