Let a test server outlive a connection that its peer resets

Cause: startServer of the test support kept once(socket, 'close') for each connection, which rejects on a reset, also where nobody waits for it; the front of that file's last test stops and may reset its connections to the server. Reproduced by a peer that resets its connection: the old support ends the process with the same error, the new one does not. No assertion changed.

--- a/tests/src/support/http-server.ts
+++ b/tests/src/support/http-server.ts
@@ -70,7 +70,11 @@
   const closed = new Map<number, Promise<unknown>>();
   http.on('connection', (socket) => {
     connectionNumbers.set(socket, ++connections);
-    closed.set(connections, once(socket, 'close'));
+    // `once` would reject when the peer resets the connection, also where no test waits for its end.
+    const isClosed = new Promise<void>((resolve) => {
+      socket.once('close', () => resolve());
+    });
+    closed.set(connections, isClosed);
   });
   http.listen(0, '127.0.0.1');
   await once(http, 'listening');
