--- a/packages/proxy/src/http-backend.ts
+++ b/packages/proxy/src/http-backend.ts
@@ -5,6 +5,7 @@
  */
 import { errors, request, type Agent, type Dispatcher } from 'undici';
 import type { Server } from '@tillerstair/state';
+import { hostClock } from '@tillerstair/wire';
 import type {
   Backend,
   BackendOutcome,
@@ -56,9 +57,30 @@
   status === tooManyRequests ||
   (status === conflict && NotExecuted.safeParse(body).success);
 
-/** A signal that aborts when the caller disconnects or after `timeoutMs`. */
-const stopSignal = (caller: AbortSignal, timeoutMs: number): AbortSignal =>
-  AbortSignal.any([caller, AbortSignal.timeout(Math.ceil(timeoutMs))]);
+/** A signal that aborts when the caller disconnects or after a time limit; `release` ends its timer. */
+interface StopSignal {
+  readonly signal: AbortSignal;
+  readonly release: () => void;
+}
+
+/**
+ * Creates the signal by hand: on Node 20 a signal of `AbortSignal.timeout` to which only `AbortSignal.any` refers may be
+ * garbage collected, and then never aborts.
+ */
+const stopSignal = (caller: AbortSignal, timeoutMs: number): StopSignal => {
+  const controller = new AbortController();
+  const onAbort = (): void => controller.abort(caller.reason);
+  const timer = hostClock.after(Math.ceil(timeoutMs), () =>
+    controller.abort(new Error('the time limit of the request has expired')),
+  );
+  if (caller.aborted) onAbort();
+  else caller.addEventListener('abort', onAbort, { once: true });
+  const release = (): void => {
+    timer.stop();
+    caller.removeEventListener('abort', onAbort);
+  };
+  return { signal: controller.signal, release };
+};
 
 /** The session owner's client of servers, over HTTP/1.1. */
 export class HttpBackend implements Backend {
@@ -109,7 +131,7 @@
   ): Promise<BackendOutcome> {
     if (timeoutMs <= 0)
       return { kind: 'declined', text: 'the time limit of the request has expired' };
-    const stop = stopSignal(signal, timeoutMs);
+    const { signal: stop, release } = stopSignal(signal, timeoutMs);
     const guard = new SendGuard(mayStillRun, stop);
     const { method, path, body } = forwarded;
     try {
@@ -130,6 +152,8 @@
       return await this.receivePass(response, forwarded.attempt, sink);
     } catch (error) {
       return outcomeOfFailure(error, guard);
+    } finally {
+      release();
     }
   }
 
@@ -177,7 +201,7 @@
     timeoutMs: number,
     mayStillRun: () => boolean,
   ): Promise<BackendOutcome> {
-    const stop = stopSignal(signal, timeoutMs);
+    const { signal: stop, release } = stopSignal(signal, timeoutMs);
     const guard = new SendGuard(mayStillRun, stop);
     const { id, messages, maxTokens, requestId } = turn;
     try {
@@ -201,6 +225,8 @@
       return await readTurnStream(response.body, id, onChunk, stop);
     } catch (error) {
       return outcomeOfFailure(error, guard);
+    } finally {
+      release();
     }
   }
 
@@ -212,7 +238,7 @@
     timeoutMs: number,
     mayStillRun: () => boolean,
   ): Promise<BackendOutcome> {
-    const stop = stopSignal(signal, timeoutMs);
+    const { signal: stop, release } = stopSignal(signal, timeoutMs);
     const guard = new SendGuard(mayStillRun, stop);
     const { id, path, body, key, requestId } = call;
     try {
@@ -242,6 +268,8 @@
       return { kind: 'done', code: statusCode, body: result.data.result };
     } catch (error) {
       return outcomeOfFailure(error, guard);
+    } finally {
+      release();
     }
   }
 
--- a/tests/src/proxy/server-answers.test.ts
+++ b/tests/src/proxy/server-answers.test.ts
@@ -1,9 +1,13 @@
 /** Outcomes of server responses that do or do not guarantee that a request has not run. */
 import type { ServerResponse } from 'node:http';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { HttpBackend } from '@tillerstair/proxy';
+import { until } from '@tillerstair/fleet';
 import type { BackendOutcome, ReportedLoad } from '@tillerstair/session-owner';
+import { delay, hostClock } from '@tillerstair/wire';
 import { serverRecord, startServer, type ReceivedRequest } from '../support/http-server.js';
 
 const responses = suite('server responses and what they guarantee');
@@ -144,6 +148,27 @@
   );
 });
 
+// Guards against a request that never ends: on Node 20 the garbage collector took the timer of its time limit away.
+responses(
+  'a request to a silent server ends at its time limit after a garbage collection',
+  async () => {
+    setFlagsFromString('--expose-gc');
+    const collectGarbage: unknown = runInNewContext('gc');
+    if (typeof collectGarbage !== 'function')
+      throw new Error('the garbage collector is not exposed');
+    await withServer(
+      () => undefined,
+      async (backend, port, requestCount) => {
+        const ended = passThrough(backend, port, 300);
+        await until('the request to arrive', 2000, () => Promise.resolve(requestCount() === 1));
+        Reflect.apply(collectGarbage, undefined, []);
+        const never = delay(hostClock, 3000).then(() => ({ kind: 'never ended' }));
+        assert.is((await Promise.race([ended, never])).kind, 'lost');
+      },
+    );
+  },
+);
+
 responses('an invalid load header is ignored', async () => {
   for (const [text, expected] of [
     ['3,1,8', [{ running: 3, waiting: 1, places: 8 }]],
