--- a/tests/run.js
+++ b/tests/run.js
@@ -27,6 +27,11 @@
   'platform/process-lifetime.test.js',
   'platform/bounded-history.test.js',
   'platform/hostile-clients.test.js',
+  'platform/hostile-pipelines.test.js',
+  'platform/hostile-bodies.test.js',
+  'platform/hostile-owners.test.js',
+  'platform/hostile-operators.test.js',
+  'platform/hostile-mix.test.js',
   'proxy/interface.test.js',
 ]);
 const files = readdirSync(join(testsFolder, 'dist'), { recursive: true }).filter(
