--- a/tests/src/platform/settings.test.ts
+++ b/tests/src/platform/settings.test.ts
@@ -230,6 +230,18 @@
   });
 });
 
+// Guards against a build that leaves out its own tools where NODE_ENV is "production", as operators set it.
+settings('the build of the deploy file installs its tools under NODE_ENV=production', async () => {
+  const deploy = await readFile(join(repositoryRoot, 'deploy', 'system.toml'), 'utf8');
+  const install = /npm (ci [^;]*);/.exec(deploy)?.[1];
+  assert.type(install, 'string');
+  const args = ['config', 'get', 'omit', ...(install ?? '').split(' ').slice(1)];
+  const env = { ...process.env, NODE_ENV: 'production' };
+  const omitted = spawnSync('npm', args, { cwd: repositoryRoot, env, encoding: 'utf8' });
+  assert.is(omitted.status, 0, omitted.stderr);
+  assert.is(omitted.stdout.trim(), '', 'kinds of dependencies that the installation leaves out');
+});
+
 settings('the system packages listed in the deploy file can be installed', async () => {
   const deploy = await readFile(join(repositoryRoot, 'deploy', 'system.toml'), 'utf8');
   const packageList = /^packages = \[([^\]]*)\]$/m.exec(deploy)?.[1];
