--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -3,7 +3,8 @@
 import {
   servePages,
   createStderrLogger,
-  reportMemoryPeaks,
+  ProcessMemory,
+  watchMemory,
   type AgentSettings,
   type RunningProgram,
 } from '@tillerstair/settings';
@@ -31,7 +32,7 @@
   settings: AgentSettings,
 ): Promise<RunningProgram<AgentSettings>> => {
   const log = createStderrLogger('agent', settings.log);
-  reportMemoryPeaks(log, settings.memoryMb);
+  watchMemory(log, settings.memoryMb);
   const reloadable = reloadableBounds(settings.bounds);
   const agent = new Agent({
     ...settings,
@@ -45,6 +46,7 @@
   const http = await servePages(
     settings.http,
     () => agent.readiness(),
+    new ProcessMemory(settings.memoryMb).pageLimits(),
     (_req, res, url) => {
       answerPage(agent, settings.addr, res, url.pathname);
       return Promise.resolve();
--- a/packages/control/src/start.ts
+++ b/packages/control/src/start.ts
@@ -6,7 +6,9 @@
 import {
   servePages,
   createStderrLogger,
-  reportMemoryPeaks,
+  operatorLimits,
+  ProcessMemory,
+  watchMemory,
   type ControlSettings,
   type Readiness,
   type RunningProgram,
@@ -15,10 +17,11 @@
 import { replicationFor, type Member } from '@tillerstair/state';
 import {
   hostClock,
-  readBody,
+  readJsonText,
   sendJson,
   TcpTransport,
   type DrainableServer,
+  type HttpLimits,
   type Logger,
 } from '@tillerstair/wire';
 import {
@@ -35,7 +38,10 @@
   /** The deployment's server list. */
   readonly list?: ServerList;
   /** Opens an additional listener for operators, besides the built-in one. */
-  readonly openOperatorListener?: (node: ControlNode) => Promise<DrainableServer>;
+  readonly openOperatorListener?: (
+    node: ControlNode,
+    limits: HttpLimits,
+  ) => Promise<DrainableServer>;
 }
 
 /** Failure timeouts that operations in flight may take when a control stops; a forwarded one ends within one. */
@@ -91,12 +97,17 @@
   };
 };
 
-const serveOperators = (address: string, node: ControlNode): Promise<DrainableServer> =>
+const serveOperators = (
+  address: string,
+  node: ControlNode,
+  limits: HttpLimits,
+): Promise<DrainableServer> =>
   servePages(
     address,
     () => readinessOf(node),
+    limits,
     async (request, response, url) => {
-      const body = await readBody(request, maxBodyBytes);
+      const body = await readJsonText(request, maxBodyBytes);
       const method = request.method ?? 'GET';
       const outcome = await node.operate({ method, path: url.pathname, body });
       const headers = new Map<string, string>();
@@ -114,13 +125,14 @@
   extensions: ControlExtensions = {},
 ): Promise<RunningProgram<ControlSettings>> => {
   const log = createStderrLogger('control', settings.log);
-  reportMemoryPeaks(log, settings.memoryMb);
+  watchMemory(log, settings.memoryMb);
   const disk = await FolderDisk.acquire(settings.data);
   const reloadable = reloadableBounds(settings.bounds);
   const node = await openNode(disk, settings, reloadable.bounds, log, extensions.list);
   await node.start();
-  const http = await serveOperators(settings.http, node);
-  const extensionListener = await extensions.openOperatorListener?.(node);
+  const memory = new ProcessMemory(settings.memoryMb);
+  const http = await serveOperators(settings.http, node, operatorLimits(memory));
+  const extensionListener = await extensions.openOperatorListener?.(node, operatorLimits(memory));
   log.info(`Serving control ${node.id} at ${settings.addr}, operators at ${settings.http}.`);
   return {
     reload: (next) => {
--- a/packages/proxy/src/caller-api.ts
+++ b/packages/proxy/src/caller-api.ts
@@ -7,7 +7,13 @@
 import { z } from 'zod';
 import { rootProgramId } from '@tillerstair/state';
 import { opKeyOf, type CallOutcome } from '@tillerstair/session-owner';
-import { readBody, sendJson, UnavailableError, type HttpHandler } from '@tillerstair/wire';
+import {
+  readJsonText,
+  sendJson,
+  UnavailableError,
+  UnsentBytes,
+  type HttpHandler,
+} from '@tillerstair/wire';
 import type { Front } from './front.js';
 import {
   callerSignal,
@@ -21,7 +27,6 @@
 } from './http-answers.js';
 import type { PassHandler } from './pass-handler.js';
 import { badRequest, notFound, ok, serviceUnavailable } from './status-codes.js';
-import { UnsentAnswers } from './unsent-answers.js';
 
 const NewProgram = z.strictObject({
   budget: z.number().int().min(1).optional(),
@@ -69,7 +74,7 @@
   constructor(
     private readonly front: Front,
     private readonly maxBodyBytes: number,
-    private readonly unsent: UnsentAnswers,
+    private readonly unsent: UnsentBytes,
   ) {}
 
   /** Answers a request whose path is split at its slashes; resolves with false if no endpoint matches. */
@@ -130,7 +135,7 @@
   }
 
   private async createProgram({ req, res, tenant }: Exchange): Promise<void> {
-    const body = parseJsonBody(NewProgram, await readBody(req, this.maxBodyBytes), res);
+    const body = parseJsonBody(NewProgram, await readJsonText(req, this.maxBodyBytes), res);
     if (!body) return;
     this.front.owner.requireLease();
     const programId =
@@ -151,7 +156,7 @@
   }
 
   private async runTurn({ req, res, tenant }: Exchange, programId: string): Promise<void> {
-    const body = parseJsonBody(NewTurn, await readBody(req, this.maxBodyBytes), res);
+    const body = parseJsonBody(NewTurn, await readJsonText(req, this.maxBodyBytes), res);
     if (!body) return;
     const turn = {
       tenant,
@@ -211,7 +216,7 @@
   }
 
   private async runCall({ req, res, tenant }: Exchange, path: string): Promise<void> {
-    const body = await readBody(req, this.maxBodyBytes);
+    const body = await readJsonText(req, this.maxBodyBytes);
     if (parseJsonBody(z.unknown(), body, res) === undefined && res.headersSent) return;
     const key = operationKey(req);
     if (key.length > maxKeyLength) {
@@ -249,7 +254,7 @@
   front: Front,
   maxBodyBytes: number,
   passHandler?: PassHandler,
-  unsent = new UnsentAnswers(),
+  unsent = new UnsentBytes(),
 ): HttpHandler => {
   const api = new CallerApi(front, maxBodyBytes, unsent);
   return async (req, res, url) => {
--- a/packages/proxy/src/front.ts
+++ b/packages/proxy/src/front.ts
@@ -7,6 +7,7 @@
   decodeState,
   isNewerVersion,
   nodeViewOf,
+  valueBytes,
   versionOf,
   type NodeView,
   type State,
@@ -26,13 +27,16 @@
   type SessionOwnerOptions,
 } from '@tillerstair/session-owner';
 import {
+  BudgetUse,
   createAbortController,
   delay,
   ElectionError,
   FeedError,
   toRpcError,
+  UnavailableError,
   type Clock,
   type Logger,
+  type RpcRequest,
   type Transport,
 } from '@tillerstair/wire';
 import { Forwarder, type SlotRequest } from './forwarder.js';
@@ -106,7 +110,7 @@
   /** Starts serving other fronts. */
   async start(): Promise<void> {
     await this.transport.serve((rpc, emit, signal) =>
-      this.runLocally(rpc.kind, rpc.body, (index, text) => emit({ n: index, text }), signal),
+      this.runForwarded(rpc, (index, text) => emit({ n: index, text }), signal),
     );
     this.owner.start();
   }
@@ -228,6 +232,22 @@
     return next;
   }
 
+  /** Runs a request of another front. @throws UnavailableError (`memory-full`) if the memory for requests is in use */
+  private async runForwarded(
+    { kind, body }: RpcRequest,
+    emit: EmitChunk,
+    signal: AbortSignal,
+  ): Promise<CallOutcome> {
+    const memory = new BudgetUse(this.owner.requestMemory);
+    if (!memory.take(valueBytes(body)))
+      throw new UnavailableError('memory-full', 'the memory for requests is in use');
+    try {
+      return await this.runLocally(kind, body, emit, signal);
+    } finally {
+      memory.release();
+    }
+  }
+
   private async runLocally(
     kind: string,
     body: unknown,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -10,5 +10,4 @@
 export * from './send-guard.js';
 export * from './server-agent.js';
 export * from './start.js';
-export * from './unsent-answers.js';
 export * from './request-memory.js';
--- a/packages/proxy/src/pass-answer.ts
+++ b/packages/proxy/src/pass-answer.ts
@@ -1,6 +1,7 @@
 /** Writes responses to clients of pass routes: a server's complete response, a stream as it arrives, or a refusal. */
 import type { ServerResponse } from 'node:http';
 import { z } from 'zod';
+import type { UnsentBytes } from '@tillerstair/wire';
 import {
   decodeBody,
   ForwardedResponse,
@@ -8,7 +9,6 @@
   type EmitChunk,
   type ResponseHead,
 } from '@tillerstair/session-owner';
-import type { UnsentAnswers } from './unsent-answers.js';
 import { badGateway, gatewayTimeout, noContent, notModified } from './status-codes.js';
 
 /** Schema of a stream's first chunk: status and headers of the server's response. */
@@ -61,7 +61,7 @@
 const sendForwarded = (
   res: ServerResponse,
   response: ForwardedResponse,
-  unsent: UnsentAnswers,
+  unsent: UnsentBytes,
 ): void => {
   if (res.destroyed || res.headersSent) return;
   const body = decodeBody(response.body);
@@ -88,7 +88,7 @@
 export const sendPassOutcome = (
   res: ServerResponse,
   outcome: CallOutcome,
-  unsent: UnsentAnswers,
+  unsent: UnsentBytes,
 ): void => {
   const response = ForwardedResponse.safeParse(outcome.body);
   if (outcome.outcome === 'done' && response.success) {
@@ -109,7 +109,7 @@
 
   constructor(
     private readonly res: ServerResponse,
-    private readonly unsent: UnsentAnswers,
+    private readonly unsent: UnsentBytes,
   ) {}
 
   /** Stores the head from chunk 0, and writes each further chunk to the client. */
--- a/packages/proxy/src/pass-handler.ts
+++ b/packages/proxy/src/pass-handler.ts
@@ -12,7 +12,13 @@
   type EmitChunk,
   type PassRequest,
 } from '@tillerstair/session-owner';
-import { BodyTooLargeError, toRpcError, UnavailableError } from '@tillerstair/wire';
+import {
+  arrivalTimeOf,
+  BodyTooLargeError,
+  toRpcError,
+  UnavailableError,
+  UnsentBytes,
+} from '@tillerstair/wire';
 import type { Dialect } from './dialect.js';
 import type { Front } from './front.js';
 import { callerSignal } from './http-answers.js';
@@ -26,7 +32,6 @@
   notFound,
   serviceUnavailable,
 } from './status-codes.js';
-import { UnsentAnswers } from './unsent-answers.js';
 
 /** `Retry-After` of a failure that has no delay of its own, in seconds. */
 const defaultRetryAfterS = 0.5;
@@ -109,10 +114,19 @@
       };
 };
 
+/** Logs that a stream whose response has begun was broken off. */
+const logIfTruncated = (
+  front: Front,
+  { attempt }: PassRequest,
+  { outcome, errorCode = '', text = '' }: CallOutcome,
+): void => {
+  if (outcome !== 'done') front.logTruncatedAnswer(attempt, `${errorCode} ${text}`);
+};
+
 /** Memory of requests under way and of answers that wait for their clients; no limits by default. */
 export interface PassMemory {
   readonly requests?: RequestMemory;
-  readonly unsent?: UnsentAnswers;
+  readonly unsent?: UnsentBytes;
 }
 
 /** Creates the handler of pass routes with the header names of `dialect`; `maxBodyBytes` returns the current limit. */
@@ -120,17 +134,22 @@
   front: Front,
   dialect: Dialect,
   maxBodyBytes: () => number,
-  { requests = new RequestMemory(), unsent = new UnsentAnswers() }: PassMemory = {},
+  { requests = new RequestMemory(), unsent = new UnsentBytes() }: PassMemory = {},
 ): PassHandler => {
   return async (req, res) => {
-    const arrivedAt = front.clock.now();
+    const arrivedAt = arrivalTimeOf(req) ?? front.clock.now();
     const signal = callerSignal(res);
     let mayBeForwarded = false;
+    const refuseIncomplete = (error: unknown): void => {
+      res.shouldKeepAlive = false;
+      sendRefusal(res, refusalOfFailure(front, error, false));
+    };
     try {
       const elapsedMs = (): number => front.clock.now() - arrivedAt;
-      const reservation = requests.reserve(req, res);
+      const reservation = requests.reserve(req, res, refuseIncomplete);
       const onBytes = (bytes: number): void => reservation.addBody(bytes);
       const request = await readPassRequest(req, dialect, maxBodyBytes(), elapsedMs, onBytes);
+      reservation.requireHeld();
       if (request.attempt === '') {
         const text = `header ${dialect.attempt}, the id of the attempt, is missing`;
         sendRefusal(res, { status: badRequest, errorCode: 'no-try', text, mayHaveRun: false });
@@ -140,11 +159,7 @@
       mayBeForwarded = true;
       const outcome = await routePassRequest(front, request, stream.emit, signal);
       stream.finish(outcome);
-      if (outcome.outcome !== 'done' && res.headersSent && !signal.aborted)
-        front.logTruncatedAnswer(
-          request.attempt,
-          `${outcome.errorCode ?? ''} ${outcome.text ?? ''}`,
-        );
+      if (res.headersSent && !signal.aborted) logIfTruncated(front, request, outcome);
       sendPassOutcome(res, outcome, unsent);
     } catch (error) {
       const refusal = refusalOfFailure(front, error, mayBeForwarded);
--- a/packages/proxy/src/start.ts
+++ b/packages/proxy/src/start.ts
@@ -1,13 +1,12 @@
 /** Starts a front-proxy: the front, its HTTP listeners, and the loopback address that receives the agent's feed. */
 import { randomBytes } from 'node:crypto';
 import {
-  answerBytesLimit,
   servePages,
-  unsentBytesLimit,
   createStderrLogger,
-  ownerItemBytes,
-  reportMemoryPeaks,
-  requestBytesLimit,
+  createFrontMemory,
+  ProcessMemory,
+  watchMemory,
+  type FrontMemory,
   type ProxySettings,
   type Readiness,
   type RunningProgram,
@@ -27,7 +26,6 @@
 import { HttpBackend } from './http-backend.js';
 import { createPassHandler, type PassHandler } from './pass-handler.js';
 import { RequestMemory } from './request-memory.js';
-import { UnsentAnswers } from './unsent-answers.js';
 
 /** Listeners in addition to the product's own HTTP listener. */
 interface AdditionalListeners {
@@ -41,6 +39,7 @@
 export type OpenListeners = (
   front: Front,
   passHandler: PassHandler,
+  memory: FrontMemory,
 ) => Promise<AdditionalListeners>;
 
 const noAdditionalListeners: OpenListeners = () =>
@@ -72,17 +71,19 @@
   bounds: () => ProxySettings['bounds'],
   backend: HttpBackend,
   log: Logger,
+  memory: FrontMemory,
 ): Front =>
   new Front({
     id: `f-${randomBytes(frontIdBytes).toString('hex')}`,
     clock: hostClock,
-    transport: new TcpTransport(settings.addr, settings.listen),
+    transport: new TcpTransport(settings.addr, settings.listen, {
+      replyMemory: memory.replies,
+    }),
     backend,
     bounds: createFrontBounds(settings, bounds),
     log,
     affinity: settings.affinity,
-    maxItemBytes: ownerItemBytes(settings.memoryMb),
-    maxAnswerBytes: answerBytesLimit(settings.memoryMb),
+    memory,
   });
 
 /**
@@ -95,7 +96,8 @@
   openListeners: OpenListeners = noAdditionalListeners,
 ): Promise<RunningProgram<ProxySettings>> => {
   const log = createStderrLogger('proxy', settings.log);
-  reportMemoryPeaks(log, settings.memoryMb);
+  watchMemory(log, settings.memoryMb);
+  const memory = createFrontMemory(new ProcessMemory(settings.memoryMb));
   let { bounds } = settings;
   const backend: HttpBackend = new HttpBackend(
     {
@@ -104,17 +106,17 @@
     },
     dialect,
   );
-  const front = createFront(settings, () => bounds, backend, log);
+  const front = createFront(settings, () => bounds, backend, log, memory);
   const feed = await serveFeed(front, settings);
   await front.start();
   const maxBodyBytes = (): number =>
     front.owner.current?.config?.limits.bodyBytes ?? settings.bodyMost;
-  const unsent = new UnsentAnswers(unsentBytesLimit(settings.memoryMb));
-  const requests = new RequestMemory(requestBytesLimit(settings.memoryMb));
+  const { unsent, pages } = memory;
+  const requests = new RequestMemory(memory.requests);
   const passHandler = createPassHandler(front, dialect, maxBodyBytes, { requests, unsent });
   const callerApi = createCallerApi(front, settings.bodyMost, passHandler, unsent);
-  const http = await servePages(settings.http, () => readinessOf(front), callerApi);
-  const listeners = await openListeners(front, passHandler);
+  const http = await servePages(settings.http, () => readinessOf(front), pages, callerApi);
+  const listeners = await openListeners(front, passHandler, memory);
   log.info(`Serving callers at ${settings.http}.`);
   return {
     reload: (next) => {
--- a/packages/session-owner/src/owner-services.ts
+++ b/packages/session-owner/src/owner-services.ts
@@ -23,6 +23,8 @@
   readonly backend: Backend;
   /** The memory for the answers of all requests under way. */
   readonly answerMemory: ByteBudget;
+  /** The memory for the conversations that requests under way continue. */
+  readonly conversationMemory: ByteBudget;
   /** Whether the read lease is valid, so that this front may serve from the newest state that it applied. */
   readonly leaseValid: boolean;
   /** The newest compiled state; undefined before the first publish. */
--- a/packages/session-owner/src/session-owner.ts
+++ b/packages/session-owner/src/session-owner.ts
@@ -53,6 +53,18 @@
   readonly stopWithin: number;
 }
 
+/** The memory of an owner for what callers make it hold. */
+interface OwnerMemory {
+  /** Items of all owned slots. */
+  readonly items: ByteBudget;
+  /** Requests under way, of clients of this front and of others. */
+  readonly requests: ByteBudget;
+  /** Conversations that requests under way continue. */
+  readonly conversations: ByteBudget;
+  /** Answers of servers to requests under way. */
+  readonly answers: ByteBudget;
+}
+
 /** Identity, dependencies and time limits of a `SessionOwner`. */
 export interface SessionOwnerOptions {
   /** The front's id in the cluster state. */
@@ -64,10 +76,8 @@
   readonly log: Logger;
   /** Whether placement prefers servers whose prefix cache holds parts of the prompt. */
   readonly affinity: boolean;
-  /** Maximum memory of the items of all owned slots, in bytes; no limit by default. */
-  readonly maxItemBytes?: number;
-  /** Maximum memory of the answers of all requests under way, in bytes; no limit by default. */
-  readonly maxAnswerBytes?: number;
+  /** The memory for what callers make this owner hold; no limits by default. */
+  readonly memory?: Partial<OwnerMemory>;
 }
 
 /** One caller's interest in another front: `lost` is aborted when the front leaves the cluster state. */
@@ -101,6 +111,9 @@
   readonly clock: Clock;
   readonly backend: Backend;
   readonly answerMemory: ByteBudget;
+  /** The memory for requests under way, of clients of this front and of others. */
+  readonly requestMemory: ByteBudget;
+  readonly conversationMemory: ByteBudget;
   readonly placement: Placement;
   readonly streams: Streams;
   readonly turns: Turns;
@@ -147,8 +160,10 @@
       compiledState,
       leaseValid,
     });
-    this.answerMemory = new ByteBudget(options.maxAnswerBytes);
-    const memory = new ByteBudget(options.maxItemBytes);
+    this.answerMemory = options.memory?.answers ?? new ByteBudget();
+    this.requestMemory = options.memory?.requests ?? new ByteBudget();
+    this.conversationMemory = options.memory?.conversations ?? new ByteBudget();
+    const memory = options.memory?.items ?? new ByteBudget();
     this.slots = new OwnedSlots(id, (slotNumber, ownedSinceEpoch) => {
       // Read again for each replicator: a reload of the settings changes the bounds.
       const { putTimeoutMs, heartbeatInterval, retentionMs, minRetentionMs } = bounds;
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,6 +1,7 @@
 /** Settings of all programs, their command line, and their life cycle as processes. */
 export * from './daemon.js';
 export * from './errors.js';
+export * from './heap-pressure.js';
 export * from './memory-limits.js';
 export * from './memory-report.js';
 export * from './operator-pages.js';
--- a/packages/settings/src/memory-limits.ts
+++ b/packages/settings/src/memory-limits.ts
@@ -1,6 +1,10 @@
-/** Derives from the limits of a process how much of its memory each kind of data may take. */
+/**
+ * Derives from the limits of a process how much of its memory each kind of data may take. The budgets of a process are
+ * parts of one total, and their shares of it add up to at most 1: what each may take fits also if all are full at once.
+ */
 import { totalmem } from 'node:os';
 import { getHeapStatistics } from 'node:v8';
+import { ByteBudget, UnsentBytes, type HttpLimits } from '@tillerstair/wire';
 
 const mb = 1 << 20;
 /** Resident memory of a program that has just started, with its code, stacks and the collector's reserve, in bytes. */
@@ -10,59 +14,124 @@
 /** Heap of a program that has just started: its code and tables. */
 const startedHeapBytes = 20 * mb;
 /** Share of a limit that counts as usable at least, however small the limit is. */
-const minUsableShare = 0.25;
+const minUsableShare = 0.2;
+/** Share of the free heap for data; the rest is for garbage that is not collected yet. */
+const heapDataShare = 0.8;
+/** Share of the free memory of a process for data in its heap; the rest is for garbage and for buffers outside the heap. */
+const processDataShare = 0.5;
 
-const leftOf = (limitBytes: number, takenBytes: number): number =>
-  Math.max(limitBytes - takenBytes, limitBytes * minUsableShare);
+const leftOf = (limitBytes: number, takenBytes: number, share: number): number =>
+  Math.max((limitBytes - takenBytes) * share, limitBytes * minUsableShare);
 
 /**
  * Bytes of the heap that a process may fill with data: what the heap's own limit, or the process's limit of memory,
- * leaves beside the program itself. Without `memoryMb` the memory of the host counts.
+ * leaves beside the program itself and its garbage. Without `memoryMb` the memory of the host counts.
  */
-const usableHeapBytes = (memoryMb: number | undefined): number => {
+const dataBytes = (memoryMb: number | undefined): number => {
   const processBytes = memoryMb === undefined ? totalmem() : memoryMb * mb;
   const heapBytes = getHeapStatistics().heap_size_limit;
   return Math.min(
-    leftOf(heapBytes, youngGenerationBytes + startedHeapBytes),
-    leftOf(processBytes, startedProcessBytes),
+    leftOf(heapBytes, youngGenerationBytes + startedHeapBytes, heapDataShare),
+    leftOf(processBytes, startedProcessBytes, processDataShare),
   );
 };
 
-/** Share of a store's heap for items and hints; the rest is for requests, pages and garbage. */
-const storeItemShare = 0.6;
-/** Share of a front's heap for the items of its slots; the rest is for requests and answers under way. */
-const ownerItemShare = 0.35;
-
-/** Share of a front's heap for the requests under way. */
-const requestShare = 0.4;
-/** Share of the memory outside a front's heap for answers that wait for their clients. */
+/** Connections that a listener for operators, health checks or other programs keeps open at once. */
+const maxPageConnections = 64;
+/** Shares of the data of any program for its pages: incomplete heads and waiting requests, and bodies. */
+const pageInputShare = 0.04;
+const pageBodyShare = 0.06;
+/** Answers that wait outside the heap for their readers, in relation to the data in the heap. */
 const unsentShare = 0.25;
-/** Share of a program's heap for heads of requests that are not complete. */
-const headShare = 0.2;
 
-/** Maximum memory of the requests under way at a front, in bytes. */
-export const requestBytesLimit = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * requestShare;
+/** The memory of one process for what others make it hold. */
+export class ProcessMemory {
+  readonly total: ByteBudget;
+  /** What waits at this process for its readers, over all its listeners. */
+  readonly unsent: UnsentBytes;
 
-/** Share of a front's heap for the answers of requests under way. */
-const answerShare = 0.4;
+  /** @param memoryMb - the limit of the process; the memory of the host by default */
+  constructor(memoryMb: number | undefined) {
+    this.total = new ByteBudget(dataBytes(memoryMb));
+    this.unsent = new UnsentBytes(this.total.limitBytes * unsentShare);
+  }
 
-/** Maximum memory of the answers of requests under way at a front, in bytes. */
-export const answerBytesLimit = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * answerShare;
+  /** A budget for a share of the total. */
+  part(share: number): ByteBudget {
+    return new ByteBudget(this.total.limitBytes * share, this.total);
+  }
 
-/** Maximum bytes of answers that wait at a front for their clients. */
-export const unsentBytesLimit = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * unsentShare;
+  /** Limits of a listener for operators, health checks or other programs. */
+  pageLimits(bodyShare = pageBodyShare, maxConnections = maxPageConnections): HttpLimits {
+    return {
+      maxConnections,
+      inputMemory: this.part(pageInputShare),
+      bodyMemory: this.part(bodyShare),
+      unsent: this.unsent,
+    };
+  }
+}
 
-/** Maximum memory of incomplete heads of requests, in bytes. */
-export const headBytesLimit = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * headShare;
+/** Share of a store's data for items and hints; the rest is for requests and pages. */
+const storeItemShare = 0.75;
+/** Share of a store's data for replies that are not sent yet. */
+const storeReplyShare = 0.1;
 
 /** Maximum memory of the items and hints of a store, in bytes. */
-export const storeItemBytes = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * storeItemShare;
+export const storeItemBytes = ({ total }: ProcessMemory): number =>
+  total.limitBytes * storeItemShare;
+
+/** The budget for the replies of a store that are not sent yet. */
+export const storeReplyMemory = (memory: ProcessMemory): ByteBudget => memory.part(storeReplyShare);
+
+/** Shares of a control's data for the bodies of operators' requests, at each of its two listeners. */
+const operatorBodyShare = 0.3;
+/** Connections of operators, and of servers, that a control keeps open at once. */
+const maxOperatorConnections = 128;
+
+/** Limits of a control's listener for operators. */
+export const operatorLimits = (memory: ProcessMemory): HttpLimits =>
+  memory.pageLimits(operatorBodyShare, maxOperatorConnections);
+
+/** Shares of a front's data; `pageInputShare` and `pageBodyShare` come on top. */
+const frontShares = {
+  items: 0.3,
+  requests: 0.2,
+  conversations: 0.1,
+  answers: 0.15,
+  clientInput: 0.08,
+  healthCheckInput: 0.02,
+  replies: 0.05,
+} as const;
+
+/** The budgets of a front; see `createFrontMemory`. */
+export interface FrontMemory {
+  /** Items of the slots that the front owns. */
+  readonly items: ByteBudget;
+  /** Requests under way, of its clients and of other fronts. */
+  readonly requests: ByteBudget;
+  /** Conversations that requests continue. */
+  readonly conversations: ByteBudget;
+  /** Answers of servers that are collected or stored. */
+  readonly answers: ByteBudget;
+  /** What clients have sent and what is not handled yet, and the same of health checks. */
+  readonly clientInput: ByteBudget;
+  readonly healthCheckInput: ByteBudget;
+  /** Replies to other fronts that are not sent yet. */
+  readonly replies: ByteBudget;
+  readonly pages: HttpLimits;
+  readonly unsent: UnsentBytes;
+}
 
-/** Maximum memory of the items of the slots that a front owns, in bytes. */
-export const ownerItemBytes = (memoryMb: number | undefined): number =>
-  usableHeapBytes(memoryMb) * ownerItemShare;
+/** Divides the memory of a front. */
+export const createFrontMemory = (memory: ProcessMemory): FrontMemory => ({
+  items: memory.part(frontShares.items),
+  requests: memory.part(frontShares.requests),
+  conversations: memory.part(frontShares.conversations),
+  answers: memory.part(frontShares.answers),
+  clientInput: memory.part(frontShares.clientInput),
+  healthCheckInput: memory.part(frontShares.healthCheckInput),
+  replies: memory.part(frontShares.replies),
+  pages: memory.pageLimits(),
+  unsent: memory.unsent,
+});
--- a/packages/settings/src/memory-report.ts
+++ b/packages/settings/src/memory-report.ts
@@ -1,5 +1,6 @@
 /** Reports the memory of this process in its log each time it reaches a new peak. */
 import type { Logger } from '@tillerstair/wire';
+import { collectUnderPressure } from './heap-pressure.js';
 
 const checkIntervalMs = 1000;
 /** A peak is reported once it exceeds the reported one by this many MB. */
@@ -51,10 +52,10 @@
 }
 
 /**
- * Checks the memory of this process once a second and logs each new peak; does not keep the process running. `memoryMb` is
- * the limit of the process.
+ * Keeps the garbage of this process within its limit of memory, and logs each new peak; does not keep the process running.
  */
-export const reportMemoryPeaks = (log: Logger, memoryMb: number | undefined): void => {
+export const watchMemory = (log: Logger, memoryMb: number | undefined): void => {
+  collectUnderPressure(memoryMb);
   const report = new MemoryReport(log, memoryMb);
   report.check();
   setInterval(() => report.check(), checkIntervalMs).unref();
--- a/packages/settings/src/operator-pages.ts
+++ b/packages/settings/src/operator-pages.ts
@@ -1,5 +1,11 @@
 /** The HTTP health checks of every program: `/live` for liveness and `/ready` for readiness. */
-import { sendJson, serveHttp, type DrainableServer, type HttpHandler } from '@tillerstair/wire';
+import {
+  sendJson,
+  serveHttp,
+  type DrainableServer,
+  type HttpHandler,
+  type HttpLimits,
+} from '@tillerstair/wire';
 
 const okStatus = 200;
 const notFoundStatus = 404;
@@ -13,14 +19,15 @@
 
 /**
  * Starts an HTTP server with `/live` (always 200) and `/ready` (200 or 503). `handleOther` handles all other paths;
- * without it they are answered 404.
+ * without it they are answered 404. `limits` bounds what clients make the program hold.
  */
 export const servePages = (
   addr: string,
   readiness: () => Readiness,
+  limits: HttpLimits,
   handleOther?: HttpHandler,
-): Promise<DrainableServer> =>
-  serveHttp(addr, async (request, response, url) => {
+): Promise<DrainableServer> => {
+  const handle: HttpHandler = async (request, response, url) => {
     if (url.pathname === '/live') {
       sendJson(response, okStatus, { live: true });
       return;
@@ -32,4 +39,6 @@
     }
     if (handleOther) return handleOther(request, response, url);
     sendJson(response, notFoundStatus, { executed: 'no', errorCode: 'no-such-page' });
-  });
+  };
+  return serveHttp(addr, handle, limits);
+};
--- a/packages/state/src/item-size.ts
+++ b/packages/state/src/item-size.ts
@@ -10,7 +10,8 @@
 const stringBytes = (text: string): number =>
   charactersOfOneByte.test(text) ? text.length : 2 * text.length;
 
-const valueBytes = (value: unknown): number => {
+/** The estimated memory of a value that was parsed from JSON, in bytes. */
+export const valueBytes = (value: unknown): number => {
   if (typeof value === 'string') return stringBytes(value);
   if (value === null || typeof value !== 'object') return 0;
   let bytes = 0;
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -4,14 +4,22 @@
 import {
   servePages,
   createStderrLogger,
-  reportMemoryPeaks,
+  ProcessMemory,
+  watchMemory,
   storeItemBytes,
+  storeReplyMemory,
   type Readiness,
   type RunningProgram,
   type StoreSettings,
 } from '@tillerstair/settings';
 import type { Member } from '@tillerstair/state';
-import { hostClock, sendJson, TcpTransport, type HttpHandler } from '@tillerstair/wire';
+import {
+  hostClock,
+  sendJson,
+  TcpTransport,
+  type HttpHandler,
+  type Logger,
+} from '@tillerstair/wire';
 import { reloadableBounds, storeJournalTimings } from '@tillerstair/zen';
 import { openStoreDisk } from './open-store-disk.js';
 import type { ReplicaStore } from './replica-store.js';
@@ -50,6 +58,13 @@
     return Promise.resolve();
   };
 
+/** Logs how much of the log was dropped at the start because it holds more than the memory. */
+const logDroppedItems = (replicaStore: ReplicaStore, log: Logger): void => {
+  const { droppedAtStart } = replicaStore.counts();
+  if (droppedAtStart === 0) return;
+  log.error(`The log holds more than the memory: ${droppedAtStart} groups of items were dropped.`);
+};
+
 /**
  * Starts a store. A reload applies new bounds and seeds; all other settings need a restart.
  *
@@ -59,7 +74,8 @@
   settings: StoreSettings,
 ): Promise<RunningProgram<StoreSettings>> => {
   const log = createStderrLogger('store', settings.log);
-  reportMemoryPeaks(log, settings.memoryMb);
+  watchMemory(log, settings.memoryMb);
+  const memory = new ProcessMemory(settings.memoryMb);
   const disk = await FolderDisk.acquire(settings.data);
   const reloadable = reloadableBounds(settings.bounds);
   const { bounds } = reloadable;
@@ -71,7 +87,7 @@
       rewriteMinBytes: settings.journalLongAt,
       retentionMs: settings.retentionMs,
       maxHints: settings.hintsMost,
-      maxItemBytes: storeItemBytes(settings.memoryMb),
+      maxItemBytes: storeItemBytes(memory),
       ...(settings.requiredRetentionMs === undefined
         ? {}
         : { minRetentionMs: settings.requiredRetentionMs }),
@@ -80,16 +96,14 @@
     rewriteMinBytes: settings.journalLongAt,
   });
   const { id } = electionStore.persisted;
-  const { droppedAtStart } = replicaStore.counts();
-  if (droppedAtStart > 0)
-    log.error(
-      `The log holds more than the memory: ${droppedAtStart} groups of items were dropped.`,
-    );
+  logDroppedItems(replicaStore, log);
   const node = new StoreNode({
     localMember: memberOf(id, settings),
     seeds: settings.seeds,
     clock: hostClock,
-    transport: new TcpTransport(settings.addr, settings.listen),
+    transport: new TcpTransport(settings.addr, settings.listen, {
+      replyMemory: storeReplyMemory(memory),
+    }),
     electionStore,
     replicaStore,
     bounds,
@@ -99,6 +113,7 @@
   const http = await servePages(
     settings.http,
     () => readinessOf(node),
+    memory.pageLimits(),
     operatorPages(node, replicaStore),
   );
   log.info(`Serving store ${id} at ${settings.addr}.`);
--- a/packages/wire/src/connection-guard.ts
+++ b/packages/wire/src/connection-guard.ts
@@ -1,12 +1,19 @@
 /**
- * Bounds what the connections of an HTTP server can make its process hold before a request is passed to the handler: their
- * number, and the bytes of heads that are not complete. Owns the set of open connections, the one that was used longest
- * ago first. Who is closed first: of the connections without a pending request, the one that was used longest ago; then one
- * whose client does not read its whole answer; a new connection if there is none.
+ * Bounds what the connections of an HTTP server can make its process hold beside the requests that are handled: their
+ * number, the bytes of incomplete heads and of requests that wait, and the answers that their clients do not read. Owns the
+ * set of open connections, the one that was used longest ago first.
+ *
+ * Who is closed for a new connection: of the connections without a pending request, the one that was used longest ago; then
+ * one whose request is not complete; then one whose client does not read its answer; the new one if there is none. Who is
+ * closed for memory: the connection with the most of it.
  */
 import type { Socket } from 'node:net';
-import { hostClock, type Clock, type TimerHandle } from './clock.js';
-import type { DrainableServer } from './drainable-server.js';
+import type { ByteBudget } from './byte-budget.js';
+import { ConnectionInput } from './connection-input.js';
+import type { DrainableServer, RequestObserver } from './drainable-server.js';
+import { ParserFeed, type FeedControl } from './parser-feed.js';
+import type { Exchange } from './request-pipeline.js';
+import { UnsentBytes } from './unsent-bytes.js';
 
 /** Limits of a `ConnectionGuard`; each function is called anew for each check. */
 export interface ConnectionLimits {
@@ -14,88 +21,158 @@
   readonly maxConnections: () => number;
   /** Maximum size of a request's line and headers, in bytes. */
   readonly maxHeadBytes: () => number;
-  /** Maximum memory of the incomplete heads of all connections, in bytes. */
-  readonly maxHeadMemoryBytes: number;
+  /** The memory for incomplete heads and for requests that wait. */
+  readonly inputMemory: ByteBudget;
+  /** The answers that wait for their clients; they may belong to other servers as well. */
+  readonly unsent?: UnsentBytes;
 }
 
-const checkIntervalMs = 100;
-/** One read of a socket may hold the end of a request and more, so the limit of a head is passed by that much at first. */
-const readChunkBytes = 1 << 16;
-/** Memory of a head in relation to its bytes, if its lines are as short as they can be. */
-const headMemoryFactor = 16;
+/** Empty lines that a client may send before a head, beside the size of the head, in bytes. */
+const maxEmptyLineBytes = 1 << 16;
+/** Number of waiting requests of a connection at which the parser gets nothing more of it. */
+const maxWaitingRequests = 16;
+/** Once memory is short, connections are closed until this share of it is in use. */
+const shareAfterClosing = 0.8;
+
+/** One open connection. */
+class GuardedConnection implements FeedControl {
+  readonly input = new ConnectionInput();
+  readonly feed: ParserFeed;
+  /** The memory that is counted for this connection, in bytes. */
+  countedBytes = 0;
+
+  constructor(
+    readonly socket: Socket,
+    private readonly guard: ConnectionGuard,
+    private readonly server: DrainableServer,
+  ) {
+    this.feed = new ParserFeed(socket, this);
+  }
+
+  get memoryBytes(): number {
+    return this.input.memoryBytes + this.feed.heldBytes;
+  }
+
+  /** The body of a request that waits is not needed yet. */
+  mayFeed(): boolean {
+    const waiting = this.server.waitingRequests(this.socket);
+    if (waiting >= maxWaitingRequests || (waiting > 0 && this.input.hasIncompleteBody))
+      return false;
+    return this.guard.hasRoomFor(this);
+  }
+
+  partBytes(): number {
+    return this.input.nextPartBytes;
+  }
+
+  fed(part: Buffer): void {
+    this.input.received(part);
+    this.guard.update(this);
+  }
+}
 
 /** Enforces the limits on the connections of one server. */
-export class ConnectionGuard {
-  /** The bytes that each open connection had received when its last request had ended. */
-  private readonly receivedBefore = new Map<Socket, number>();
-  private timer: TimerHandle | undefined;
+export class ConnectionGuard implements RequestObserver {
+  private readonly connections = new Map<Socket, GuardedConnection>();
+  /** Connections whose next part waits for memory. */
+  private readonly blocked = new Set<GuardedConnection>();
+  /** Memory of connections that were closed here and whose objects are not released yet, in bytes. */
+  private closingBytes = 0;
+  private readonly unsent: UnsentBytes;
 
   constructor(
     private readonly server: DrainableServer,
     private readonly limits: ConnectionLimits,
-    private readonly clock: Clock = hostClock,
   ) {
+    this.unsent = limits.unsent ?? new UnsentBytes();
     server.on('connection', (socket: Socket) => this.accept(socket));
-    server.on('request', ({ socket }, response) => {
-      response.on('close', () => this.markUsed(socket));
-    });
+    server.observe(this);
+  }
+
+  requestArrived({ request, response }: Exchange): void {
+    response.once('prefinish', () => this.unsent.wrote(response));
+    this.connections.get(request.socket)?.input.requestArrived(request);
+  }
+
+  /** Moves a connection to the end of the order in which connections are closed. */
+  requestAnswered(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (!connection || socket.destroyed) return;
+    this.connections.delete(socket);
+    this.connections.set(socket, connection);
+    this.update(connection);
+    connection.feed.feed();
+  }
+
+  /** Whether the parser may get more of this connection; if not, it gets more once there is room. */
+  hasRoomFor(connection: GuardedConnection): boolean {
+    if (this.limits.inputMemory.hasRoom(0)) return true;
+    if (this.blocked.size === 0) setImmediate(() => this.feedBlocked());
+    this.blocked.add(connection);
+    return false;
+  }
+
+  /** Counts the memory of a connection anew, and closes connections if it is too much. */
+  update(connection: GuardedConnection): void {
+    if (this.connections.get(connection.socket) !== connection) return;
+    const { inputMemory, maxHeadBytes } = this.limits;
+    connection.input.setWaitingRequests(this.server.waitingRequests(connection.socket));
+    inputMemory.add(connection.memoryBytes - connection.countedBytes);
+    connection.countedBytes = connection.memoryBytes;
+    if (connection.input.headBytes > maxHeadBytes() + maxEmptyLineBytes) this.close(connection);
+    if (!inputMemory.hasRoom(-this.closingBytes)) this.closeLargest();
   }
 
   private accept(socket: Socket): void {
-    if (
-      this.receivedBefore.size >= this.limits.maxConnections() &&
-      !this.closeLeastRecentlyUsed()
-    ) {
+    if (this.connections.size >= this.limits.maxConnections() && !this.closeLeastRecentlyUsed()) {
       socket.destroy();
       return;
     }
-    this.receivedBefore.set(socket, 0);
-    socket.on('close', () => this.receivedBefore.delete(socket));
-    this.timer ??= this.clock.after(checkIntervalMs, () => this.check());
+    const connection = new GuardedConnection(socket, this, this.server);
+    this.connections.set(socket, connection);
+    socket.on('close', () => this.remove(connection));
   }
 
-  /** Moves a connection to the end of the order in which connections are closed. */
-  private markUsed(socket: Socket): void {
-    if (!this.receivedBefore.delete(socket) || socket.destroyed) return;
-    this.receivedBefore.set(socket, socket.bytesRead);
+  private feedBlocked(): void {
+    const blocked = [...this.blocked];
+    this.blocked.clear();
+    for (const connection of blocked) connection.feed.feed();
   }
 
   private closeLeastRecentlyUsed(): boolean {
-    const { server, receivedBefore } = this;
-    const sockets = [...receivedBefore.keys()];
+    const { server } = this;
+    const open = [...this.connections.values()];
     const closed =
-      sockets.find((socket) => !server.hasPendingRequest(socket)) ??
-      sockets.find((socket) => !server.hasUnansweredRequest(socket));
+      open.find(({ socket }) => !server.hasPendingRequest(socket)) ??
+      open.find(({ socket }) => server.hasIncompleteRequest(socket)) ??
+      open.find(({ socket }) => !server.hasUnansweredRequest(socket));
     if (closed) this.close(closed);
     return closed !== undefined;
   }
 
-  private close(socket: Socket): void {
-    this.receivedBefore.delete(socket);
-    socket.destroy();
-  }
-
-  /** Closes connections whose head is too long, then the oldest ones while all heads together take too much memory. */
-  private check(): void {
-    this.timer = undefined;
-    const maxBytes = this.limits.maxHeadBytes() + readChunkBytes;
-    const heads: (readonly [socket: Socket, memoryBytes: number])[] = [];
-    let memoryBytes = 0;
-    for (const [socket, before] of this.receivedBefore) {
-      const headBytes = socket.bytesRead - before;
-      if (headBytes === 0 || this.server.hasPendingRequest(socket)) continue;
-      if (headBytes > maxBytes) this.close(socket);
-      else {
-        heads.push([socket, headBytes * headMemoryFactor]);
-        memoryBytes += headBytes * headMemoryFactor;
-      }
+  /** Closes the connections with the most memory until enough of it is free, or will be. */
+  private closeLargest(): void {
+    const { inputMemory } = this.limits;
+    const largestFirst = [...this.connections.values()]
+      .filter(({ countedBytes }) => countedBytes > 0)
+      .sort((left, right) => right.countedBytes - left.countedBytes);
+    for (const connection of largestFirst) {
+      if (inputMemory.hasRoom(-this.closingBytes, shareAfterClosing)) return;
+      this.close(connection);
     }
-    for (const [socket, bytes] of heads) {
-      if (memoryBytes <= this.limits.maxHeadMemoryBytes) break;
-      this.close(socket);
-      memoryBytes -= bytes;
-    }
-    if (this.receivedBefore.size > 0)
-      this.timer = this.clock.after(checkIntervalMs, () => this.check());
+  }
+
+  /** Closes a connection; its memory counts until the socket has closed, since the HTTP server holds it until then. */
+  private close(connection: GuardedConnection): void {
+    this.connections.delete(connection.socket);
+    this.closingBytes += connection.countedBytes;
+    connection.socket.destroy();
+  }
+
+  private remove(connection: GuardedConnection): void {
+    if (!this.connections.delete(connection.socket)) this.closingBytes -= connection.countedBytes;
+    this.blocked.delete(connection);
+    this.limits.inputMemory.add(-connection.countedBytes);
+    connection.countedBytes = 0;
   }
 }
--- a/packages/wire/src/http.ts
+++ b/packages/wire/src/http.ts
@@ -4,20 +4,44 @@
 import { ConnectionGuard } from './connection-guard.js';
 import { DrainableServer } from './drainable-server.js';
 import { UnavailableError } from './errors/index.js';
+import { GrowingBuffer } from './growing-buffer.js';
+import { jsonMemoryBytes } from './json-size.js';
 import { listenAt } from './listen.js';
+import { UnsentBytes } from './unsent-bytes.js';
 
-/** Connections that a listener for operators, health checks or other programs keeps open at once. */
-const maxConnections = 2048;
 /** Maximum size of the line and headers of a request to such a listener, in bytes; the default of Node. */
 const maxHeadBytes = 16 << 10;
-/** Memory of incomplete heads and of bodies under way at such a listener, in bytes. */
-const maxHeadMemoryBytes = 8 << 20;
-const maxBodyMemoryBytes = 32 << 20;
 const serviceUnavailable = 503;
 const retryAfterS = 1;
 
-/** The memory for bodies of the listener that received a request. */
-const bodyMemory = new WeakMap<IncomingMessage, BudgetUse>();
+/** What the connections and requests of a listener may make its process hold. */
+export interface HttpLimits {
+  /** Maximum number of open connections. */
+  readonly maxConnections: number;
+  /** The memory for incomplete heads and for requests that wait. */
+  readonly inputMemory: ByteBudget;
+  /** The memory for bodies and for what they hold once they are parsed. */
+  readonly bodyMemory: ByteBudget;
+  /** The answers that wait for their clients. */
+  readonly unsent: UnsentBytes;
+}
+
+const defaultMaxConnections = 2048;
+const defaultInputBytes = 8 << 20;
+const defaultBodyBytes = 32 << 20;
+const defaultUnsentBytes = 32 << 20;
+
+const defaultLimits = (): HttpLimits => ({
+  maxConnections: defaultMaxConnections,
+  inputMemory: new ByteBudget(defaultInputBytes),
+  bodyMemory: new ByteBudget(defaultBodyBytes),
+  unsent: new UnsentBytes(defaultUnsentBytes),
+});
+
+const bodyMemoryInUse = 'the memory for request bodies is in use';
+
+/** The memory that each request takes for its body. */
+const bodyUses = new WeakMap<IncomingMessage, BudgetUse>();
 
 /** Responds to one request. `BodyTooLargeError` is answered 413, any other rejection 500. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void>;
@@ -49,24 +73,43 @@
   maxBytes: number,
   onBytes: (bytes: number) => void = () => undefined,
 ): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
+  const body = new GrowingBuffer();
   let size = 0;
   for await (const chunk of req) {
     const bytes = Buffer.isBuffer(chunk) ? chunk : Buffer.from(String(chunk));
     size += bytes.length;
-    if (!(bodyMemory.get(req)?.take(bytes.length) ?? true))
-      throw new UnavailableError('memory-full', 'the memory for request bodies is in use');
+    if (!(bodyUses.get(req)?.take(bytes.length) ?? true))
+      throw new UnavailableError('memory-full', bodyMemoryInUse);
     if (size > maxBytes) throw new BodyTooLargeError(`body is over ${maxBytes} bytes`);
     onBytes(bytes.length);
-    chunks.push(bytes);
+    body.append(bytes);
   }
-  return Buffer.concat(chunks);
+  // It was refused while it was incomplete, and must not be handled.
+  if (bodyUses.get(req)?.wasEvicted) throw new UnavailableError('memory-full', bodyMemoryInUse);
+  return body.toBuffer();
 };
 
 /** Reads the body of a request as UTF-8 text; throws `BodyTooLargeError` if it has more than `maxBytes` bytes. */
 export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<string> =>
   (await readBytes(req, maxBytes)).toString('utf8');
 
+/**
+ * Reads a body that is to be parsed as JSON, and reserves the memory for that until the response has closed.
+ *
+ * @throws BodyTooLargeError if it has more than `maxBytes` bytes, or so many values that it would never fit
+ * @throws UnavailableError (`memory-full`) if the memory is in use
+ */
+export const readJsonText = async (req: IncomingMessage, maxBytes: number): Promise<string> => {
+  const text = await readBody(req, maxBytes);
+  const use = bodyUses.get(req);
+  if (!use) return text;
+  const memoryBytes = jsonMemoryBytes(text);
+  if (memoryBytes > use.mostBytes)
+    throw new BodyTooLargeError(`the body has too many values: ${memoryBytes} bytes of memory`);
+  if (!use.resize(memoryBytes)) throw new UnavailableError('memory-full', bodyMemoryInUse);
+  return text;
+};
+
 /** Parses the path of a request; undefined if it is not a valid URL path. */
 const parsePath = (path: string): URL | undefined => {
   try {
@@ -78,20 +121,42 @@
   }
 };
 
+const sendMemoryFull = (res: ServerResponse, text: string): void => {
+  const headers = new Map([['retry-after', String(retryAfterS)]]);
+  const body = { executed: 'no', errorCode: 'memory-full', text };
+  sendJson(res, serviceUnavailable, body, headers);
+};
+
+/** Counts the body of a request until its response has closed; an incomplete body may be refused for a smaller one. */
+const reserveBodyMemory = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  bodyMemory: ByteBudget,
+): void => {
+  const use = new BudgetUse(bodyMemory);
+  bodyUses.set(req, use);
+  use.allowEviction({
+    isAllowed: () => !req.complete,
+    onEvicted: () => {
+      res.shouldKeepAlive = false;
+      sendMemoryFull(res, bodyMemoryInUse);
+    },
+  });
+  res.once('close', () => use.release());
+};
+
 /**
  * Starts an HTTP server at an address; resolves once it listens and rejects if it cannot. A path that cannot be parsed
- * is answered 400, a body that is too large 413, a body for which there is no memory 503, and any other error of the handler 500 with `executed: "unknown"`; if
- * the response has already begun, the connection is closed instead.
+ * is answered 400, a body that is too large 413, a body for which there is no memory 503, and any other error of the handler
+ * 500 with `executed: "unknown"`; if the response has already begun, the connection is closed instead.
  */
 export const serveHttp = async (
   address: string,
   handler: HttpHandler,
+  limits: HttpLimits = defaultLimits(),
 ): Promise<DrainableServer> => {
-  const bodies = new ByteBudget(maxBodyMemoryBytes);
   const server = new DrainableServer({ maxHeaderSize: maxHeadBytes }, (req, res) => {
-    const use = new BudgetUse(bodies);
-    bodyMemory.set(req, use);
-    res.once('close', () => use.release());
+    reserveBodyMemory(req, res, limits.bodyMemory);
     const url = parsePath(req.url ?? '/');
     if (!url)
       return sendJson(res, 400, {
@@ -100,15 +165,14 @@
         text: 'the path cannot be read',
       });
     handler(req, res, url).catch((error: unknown) => {
+      // The rest of a body that was refused is not read.
+      if (!req.complete) res.shouldKeepAlive = false;
       if (error instanceof BodyTooLargeError) {
         sendJson(res, 413, { executed: 'no', errorCode: 'body-too-large', text: error.message });
         return;
       }
       if (error instanceof UnavailableError && error.code === 'memory-full') {
-        const headers = new Map([['retry-after', String(retryAfterS)]]);
-        const { code, message } = error;
-        const body = { executed: 'no', errorCode: code, text: message };
-        sendJson(res, serviceUnavailable, body, headers);
+        sendMemoryFull(res, error.message);
         return;
       }
       const text = error instanceof Error ? error.message : String(error);
@@ -117,9 +181,10 @@
     });
   });
   new ConnectionGuard(server, {
-    maxConnections: () => maxConnections,
+    maxConnections: () => limits.maxConnections,
     maxHeadBytes: () => maxHeadBytes,
-    maxHeadMemoryBytes,
+    inputMemory: limits.inputMemory,
+    unsent: limits.unsent,
   });
   await listenAt(server, address);
   return server;
--- a/packages/wire/src/incoming-connection.ts
+++ b/packages/wire/src/incoming-connection.ts
@@ -1,10 +1,18 @@
-/** The server side of a node-to-node connection: reads requests, runs the handler, writes chunks and responses. */
+/**
+ * The server side of a node-to-node connection: reads requests, runs the handler, writes chunks and responses. Replies that
+ * the peer does not read as fast as they come take memory, which all connections share: a request whose reply finds none
+ * ends with an error, and the others go on.
+ */
 import type { Socket } from 'node:net';
 import split2 from 'split2';
-import { toRpcError } from './errors/index.js';
+import { BudgetUse, type ByteBudget } from './byte-budget.js';
+import { toRpcError, UnavailableError } from './errors/index.js';
 import { CancelLine, encodeLine, HelloLine, RequestLine, type WireLine } from './messages.js';
 import type { RequestHandler } from './transport.js';
 
+const replyMemoryFull = (): UnavailableError =>
+  new UnavailableError('memory-full', 'the memory for replies is in use', 'unknown');
+
 /** Serves the requests of one accepted socket; a line that cannot be parsed closes the socket. */
 export class IncomingConnection {
   private readonly running = new Map<number, AbortController>();
@@ -15,6 +23,7 @@
     private readonly socket: Socket,
     private readonly handler: RequestHandler,
     private readonly maxLineBytes: number,
+    private readonly replyMemory: ByteBudget,
   ) {}
 
   /** Serves requests until the socket closes, then aborts the signals of the handlers that still run. */
@@ -46,22 +55,35 @@
     const { id, kind, body } = RequestLine.parse(line);
     const controller = new AbortController();
     this.running.set(id, controller);
-    const emit = (chunk: unknown): void => this.write({ id, chunk });
+    const emit = (chunk: unknown): void => {
+      if (controller.signal.aborted || this.write({ id, chunk })) return;
+      this.writeError(id, replyMemoryFull());
+      controller.abort();
+    };
     void this.handler({ from: this.peer, kind, body }, emit, controller.signal)
       .then(
-        (response) => this.write({ id, response: response ?? null }),
-        (thrown: unknown) => {
-          const error = toRpcError(thrown);
-          this.write({
-            id,
-            error: { code: error.code, text: error.message, executed: error.executed },
-          });
+        (response) => {
+          if (!this.write({ id, response: response ?? null }))
+            this.writeError(id, replyMemoryFull());
         },
+        (thrown: unknown) => this.writeError(id, thrown),
       )
       .finally(() => this.running.delete(id));
   }
 
-  private write(line: WireLine): void {
-    if (!this.socket.destroyed) this.socket.write(encodeLine(line));
+  private writeError(id: number, thrown: unknown): void {
+    const { code, message, executed } = toRpcError(thrown);
+    if (!this.socket.destroyed)
+      this.socket.write(encodeLine({ id, error: { code, text: message, executed } }));
+  }
+
+  /** Writes a reply; returns false, with nothing written, if there is no memory for it. */
+  private write(line: WireLine): boolean {
+    if (this.socket.destroyed) return true;
+    const text = encodeLine(line);
+    const use = new BudgetUse(this.replyMemory);
+    if (!use.take(text.length)) return false;
+    this.socket.write(text, () => use.release());
+    return true;
   }
 }
--- a/packages/wire/src/tcp-transport.ts
+++ b/packages/wire/src/tcp-transport.ts
@@ -1,5 +1,6 @@
 /** Requests between processes over TCP, with one connection for each pair of processes and direction. */
 import { createServer, type Server, type Socket } from 'node:net';
+import { ByteBudget } from './byte-budget.js';
 import { RequestCancelledError } from './errors/index.js';
 import { IncomingConnection } from './incoming-connection.js';
 import { listenAt } from './listen.js';
@@ -9,26 +10,40 @@
 const defaultOpenTimeoutMs = 1000;
 const defaultMaxLineBytes = 64 << 20;
 
+/** Limits of a `TcpTransport`; each has a default. */
+export interface TcpTransportLimits {
+  /** Timeout of opening a connection, in ms. */
+  readonly openTimeoutMs?: number;
+  /** Maximum size of a message in bytes; a larger one closes its connection. */
+  readonly maxLineBytes?: number;
+  /** The memory for replies that are not sent yet, over all connections; no limit by default. */
+  readonly replyMemory?: ByteBudget;
+}
+
 /** The transport of the deployed programs; the simulator has its own. */
 export class TcpTransport implements Transport {
   private readonly outgoing = new Map<string, OutgoingConnection>();
   private readonly incoming = new Set<Socket>();
   private server: Server | undefined;
   private lastRequestId = 0;
+  private readonly openTimeoutMs: number;
+  private readonly maxLineBytes: number;
+  private readonly replyMemory: ByteBudget;
   private readonly lossListeners = new Set<(to: string) => void>();
 
   /**
    * @param self - the address at which other processes reach this one
    * @param listenAddress - the address to bind, if it differs from `self`
-   * @param openTimeoutMs - timeout of opening a connection, in milliseconds
-   * @param maxLineBytes - maximum size of a message in bytes; a larger one closes its connection
    */
   constructor(
     readonly self: string,
     private readonly listenAddress = self,
-    private readonly openTimeoutMs = defaultOpenTimeoutMs,
-    private readonly maxLineBytes = defaultMaxLineBytes,
-  ) {}
+    limits: TcpTransportLimits = {},
+  ) {
+    this.openTimeoutMs = limits.openTimeoutMs ?? defaultOpenTimeoutMs;
+    this.maxLineBytes = limits.maxLineBytes ?? defaultMaxLineBytes;
+    this.replyMemory = limits.replyMemory ?? new ByteBudget();
+  }
 
   onConnectionLost(listener: (to: string) => void): void {
     this.lossListeners.add(listener);
@@ -59,7 +74,7 @@
     this.incoming.add(socket);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.incoming.delete(socket));
-    const connection = new IncomingConnection(socket, handler, this.maxLineBytes);
+    const connection = new IncomingConnection(socket, handler, this.maxLineBytes, this.replyMemory);
     void connection.serve().finally(() => socket.destroy());
   }
 
--- a/tests/src/proxy/hostile-input.test.ts
+++ b/tests/src/proxy/hostile-input.test.ts
@@ -47,7 +47,9 @@
     const [clientPort = 0, serverPort = 0] = await freePorts(2);
     const [clientTransport, serverTransport] = [
       new TcpTransport(`127.0.0.1:${clientPort}`),
-      new TcpTransport(`127.0.0.1:${serverPort}`, `127.0.0.1:${serverPort}`, 1000, 1 << 16),
+      new TcpTransport(`127.0.0.1:${serverPort}`, `127.0.0.1:${serverPort}`, {
+        maxLineBytes: 1 << 16,
+      }),
     ];
     await serverTransport.serve((rpc) => Promise.resolve(rpc.body));
     const hello = `{"hello":"127.0.0.1:1","to":"${serverTransport.self}"}\n`;
--- a/tests/src/proxy/pass-front.test.ts
+++ b/tests/src/proxy/pass-front.test.ts
@@ -10,11 +10,10 @@
   productDialect,
   routePassRequest,
   sendPassOutcome,
-  UnsentAnswers,
 } from '@tillerstair/proxy';
 import { encodeBody, keyInProgress, type PassRequest } from '@tillerstair/session-owner';
 import { passHost } from '@tillerstair/sim';
-import { hostClock, ReplicaError, RpcError } from '@tillerstair/wire';
+import { hostClock, ReplicaError, RpcError, UnsentBytes } from '@tillerstair/wire';
 import {
   ask,
   BoundAddress,
@@ -125,7 +124,7 @@
   async () => {
     const outcome = keyInProgress('running', 0.2);
     const http = createServer((_req, res) =>
-      sendPassOutcome(res, outcome, new UnsentAnswers()),
+      sendPassOutcome(res, outcome, new UnsentBytes()),
     ).listen(0, '127.0.0.1');
     await once(http, 'listening');
     const { port } = BoundAddress.parse(http.address());
--- a/tests/src/proxy/request-memory.test.ts
+++ b/tests/src/proxy/request-memory.test.ts
@@ -5,8 +5,14 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { until } from '@tillerstair/fleet';
-import { RequestMemory, UnsentAnswers } from '@tillerstair/proxy';
-import { BudgetUse, ByteBudget, ConnectionGuard, DrainableServer } from '@tillerstair/wire';
+import { RequestMemory } from '@tillerstair/proxy';
+import {
+  BudgetUse,
+  ByteBudget,
+  ConnectionGuard,
+  DrainableServer,
+  UnsentBytes,
+} from '@tillerstair/wire';
 import { BoundAddress } from '../support/http-server.js';
 
 const bounded = suite('memory of requests under way');
@@ -56,12 +62,12 @@
 bounded(
   'requests count with their head lines and bodies until their response has closed',
   async () => {
-    const memory = new RequestMemory(100_000);
+    const memory = new RequestMemory(new ByteBudget(100_000));
     const refusals: string[] = [];
     const held: ServerResponse[] = [];
     const server = createServer((req: IncomingMessage, res: ServerResponse) => {
       try {
-        const reservation = memory.reserve(req, res);
+        const reservation = memory.reserve(req, res, () => undefined);
         if (req.headers['transfer-encoding']) reservation.addBody(30_000);
         held.push(res);
       } catch (error) {
@@ -98,7 +104,7 @@
 // Guards against answers that wait in memory for clients that do not read them.
 bounded('the answer with the most unsent bytes is cut off first; one alone is not', async () => {
   const maxBytes = 16 << 20;
-  const unsent = new UnsentAnswers(maxBytes);
+  const unsent = new UnsentBytes(maxBytes);
   const closed: string[] = [];
   const server = createServer((req, res) => {
     const bytes = Number(req.url?.slice(1));
@@ -136,7 +142,7 @@
     new ConnectionGuard(server, {
       maxConnections: () => 3,
       maxHeadBytes: () => 1000,
-      maxHeadMemoryBytes: 1 << 20,
+      inputMemory: new ByteBudget(1 << 20),
     });
     const port = await listen(server);
     const held = open(port, 'GET /held HTTP/1.1\r\nHost: x\r\n\r\n');
--- a/tests/src/wire/tcp-transport.test.ts
+++ b/tests/src/wire/tcp-transport.test.ts
@@ -164,7 +164,7 @@
   'a connection whose peer stays silent is closed after a timeout, and the next request opens a new one',
   async () => {
     const [portA = 0, portB = 0] = await freePorts(2);
-    const a = new TcpTransport(`127.0.0.1:${portA}`, `127.0.0.1:${portA}`, 150);
+    const a = new TcpTransport(`127.0.0.1:${portA}`, `127.0.0.1:${portA}`, { openTimeoutMs: 150 });
     const opened: Socket[] = [];
     const silentServer = createServer((socket) => {
       opened.push(socket);
@@ -193,7 +193,7 @@
   'a connection on which other requests are answered is kept when one request times out',
   async () => {
     const [portA = 0, portB = 0] = await freePorts(2);
-    const a = new TcpTransport(`127.0.0.1:${portA}`, `127.0.0.1:${portA}`, 150);
+    const a = new TcpTransport(`127.0.0.1:${portA}`, `127.0.0.1:${portA}`, { openTimeoutMs: 150 });
     const b = new TcpTransport(`127.0.0.1:${portB}`);
     const lost: string[] = [];
     a.onConnectionLost((addr) => lost.push(addr));
