Count the answer of an operation until it is stored and sent

Cause: the memory was given back once the answer had arrived; storing it on three replicas takes four times its text. Change: the request holds it until its outcome is final, six bytes a byte if it is stored.

--- a/packages/session-owner/src/calls.ts
+++ b/packages/session-owner/src/calls.ts
@@ -7,7 +7,7 @@
  * its outcome stays "unknown" (`docs/design.md`, "A tool call"). The same holds for a record that does not parse.
  */
 import type { Server } from '@tillerstair/state';
-import { toRpcError, UnavailableError, withTimeout } from '@tillerstair/wire';
+import { BudgetUse, toRpcError, UnavailableError, withTimeout } from '@tillerstair/wire';
 import { AttemptMachine } from './attempt-machine.js';
 import type { BackendOutcome } from './backend.js';
 import { CollectedResponse } from './collected-response.js';
@@ -37,6 +37,10 @@
 
 /** The share of a call's time limit in which attempts may begin; the rest is left for the response. */
 const attemptShare = 1 / 2;
+/** Memory of an answer in relation to its bytes: its text in base64, and what is sent. */
+const answerMemoryFactor = 2;
+/** The same for an answer that is stored: it is also sent to each replica. */
+const storedAnswerMemoryFactor = 6;
 
 const neverAborted = (): AbortSignal => new AbortController().signal;
 
@@ -45,6 +49,16 @@
 
 const inProgress = 'an operation with this key is in progress';
 
+/** A request of a pass route that is sent to servers until it has an answer. */
+interface ForwardedOperation {
+  readonly request: PassRequest;
+  /** On the owner's clock, in ms. */
+  readonly deadline: number;
+  /** What the request takes of the memory for answers. */
+  readonly memory: BudgetUse;
+  readonly isKeyed: boolean;
+}
+
 interface RunningOperation {
   readonly digest: string;
   readonly outcome: Promise<CallOutcome>;
@@ -91,6 +105,7 @@
       return refused(status.badRequest, 'no-key', 'this route needs an operation key');
     const deadline = this.owner.clock.now() + Math.min(request.left, rules.deadlineMs);
     const idempotent = rules.manner === 'repeatable';
+    const memory = new BudgetUse(this.owner.answerMemory);
     const operation: Operation = {
       kind: 'pass',
       path,
@@ -100,10 +115,12 @@
       maxAttempts: rules.tries,
       idempotent,
       send: (server, stop, mayStillRun) =>
-        this.forward(server, request, deadline, stop, mayStillRun),
+        this.forward(server, { request, deadline, memory, isKeyed }, stop, mayStillRun),
     };
-    if (isKeyed) return this.runOnce(operation);
-    return this.runWithoutKey(operation, idempotent ? signal : neverAborted());
+    const outcome = isKeyed
+      ? this.runOnce(operation)
+      : this.runWithoutKey(operation, idempotent ? signal : neverAborted());
+    return outcome.finally(() => memory.release());
   }
 
   private actRequest({ tenant, key, path, body, requestId }: CallRequest) {
@@ -113,12 +130,12 @@
 
   private async forward(
     server: Server,
-    request: PassRequest,
-    deadline: number,
+    { request, deadline, memory, isKeyed }: ForwardedOperation,
     signal: AbortSignal,
     mayStillRun: () => boolean,
   ): Promise<BackendOutcome> {
-    const response = new CollectedResponse(this.owner.answerMemory, (load) =>
+    const memoryFactor = isKeyed ? storedAnswerMemoryFactor : answerMemoryFactor;
+    const response = new CollectedResponse(memory, memoryFactor, (load) =>
       this.owner.reportLoad(server, load),
     );
     const ended = await this.owner.backend.pass(
--- a/packages/session-owner/src/collected-response.ts
+++ b/packages/session-owner/src/collected-response.ts
@@ -1,24 +1,23 @@
-import { BudgetUse, UnavailableError, type ByteBudget } from '@tillerstair/wire';
+import { UnavailableError, type BudgetUse } from '@tillerstair/wire';
 import type { BackendOutcome, ReportedLoad, ResponseHead, ResponseSink } from './backend.js';
 import { encodeBody } from './messages.js';
 
-/** Memory of a body in relation to its bytes: its parts, the whole, its text in base64, and what is sent. */
-const collectedMemoryFactor = 4;
-
 /** A server's response, buffered so that it can be stored and returned as one body. */
 export class CollectedResponse implements ResponseSink {
   private received: ResponseHead = { status: 0, headers: [] };
   private readonly parts: Buffer[] = [];
-
-  private readonly use: BudgetUse;
   private abandoned = false;
 
-  /** @param memory - the memory for the answers of all requests under way */
+  /**
+   * @param use - the memory that the request takes for its answer; what an earlier response took is given back
+   * @param memoryFactor - memory of the answer in relation to its bytes
+   */
   constructor(
-    memory: ByteBudget,
+    private readonly use: BudgetUse,
+    private readonly memoryFactor: number,
     private readonly onLoad: (load: ReportedLoad) => void,
   ) {
-    this.use = new BudgetUse(memory);
+    use.shrinkTo(0);
   }
 
   head(head: ResponseHead): void {
@@ -27,7 +26,7 @@
 
   /** Throws if the memory for answers is in use, which ends the response as lost. */
   bytes(text: string): void {
-    this.abandoned = !this.use.take(text.length * collectedMemoryFactor);
+    this.abandoned = !this.use.take(text.length * this.memoryFactor);
     if (this.abandoned)
       throw new UnavailableError('memory-full', 'the memory for answers is in use', 'unknown');
     this.parts.push(Buffer.from(text, 'latin1'));
@@ -39,7 +38,7 @@
 
   /** The outcome of the request; a `done` outcome gets the buffered response, in base64, as its body. */
   finish(ended: BackendOutcome): BackendOutcome {
-    this.use.release();
+    if (ended.kind !== 'done') this.use.shrinkTo(0);
     if (this.abandoned && ended.kind === 'lost') return { ...ended, abandoned: true };
     if (ended.kind !== 'done') return ended;
     const { status: code, headers, untilClose } = this.received;
