Count the conversation that a turn continues, and limit searches for turns

Cause: each request builds the whole conversation anew, and each search brings it from each store; nothing counted either.

--- a/packages/session-owner/src/streams.ts
+++ b/packages/session-owner/src/streams.ts
@@ -5,8 +5,9 @@
  * replicas of the slot. If a request continues a turn of another program, that turn is copied to the program of the
  * request with a cost of 0, so that its tokens are not counted again.
  */
+import pLimit from 'p-limit';
 import type { Config, Route } from '@tillerstair/state';
-import { toRpcError } from '@tillerstair/wire';
+import { BudgetUse, toRpcError, UnavailableError } from '@tillerstair/wire';
 import { AttemptMachine } from './attempt-machine.js';
 import {
   passRoutePath,
@@ -30,6 +31,11 @@
   streamTurnKey,
 } from './stream-records.js';
 
+/** Memory of a conversation in relation to its stored text: its decoded parts, and the whole. */
+const conversationMemoryFactor = 2;
+/** Number of searches for turns of other programs at the same time; each may bring a long conversation. */
+const maxConcurrentSearches = 2;
+
 /** An earlier turn that a request continues. */
 interface Ancestor {
   readonly attempt: string;
@@ -49,6 +55,8 @@
   readonly key: string;
   readonly emit: EmitChunk;
   readonly signal: AbortSignal;
+  /** What the request takes for the conversation that it continues. */
+  readonly memory: BudgetUse;
 }
 
 type History = { readonly ancestors: readonly Ancestor[] } | { readonly refusal: CallOutcome };
@@ -59,6 +67,7 @@
 export class Streams {
   private readonly running = new Set<string>();
   private readonly pending = new PendingReservations();
+  private readonly limitSearches = pLimit(maxConcurrentSearches);
 
   constructor(private readonly owner: OwnerServices) {}
 
@@ -86,11 +95,22 @@
       );
     this.running.add(key);
     const leaveSlot = replicator?.beginRequest();
+    const memory = new BudgetUse(this.owner.conversationMemory);
     try {
-      return await this.runAttempt({ request, rules, config, replicator, key, emit, signal });
+      return await this.runAttempt({
+        request,
+        rules,
+        config,
+        replicator,
+        key,
+        emit,
+        signal,
+        memory,
+      });
     } catch (error) {
       return outcomeOfError(toRpcError(error));
     } finally {
+      memory.release();
       leaveSlot?.();
       this.running.delete(key);
     }
@@ -147,7 +167,8 @@
   }
 
   /** The turns that a request continues, oldest first; or the refusal if one of them cannot be continued. */
-  private async readHistory({ request, rules, replicator }: StreamLookup): Promise<History> {
+  private async readHistory(lookup: StreamLookup): Promise<History> {
+    const { request, rules, replicator, memory } = lookup;
     if (rules.turnRetentionMs === 0 || request.after === '' || !replicator) return noHistory;
     const program = streamProgram(request);
     const newestFirst: Ancestor[] = [];
@@ -156,12 +177,15 @@
       const local = PassTurn.safeParse(replicator.get(streamTurnKey(program, attempt)));
       const turn = local.success ? local.data : found.get(attempt);
       if (!turn) {
-        const refusal = await this.findInOtherPrograms(attempt, found);
+        const search = (): Promise<CallOutcome | undefined> =>
+          this.findInOtherPrograms(attempt, found, memory);
+        const refusal = await this.limitSearches(search);
         if (refusal) return { refusal };
         continue;
       }
       const refusal = refuseAncestor(attempt, turn);
       if (refusal) return { refusal };
+      if (local.success) takeMemory(memory, turn);
       newestFirst.push({ attempt, turn, isLocal: local.success });
       attempt = turn.after;
     }
@@ -172,11 +196,16 @@
   private async findInOtherPrograms(
     attempt: string,
     found: Map<string, PassTurn>,
+    memory: BudgetUse,
   ): Promise<CallOutcome | undefined> {
     const turns = await this.owner.findTurn(encodeKeyPart(attempt));
     if (turns.length === 0)
       return refused(status.notFound, 'missing-turn', `no such turn: ${attempt}`);
-    for (const { attempt: name, turn } of turns) found.set(decodeKeyPart(name), turn);
+    for (const { attempt: name, turn } of turns) {
+      const decoded = decodeKeyPart(name);
+      if (!found.has(decoded)) takeMemory(memory, turn);
+      found.set(decoded, turn);
+    }
     // `findTurn` never resolves without the turn itself; without this check a fault there would cause an endless loop.
     if (!found.has(attempt))
       return refused(
@@ -189,6 +218,12 @@
   }
 }
 
+/** Takes the memory of one turn of a conversation. @throws UnavailableError (`memory-full`) if it is in use. */
+const takeMemory = (memory: BudgetUse, { input, output }: PassTurn): void => {
+  if (!memory.take((input.length + output.length) * conversationMemoryFactor))
+    throw new UnavailableError('memory-full', 'the memory for conversations is in use');
+};
+
 /** The refusal of a request that continues this turn; undefined if the turn is done. */
 const refuseAncestor = (attempt: string, turn: PassTurn): CallOutcome | undefined => {
   switch (turn.status) {
