Count incomplete events and failed bodies of streams

By reading: only streams that are stored counted, by their text; an event without end or the body of a failed answer was kept beside all counts, and short events take several times their bytes. Change: StreamRelay reserves the most that new bytes may take before they are parsed, and keeps what remains.

--- a/packages/session-owner/src/event-splitter.ts
+++ b/packages/session-owner/src/event-splitter.ts
@@ -42,6 +42,11 @@
     return this.lastWithoutId;
   }
 
+  /** Number of bytes that this parser keeps: of an incomplete event, and of the data. */
+  get keptBytes(): number {
+    return this.remainder.length + this.eventData.length;
+  }
+
   /** Whether the stream so far ends within an incomplete event. */
   get endsWithinEvent(): boolean {
     return this.remainder.trim() !== '';
--- a/packages/session-owner/src/stream-relay.ts
+++ b/packages/session-owner/src/stream-relay.ts
@@ -9,6 +9,15 @@
 import { EventSplitter } from './event-splitter.js';
 import type { EmitChunk } from './messages.js';
 
+/** Memory of an incomplete event in relation to its bytes. */
+const incompleteEventMemoryFactor = 2;
+/** Memory of data that is stored once the response has ended: it is also sent to each replica. */
+const storedDataMemoryFactor = 5;
+/** Memory of the data of an event beside its bytes. */
+const bytesPerEvent = 64;
+/** The shortest event with data, in bytes. */
+const minEventBytes = 'data:\n\n'.length;
+
 /** The response of one streamed request, as sent to the caller so far. */
 export class StreamRelay {
   /** The events of the response; it buffers an incomplete one. */
@@ -69,11 +78,35 @@
    */
   emitBytes(text: string, insideEvents: boolean): void {
     if (!insideEvents) this.emittedBytesOutsideEvents = true;
-    this.abandoned = this.keepsData && !this.use.take(text.length);
+    const complete = insideEvents ? this.pushEvents(text) : text;
+    if (complete !== '') this.emitText(complete);
+  }
+
+  /** Takes memory for bytes that are kept until the response has ended. Throws as `emitBytes` does. */
+  reserve(bytes: number): void {
+    this.abandoned = !this.use.take(bytes);
     if (this.abandoned)
       throw new UnavailableError('memory-full', 'the memory for answers is in use', 'unknown');
-    const complete = insideEvents ? this.events.push(text) : text;
-    if (complete !== '') this.emitText(complete);
+  }
+
+  /** Reserves the most that the bytes may take before they are parsed, since parsed events count as received. */
+  private pushEvents(text: string): string {
+    const maxEvents = Math.ceil(text.length / minEventBytes);
+    this.reserve(
+      text.length * this.memoryFactor + (this.keepsData ? maxEvents * bytesPerEvent : 0),
+    );
+    const complete = this.events.push(text);
+    this.use.shrinkTo(this.keptMemoryBytes);
+    return complete;
+  }
+
+  private get memoryFactor(): number {
+    return this.keepsData ? storedDataMemoryFactor : incompleteEventMemoryFactor;
+  }
+
+  private get keptMemoryBytes(): number {
+    const { keptBytes, count } = this.events;
+    return keptBytes * this.memoryFactor + (this.keepsData ? count * bytesPerEvent : 0);
   }
 
   /** Sends one chunk unchanged. */
--- a/packages/session-owner/src/streamed-response.ts
+++ b/packages/session-owner/src/streamed-response.ts
@@ -2,6 +2,8 @@
 import type { StreamRelay } from './stream-relay.js';
 
 const ok = 200;
+/** Memory of the body of a failed response in relation to its bytes. */
+const failureMemoryFactor = 2;
 
 /** Whether an HTTP status is a success, 200 to 299. */
 export const isSuccess = (status: number): boolean => status >= 200 && status < 300;
@@ -50,8 +52,10 @@
 
   bytes(text: string): void {
     if (this.stop.signal.aborted) return;
-    if (this.failure) this.failure = { ...this.failure, body: this.failure.body + text };
-    else this.relay.emitBytes(text, this.hasEvents);
+    if (this.failure) {
+      this.relay.reserve(text.length * failureMemoryFactor);
+      this.failure = { ...this.failure, body: this.failure.body + text };
+    } else this.relay.emitBytes(text, this.hasEvents);
   }
 
   load(load: ReportedLoad): void {
