--- a/tests/src/platform/hostile-mix.test.ts
+++ b/tests/src/platform/hostile-mix.test.ts
@@ -13,10 +13,6 @@
 
 let fixture: CrowdFixture;
 
-mix.before.each(async () => {
-  fixture = await startCrowdFixture(2);
-});
-
 mix.after.each(() => fixture.close());
 
 const bodyOf = (path: string, body: string, lines: readonly string[] = []): string =>
@@ -52,12 +48,26 @@
 
 // Guards against shares of one memory that add up to more than it.
 mix('at one front', async () => {
+  fixture = await startCrowdFixture();
   await outlastCrowds(fixture, crowdsAt('127.0.0.1', 20));
 });
 
 // Guards against the same where half of what a front holds comes through another front.
 mix('at two fronts', async () => {
+  fixture = await startCrowdFixture({ frontCount: 2 });
   await outlastCrowds(fixture, [...crowdsAt('127.0.0.1', 12), ...crowdsAt('127.0.0.5', 12)]);
 });
 
+// Guards against a heap that grows with its garbage beyond a machine that has less memory than the heap's limit.
+mix('at a front whose heap may be larger than its machine', async () => {
+  fixture = await startCrowdFixture({ machineMb: 168, heapMb: 200 });
+  await outlastCrowds(fixture, crowdsAt('127.0.0.1', 20));
+});
+
+// Guards against data in the heap and buffers outside it that each fit, but not together.
+mix('at a front with the heap of the deploy file', async () => {
+  fixture = await startCrowdFixture({ machineMb: 310, heapMb: 200 });
+  await outlastCrowds(fixture, crowdsAt('127.0.0.1', 20));
+});
+
 mix.run();
--- a/tests/src/platform/hostile-owners.test.ts
+++ b/tests/src/platform/hostile-owners.test.ts
@@ -15,10 +15,13 @@
 const owners = suite('crowds at the owners of slots');
 
 let fixture: CrowdFixture;
-const secondFront = '127.0.0.5';
+/** The addresses of the fronts, in their order. */
+const frontHosts = ['127.0.0.1', ...[5, 6, 7, 8, 9, 10].map((last) => `127.0.0.${last}`)];
+const [, secondFront = ''] = frontHosts;
+const frontCount = frontHosts.length;
 
 owners.before.each(async () => {
-  fixture = await startCrowdFixture(2);
+  fixture = await startCrowdFixture({ frontCount });
 });
 
 owners.after.each(() => fixture.close());
@@ -73,6 +76,33 @@
   await outlastCrowds(fixture, [crowdAt('127.0.0.1', message), crowdAt(secondFront, message)]);
 });
 
+// Guards against the same where each front lets in little, and there are many fronts (heap).
+owners('large bodies through many fronts, to the owner of one slot', async () => {
+  const body = 'x'.repeat(1_000_000);
+  const lines = [...programLines('one'), `Content-Length: ${body.length}`];
+  const message = (): string => requestHead('POST', '/turn/silent', lines) + body;
+  await outlastCrowds(
+    fixture,
+    frontHosts.map((host) => crowdAt(host, message, { clients: 20, rounds: 6 })),
+  );
+});
+
+// Guards against searches that each bring a long conversation of another program (heap).
+owners('many programs that continue one long conversation of another', async () => {
+  let previous = '';
+  for (let turn = 0; turn < 20; turn++)
+    previous = await sendTurn('other', previous, 'x'.repeat(200_000));
+  const message = (): string =>
+    requestHead('POST', '/turn/silent', [
+      ...programLines(newAttempt()),
+      ...[`Previous-Turn: ${previous}`, 'Content-Length: 0'],
+    ]);
+  await outlastCrowds(
+    fixture,
+    frontHosts.map((host) => crowdAt(host, message, { clients: 20 })),
+  );
+});
+
 // Guards against answers that owners and fronts hold on their way, at all of them together (memory).
 owners('long answers that nobody reads, to the owners of many slots', async () => {
   const message = (): string =>
--- a/tests/src/support/crowd-fixture.ts
+++ b/tests/src/support/crowd-fixture.ts
@@ -19,9 +19,9 @@
 } from './platform-system.js';
 
 /** Memory of each machine in MB, and its descriptors. */
-export const memoryMb = 200;
-export const fdLimit = 400;
-const nodeFlags = ['--max-old-space-size=50'];
+const memoryMb = 200;
+const fdLimit = 400;
+const maxHeapMb = 50;
 /** Time limit for anything that a test waits for, in ms. */
 export const timeoutMs = 60_000;
 
@@ -34,7 +34,7 @@
 };
 
 /** Size of the answer at paths whose second segment is `long`, in bytes. */
-export const longAnswerBytes = 8 << 20;
+const longAnswerBytes = 8 << 20;
 
 /** Answers `/x/long` with a long body, as events on a streamed route, and all other paths by `respondByPath`. */
 const respond: typeof respondByPath = (received, res: ServerResponse, req) => {
@@ -79,19 +79,33 @@
   readonly close: () => Promise<void>;
 }
 
-const assertWithinLimits = (system: StartedSystem): void => {
+/** What a fixture may have other than the usual. */
+export interface CrowdFixtureOptions {
+  /** Number of fronts; one by default. */
+  readonly frontCount?: number;
+  /** Memory of each machine, in MB. */
+  readonly machineMb?: number;
+  /** Limit of the old generation of each process's heap, in MB. */
+  readonly heapMb?: number;
+}
+
+const assertWithinLimits = (system: StartedSystem, machineMb: number): void => {
   assert.equal(endedProcesses(system), []);
   for (const started of system.started) {
     const name = `${started.name} ${started.role}`;
     const peakMb = peakMemoryMb(started);
-    assert.ok(peakMb <= memoryMb, `${name} used ${Math.round(peakMb)} MB of ${memoryMb} MB`);
+    assert.ok(peakMb <= machineMb, `${name} used ${Math.round(peakMb)} MB of ${machineMb} MB`);
     const descriptors = openDescriptors(started);
     assert.ok(descriptors <= fdLimit, `${name} has ${descriptors} descriptors open`);
   }
 };
 
-/** Starts the system with `frontCount` fronts and waits until it serves. */
-export const startCrowdFixture = async (frontCount = 1): Promise<CrowdFixture> => {
+/** Starts the system and waits until it serves. */
+export const startCrowdFixture = async ({
+  frontCount = 1,
+  machineMb = memoryMb,
+  heapMb = maxHeapMb,
+}: CrowdFixtureOptions = {}): Promise<CrowdFixture> => {
   const servers = new Map([
     ['engines', await startServer(respond)],
     ['tools', await startServer(respond)],
@@ -106,9 +120,9 @@
   );
   const system = await startSystem(list.port, {
     frontCount,
-    nodeFlags,
+    nodeFlags: [`--max-old-space-size=${heapMb}`],
     maxDescriptors: fdLimit,
-    intakeLimits: { memoryMb, fdLimit },
+    intakeLimits: { memoryMb: machineMb, fdLimit },
   });
   const sendOrdinary = async (): Promise<number> => {
     const headers = ['Try-Id', newAttempt(), 'Time-Left-Ms', '3000'];
@@ -134,7 +148,7 @@
     servers,
     sendOrdinary,
     serveOrdinary,
-    assertWithinLimits: () => assertWithinLimits(system),
+    assertWithinLimits: () => assertWithinLimits(system, machineMb),
     close: async () => {
       await system.close();
       list.close();
--- a/tests/src/support/crowd.ts
+++ b/tests/src/support/crowd.ts
@@ -66,7 +66,7 @@
 }
 
 /** A crowd whose clients run until they have sent everything, or until `stop`. */
-export class Crowd {
+class Crowd {
   private readonly clients: readonly CrowdClient[];
   private running: number;
 
