Count a request until it has ended, also if its client has left

Cause: the memory was given back when the response closed; requests that may not be repeated go on. Change: the handler gives it back at its end.

--- a/packages/proxy/src/pass-handler.ts
+++ b/packages/proxy/src/pass-handler.ts
@@ -24,7 +24,7 @@
 import { callerSignal } from './http-answers.js';
 import { sendPassOutcome, sendRefusal, StreamWriter, type Refusal } from './pass-answer.js';
 import { readPassRequest } from './pass-request.js';
-import { RequestMemory } from './request-memory.js';
+import { RequestMemory, type RequestReservation } from './request-memory.js';
 import {
   badGateway,
   badRequest,
@@ -140,16 +140,18 @@
     const arrivedAt = arrivalTimeOf(req) ?? front.clock.now();
     const signal = callerSignal(res);
     let mayBeForwarded = false;
+    let reservation: RequestReservation | undefined;
     const refuseIncomplete = (error: unknown): void => {
       res.shouldKeepAlive = false;
       sendRefusal(res, refusalOfFailure(front, error, false));
     };
     try {
       const elapsedMs = (): number => front.clock.now() - arrivedAt;
-      const reservation = requests.reserve(req, res, refuseIncomplete);
-      const onBytes = (bytes: number): void => reservation.addBody(bytes);
+      const reserved = requests.reserve(req, refuseIncomplete);
+      reservation = reserved;
+      const onBytes = (bytes: number): void => reserved.addBody(bytes);
       const request = await readPassRequest(req, dialect, maxBodyBytes(), elapsedMs, onBytes);
-      reservation.requireHeld();
+      reserved.requireHeld();
       if (request.attempt === '') {
         const text = `header ${dialect.attempt}, the id of the attempt, is missing`;
         sendRefusal(res, { status: badRequest, errorCode: 'no-try', text, mayHaveRun: false });
@@ -168,6 +170,8 @@
       if (res.headersSent && !(error instanceof BodyTooLargeError) && !isNotReady(error))
         res.destroy();
       else sendRefusal(res, refusal);
+    } finally {
+      reservation?.release();
     }
   };
 };
--- a/packages/proxy/src/request-memory.ts
+++ b/packages/proxy/src/request-memory.ts
@@ -2,7 +2,7 @@
  * Bounds the memory of the requests under way at a front, over all connections. Large requests are refused first, and those
  * whose bodies are incomplete make room for smaller ones. A refused request has not run.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { BudgetUse, ByteBudget, UnavailableError } from '@tillerstair/wire';
 
 /** Memory of a request and its response beside their head lines and bodies. */
@@ -12,12 +12,14 @@
 /** Memory of a body in relation to its bytes: it is kept in base64 and sent to the owner as text. */
 const bodyMemoryFactor = 2.8;
 
-/** The memory of one request, which it gives back when its response has closed. */
+/** The memory of one request; it may go on for a client that has left. */
 export interface RequestReservation {
   /** Adds the memory of bytes of the body. @throws UnavailableError (`memory-full`) if it is in use. */
   addBody(bytes: number): void;
   /** Checks before the request is forwarded that it was not refused. @throws UnavailableError (`memory-full`) if it was. */
   requireHeld(): void;
+  /** Gives the memory back; to be called once the request has ended and its response has been written. */
+  release(): void;
 }
 
 const memoryFull = (): UnavailableError =>
@@ -41,7 +43,6 @@
    */
   reserve(
     request: IncomingMessage,
-    response: ServerResponse,
     onEvicted: (reason: UnavailableError) => void,
   ): RequestReservation {
     const declared = Number(request.headers['content-length'] ?? 0);
@@ -50,7 +51,6 @@
       if (!use.take(bytes)) throw memoryFull();
     };
     let received = 0;
-    response.once('close', () => use.release());
     add(headMemoryBytes(request) + declared * bodyMemoryFactor);
     use.allowEviction({
       isAllowed: () => !request.complete,
@@ -66,6 +66,7 @@
       requireHeld: () => {
         if (use.wasEvicted) throw memoryFull();
       },
+      release: () => use.release(),
     };
   }
 }
--- a/packages/wire/src/http.ts
+++ b/packages/wire/src/http.ts
@@ -94,7 +94,7 @@
   (await readBytes(req, maxBytes)).toString('utf8');
 
 /**
- * Reads a body that is to be parsed as JSON, and reserves the memory for that until the response has closed.
+ * Reads a body that is to be parsed as JSON, and reserves the memory for that until the request is handled.
  *
  * @throws BodyTooLargeError if it has more than `maxBytes` bytes, or so many values that it would never fit
  * @throws UnavailableError (`memory-full`) if the memory is in use
@@ -127,12 +127,12 @@
   sendJson(res, serviceUnavailable, body, headers);
 };
 
-/** Counts the body of a request until its response has closed; an incomplete body may be refused for a smaller one. */
+/** Counts the body of a request until `release`; an incomplete body may be refused for a smaller one. */
 const reserveBodyMemory = (
   req: IncomingMessage,
   res: ServerResponse,
   bodyMemory: ByteBudget,
-): void => {
+): BudgetUse => {
   const use = new BudgetUse(bodyMemory);
   bodyUses.set(req, use);
   use.allowEviction({
@@ -142,7 +142,7 @@
       sendMemoryFull(res, bodyMemoryInUse);
     },
   });
-  res.once('close', () => use.release());
+  return use;
 };
 
 /**
@@ -156,15 +156,17 @@
   limits: HttpLimits = defaultLimits(),
 ): Promise<DrainableServer> => {
   const server = new DrainableServer({ maxHeaderSize: maxHeadBytes }, (req, res) => {
-    reserveBodyMemory(req, res, limits.bodyMemory);
+    const use = reserveBodyMemory(req, res, limits.bodyMemory);
     const url = parsePath(req.url ?? '/');
-    if (!url)
+    if (!url) {
+      use.release();
       return sendJson(res, 400, {
         executed: 'no',
         errorCode: 'bad-path',
         text: 'the path cannot be read',
       });
-    handler(req, res, url).catch((error: unknown) => {
+    }
+    const handled = handler(req, res, url).catch((error: unknown) => {
       // The rest of a body that was refused is not read.
       if (!req.complete) res.shouldKeepAlive = false;
       if (error instanceof BodyTooLargeError) {
@@ -179,6 +181,7 @@
       if (res.headersSent) res.destroy();
       else sendJson(res, 500, { executed: 'unknown', errorCode: 'internal', text });
     });
+    void handled.finally(() => use.release());
   });
   new ConnectionGuard(server, {
     maxConnections: () => limits.maxConnections,
--- a/tests/src/proxy/request-memory.test.ts
+++ b/tests/src/proxy/request-memory.test.ts
@@ -67,7 +67,8 @@
     const held: ServerResponse[] = [];
     const server = createServer((req: IncomingMessage, res: ServerResponse) => {
       try {
-        const reservation = memory.reserve(req, res, () => undefined);
+        const reservation = memory.reserve(req, () => undefined);
+        res.once('close', () => reservation.release());
         if (req.headers['transfer-encoding']) reservation.addBody(30_000);
         held.push(res);
       } catch (error) {
