--- a/tests/src/platform/hostile-bodies.test.ts
+++ b/tests/src/platform/hostile-bodies.test.ts
@@ -59,6 +59,19 @@
   await outlastCrowds(fixture, [{ ...crowd, message }]);
 });
 
+// Guards against requests that go on for clients that have left, and that nothing counts then (heap).
+for (const route of ['once', 'keyed'])
+  bodies(`large bodies to a silent server at /${route} of clients that leave`, async () => {
+    const body = 'x'.repeat(1_000_000);
+    const message = (): string => {
+      const lines = [`Operation-Key: ${newAttempt()}`, `Content-Length: ${body.length}`];
+      return requestHead('POST', `/${route}/silent`, lines) + body;
+    };
+    await outlastCrowds(fixture, [
+      crowdOf(message, { clients: 20, rounds: 20, reads: true, leaves: true }),
+    ]);
+  });
+
 // Guards against a limit that a lone client inside the documented limits meets.
 bodies('a lone client is served, its body in tiny chunks or as large as allowed', async () => {
   const socket = connect(fixture.system.ports.front, '127.0.0.1');
--- a/tests/src/support/crowd.ts
+++ b/tests/src/support/crowd.ts
@@ -15,6 +15,8 @@
   readonly message: (round: number) => string;
   /** Whether the clients read what they are answered; they do not by default. */
   readonly reads?: boolean;
+  /** Whether each message goes over a new connection, which is closed once the message is sent. */
+  readonly leaves?: boolean;
 }
 
 /** One client: it sends its messages in turn and opens a new connection once the last one was closed. */
@@ -35,6 +37,7 @@
     for (let round = 0; round < rounds && !this.stopped; round++) {
       this.socket = this.openSocket();
       await this.write(this.socket, message(round));
+      if (this.plan.leaves) this.socket.end();
     }
   }
 
@@ -44,7 +47,7 @@
   }
 
   private openSocket(): Socket {
-    if (this.socket && !this.socket.destroyed) return this.socket;
+    if (this.socket?.writable) return this.socket;
     const { port, host = '127.0.0.1', reads = false } = this.plan;
     const socket = connect(port, host);
     socket.on('error', () => socket.destroy());
