--- a/tests/src/platform/hostile-clients.test.ts
+++ b/tests/src/platform/hostile-clients.test.ts
@@ -1,74 +1,34 @@
 /** Crowds of clients that do not behave, against the system's own processes with little memory and few descriptors. */
 import { once } from 'node:events';
-import type { ServerResponse } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { z } from 'zod';
 import { until } from '@tillerstair/fleet';
-import { passHost } from '@tillerstair/sim';
-import { closeStarted, startServer, type TestServer } from '../support/http-server.js';
 import { call } from '../support/interface-calls.js';
-import { configuration, respondByPath, tryIdOf } from '../support/platform-servers.js';
 import {
-  endedProcesses,
-  openDescriptors,
-  peakMemoryMb,
-  processOf,
-  startServerList,
-  startSystem,
-  type StartedSystem,
-} from '../support/platform-system.js';
+  intakeLimits,
+  longAnswerBytes,
+  requestHead,
+  startCrowdFixture,
+  timeoutMs,
+  type CrowdFixture,
+} from '../support/crowd-fixture.js';
+import { endedProcesses } from '../support/platform-system.js';
 
 const crowds = suite('crowds of clients that do not behave');
 
-/** Memory and descriptors of the machine, and the heap limit of each process. */
-const memoryMb = 200;
-const fdLimit = 400;
-const nodeFlags = ['--max-old-space-size=50'];
-const timeoutMs = 30_000;
-const intakeLimits = {
-  maxHeaderBytes: 16384,
-  maxBodyBytes: 4194304,
-  headerWaitMs: 3000,
-  idleCloseMs: 15000,
-};
-const longAnswerBytes = 8 << 20;
 /** Empty lines that a client may send before its connection is closed, in bytes; far above any limit. */
 const maxEmptyLineBytes = 64 << 20;
 
-let servers: readonly (readonly [depot: string, server: TestServer])[] = [];
-let list: Awaited<ReturnType<typeof startServerList>>;
-let system: StartedSystem;
-let requests = 0;
+let fixture: CrowdFixture;
 const sockets: Socket[] = [];
 
-/** Answers `/x/long` with a long body, as events on a streamed route, and all other paths by `respondByPath`. */
-const respond: typeof respondByPath = (received, res: ServerResponse, req) => {
-  const [, route = '', behavior = ''] = received.path.split('/');
-  if (behavior !== 'long') return respondByPath(received, res, req);
-  const isStream = route === 'live';
-  res.writeHead(200, [
-    ...['Try-Id', tryIdOf(received), 'Server-Seal', 'seal.1'],
-    ...['Content-Type', isStream ? 'text/event-stream' : 'text/plain'],
-  ]);
-  const event = `id: 1\ndata: ${'x'.repeat(1000)}\n\n`;
-  res.end(isStream ? event.repeat(longAnswerBytes / event.length) : 'x'.repeat(longAnswerBytes));
-};
-
-const headOf = (path: string, lines: readonly string[]): string =>
-  [
-    `POST ${path} HTTP/1.1`,
-    `Host: ${passHost}`,
-    `Try-Id: crowd-${requests++}`,
-    'Time-Left-Ms: 3000',
-    ...lines,
-    '\r\n',
-  ].join('\r\n');
+const headOf = (path: string, lines: readonly string[]): string => requestHead('POST', path, lines);
 
 /** Opens a connection to the front; errors only close it. */
 const open = (): Socket => {
-  const socket = connect(system.ports.front, '127.0.0.1');
+  const socket = connect(fixture.system.ports.front, '127.0.0.1');
   socket.on('error', () => socket.destroy());
   sockets.push(socket);
   return socket;
@@ -88,58 +48,19 @@
     if (!socket.write(text)) await Promise.race([drained(socket), closed]);
 };
 
-/** Sends an ordinary request on a connection of its own; its status, or 0 if it got no complete answer. */
-const sendOrdinary = async (): Promise<number> => {
-  const headers = ['Try-Id', `ordinary-${requests++}`, 'Time-Left-Ms', '3000'];
-  const response = await call(system.ports.front, 'POST', '/again/x', headers, 'x').catch(
-    () => undefined,
-  );
-  return response?.complete === true ? response.status : 0;
-};
-
 /** Asserts what must hold while a crowd is connected. */
 const assertUnharmed = async (): Promise<void> => {
-  await until('an ordinary request is served', timeoutMs, async () => {
-    return endedProcesses(system).length > 0 || (await sendOrdinary()) === 200;
-  });
-  assert.equal(endedProcesses(system), []);
-  const proxy = processOf(system, 'front-proxy');
-  const peakMb = peakMemoryMb(proxy);
-  assert.ok(peakMb <= memoryMb, `the front used ${peakMb} MB`);
-  assert.ok(openDescriptors(proxy) <= fdLimit, `${openDescriptors(proxy)} descriptors`);
+  await fixture.serveOrdinary(1);
+  fixture.assertWithinLimits();
 };
 
 crowds.before.each(async () => {
-  servers = [
-    ['engines', await startServer(respond)],
-    ['tools', await startServer(respond)],
-  ];
-  list = await startServerList(() =>
-    servers.map(([depot, { port }]) => ({
-      serverId: `i-${depot}`,
-      depot,
-      address: `127.0.0.1:${port}`,
-      state: 'accepting' as const,
-    })),
-  );
-  system = await startSystem(list.port, {
-    nodeFlags,
-    maxDescriptors: fdLimit,
-    intakeLimits: { memoryMb, fdLimit },
-  });
-  const body = JSON.stringify(configuration(5, { intakeLimits }));
-  await until('the configuration is accepted', timeoutMs, async () => {
-    const order = call(system.ports.control, 'PUT', '/configuration', ['If-Match', '0'], body);
-    return (await order.catch(() => undefined))?.status === 200;
-  });
-  await until('a request is served', timeoutMs, async () => (await sendOrdinary()) === 200);
+  fixture = await startCrowdFixture();
 });
 
 crowds.after.each(async () => {
   for (const socket of sockets.splice(0)) socket.destroy();
-  await system.close();
-  list.close();
-  await closeStarted();
+  await fixture.close();
 });
 
 // Guards against heads that are kept far beyond the limit, on each of many connections.
@@ -179,9 +100,11 @@
       socket.write(headOf(path, ['Content-Length: 0']));
     }
     const isAsked = (): boolean =>
-      servers.some(([, { seen }]) => seen.filter((one) => one.path === path).length >= 8);
+      [...fixture.servers.values()].some(
+        ({ seen }) => seen.filter((one) => one.path === path).length >= 8,
+      );
     await until('the servers have answered', timeoutMs, () =>
-      Promise.resolve(isAsked() || endedProcesses(system).length > 0),
+      Promise.resolve(isAsked() || endedProcesses(fixture.system).length > 0),
     );
     await assertUnharmed();
   });
@@ -221,11 +144,11 @@
   assert.match(String(answers[0]), /^HTTP\/1\.1 200 /);
   const headers = ['Try-Id', 'large', 'Time-Left-Ms', '3000'];
   const large = 'x'.repeat(intakeLimits.maxBodyBytes);
-  const uploaded = await call(system.ports.front, 'POST', '/again/x', headers, large);
+  const uploaded = await call(fixture.system.ports.front, 'POST', '/again/x', headers, large);
   assert.is(uploaded.status, 200);
   assert.is(uploaded.body.length, 'did '.length + large.length);
   for (const path of ['/once/long', '/live/long']) {
-    const long = await call(system.ports.front, 'POST', path, [
+    const long = await call(fixture.system.ports.front, 'POST', path, [
       'Try-Id',
       path,
       'Time-Left-Ms',
--- a/tests/src/support/crowd-fixture.ts
+++ b/tests/src/support/crowd-fixture.ts
@@ -23,7 +23,7 @@
 const fdLimit = 400;
 const maxHeapMb = 50;
 /** Time limit for anything that a test waits for, in ms. */
-export const timeoutMs = 60_000;
+export const timeoutMs = 30_000;
 
 /** What the configuration lets clients send. */
 export const intakeLimits = {
@@ -34,7 +34,7 @@
 };
 
 /** Size of the answer at paths whose second segment is `long`, in bytes. */
-const longAnswerBytes = 8 << 20;
+export const longAnswerBytes = 8 << 20;
 
 /** Answers `/x/long` with a long body, as events on a streamed route, and all other paths by `respondByPath`. */
 const respond: typeof respondByPath = (received, res: ServerResponse, req) => {
--- a/tests/src/support/crowd.ts
+++ b/tests/src/support/crowd.ts
@@ -1,7 +1,7 @@
 /** A crowd of raw TCP clients that keep sending for as long as they are let, each at the pace of its connection. */
 import { connect, type Socket } from 'node:net';
 import { until } from '@tillerstair/fleet';
-import { timeoutMs, type CrowdFixture } from './crowd-fixture.js';
+import type { CrowdFixture } from './crowd-fixture.js';
 
 /** What each client of a crowd does. */
 export interface CrowdPlan {
@@ -92,6 +92,8 @@
   }
 }
 
+/** Time limit for all crowds of a test, in ms. */
+const maxCrowdMs = 120_000;
 /** Ordinary requests that are served before a crowd without progress counts as held up for good. */
 const servedWithoutProgress = 20;
 
@@ -107,7 +109,7 @@
   try {
     let servedSinceProgress = 0;
     let progress = -1;
-    await until('the crowds are done or held up', timeoutMs * 2, async () => {
+    await until('the crowds are done or held up', maxCrowdMs, async () => {
       await fixture.serveOrdinary(1);
       fixture.assertWithinLimits();
       const now = crowds.reduce((sum, crowd) => sum + crowd.progress, 0);
--- a/tests/src/support/platform-system.ts
+++ b/tests/src/support/platform-system.ts
@@ -234,10 +234,3 @@
 /** Number of open descriptors of a running process. */
 export const openDescriptors = ({ child }: SystemProcess): number =>
   readdirSync(`/proc/${child.pid}/fd`).length;
-
-/** The only process of a role in a system with one front. */
-export const processOf = ({ started }: StartedSystem, role: string): SystemProcess => {
-  const found = started.find((candidate) => candidate.role === role);
-  if (!found) throw new Error(`no process has the role ${role}`);
-  return found;
-};
