--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -104,3 +104,84 @@
     };
     next();
   };
+
+/**
+ * A sound server of a service that keeps its own record of keys: it runs one request at a time, keeps a few more waiting,
+ * answers a repeat with the first answer, and one whose key is at work with 409 and `Not-Run`.
+ */
+export class DedupingServer extends Server {
+  waiting = [];
+  answers = new Map();
+  atWork = new Set();
+  isBusy = false;
+
+  constructor(service, id, { onRun, onEnd, runMs, maxWaiting = 12 }) {
+    super(service, id, { berths: 1, onRun });
+    Object.assign(this, { onEnd, runMs, maxWaiting });
+  }
+
+  async handle(req, res) {
+    const body = await readBody(req);
+    const tryId = req.headers['try-id'] ?? '';
+    const key = req.headers['operation-key'];
+    const decline = (status) => {
+      res.writeHead(status, { 'Try-Id': tryId, 'Not-Run': '1', 'Content-Length': '0' }).end();
+    };
+    if ((req.headers['expect-server'] ?? this.id) !== this.id) decline(421);
+    else if (this.answers.has(key)) this.repeat(res, tryId, this.answers.get(key));
+    else if (this.atWork.has(key)) decline(409);
+    else if (this.waiting.length >= this.maxWaiting) decline(503);
+    else
+      this.enter({
+        res,
+        tryId,
+        key,
+        body,
+        decline,
+        until: Date.now() + Number(req.headers['time-left-ms'] ?? 0),
+      });
+  }
+
+  repeat(res, tryId, { seal, text }) {
+    const head = { 'Try-Id': tryId, 'Server-Seal': seal, 'Content-Length': text.length };
+    res.writeHead(200, head).end(text);
+  }
+
+  enter(request) {
+    this.atWork.add(request.key);
+    this.waiting.push(request);
+    this.runNext();
+  }
+
+  /** Drops waiting requests whose connection has closed or whose time is over, and runs the first other one. */
+  runNext() {
+    if (this.isBusy) return;
+    const request = this.waiting.shift();
+    if (!request) return;
+    const isLate = Date.now() > request.until;
+    if (isLate || request.res.destroyed) {
+      this.atWork.delete(request.key);
+      if (isLate) request.decline(503);
+      this.runNext();
+      return;
+    }
+    this.isBusy = true;
+    this.onRun({
+      tryId: request.tryId,
+      service: this.service,
+      server: this.id,
+      body: request.body,
+    });
+    setTimeout(() => this.endRun(request), this.runMs);
+  }
+
+  endRun({ res, tryId, key }) {
+    const answer = { seal: `${this.id}.${tryId}`, text: `booked for ${tryId}` };
+    this.answers.set(key, answer);
+    this.atWork.delete(key);
+    this.isBusy = false;
+    this.onEnd(tryId);
+    if (!res.destroyed) this.repeat(res, tryId, answer);
+    this.runNext();
+  }
+}
