Simulated disks append without copying the whole file

Cause: each write of a simulated process copied its file, so a test with tens of megabytes took minutes of memory traffic.

--- a/packages/sim/src/sim-disk.ts
+++ b/packages/sim/src/sim-disk.ts
@@ -2,7 +2,7 @@
 import type { Disk, DiskFile } from '@tillerstair/journal';
 import { delay, type Clock } from '@tillerstair/wire';
 import type { Incarnation } from './incarnation.js';
-import { emptyContent, type FileContent } from './file-content.js';
+import { FileContent } from './file-content.js';
 import type { SimDrive } from './sim-drive.js';
 
 const chunkBytes = 1000;
@@ -62,7 +62,7 @@
     await this.drive.untilReleased();
     await this.whileAlive();
     const written = this.drive.writableBytes(bytes.length);
-    file.cached = Buffer.concat([file.cached, bytes.subarray(0, written)]);
+    file.append(bytes.subarray(0, written));
     await this.step();
     if (written < bytes.length) throw new DiskFullError();
   }
@@ -71,7 +71,7 @@
     await this.work();
     if (this.drive.failSyncs) throw new Error('the simulated disk failed to sync a file');
     this.drive.syncs++;
-    file.synced = file.cached;
+    file.sync();
   }
 
   async syncNames(): Promise<void> {
@@ -88,8 +88,7 @@
       sync: () => this.sync(content),
       truncate: async (size) => {
         await this.work();
-        content.cached = Buffer.from(content.cached.subarray(0, size));
-        content.synced = content.cached;
+        content.replaceWith(content.cached.subarray(0, size));
       },
       replace: async (chunks) => {
         content = await this.replace(name, chunks);
@@ -100,7 +99,7 @@
 
   private async replace(name: string, chunks: Iterable<Buffer>): Promise<FileContent> {
     const nextName = `${name}.next`;
-    const next = emptyContent();
+    const next = new FileContent();
     try {
       await this.work();
       this.drive.link(nextName, next);
--- a/packages/sim/src/sim-drive.ts
+++ b/packages/sim/src/sim-drive.ts
@@ -1,7 +1,7 @@
 /** The content of a simulated disk: a power loss may lose unsynced bytes and unsynced names, but nothing synced. */
 import type { Disk } from '@tillerstair/journal';
 import type { Clock } from '@tillerstair/wire';
-import { emptyContent, type FileContent } from './file-content.js';
+import { FileContent } from './file-content.js';
 import type { Incarnation } from './incarnation.js';
 import { SimDisk } from './sim-disk.js';
 
@@ -69,7 +69,7 @@
   file(name: string): FileContent {
     const existing = this.names.get(name);
     if (existing) return existing;
-    const created = emptyContent();
+    const created = new FileContent();
     this.names.set(name, created);
     return created;
   }
@@ -108,8 +108,7 @@
     for (const file of this.names.values()) {
       const unsynced = file.cached.length - file.synced.length;
       const survived = unsynced > 0 ? Math.floor(this.rng() * (unsynced + 1)) : 0;
-      file.synced = Buffer.from(file.cached.subarray(0, file.synced.length + survived));
-      file.cached = file.synced;
+      file.replaceWith(file.cached.subarray(0, file.synced.length + survived));
     }
   }
 
@@ -136,8 +135,7 @@
     const file = this.file(name);
     const bytes = Buffer.from(file.synced);
     bytes[offset] ^= flippedBit;
-    file.synced = bytes;
-    file.cached = bytes;
+    file.replaceWith(bytes);
   }
 
   /** The size of a file in bytes. */
