Refill a slot without pauses, and fetch each missing item once

A slot with 22 MB of turns was left with one replica of three and was never served again: 503 for turns and keys.

Cause: the refill pulled the whole slot from each replica of a quorum, one after the other, page by page, with a pause of 31 ms before each page of some 170 kB. Its pace knew neither catchUpS nor the size of the slot.

Change: the replicas of a quorum list the versions of their items (`list` in store/pull); what the store lacks is fetched once (`keys`), each item from a replica with its newest version, from all of them by turns, without pauses and with at most four requests under way. A failed pull goes on with what is missing and prefers other replicas. Stores of earlier versions ignore both fields and return items, which are taken. requestQuorum moves to wire, since stores use it too; replicas list at the same time now, so the test that demanded an order of pulls compares a sorted list and the keys of both replicas.

Why it works: the argument of docs/design.md, "Changing a replica", rests on what a quorum of fenced replicas holds; the lists say that, and the store reports the slot as filled only once nothing newer is listed than it has synced.

--- a/packages/session-owner/src/index.ts
+++ b/packages/session-owner/src/index.ts
@@ -9,7 +9,6 @@
 export * from './placement.js';
 export * from './policies.js';
 export * from './prefix-blocks.js';
-export * from './quorum-request.js';
 export * from './server-observations.js';
 export * from './session-owner.js';
 export * from './slot-replicator.js';
--- a/packages/session-owner/src/slot-fencing.ts
+++ b/packages/session-owner/src/slot-fencing.ts
@@ -4,8 +4,8 @@
  * state.
  */
 import type { Item, Slot } from '@tillerstair/state';
-import { toTimerMs, UnavailableError, type Clock } from '@tillerstair/wire';
-import { requestQuorum } from './quorum-request.js';
+import { requestQuorum, toTimerMs, UnavailableError, type Clock } from '@tillerstair/wire';
+
 import type { ReplicaClient } from './replica-client.js';
 import type { CompiledState } from './compiled-state.js';
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -25,6 +25,7 @@
 export * from './item-size.js';
 export * from './messages.js';
 export * from './pages.js';
+export * from './replica-listing.js';
 export * from './server-list.js';
 export * from './replication.js';
 export * from './margin.js';
--- a/packages/state/src/item-size.ts
+++ b/packages/state/src/item-size.ts
@@ -1,5 +1,5 @@
 /** Estimates the memory that an item takes, so that owners and stores can bound what they hold by bytes. */
-import type { Item } from './item.js';
+import type { Item, ItemVersion } from './item.js';
 
 /** Memory of an item beside its strings: its objects, and its entries in the tables of a slot. */
 const bytesPerItem = 400;
@@ -23,3 +23,11 @@
 /** The estimated memory of an item, in bytes. */
 export const itemBytes = (item: Item): number =>
   bytesPerItem + 2 * item.key.length + valueBytes(item.value);
+
+/** The version of an item, with its size. */
+export const versionOfItem = (item: Item): ItemVersion => ({
+  key: item.key,
+  ownershipEpoch: item.ownershipEpoch,
+  seq: item.seq,
+  bytes: itemBytes(item),
+});
--- a/packages/state/src/item.ts
+++ b/packages/state/src/item.ts
@@ -16,13 +16,23 @@
 /** A record stored by the replicas of a slot. */
 export type Item = z.infer<typeof Item>;
 
+/** The key and the version of an item, without its value; `bytes` is the estimated memory of the item. */
+export const ItemVersion = z
+  .object({ key: z.string(), ownershipEpoch: z.number(), seq: z.number(), bytes: z.number() })
+  .readonly();
+/** The key and the version of an item. */
+export type ItemVersion = z.infer<typeof ItemVersion>;
+
+/** The version of an item among those of its key. */
+type Version = Pick<Item, 'ownershipEpoch' | 'seq'>;
+
 /** Whether an item is newer than another of the same key. */
-export const isNewerItem = (item: Item, other: Item): boolean =>
+export const isNewerItem = (item: Version, other: Version): boolean =>
   item.ownershipEpoch > other.ownershipEpoch ||
   (item.ownershipEpoch === other.ownershipEpoch && item.seq > other.seq);
 
 /** Whether two items with the same key come from the same write. */
-export const isSameItem = (item: Item, other: Item): boolean =>
+export const isSameItem = (item: Version, other: Version): boolean =>
   item.ownershipEpoch === other.ownershipEpoch && item.seq === other.seq;
 
 /** Id of the root program of a program or sub-agent. */
--- a/packages/state/src/messages.ts
+++ b/packages/state/src/messages.ts
@@ -3,7 +3,7 @@
  * and controls all use them; each is parsed where it arrives. Keys are those of the internal protocol.
  */
 import { z } from 'zod';
-import { Item } from './item.js';
+import { Item, ItemVersion } from './item.js';
 
 /** An owner writes items to a replica, under its ownership epoch. */
 export const PutRequest = z.object({
@@ -16,17 +16,29 @@
 
 /**
  * An owner fences a slot: from then on the store rejects lower ownership epochs. `after` is the last key of the
- * previous page.
+ * previous page. With `list`, the page has the versions of the items in place of the items; with `keys`, it has the
+ * items of these keys. Stores of earlier versions ignore both and return a page of items.
  */
 export const FenceRequest = z.object({
   slot: z.number(),
   ownershipEpoch: z.number(),
   after: z.string().default(''),
+  list: z.boolean().optional(),
+  keys: z.array(z.string()).optional(),
 });
+/** What a replica is asked for: a page of its items, a page of their versions, or the items of some keys. */
+export type PageRequest = Pick<z.infer<typeof FenceRequest>, 'after' | 'list' | 'keys'>;
 
-/** A page of a slot's items in order of their keys; `next` is the key to continue after, '' on the last page. */
-export const ItemPage = z.object({ items: z.array(Item), next: z.string() });
-/** A page of a slot's items in order of their keys. */
+/**
+ * A page of a slot's items, or of their versions, in the order in which their keys were first stored; `next` is the key
+ * to continue after, '' on the last page.
+ */
+export const ItemPage = z.object({
+  items: z.array(Item),
+  versions: z.array(ItemVersion).optional(),
+  next: z.string(),
+});
+/** A page of a slot's items, or of their versions. */
 export type ItemPage = z.infer<typeof ItemPage>;
 
 /** An owner reads the item of a key from a replica, under its ownership epoch. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,5 +2,6 @@
 export * from './open-store-disk.js';
 export * from './replica-records.js';
 export * from './replica-store.js';
+export * from './slot-pull.js';
 export * from './start.js';
 export * from './store-node.js';
--- a/packages/store/src/replica-refill.ts
+++ b/packages/store/src/replica-refill.ts
@@ -2,13 +2,14 @@
  * Fills the slots that this store joins as a replica (docs/design.md, "Changing a replica").
  *
  * A slot is pulled from a quorum of its replicas, each of them fenced at the ownership epoch of the state in which this
- * store joins. Once all pulled items are synced, the master is notified, which commits the change of replicas under the
+ * store joins. Once all items are synced, the master is notified, which commits the change of replicas under the
  * next ownership epoch.
  */
 import pLimit from 'p-limit';
-import { fetchPages, type Member, type State } from '@tillerstair/state';
+import type { Member, State } from '@tillerstair/state';
 import {
   delay,
+  ReplicaError,
   toRpcError,
   UnavailableError,
   type Clock,
@@ -17,16 +18,19 @@
 } from '@tillerstair/wire';
 import type { ZenBounds } from '@tillerstair/zen';
 import type { ReplicaStore } from './replica-store.js';
+import { SlotPull } from './slot-pull.js';
 
 /** Limit of slots that are filled concurrently. */
 const maxConcurrentSlots = 8;
+/** Limit of the requests for items that are under way, over all slots. */
+const maxConcurrentRequests = 4;
 
 /** Searches of the cluster state for slots to fill, per heartbeat interval; a new state is searched immediately. */
 const searchesPerHeartbeat = 2;
 
-/** Limits of the attempts to fill a slot, and of the pages pulled per source, in one heartbeat interval. */
+/** Attempts to fill a slot in one heartbeat interval at most; after each failed one the delay doubles, up to the interval. */
 const attemptsPerHeartbeat = 16;
-const pagesPerHeartbeat = 16;
+const retryDelayFactor = 2;
 
 /** Settings of the refill of one store, and the components that it uses. */
 export interface ReplicaRefillOptions {
@@ -50,7 +54,8 @@
 
 /** Fills the slots that one store joins. Tracks the ownership epoch at which the filling of each slot was started. */
 export class ReplicaRefill {
-  private readonly limitConcurrency = pLimit(maxConcurrentSlots);
+  private readonly limitSlots = pLimit(maxConcurrentSlots);
+  private readonly limitRequests = pLimit(maxConcurrentRequests);
   private readonly startedEpochs = new Map<number, number>();
   private stopWaiting: () => void = () => undefined;
 
@@ -80,79 +85,75 @@
   /** Retries filling a slot until it succeeds, the slot's ownership epoch changes, or the store is stopped. */
   private async fillUntilComplete(joining: JoiningSlot, stopped: AbortSignal): Promise<void> {
     const { clock, bounds, log, latestState } = this.options;
+    const pull = this.pullOf(joining);
+    let retryDelayMs = bounds.heartbeatInterval / attemptsPerHeartbeat;
     while (!stopped.aborted) {
       const state = latestState();
       const slot = state?.slots[joining.number];
       if (!state || slot?.ownershipEpoch !== joining.ownershipEpoch) return;
       try {
-        await this.limitConcurrency(() => this.fill(state, joining, slot.replicas, stopped));
+        const sources = slot.replicas.filter((id) => state.nodes.has(id));
+        await this.limitSlots(() => this.fill(joining, pull, sources));
         return;
       } catch (error) {
         log.debug(
           `Refill of slot ${joining.number} failed, will retry: ${toRpcError(error).message}.`,
         );
       }
-      await delay(clock, bounds.heartbeatInterval / attemptsPerHeartbeat, stopped);
+      await delay(clock, retryDelayMs, stopped);
+      retryDelayMs = Math.min(retryDelayMs * retryDelayFactor, bounds.heartbeatInterval);
     }
   }
 
   /** Pulls a slot from a quorum of its replicas and reports it to the master as filled. */
   private async fill(
-    state: State,
     joining: JoiningSlot,
+    pull: SlotPull,
     sources: readonly string[],
-    stopped: AbortSignal,
   ): Promise<void> {
+    const { clock, log } = this.options;
+    const startedAt = clock.now();
+    const fetched = await pull.run(sources);
+    await this.reportFilled(joining);
+    const tookMs = Math.round(clock.now() - startedAt);
+    log.debug(`Slot ${joining.number} was filled with ${fetched} items in ${tookMs} ms.`);
+  }
+
+  private pullOf({ number, ownershipEpoch }: JoiningSlot): SlotPull {
+    const { transport, replicaStore, clock, bounds, latestState } = this.options;
+    return new SlotPull({
+      slot: number,
+      quorum: () => latestState()?.replication.quorum ?? Infinity,
+      replicaStore,
+      clock,
+      requestTimeoutMs: bounds.failureTimeout,
+      limitRequests: this.limitRequests,
+      requestPage: async (source, request) =>
+        transport.call(
+          this.addressOf(source),
+          'store/pull',
+          { slot: number, ownershipEpoch, ...request },
+          { timeoutMs: bounds.failureTimeout },
+        ),
+    });
+  }
+
+  private addressOf(id: string): string {
+    const member = this.options.latestState()?.nodes.get(id);
+    if (member) return member.addr;
+    throw new ReplicaError('away', `replica ${id} is not in the cluster state`);
+  }
+
+  private async reportFilled({ number, ownershipEpoch }: JoiningSlot): Promise<void> {
     const { transport, bounds, storeId, currentMaster } = this.options;
-    const { quorum } = state.replication;
-    let pulled = 0;
-    for (const id of sources) {
-      const member = state.nodes.get(id);
-      if (!member || pulled === quorum) continue;
-      if (await this.pullFrom(member, joining, stopped)) pulled++;
-    }
-    if (pulled < quorum)
-      throw new UnavailableError(
-        'unavailable',
-        `slot ${joining.number} was pulled from ${pulled} replicas of a quorum of ${quorum}`,
-      );
     const master = currentMaster();
     if (!master)
-      throw new UnavailableError(
-        'unavailable',
-        `no master is known to report slot ${joining.number} to`,
-      );
+      throw new UnavailableError('unavailable', `no master is known to report slot ${number} to`);
     await transport.call(
       master.addr,
       'control/filled',
-      { store: storeId, slot: joining.number, ownershipEpoch: joining.ownershipEpoch },
+      { store: storeId, slot: number, ownershipEpoch },
       { timeoutMs: bounds.failureTimeout },
     );
   }
-
-  /** Pulls all pages of a slot from one replica and stores their items; false if that failed. */
-  private async pullFrom(
-    member: Member,
-    { number, ownershipEpoch }: JoiningSlot,
-    stopped: AbortSignal,
-  ): Promise<boolean> {
-    const { transport, replicaStore, clock, bounds, log } = this.options;
-    const requestPage = async (after: string): Promise<unknown> => {
-      if (after !== '') await delay(clock, bounds.heartbeatInterval / pagesPerHeartbeat, stopped);
-      return transport.call(
-        member.addr,
-        'store/pull',
-        { slot: number, ownershipEpoch, after },
-        { timeoutMs: bounds.failureTimeout },
-      );
-    };
-    try {
-      for await (const page of fetchPages(requestPage))
-        await replicaStore.acceptHandoff(number, page);
-      return true;
-    } catch (error) {
-      log.debug(`Pulling slot ${number} from ${member.addr} failed: ${toRpcError(error).message}.`);
-      return false;
-    }
-  }
 }
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -13,7 +13,13 @@
   type JournalOwner,
   type JournalTimings,
 } from '@tillerstair/journal';
-import { itemBytes, type Item, type ItemPage } from '@tillerstair/state';
+import {
+  itemBytes,
+  type Item,
+  type ItemPage,
+  type ItemVersion,
+  type PageRequest,
+} from '@tillerstair/state';
 import { ByteBudget, ReplicaError, type Clock } from '@tillerstair/wire';
 import { HintTable } from './hint-table.js';
 import { ReplicaRecord, replicaStoreLog, snapshotRecords, type Hint } from './replica-records.js';
@@ -230,14 +236,14 @@
    *
    * @throws ReplicaError (`stale-epoch`, `page-gone`); JournalUnavailableError.
    */
-  async fence(slot: number, ownershipEpoch: number, after: string): Promise<ItemPage> {
+  async fence(slot: number, ownershipEpoch: number, request: PageRequest): Promise<ItemPage> {
     const replica = this.replicaAtEpoch(slot, ownershipEpoch);
-    if (after === '') {
+    if (request.after === '' && !request.keys) {
       if (replica.fenceEpoch < ownershipEpoch)
         await this.append({ t: 'fence', slot, ownershipEpoch });
       else await this.waitForSync();
     }
-    return replica.page(after);
+    return replica.page(request);
   }
 
   /** Resolves once all records applied so far are on disk. Appends a fence of epoch 0, which changes nothing. */
@@ -274,10 +280,16 @@
    *
    * @throws ReplicaError (`not-fenced`, `page-gone`).
    */
-  pull(slot: number, ownershipEpoch: number, after: string): ItemPage {
+  pull(slot: number, ownershipEpoch: number, request: PageRequest): ItemPage {
     const replica = this.replicaOf(slot);
     replica.requireFencedAt(ownershipEpoch);
-    return replica.page(after);
+    return replica.page(request);
+  }
+
+  /** Those versions of a slot's items that are newer than what this store holds. */
+  missingVersions(slot: number, versions: Iterable<ItemVersion>): readonly ItemVersion[] {
+    const replica = this.replicaOf(slot);
+    return [...versions].filter((version) => replica.isNew(version));
   }
 
   /** Stores items of a hint or another replica, whatever the fence; resolves when they, or newer ones, are on disk. */
--- a/packages/store/src/slot-replica.ts
+++ b/packages/store/src/slot-replica.ts
@@ -9,8 +9,11 @@
   itemBytes,
   maxPageBytes,
   recordGroup,
+  versionOfItem,
   type Item,
   type ItemPage,
+  type ItemVersion,
+  type PageRequest,
 } from '@tillerstair/state';
 import { ReplicaError, type ByteBudget } from '@tillerstair/wire';
 import type { SlotSnapshot } from './replica-records.js';
@@ -20,6 +23,8 @@
  */
 const pageEndsAtBytes = maxPageBytes / 2;
 
+const maxVersionsPerPage = 1000;
+
 /** Share of the groups of a slot that are dropped at once if the store's log does not fit into its memory. */
 const oldestShare = 0.1;
 
@@ -69,7 +74,7 @@
   }
 
   /** Whether an item is newer than the stored one of the same key; true if none is stored. */
-  isNew(item: Item): boolean {
+  isNew(item: Pick<Item, 'key' | 'ownershipEpoch' | 'seq'>): boolean {
     const stored = this.items.get(item.key);
     return !stored || isNewerItem(item, stored);
   }
@@ -132,24 +137,20 @@
   }
 
   /**
-   * The page of items that follow the key `after`, or the first page if it is empty.
+   * The page that is asked for: of items or of versions that follow the key `after`, from the first one if it is empty,
+   * or of the items of some keys.
    *
-   * @throws ReplicaError (`page-gone`) if the item of that key was dropped in the meantime.
+   * @throws ReplicaError (`page-gone`) if the item of the key `after` was dropped in the meantime.
    */
-  page(after: string): ItemPage {
-    if (after !== '' && !this.items.has(after))
-      throw new ReplicaError(
-        'page-gone',
-        `slot ${this.slot} no longer has the item before the page; restart from the first page`,
-      );
+  page({ after, list, keys }: PageRequest): ItemPage {
+    if (keys) return this.pageOf(keys);
+    return list === true ? this.versionPage(after) : this.itemPage(after);
+  }
+
+  private itemPage(after: string): ItemPage {
     const items: Item[] = [];
     let bytes = 0;
-    let found = after === '';
-    for (const item of this.items.values()) {
-      if (!found) {
-        found = item.key === after;
-        continue;
-      }
+    for (const item of this.itemsAfter(after)) {
       if (items.length > 0 && bytes > pageEndsAtBytes)
         return { items, next: items.at(-1)?.key ?? '' };
       items.push(item);
@@ -158,6 +159,33 @@
     return { items, next: '' };
   }
 
+  private versionPage(after: string): ItemPage {
+    const versions: ItemVersion[] = [];
+    for (const item of this.itemsAfter(after)) {
+      if (versions.length === maxVersionsPerPage)
+        return { items: [], versions, next: versions.at(-1)?.key ?? '' };
+      versions.push(versionOfItem(item));
+    }
+    return { items: [], versions, next: '' };
+  }
+
+  private pageOf(keys: readonly string[]): ItemPage {
+    const items = keys.flatMap((key) => this.items.get(key) ?? []);
+    return { items, next: '' };
+  }
+
+  private *itemsAfter(after: string): Generator<Item> {
+    if (after !== '' && !this.items.has(after))
+      throw new ReplicaError(
+        'page-gone',
+        `slot ${this.slot} no longer has the item before the page; restart from the first page`,
+      );
+    let found = after === '';
+    for (const item of this.items.values())
+      if (found) yield item;
+      else found = item.key === after;
+  }
+
   /** A copy of the replica that later changes do not affect. */
   snapshot(): SlotSnapshot {
     return { slot: this.slot, fenceEpoch: this.epoch, items: [...this.items.values()] };
--- a/packages/store/src/store-requests.ts
+++ b/packages/store/src/store-requests.ts
@@ -46,16 +46,16 @@
       return {};
     }
     case 'store/fence': {
-      const { slot, ownershipEpoch, after } = FenceRequest.parse(body);
-      return replicaStore.fence(slot, ownershipEpoch, after);
+      const { slot, ownershipEpoch, ...page } = FenceRequest.parse(body);
+      return replicaStore.fence(slot, ownershipEpoch, page);
     }
     case 'store/read': {
       const { slot, ownershipEpoch, key } = ReadRequest.parse(body);
       return { item: replicaStore.read(slot, ownershipEpoch, key) };
     }
     case 'store/pull': {
-      const { slot, ownershipEpoch, after } = FenceRequest.parse(body);
-      return replicaStore.pull(slot, ownershipEpoch, after);
+      const { slot, ownershipEpoch, ...page } = FenceRequest.parse(body);
+      return replicaStore.pull(slot, ownershipEpoch, page);
     }
     case 'store/find':
       return findTurns(body, options);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -11,6 +11,7 @@
 export * from './listen.js';
 export * from './log.js';
 export * from './system-error.js';
+export * from './quorum-request.js';
 export * from './request-pipeline.js';
 export * from './task-queue.js';
 export * from './tcp-transport.js';
--- a/packages/session-owner/src/quorum-request.ts
+++ b/packages/wire/src/quorum-request.ts
@@ -2,7 +2,7 @@
  * A request to as many replicas as a quorum needs, and to further replicas only when a request fails or its response is
  * late (hedged requests). It keeps no state beyond one request.
  */
-import { delay, type Clock } from '@tillerstair/wire';
+import { delay, type Clock } from './clock.js';
 
 /** One request to several replicas that ends once a quorum of them has responded. */
 export interface QuorumRequest<Response> {
--- a/tests/src/journal/chunked-log.test.ts
+++ b/tests/src/journal/chunked-log.test.ts
@@ -171,7 +171,7 @@
 const sequencesOf = (replicaStore: ReplicaStore): ReadonlyMap<string, number> => {
   const seqs = new Map<string, number>();
   for (let after = ''; ;) {
-    const page = replicaStore.pull(1, 0, after);
+    const page = replicaStore.pull(1, 0, { after });
     for (const item of page.items) seqs.set(item.key, item.seq);
     if (page.next === '') return seqs;
     after = page.next;
--- a/tests/src/journal/full-and-stalled-disks.test.ts
+++ b/tests/src/journal/full-and-stalled-disks.test.ts
@@ -319,7 +319,7 @@
             { length: cluster.slots },
             (_, slot) =>
               replicaStore
-                ?.pull(slot, 0, '')
+                ?.pull(slot, 0, { after: '' })
                 .items.map((entry) => `${entry.key} ${entry.ownershipEpoch}.${entry.seq}`) ?? [],
           );
           return JSON.stringify(slots.flat().sort());
--- a/tests/src/journal/journal-fixture.ts
+++ b/tests/src/journal/journal-fixture.ts
@@ -101,7 +101,7 @@
 /** The sorted keys of the items that a store holds in slot 1. */
 export const keysOf = (store: ReplicaStore): readonly string[] =>
   store
-    .pull(1, 0, '')
+    .pull(1, 0, { after: '' })
     .items.map((entry) => entry.key)
     .sort();
 
--- a/tests/src/journal/journal.test.ts
+++ b/tests/src/journal/journal.test.ts
@@ -133,7 +133,7 @@
         1000,
       );
       const restored = new Map(
-        reopened.pull(1, 0, '').items.map((entry) => [entry.key, entry.seq]),
+        reopened.pull(1, 0, { after: '' }).items.map((entry) => [entry.key, entry.seq]),
       );
       for (const write of acknowledged) {
         const separator = write.lastIndexOf(' ');
@@ -156,7 +156,7 @@
     ReplicaStore.open(drive.disk(clock, new Incarnation()), clock, limits),
     1000,
   );
-  await clock.finish('fence', replicaStore.fence(4, 7, ''), 1000);
+  await clock.finish('fence', replicaStore.fence(4, 7, { after: '' }), 1000);
   drive.powerLoss();
   const reopened = await clock.finish(
     'reopen',
--- a/tests/src/repository/stored-data.test.ts
+++ b/tests/src/repository/stored-data.test.ts
@@ -83,11 +83,11 @@
       assert.ok(fences.length > 0 && items.length > 0);
       for (const [slot, epoch] of fences) {
         assert.throws(
-          () => replicaStore.pull(slot, epoch + 1, ''),
+          () => replicaStore.pull(slot, epoch + 1, { after: '' }),
           (error: unknown) =>
             error instanceof Error && 'code' in error && error.code === 'not-fenced',
         );
-        const page = replicaStore.pull(slot, epoch, '');
+        const page = replicaStore.pull(slot, epoch, { after: '' });
         assert.is(page.next, '');
         const expectedItems = items
           .filter((entry) => entry.slot === slot)
--- a/tests/src/session-owner/replica-quorum.test.ts
+++ b/tests/src/session-owner/replica-quorum.test.ts
@@ -1,7 +1,7 @@
 /** A request to a quorum asks no more replicas at a time than the quorum needs, and replaces failed and late ones. */
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { requestQuorum } from '@tillerstair/session-owner';
+import { requestQuorum } from '@tillerstair/wire';
 import { SimClock } from '@tillerstair/sim';
 
 const quorumRequests = suite('requests to a quorum of replicas');
--- a/tests/src/sim/never-list-under-failure.test.ts
+++ b/tests/src/sim/never-list-under-failure.test.ts
@@ -215,7 +215,9 @@
       Promise.all(
         world
           .of('store')
-          .flatMap((machine) => machine.replicaStore?.fence(slot, ownershipEpoch + 1, '') ?? []),
+          .flatMap(
+            (machine) => machine.replicaStore?.fence(slot, ownershipEpoch + 1, { after: '' }) ?? [],
+          ),
       ),
       1000,
     );
--- a/tests/src/store/replica-store.test.ts
+++ b/tests/src/store/replica-store.test.ts
@@ -51,16 +51,16 @@
 };
 
 const keysOf = (store: ReplicaStore, slot: number): readonly string[] =>
-  store.pull(slot, 0, '').items.map((entry) => entry.key);
+  store.pull(slot, 0, { after: '' }).items.map((entry) => entry.key);
 
 replicas('writes, fences and reads below the fence are rejected and change nothing', async () => {
   const { store, outcomeOf } = await setUp();
   assert.is(await outcomeOf(store.write(1, 5, [item('a', 5, 1)])), 'done');
-  assert.is(await outcomeOf(store.fence(1, 7, '')), 'done');
+  assert.is(await outcomeOf(store.fence(1, 7, { after: '' })), 'done');
   assert.is(await outcomeOf(store.write(1, 6, [item('a', 6, 9)])), 'stale-epoch');
-  assert.is(await outcomeOf(store.fence(1, 6, '')), 'stale-epoch');
+  assert.is(await outcomeOf(store.fence(1, 6, { after: '' })), 'stale-epoch');
   assert.is(await outcomeOf(Promise.resolve().then(() => store.read(1, 6, 'a'))), 'stale-epoch');
-  assert.equal(store.pull(1, 7, '').items, [item('a', 5, 1)]);
+  assert.equal(store.pull(1, 7, { after: '' }).items, [item('a', 5, 1)]);
   assert.is(await outcomeOf(store.write(2, 1, [item('a', 1, 1)])), 'done');
 });
 
@@ -87,10 +87,10 @@
     for (const older of [item('a', 1, 9), item('a', 2, 4)]) {
       await outcomeOf(store.write(1, 0, [older]));
       await outcomeOf(store.acceptHandoff(1, [older]));
-      assert.equal(store.pull(1, 0, '').items, [item('a', 2, 5)]);
+      assert.equal(store.pull(1, 0, { after: '' }).items, [item('a', 2, 5)]);
     }
     await outcomeOf(store.acceptHandoff(1, [item('a', 3, 1)]));
-    assert.equal(store.pull(1, 0, '').items, [item('a', 3, 1)]);
+    assert.equal(store.pull(1, 0, { after: '' }).items, [item('a', 3, 1)]);
   },
 );
 
@@ -98,22 +98,22 @@
   const { store, outcomeOf } = await setUp();
   await outcomeOf(store.write(1, 5, [item('a', 5, 1)]));
   assert.is(
-    codeOf(() => store.pull(1, 6, '')),
+    codeOf(() => store.pull(1, 6, { after: '' })),
     'not-fenced',
   );
-  await outcomeOf(store.fence(1, 6, ''));
-  assert.is(store.pull(1, 6, '').items.length, 1);
+  await outcomeOf(store.fence(1, 6, { after: '' }));
+  assert.is(store.pull(1, 6, { after: '' }).items.length, 1);
 });
 
 replicas('a page that follows a dropped item is rejected', async () => {
   const { store, outcomeOf } = await setUp();
   await outcomeOf(store.write(1, 5, [item('a', 5, 1), item('b', 5, 2)]));
   assert.equal(
-    store.pull(1, 5, 'a').items.map((entry) => entry.key),
+    store.pull(1, 5, { after: 'a' }).items.map((entry) => entry.key),
     ['b'],
   );
   assert.is(
-    codeOf(() => store.pull(1, 5, 'c')),
+    codeOf(() => store.pull(1, 5, { after: 'c' })),
     'page-gone',
   );
 });
@@ -122,14 +122,14 @@
   const { store, outcomeOf } = await setUp();
   const text = 'x'.repeat(50 << 10);
   for (let i = 0; i < 7; i++) await outcomeOf(store.write(1, 1, [item(`k${i}`, 1, i, text)]));
-  const first = store.pull(1, 1, '');
+  const first = store.pull(1, 1, { after: '' });
   assert.equal(
     first.items.map((entry) => entry.key),
     ['k0', 'k1', 'k2'],
   );
   assert.is(first.next, 'k2');
   assert.equal(
-    store.pull(1, 1, first.next).items.map((entry) => entry.key),
+    store.pull(1, 1, { after: first.next }).items.map((entry) => entry.key),
     ['k3', 'k4', 'k5'],
   );
 });
@@ -140,7 +140,7 @@
   drive.full = true;
   assert.is(await outcomeOf(store.write(1, 5, [item('b', 5, 2)])), 'unavailable');
   assert.is(await outcomeOf(store.write(1, 5, [item('c', 5, 3)])), 'unavailable');
-  assert.is(await outcomeOf(store.fence(1, 9, '')), 'unavailable');
+  assert.is(await outcomeOf(store.fence(1, 9, { after: '' })), 'unavailable');
   assert.equal(keysOf(store, 1), ['a', 'b']);
   assert.is(await outcomeOf(Promise.resolve().then(() => store.read(1, 5, 'a'))), 'done');
 });
@@ -151,10 +151,10 @@
     const { store, outcomeOf, drive } = await setUp();
     await outcomeOf(store.write(1, 5, [item('a', 5, 1)]));
     drive.failSyncs = true;
-    assert.is(await outcomeOf(store.fence(1, 5, '')), 'unavailable');
+    assert.is(await outcomeOf(store.fence(1, 5, { after: '' })), 'unavailable');
     assert.is(await outcomeOf(store.acceptHandoff(1, [item('a', 5, 1)])), 'unavailable');
     assert.is(await outcomeOf(store.waitForSync()), 'unavailable');
-    assert.is(await outcomeOf(store.fence(1, 5, 'a')), 'done');
+    assert.is(await outcomeOf(store.fence(1, 5, { after: 'a' })), 'done');
   },
 );
 
@@ -192,7 +192,7 @@
     await outcomeOf(store.write(1, 5, [item('a', 5, 1)]));
     await outcomeOf(store.write(2, 5, [item('b', 5, 1)]));
     await clock.run(retentionMs - 1000);
-    assert.is(await outcomeOf(store.fence(1, 6, '')), 'done');
+    assert.is(await outcomeOf(store.fence(1, 6, { after: '' })), 'done');
     assert.is(await clock.finish('drop', store.dropExpired(), 1000), 0);
     await clock.run(2000);
     assert.is(await clock.finish('drop', store.dropExpired(10 * retentionMs), 1000), 0);
--- a/tests/src/store/store-requests.test.ts
+++ b/tests/src/store/store-requests.test.ts
@@ -2,7 +2,14 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Incarnation, SimClock, SimNet, SimDrive, seededRng } from '@tillerstair/sim';
-import { bootstrapState, type Item, type Member, type Slot, type State } from '@tillerstair/state';
+import {
+  bootstrapState,
+  ItemPage,
+  type Item,
+  type Member,
+  type Slot,
+  type State,
+} from '@tillerstair/state';
 import { openStoreDisk, StoreNode } from '@tillerstair/store';
 import { RpcError, silentLogger } from '@tillerstair/wire';
 import { zenBounds } from '@tillerstair/zen';
@@ -198,15 +205,15 @@
       () => fixture.received.includes('control-0 control/filled'),
       10000,
     );
-    assert.equal(
-      fixture.received.filter((call) => call.endsWith('pull')),
-      ['store-1 store/pull', 'store-2 store/pull'],
-    );
+    assert.equal(fixture.received.filter((call) => call.endsWith('pull')).sort(), [
+      'store-1 store/pull',
+      'store-2 store/pull',
+    ]);
     await fixture.ask('store/fence', { slot: 0, ownershipEpoch: 4 });
-    assert.match(
-      await fixture.ask('store/pull', { slot: 0, ownershipEpoch: 4 }),
-      /from-store-1.*from-store-2/,
+    const page = ItemPage.parse(
+      JSON.parse(await fixture.ask('store/pull', { slot: 0, ownershipEpoch: 4 })),
     );
+    assert.equal(page.items.map(({ key }) => key).sort(), ['from-store-1', 'from-store-2']);
     await stop(fixture);
   },
 );
