Open a slot from lists of versions, and fetch what its owner lacks

Cause, of the same class as the refill: each change of a slot's replicas raises its ownership epoch, and the owner then read the whole slot again from a quorum of replicas, though it had nearly all of it in memory. The slot was closed for as long as that took, twice for each refill, and its stores sent each item twice more.

Change: a fence lists versions (`list` in store/fence); the owner fetches each item that it lacks once (`keys`), from the replicas by turns, two requests at a time for a slot. An item that its replica dropped meanwhile fails the attempt, and the next one lists anew. Which items are rewritten is decided by the lists, as before by the items. Replicas of earlier versions return items, which are taken as before; fetchPages goes, since nothing reads whole slots any more.

Not measured: how long slots were closed before.

--- a/packages/session-owner/src/replica-client.ts
+++ b/packages/session-owner/src/replica-client.ts
@@ -1,5 +1,12 @@
 /** Requests from a slot's owner to the slot's replicas, which are on stores. It keeps no state. */
-import { fetchPages, type Item, ReadResponse } from '@tillerstair/state';
+import {
+  fetchListing,
+  ItemPage,
+  ReadResponse,
+  type Item,
+  type ItemFetch,
+  type ReplicaListing,
+} from '@tillerstair/state';
 import { ReplicaError, type Transport } from '@tillerstair/wire';
 import type { CompiledState } from './compiled-state.js';
 
@@ -30,17 +37,21 @@
     this.timeoutMs = options.timeoutMs;
   }
 
-  /** Fences the replica at the ownership epoch and fetches all items that it stores, by key. */
-  async fence(replica: string, ownershipEpoch: number): Promise<ReadonlyMap<string, Item>> {
-    const items = new Map<string, Item>();
-    for await (const page of fetchPages((after) => this.fencePage(replica, ownershipEpoch, after)))
-      for (const item of page) items.set(item.key, item);
-    return items;
+  /** Fences the replica at the ownership epoch and lists the items that it stores. */
+  fence(replica: string, ownershipEpoch: number): Promise<ReplicaListing> {
+    return fetchListing((after) => this.fencePage(replica, ownershipEpoch, after));
   }
 
-  /** Fences the replica at the ownership epoch and fetches the page of its items that follows the key `after`. */
+  /** Fences the replica at the ownership epoch and lists the page of its items that follows the key `after`. */
   fencePage(replica: string, ownershipEpoch: number, after: string): Promise<unknown> {
-    return this.request(replica, 'store/fence', { slot: this.slotNumber, ownershipEpoch, after });
+    const body = { slot: this.slotNumber, ownershipEpoch, after, list: true };
+    return this.request(replica, 'store/fence', body);
+  }
+
+  /** Fetches items from a replica that is fenced at the ownership epoch; those that it dropped are left out. */
+  async fetchItems({ source, keys }: ItemFetch, ownershipEpoch: number): Promise<readonly Item[]> {
+    const body = { slot: this.slotNumber, ownershipEpoch, keys };
+    return ItemPage.parse(await this.request(source, 'store/fence', body)).items;
   }
 
   /** Resolves when the replica has synced the items; `repair` as in `PutRequest`. */
--- a/packages/session-owner/src/slot-fencing.ts
+++ b/packages/session-owner/src/slot-fencing.ts
@@ -1,20 +1,18 @@
 /**
  * Fencing of a slot's replicas at an ownership epoch: a fenced replica rejects puts of lower epochs, and its response
- * to the fence contains the items that it stores (docs/design.md, "Slots, owners, ownership epochs"). It keeps no
+ * to the fence lists the items that it stores (docs/design.md, "Slots, owners, ownership epochs"). It keeps no
  * state.
  */
-import type { Item, Slot } from '@tillerstair/state';
+import type { Slot } from '@tillerstair/state';
 import { requestQuorum, toTimerMs, UnavailableError, type Clock } from '@tillerstair/wire';
 
 import type { ReplicaClient } from './replica-client.js';
 import type { CompiledState } from './compiled-state.js';
+import type { FencedReplicas } from './slot-merge.js';
 
 /** Share of a request's timeout after which a fence without a quorum is sent to one more replica. */
 const hedgeAfterShareOfTimeout = 1 / 3;
 
-/** The items that replicas stored when they were fenced: by replica, then by key. */
-export type FencedReplicas = ReadonlyMap<string, ReadonlyMap<string, Item>>;
-
 /** Dependencies and time limits of a `SlotFencing`. */
 export interface SlotFencingOptions {
   readonly clock: Clock;
@@ -48,7 +46,7 @@
 
   /**
    * Fences a quorum of the slot's replicas at its ownership epoch. Every other quorum shares a replica with it, so
-   * the items include each write that took effect under a lower epoch, and no such write can take effect afterwards.
+   * the lists include each write that took effect under a lower epoch, and no such write can take effect afterwards.
    *
    * @throws UnavailableError `unavailable` if fewer than a quorum responded
    */
--- a/packages/session-owner/src/slot-replicator.ts
+++ b/packages/session-owner/src/slot-replicator.ts
@@ -21,11 +21,11 @@
   type Logger,
   type Transport,
 } from '@tillerstair/wire';
-import { itemsBelowQuorum, mergeItems } from './item-merge.js';
 import { QuorumWrite, type QuorumWriteOptions } from './quorum-write.js';
 import { ReplicaClient } from './replica-client.js';
-import { SlotFencing, type FencedReplicas } from './slot-fencing.js';
+import { SlotFencing } from './slot-fencing.js';
 import { SlotItems } from './slot-items.js';
+import { itemsBelowQuorum, mergeItems, type FencedReplicas } from './slot-merge.js';
 import type { CompiledState } from './compiled-state.js';
 
 /** Retries of a failed fence or put per heartbeat interval. */
@@ -282,7 +282,7 @@
   private async openOnce(slot: Slot): Promise<void> {
     const { ownershipEpoch } = slot;
     const fenced = await this.fencing.fenceQuorum(slot);
-    const merged = this.merge(fenced);
+    const merged = await this.merge(fenced, ownershipEpoch);
     const uncertain = itemsBelowQuorum(merged, [...fenced.values()], this.quorum);
     // `write` rejects a superseded epoch too; this check keeps `renumber` from advancing the newer epoch's sequence.
     if (!this.isAtEpoch(ownershipEpoch)) return;
@@ -299,9 +299,10 @@
   }
 
   /** Merges in the items in memory unless the slot was closed since: another owner may have written then. */
-  private merge(fenced: FencedReplicas): Map<string, Item> {
-    const known = this.openEpoch === notOpenEpoch ? [] : this.items.entries();
-    return mergeItems(known, fenced.values());
+  private merge(fenced: FencedReplicas, ownershipEpoch: number): Promise<Map<string, Item>> {
+    const known = (): Iterable<readonly [string, Item]> =>
+      this.openEpoch === notOpenEpoch ? [] : this.items.entries();
+    return mergeItems(fenced, known, (fetch) => this.client.fetchItems(fetch, ownershipEpoch));
   }
 
   private renumber(items: readonly Item[], ownershipEpoch: number): readonly Item[] {
--- a/packages/state/src/pages.ts
+++ b/packages/state/src/pages.ts
@@ -1,18 +1,5 @@
-/** Pages of items, so that the size of a message or response does not grow with a slot. */
+/** Pages of items, so that the size of a message does not grow with a slot. */
 import type { Item } from './item.js';
-import { ItemPage } from './messages.js';
-
-/** Fetches all pages, beginning with the first. Throws what `request` rejects with. */
-export async function* fetchPages(
-  request: (after: string) => Promise<unknown>,
-): AsyncGenerator<readonly Item[]> {
-  for (let after = ''; ;) {
-    const page = ItemPage.parse(await request(after));
-    yield page.items;
-    if (page.next === '') return;
-    after = page.next;
-  }
-}
 
 /** Maximum size of a page, in characters of JSON; a larger item gets a page of its own. */
 export const maxPageBytes = 1 << 18;
--- a/tests/src/session-owner/slot-fencing.test.ts
+++ b/tests/src/session-owner/slot-fencing.test.ts
@@ -6,6 +6,7 @@
   DelayedReply,
   emptyReply,
   failWith,
+  listingReply,
   ReplicatorFixture,
   replyWith,
   silence,
@@ -225,4 +226,47 @@
   );
 });
 
+// Guards against slots that stay closed for as long as their whole history is copied, at each change of their replicas.
+fencing('only items that the owner lacks are fetched, each once', async () => {
+  const fixture = new ReplicatorFixture();
+  const stored = {
+    s1: [item('o/a', 1, 1, 'a'), item('o/b', 1, 2, 'b')],
+    s2: [item('o/a', 1, 1, 'a'), item('o/b', 1, 3, 'c')],
+  };
+  const fetchedKeys = (): readonly string[] =>
+    fixture.replicas.requests.flatMap(({ keys }) => keys ?? []).sort();
+  fixture.replicas.reply = (request) =>
+    request.kind === 'store/fence'
+      ? listingReply(request.replica === 's2' ? stored.s2 : stored.s1, request)
+      : emptyReply(request);
+  fixture.replicator.apply(slotAt(2));
+  await fixture.clock.run(50);
+  assert.is(fixture.replicator.isOpen, true);
+  assert.equal(fetchedKeys(), ['o/a', 'o/b']);
+  assert.is(fixture.replicator.get('o/b'), 'c');
+  stored.s1.push(item('o/c', 2, 1, 'd'));
+  fixture.replicator.apply(slotAt(3));
+  await fixture.clock.run(50);
+  assert.is(fixture.replicator.isOpen, true);
+  assert.equal(fetchedKeys(), ['o/a', 'o/b', 'o/c']);
+  assert.is(fixture.replicator.get('o/c'), 'd');
+});
+
+fencing('a slot stays closed while a listed item is not returned', async () => {
+  const fixture = new ReplicatorFixture();
+  const stored = [item('o/a', 1, 1, 'a')];
+  let isReturned = false;
+  fixture.replicas.reply = (request) =>
+    request.kind === 'store/fence'
+      ? listingReply(stored, isReturned ? request : { ...request, keys: [] })
+      : emptyReply(request);
+  fixture.replicator.apply(slotAt(2));
+  await fixture.clock.run(500);
+  assert.is(fixture.replicator.isOpen, false);
+  isReturned = true;
+  await fixture.clock.run(500);
+  assert.is(fixture.replicator.isOpen, true);
+  assert.is(fixture.replicator.get('o/a'), 'a');
+});
+
 fencing.run();
--- a/tests/src/support/fake-replicas.ts
+++ b/tests/src/support/fake-replicas.ts
@@ -1,7 +1,7 @@
 /** Scripted replicas of one slot, and a replicator that uses them in simulated time. */
 import { SlotReplicator, type CompiledState } from '@tillerstair/session-owner';
 import { SimClock } from '@tillerstair/sim';
-import { bootstrapState, Item, type Slot, type State } from '@tillerstair/state';
+import { bootstrapState, Item, versionOfItem, type Slot, type State } from '@tillerstair/state';
 import {
   ByteBudget,
   RpcError,
@@ -16,6 +16,8 @@
   ownershipEpoch: z.number().optional(),
   items: z.array(Item).optional(),
   to: z.string().optional(),
+  list: z.boolean().optional(),
+  keys: z.array(z.string()).optional(),
 });
 
 /** A request that a replica received. */
@@ -37,7 +39,16 @@
 export const emptyReply: ReplicaReply = ({ kind }) =>
   Promise.resolve(kind === 'store/fence' ? { items: [], next: '' } : { item: null });
 
-/** The reply of a healthy replica whose fence returns these items. */
+/** The reply of a healthy replica that stores these items to a fence that lists them or asks for some of them. */
+export const listingReply = (
+  items: readonly Item[],
+  { list, keys }: ReplicaRequest,
+): Promise<unknown> =>
+  list === true
+    ? Promise.resolve({ items: [], versions: items.map(versionOfItem), next: '' })
+    : replyWith(items.filter(({ key }) => keys?.includes(key)));
+
+/** The reply of a healthy replica of an earlier version, whose fence returns these items. */
 export const replyWith = (items: readonly Item[]): Promise<unknown> =>
   Promise.resolve({ items, next: '' });
 
