Index a turn under every program that holds it

Cause: a store's index of turns had one place for each turn. A program that goes on from a turn of another one holds a copy under its own key, which replaced the entry; when that program expired, the entry was removed, on all replicas at about the same time. The search then took the answers of a quorum for a proof that there is none.

Change: the index keeps all places of a turn and gives up only the one that is dropped. Of several items one that is done is returned, since copies are made of done turns only while the own one may be unfinished.

--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -26,8 +26,8 @@
 import { SlotReplica } from './slot-replica.js';
 import { TurnIndex, type ItemLocation } from './turn-index.js';
 
-/** The field of a turn's value that names the preceding turn. */
-const TurnLink = z.object({ after: z.string() });
+/** The fields of a turn's value that name the preceding turn and say whether the turn is done. */
+const TurnLink = z.object({ after: z.string(), status: z.string().optional() });
 
 /** Size and retention limits of a store. */
 export interface ReplicaStoreLimits {
@@ -256,22 +256,26 @@
     return this.replicaAtEpoch(slot, ownershipEpoch).get(key) ?? null;
   }
 
-  /** The turn of that name followed by the turns before it, newest first, as far as this store holds them. */
+  /**
+   * The turn of that name followed by the turns before it, newest first, as far as this store holds them. Of a turn that
+   * several programs hold, an item that is done is preferred.
+   */
   findTurns(turn: string): readonly Item[] {
     const found: Item[] = [];
-    let location = this.turns.find(turn);
-    while (location) {
-      const item = this.itemAt(location);
-      if (!item || found.includes(item)) break;
+    let locations = this.turns.find(turn);
+    for (;;) {
+      const item = this.preferredItem(locations);
+      if (!item || found.includes(item)) return found;
       found.push(item);
       const link = TurnLink.safeParse(item.value);
-      location = link.success ? this.turns.findByName(link.data.after) : undefined;
+      if (!link.success) return found;
+      locations = this.turns.findByName(link.data.after);
     }
-    return found;
   }
 
-  private itemAt({ slot, key }: ItemLocation): Item | undefined {
-    return this.slots.get(slot)?.get(key);
+  private preferredItem(locations: readonly ItemLocation[]): Item | undefined {
+    const items = locations.flatMap(({ slot, key }) => this.slots.get(slot)?.get(key) ?? []);
+    return items.find(({ value }) => TurnLink.safeParse(value).data?.status === 'done') ?? items[0];
   }
 
   /**
--- a/tests/src/proxy/pass-route-streams.test.ts
+++ b/tests/src/proxy/pass-route-streams.test.ts
@@ -19,6 +19,8 @@
 const streams = suite('streams on pass routes');
 const seeds = [21, 22, 23];
 const models = ['m1', 'm2'];
+/** Twice the retention of the routes: the time after which stores drop turns that nobody went on from, in ms. */
+const expiryMs = 120_000;
 const allBytes = Array.from({ length: 256 }, (_, i) => String.fromCharCode(i)).join('');
 const runTurn = (world: World, body: string, after = '', program = 'pro'): Promise<PassRecord> =>
   passed(world, { path: '/turn/x', body, after, program });
@@ -104,6 +106,25 @@
   }
 });
 
+// Guards against 404 for a turn of some seconds ago once a program that copied its history has expired (LOST).
+streams('a turn is found after another program that went on from its history expired', async () => {
+  for (const seed of seeds) {
+    const world = await passUp(seed, small, {}, expiryMs);
+    const first = await runTurn(world, 'a');
+    const resting = await runTurn(world, 'b', first.attempt, 'short');
+    assert.is(resting.reported, 'done', resting.errorCode);
+    let last = first;
+    for (let n = 0; n < 4; n++) {
+      await world.clock.run(expiryMs / 3);
+      last = await runTurn(world, `a${n}`, last.attempt);
+      assert.is(last.reported, 'done', last.errorCode);
+    }
+    const third = await runTurn(world, 'c', last.attempt, 'third');
+    assert.is(third.reported, 'done', `${third.status} ${third.errorCode}`);
+    assertNoBreach(recordsOf(world));
+  }
+});
+
 streams('a turn of another program is found although one store missed its end', async () => {
   for (const missed of [0, 1, 2]) {
     const world = await passUp(31, small);
