Name the store in each request to it, so that an empty one is not counted for it

A store that lost its disk returns at its address with a new id and no items; until its join was applied, a front that knew the earlier state counted its answers as those of the replica before. "No such turn" and "no such key" then rested on an empty store, a fence could miss the only replica with a write, and a write counted that was on no replica of its slot.

Change: requests carry the id of their store (`store`); a store with another id answers `away`, which counts as no answer. Requests of earlier versions carry none and are taken as before.

--- a/packages/session-owner/src/replica-client.ts
+++ b/packages/session-owner/src/replica-client.ts
@@ -76,12 +76,13 @@
     return ReadResponse.parse(await this.request(replica, 'store/read', body)).item;
   }
 
-  private request(replica: string, kind: string, body: unknown): Promise<unknown> {
+  private request(replica: string, kind: string, body: object): Promise<unknown> {
     const member = this.compiledState()?.state.nodes.get(replica);
     if (!member)
       return Promise.reject(
         new ReplicaError('away', `replica ${replica} is not in the cluster state`),
       );
-    return this.transport.call(member.addr, kind, body, { timeoutMs: this.timeoutMs });
+    const request = { store: replica, ...body };
+    return this.transport.call(member.addr, kind, request, { timeoutMs: this.timeoutMs });
   }
 }
--- a/packages/session-owner/src/turn-search.ts
+++ b/packages/session-owner/src/turn-search.ts
@@ -52,7 +52,7 @@
     [...slotsByStore(state)].map(async ([id, slots]) => {
       const member = state.nodes.get(id);
       if (!member) throw new ReplicaError('away', `replica ${id} is not in the cluster state`);
-      const request = { turn: attempt, slots };
+      const request = { store: id, turn: attempt, slots };
       const found = FindTurnResponse.parse(
         await transport.call(member.addr, 'store/find', request, { timeoutMs }),
       );
--- a/packages/state/src/messages.ts
+++ b/packages/state/src/messages.ts
@@ -5,6 +5,12 @@
 import { z } from 'zod';
 import { Item, ItemVersion } from './item.js';
 
+/**
+ * The id of the store that a request is for. A store that lost its disk returns at the same address with a new id; what it
+ * lacks must not count for the store that it was before. Requests of earlier versions name no store.
+ */
+export const StoreRequest = z.object({ store: z.string().optional() });
+
 /** An owner writes items to a replica, under its ownership epoch. */
 export const PutRequest = z.object({
   slot: z.number(),
--- a/packages/store/src/maintenance.ts
+++ b/packages/store/src/maintenance.ts
@@ -93,7 +93,7 @@
   /** Sends one hint to its target store; false if that failed. */
   private async handOff(hint: Hint, member: Member): Promise<boolean> {
     const { transport, bounds, log } = this.options;
-    const body = { slot: hint.slot, items: hint.items };
+    const body = { store: member.id, slot: hint.slot, items: hint.items };
     try {
       await transport.call(member.addr, 'store/hand', body, { timeoutMs: bounds.failureTimeout });
       return true;
--- a/packages/store/src/replica-refill.ts
+++ b/packages/store/src/replica-refill.ts
@@ -132,7 +132,7 @@
         transport.call(
           this.addressOf(source),
           'store/pull',
-          { slot: number, ownershipEpoch, ...request },
+          { store: source, slot: number, ownershipEpoch, ...request },
           { timeoutMs: bounds.failureTimeout },
         ),
     });
--- a/packages/store/src/store-node.ts
+++ b/packages/store/src/store-node.ts
@@ -35,7 +35,11 @@
     this.storeId = localMember.id;
     this.transport = transport;
     this.replicaStore = replicaStore;
-    this.requestOptions = { replicaStore, isReplicaOf: (slot) => this.isReplicaOf(slot) };
+    this.requestOptions = {
+      storeId: localMember.id,
+      replicaStore,
+      isReplicaOf: (slot) => this.isReplicaOf(slot),
+    };
     this.zen = new ZenNode({
       ...options,
       slots: 0,
--- a/packages/store/src/store-requests.ts
+++ b/packages/store/src/store-requests.ts
@@ -6,17 +6,26 @@
   HintRequest,
   PutRequest,
   ReadRequest,
+  StoreRequest,
 } from '@tillerstair/state';
 import { ProtocolError, ReplicaError, type RpcRequest } from '@tillerstair/wire';
 import type { ReplicaStore } from './replica-store.js';
 
 /** The replicas that requests work on, and their assignment to this store. */
 export interface StoreRequestOptions {
+  readonly storeId: string;
   readonly replicaStore: ReplicaStore;
   /** Whether this store is a replica of a slot in its latest state; items of other slots may have been dropped. */
   readonly isReplicaOf: (slot: number) => boolean;
 }
 
+/** @throws ReplicaError (`away`) if the request names another store. */
+const requireAddressee = (body: unknown, storeId: string): void => {
+  const { store } = StoreRequest.parse(body);
+  if (store !== undefined && store !== storeId)
+    throw new ReplicaError('away', `store ${store} is not at this address, but ${storeId}`);
+};
+
 /** Finds a turn and those before it. @throws ReplicaError (`moved`) if this store is no replica of one of the slots. */
 const findTurns = async (body: unknown, options: StoreRequestOptions): Promise<unknown> => {
   const { turn, slots } = FindTurnRequest.parse(body);
@@ -38,7 +47,8 @@
   { kind, body }: RpcRequest,
   options: StoreRequestOptions,
 ): Promise<unknown> => {
-  const { replicaStore } = options;
+  const { replicaStore, storeId } = options;
+  requireAddressee(body, storeId);
   switch (kind) {
     case 'store/put': {
       const { slot, ownershipEpoch, items, repair } = PutRequest.parse(body);
--- a/tests/src/store/store-requests.test.ts
+++ b/tests/src/store/store-requests.test.ts
@@ -181,6 +181,28 @@
   await stop(fixture);
 });
 
+// Guards against an empty store that counts for the one that had its address: writes and turns would be lost (LOST).
+requests('a request for the store that had this address before is rejected', async () => {
+  const replica = slotWith({ replicas: ['store-0', 'store-1', 'store-2'] });
+  const fixture = await startStore([replica], ['store-0', 'store-1', 'store-2']);
+  const at = { slot: 0, ownershipEpoch: 5 };
+  const bodies: readonly (readonly [string, object])[] = [
+    ['store/put', { ...at, items: [item('a', 1)] }],
+    ['store/fence', at],
+    ['store/read', { ...at, key: 'a' }],
+    ['store/pull', { ...at, ownershipEpoch: 0 }],
+    ['store/find', { turn: 'a', slots: [0] }],
+    ['store/hint', { to: 'store-1', slot: 0, items: [item('a', 1)] }],
+    ['store/hand', { slot: 0, items: [item('a', 1)] }],
+  ];
+  for (const [kind, body] of bodies)
+    assert.is(await fixture.ask(kind, { ...body, store: 'store-before' }), 'away', kind);
+  assert.is(await fixture.ask('store/find', { turn: 'a', slots: [0] }), '{"items":[]}');
+  for (const [kind, body] of bodies)
+    assert.is.not(await fixture.ask(kind, { ...body, store: 'store-0' }), 'away', kind);
+  await stop(fixture);
+});
+
 requests(
   'a turn is looked up only in slots that the store replicates, and only once they are synced',
   async () => {
