Count and log what a store refuses because its memory is in use

Stores count refused writes and hints and the memory of hints (/v1/counts), and log refusals at most once a maintenance round.

--- a/packages/store/src/hint-table.ts
+++ b/packages/store/src/hint-table.ts
@@ -10,6 +10,7 @@
 export class HintTable {
   private readonly hints = new Map<number, Hint>();
   private lastNumber = 0;
+  private usedBytes = 0;
 
   /** @param memory - the memory of the store, to which the items of the hints are added */
   constructor(private readonly memory: ByteBudget) {}
@@ -18,6 +19,11 @@
     return this.hints.size;
   }
 
+  /** The estimated memory of the hints, in bytes. */
+  get bytes(): number {
+    return this.usedBytes;
+  }
+
   /** Allocates the number of a hint that is about to be added. */
   nextNumber(): number {
     return ++this.lastNumber;
@@ -25,17 +31,22 @@
 
   add(hint: Hint): void {
     this.remove(hint.n);
-    this.memory.add(hintBytes(hint));
+    this.count(hintBytes(hint));
     this.hints.set(hint.n, hint);
     this.lastNumber = Math.max(this.lastNumber, hint.n);
   }
 
   remove(hintNumber: number): void {
     const hint = this.hints.get(hintNumber);
-    if (hint) this.memory.add(-hintBytes(hint));
+    if (hint) this.count(-hintBytes(hint));
     this.hints.delete(hintNumber);
   }
 
+  private count(bytes: number): void {
+    this.usedBytes += bytes;
+    this.memory.add(bytes);
+  }
+
   /** The hints for one store, oldest first. */
   forStore(storeId: string): readonly Hint[] {
     return [...this.hints.values()]
--- a/packages/store/src/maintenance.ts
+++ b/packages/store/src/maintenance.ts
@@ -12,6 +12,7 @@
 } from '@tillerstair/state';
 import { delay, toRpcError, type Clock, type Logger, type Transport } from '@tillerstair/wire';
 import type { ZenBounds } from '@tillerstair/zen';
+import { RefusalLog } from './refusal-log.js';
 import type { Hint } from './replica-records.js';
 import type { ReplicaStore } from './replica-store.js';
 
@@ -37,13 +38,18 @@
 
 /** Runs the maintenance rounds of one store. */
 export class Maintenance {
-  constructor(private readonly options: MaintenanceOptions) {}
+  private readonly refusals: RefusalLog;
+
+  constructor(private readonly options: MaintenanceOptions) {
+    this.refusals = new RefusalLog(options.replicaStore, options.log);
+  }
 
   /** Runs maintenance rounds until `stopped` is aborted. An error ends the current round only. */
   async run(stopped: AbortSignal): Promise<void> {
     const { clock, bounds, replicaStore, log, appliedState } = this.options;
     while (!stopped.aborted) {
       await delay(clock, bounds.heartbeatInterval / roundsPerHeartbeat, stopped);
+      this.refusals.report();
       const state = appliedState();
       if (!state || !replicaStore.writable || isAborted(stopped)) continue;
       try {
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -62,8 +62,13 @@
   readonly slots: number;
   /** Estimated memory of items and hints, in bytes. */
   readonly itemBytes: number;
+  /** The part of `itemBytes` that the hints take. */
+  readonly hintBytes: number;
   /** Groups of items that were dropped at the start because the log held more than the memory. */
   readonly droppedAtStart: number;
+  /** Requests that were refused since the start because the memory for items is in use: writes, and hints. */
+  readonly refusedWrites: number;
+  readonly refusedHints: number;
 }
 
 /**
@@ -75,6 +80,8 @@
   private readonly memory: ByteBudget;
   private readonly hints: HintTable;
   private droppedAtStart = 0;
+  private refusedWrites = 0;
+  private refusedHints = 0;
 
   private constructor(
     private readonly journal: Journal,
@@ -222,11 +229,12 @@
   /** @throws ReplicaError (`store-full`) if the items would take more than `share` of the memory for items. */
   private requireMemory(replica: SlotReplica, items: readonly Item[], share: number): void {
     const growth = items.reduce((bytes, item) => bytes + replica.growthOf(item), 0);
-    if (growth > 0 && !this.memory.hasRoom(growth, share))
-      throw new ReplicaError(
-        'store-full',
-        `the memory for items is in use: ${this.memory.used} of ${this.memory.limitBytes} bytes`,
-      );
+    if (growth <= 0 || this.memory.hasRoom(growth, share)) return;
+    this.refusedWrites++;
+    throw new ReplicaError(
+      'store-full',
+      `the memory for items is in use: ${this.memory.used} of ${this.memory.limitBytes} bytes`,
+    );
   }
 
   /**
@@ -308,14 +316,14 @@
 
   /** Keeps items for an unreachable store. @throws ReplicaError (`hints-full`) if `maxHints` is reached. */
   async addHint(storeId: string, slot: number, items: readonly Item[]): Promise<void> {
-    if (this.hints.size >= this.limits.maxHints)
+    const bytes = items.reduce((sum, item) => sum + itemBytes(item), 0);
+    if (this.hints.size >= this.limits.maxHints || !this.memory.hasRoom(bytes, newItemShare)) {
+      this.refusedHints++;
       throw new ReplicaError(
         'hints-full',
-        `the limit of hints is reached: ${this.hints.size} are stored`,
+        `${this.hints.size} hints are stored, and ${this.memory.used} bytes of items and hints`,
       );
-    const bytes = items.reduce((sum, item) => sum + itemBytes(item), 0);
-    if (!this.memory.hasRoom(bytes, newItemShare))
-      throw new ReplicaError('hints-full', 'the memory for items and hints is in use');
+    }
     const hintNumber = this.hints.nextNumber();
     await this.append({ t: 'hint', n: hintNumber, to: storeId, slot, items: [...items] });
   }
@@ -378,7 +386,10 @@
       bytes: this.journal.sizeBytes,
       slots: this.slots.size,
       itemBytes: this.memory.used,
+      hintBytes: this.hints.bytes,
       droppedAtStart: this.droppedAtStart,
+      refusedWrites: this.refusedWrites,
+      refusedHints: this.refusedHints,
     };
   }
 }
