Let stores hold twice the history: packed values, and a share of the machine's memory

Cause: it is not the stop. Stores held values as parsed JSON with bodies in base64, in at most 15 per cent of a small machine's memory (0.75 of half of what 80 MB leave).

Values are random bytes, so compressing them would give no more than base64's quarter (trial: 1,206,049 characters of JSON deflate to 905,040).

Change: a store keeps a value as one string of one byte a character, bodies decoded from base64 (PackedItem). Its limit for items is 0.6 of what 80 MB of the machine's memory leave, and as before at most a share of V8's heap.

--- a/packages/settings/src/memory-limits.ts
+++ b/packages/settings/src/memory-limits.ts
@@ -23,18 +23,27 @@
 const leftOf = (limitBytes: number, takenBytes: number, share: number): number =>
   Math.max((limitBytes - takenBytes) * share, limitBytes * minUsableShare);
 
+/** The memory of a process in bytes; without `memoryMb` that of the host. */
+const processBytesOf = (memoryMb: number | undefined): number =>
+  memoryMb === undefined ? totalmem() : memoryMb * mb;
+
+/** Bytes that V8's own limit of the heap leaves for data. */
+const heapDataBytes = (): number =>
+  leftOf(
+    getHeapStatistics().heap_size_limit,
+    youngGenerationBytes + startedHeapBytes,
+    heapDataShare,
+  );
+
 /**
  * Bytes of the heap that a process may fill with data: what the heap's own limit, or the process's limit of memory,
  * leaves beside the program itself and its garbage. Without `memoryMb` the memory of the host counts.
  */
-const dataBytes = (memoryMb: number | undefined): number => {
-  const processBytes = memoryMb === undefined ? totalmem() : memoryMb * mb;
-  const heapBytes = getHeapStatistics().heap_size_limit;
-  return Math.min(
-    leftOf(heapBytes, youngGenerationBytes + startedHeapBytes, heapDataShare),
-    leftOf(processBytes, startedProcessBytes, processDataShare),
+const dataBytes = (memoryMb: number | undefined): number =>
+  Math.min(
+    heapDataBytes(),
+    leftOf(processBytesOf(memoryMb), startedProcessBytes, processDataShare),
   );
-};
 
 /** Connections that a listener for operators, health checks or other programs keeps open at once. */
 const maxPageConnections = 64;
@@ -72,14 +81,27 @@
   }
 }
 
-/** Share of a store's data for items and hints; the rest is for requests and pages. */
-const storeItemShare = 0.75;
+/** Share of the data in a store's heap for items and hints; the rest is for requests and pages. */
+const storeHeapItemShare = 0.75;
+/**
+ * Share of the free memory of a store for items and hints. Most of them stay until they expire and make little garbage; the
+ * rest is for requests and pages, and for the garbage of all.
+ */
+const storeProcessItemShare = 0.6;
 /** Share of a store's data for replies that are not sent yet. */
 const storeReplyShare = 0.1;
 
-/** Maximum memory of the items and hints of a store, in bytes. */
-export const storeItemBytes = ({ total }: ProcessMemory): number =>
-  total.limitBytes * storeItemShare;
+/**
+ * Maximum memory of the items and hints of a store, in bytes: a share of what the process's limit of memory leaves, at most
+ * a share of what V8's limit of the heap leaves.
+ *
+ * @param memoryMb - the limit of the process; the memory of the host by default
+ */
+export const storeItemBytes = (memoryMb: number | undefined): number =>
+  Math.min(
+    heapDataBytes() * storeHeapItemShare,
+    leftOf(processBytesOf(memoryMb), startedProcessBytes, storeProcessItemShare),
+  );
 
 /** The budget for the replies of a store that are not sent yet. */
 export const storeReplyMemory = (memory: ProcessMemory): ByteBudget => memory.part(storeReplyShare);
--- /dev/null
+++ b/packages/store/src/packed-item.ts
@@ -0,0 +1,156 @@
+/**
+ * An item in the memory of a store, with its value as one string of one byte a character. Values are mostly bodies of
+ * requests and responses in base64, which take a quarter less that way; a value has one object in place of many.
+ */
+import { z } from 'zod';
+import type { Item, ItemVersion } from '@tillerstair/state';
+
+/** Memory of an item beside its value and its key: its objects, and its entries in the tables of a slot, in bytes. */
+const bytesPerItem = 400;
+/** Strings of fewer characters stay in the header. */
+const minSegmentCharacters = 64;
+const base64GroupLength = 4;
+const otherThanBase64 = /[^A-Za-z0-9+/]/;
+const base64Digits = 'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/';
+/** The last digits after which the unused bits are 0, as they are after encoding, by the number of `=` that follow. */
+const lastDigitsByPadding = [base64Digits, 'AEIMQUYcgkosw048', 'AQgw'];
+const otherThanOneByte = /[^\u0000-\u00ff]/;
+
+/** A string field of the value whose bytes follow the header. */
+const Segment = z.object({
+  field: z.string(),
+  encoding: z.enum(['base64', 'latin1']),
+  length: z.number(),
+});
+type Segment = z.infer<typeof Segment>;
+
+/** The value without its segments, and the segments in their order. */
+const Header = z.object({ value: z.unknown(), segments: z.array(Segment) });
+
+const isRecord = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+/** Whether encoding the bytes that a text stands for gives the same text. */
+const isBase64 = (text: string): boolean => {
+  if (text.length % base64GroupLength !== 0) return false;
+  const padding = text.endsWith('==') ? 2 : text.endsWith('=') ? 1 : 0;
+  const firstOther = text.search(otherThanBase64);
+  const endOfDigits = text.length - padding;
+  if (firstOther !== -1 && firstOther < endOfDigits) return false;
+  const lastDigit = text.charAt(endOfDigits - 1);
+  return lastDigitsByPadding[padding]?.includes(lastDigit) ?? false;
+};
+
+/** The encoding that returns exactly this text from its bytes; undefined if there is none. */
+const encodingOf = (text: string): Segment['encoding'] | undefined => {
+  if (isBase64(text)) return 'base64';
+  return otherThanOneByte.test(text) ? undefined : 'latin1';
+};
+
+/** A text that is written as bytes. */
+interface Part {
+  readonly text: string;
+  readonly encoding: Segment['encoding'] | 'utf8';
+  readonly length: number;
+}
+
+const partOf = (text: string, encoding: Part['encoding']): Part => ({
+  text,
+  encoding,
+  length: Buffer.byteLength(text, encoding),
+});
+
+/** Writes parts one after another, as one string without references to others. */
+const joinParts = (parts: readonly Part[]): string => {
+  const bytes = Buffer.allocUnsafe(parts.reduce((sum, { length }) => sum + length, 0));
+  let end = 0;
+  for (const { text, encoding } of parts) end += bytes.write(text, end, encoding);
+  return bytes.toString('latin1');
+};
+
+/** A value as characters that stand for bytes: those of the header, then those of the segments. */
+interface PackedValue {
+  readonly characters: string;
+  readonly headerLength: number;
+  readonly headerEncoding: 'latin1' | 'utf8';
+}
+
+/** Decodes a part of the characters of a packed value. */
+const decodePart = (characters: string, encoding: Part['encoding']): string =>
+  Buffer.from(characters, 'latin1').toString(encoding);
+
+const packValue = (value: unknown): PackedValue => {
+  const remaining = new Map(isRecord(value) ? Object.entries(value) : []);
+  const segments: Segment[] = [];
+  const parts: Part[] = [];
+  for (const [field, text] of remaining) {
+    if (typeof text !== 'string' || text.length < minSegmentCharacters) continue;
+    const encoding = encodingOf(text);
+    if (!encoding) continue;
+    const part = partOf(text, encoding);
+    segments.push({ field, encoding, length: part.length });
+    parts.push(part);
+    remaining.set(field, '');
+  }
+  const rest = segments.length > 0 ? Object.fromEntries(remaining) : value;
+  const headerText = JSON.stringify({ value: rest, segments });
+  const headerEncoding = otherThanOneByte.test(headerText) ? 'utf8' : 'latin1';
+  const header = partOf(headerText, headerEncoding);
+  return { characters: joinParts([header, ...parts]), headerLength: header.length, headerEncoding };
+};
+
+const unpackValue = ({ characters, headerLength, headerEncoding }: PackedValue): unknown => {
+  const text = decodePart(characters.slice(0, headerLength), headerEncoding);
+  const { value, segments } = Header.parse(JSON.parse(text));
+  if (segments.length === 0 || !isRecord(value)) return value;
+  const fields = new Map(Object.entries(value));
+  let start = headerLength;
+  for (const { field, encoding, length } of segments) {
+    fields.set(field, decodePart(characters.slice(start, start + length), encoding));
+    start += length;
+  }
+  return Object.fromEntries(fields);
+};
+
+/** An item whose value is packed; it does not change. */
+export class PackedItem implements ItemVersion {
+  readonly key: string;
+  readonly ownershipEpoch: number;
+  readonly seq: number;
+  private readonly packed: PackedValue;
+
+  constructor({ key, ownershipEpoch, seq, value }: Item) {
+    this.key = key;
+    this.ownershipEpoch = ownershipEpoch;
+    this.seq = seq;
+    this.packed = packValue(value);
+  }
+
+  /** The estimated memory of this item, in bytes. */
+  get bytes(): number {
+    return bytesPerItem + 2 * this.key.length + this.packed.characters.length;
+  }
+
+  /** The item as it was stored. */
+  unpack(): Item {
+    const { key, ownershipEpoch, seq } = this;
+    return { key, ownershipEpoch, seq, value: unpackValue(this.packed) };
+  }
+
+  /** The version of this item, without its value. */
+  version(): ItemVersion {
+    const { key, ownershipEpoch, seq, bytes } = this;
+    return { key, ownershipEpoch, seq, bytes };
+  }
+}
+
+const packedItems = new WeakMap<Item, PackedItem>();
+
+/** Packs an item; the same object is packed once, so that its size is known before it is stored. */
+export const packItem = (item: Item): PackedItem => {
+  const known = packedItems.get(item);
+  if (known) return known;
+  const packed = new PackedItem(item);
+  packedItems.set(item, packed);
+  return packed;
+};
--- a/packages/store/src/replica-records.ts
+++ b/packages/store/src/replica-records.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { Item } from '@tillerstair/state';
+import type { PackedItem } from './packed-item.js';
 
 /** File name of a store's replica log. */
 export const replicaStoreLog = 'store.log';
@@ -44,7 +45,7 @@
 export interface SlotSnapshot {
   readonly slot: number;
   readonly fenceEpoch: number;
-  readonly items: readonly Item[];
+  readonly items: readonly PackedItem[];
 }
 
 /**
@@ -57,7 +58,7 @@
 ): Generator<ReplicaRecord> {
   for (const { slot, fenceEpoch, items } of slots) {
     if (fenceEpoch > 0) yield { t: 'fence', slot, ownershipEpoch: fenceEpoch };
-    for (const item of items) yield { t: 'put', slot, ownershipEpoch: 0, items: [item] };
+    for (const item of items) yield { t: 'put', slot, ownershipEpoch: 0, items: [item.unpack()] };
   }
   for (const hint of hints) yield { t: 'hint', ...hint, items: [...hint.items] };
 }
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -273,7 +273,7 @@
     let locations = this.turns.find(turn);
     for (;;) {
       const item = this.preferredItem(locations);
-      if (!item || found.includes(item)) return found;
+      if (!item || found.some(({ key }) => key === item.key)) return found;
       found.push(item);
       const link = TurnLink.safeParse(item.value);
       if (!link.success) return found;
@@ -282,8 +282,13 @@
   }
 
   private preferredItem(locations: readonly ItemLocation[]): Item | undefined {
-    const items = locations.flatMap(({ slot, key }) => this.slots.get(slot)?.get(key) ?? []);
-    return items.find(({ value }) => TurnLink.safeParse(value).data?.status === 'done') ?? items[0];
+    let first: Item | undefined;
+    for (const { slot, key } of locations) {
+      const item = this.slots.get(slot)?.get(key);
+      if (TurnLink.safeParse(item?.value).data?.status === 'done') return item;
+      first ??= item;
+    }
+    return first;
   }
 
   /**
--- a/packages/store/src/slot-replica.ts
+++ b/packages/store/src/slot-replica.ts
@@ -6,16 +6,15 @@
  */
 import {
   isNewerItem,
-  itemBytes,
   maxPageBytes,
   recordGroup,
-  versionOfItem,
   type Item,
   type ItemPage,
   type ItemVersion,
   type PageRequest,
 } from '@tillerstair/state';
 import { ReplicaError, type ByteBudget } from '@tillerstair/wire';
+import { packItem, type PackedItem } from './packed-item.js';
 import type { SlotSnapshot } from './replica-records.js';
 
 /**
@@ -31,7 +30,7 @@
 /** The items of one slot in memory, in the order in which their keys were first stored. */
 export class SlotReplica {
   private epoch = 0;
-  private readonly items = new Map<string, Item>();
+  private readonly items = new Map<string, PackedItem>();
   /** Time of the last write or fence of each group of items, in ms of this process's clock. */
   private readonly touchedAt = new Map<string, number>();
 
@@ -63,14 +62,15 @@
   /** Stores an item unless the stored one is as new, and restarts the retention time of its group. */
   put(item: Item, now: number): void {
     if (this.isNew(item)) {
-      this.memory.add(this.growthOf(item));
-      this.items.set(item.key, item);
+      const packed = packItem(item);
+      this.memory.add(packed.bytes - this.bytesOf(item.key));
+      this.items.set(item.key, packed);
     }
     this.touchedAt.set(recordGroup(item.key), now);
   }
 
   get(key: string): Item | undefined {
-    return this.items.get(key);
+    return this.items.get(key)?.unpack();
   }
 
   /** Whether an item is newer than the stored one of the same key; true if none is stored. */
@@ -85,8 +85,11 @@
 
   /** Bytes by which the memory in use grows if the item replaces the stored one of its key. */
   growthOf(item: Item): number {
-    const stored = this.items.get(item.key);
-    return itemBytes(item) - (stored ? itemBytes(stored) : 0);
+    return packItem(item).bytes - this.bytesOf(item.key);
+  }
+
+  private bytesOf(key: string): number {
+    return this.items.get(key)?.bytes ?? 0;
   }
 
   /** Removes all items of the given groups and returns their keys. */
@@ -98,8 +101,7 @@
   }
 
   private remove(key: string): void {
-    const item = this.items.get(key);
-    if (item) this.memory.add(-itemBytes(item));
+    this.memory.add(-this.bytesOf(key));
     this.items.delete(key);
   }
 
@@ -150,9 +152,10 @@
   private itemPage(after: string): ItemPage {
     const items: Item[] = [];
     let bytes = 0;
-    for (const item of this.itemsAfter(after)) {
+    for (const packed of this.itemsAfter(after)) {
       if (items.length > 0 && bytes > pageEndsAtBytes)
         return { items, next: items.at(-1)?.key ?? '' };
+      const item = packed.unpack();
       items.push(item);
       bytes += JSON.stringify(item).length;
     }
@@ -164,17 +167,17 @@
     for (const item of this.itemsAfter(after)) {
       if (versions.length === maxVersionsPerPage)
         return { items: [], versions, next: versions.at(-1)?.key ?? '' };
-      versions.push(versionOfItem(item));
+      versions.push(item.version());
     }
     return { items: [], versions, next: '' };
   }
 
   private pageOf(keys: readonly string[]): ItemPage {
-    const items = keys.flatMap((key) => this.items.get(key) ?? []);
+    const items = keys.flatMap((key) => this.get(key) ?? []);
     return { items, next: '' };
   }
 
-  private *itemsAfter(after: string): Generator<Item> {
+  private *itemsAfter(after: string): Generator<PackedItem> {
     if (after !== '' && !this.items.has(after))
       throw new ReplicaError(
         'page-gone',
--- a/packages/store/src/start.ts
+++ b/packages/store/src/start.ts
@@ -87,7 +87,7 @@
       rewriteMinBytes: settings.journalLongAt,
       retentionMs: settings.retentionMs,
       maxHints: settings.hintsMost,
-      maxItemBytes: storeItemBytes(memory),
+      maxItemBytes: storeItemBytes(settings.memoryMb),
       ...(settings.requiredRetentionMs === undefined
         ? {}
         : { minRetentionMs: settings.requiredRetentionMs }),
