--- a/packages/store/src/packed-item.ts
+++ b/packages/store/src/packed-item.ts
@@ -3,7 +3,7 @@
  * requests and responses in base64, which take a quarter less that way; a value has one object in place of many.
  */
 import { z } from 'zod';
-import type { Item, ItemVersion } from '@tillerstair/state';
+import { valueBytes, type Item, type ItemVersion } from '@tillerstair/state';
 
 /** Memory of an item beside its value and its key: its objects, and its entries in the tables of a slot, in bytes. */
 const bytesPerItem = 400;
@@ -68,6 +68,11 @@
   return bytes.toString('latin1');
 };
 
+/** A value that is kept as it is: one without fields or elements. */
+interface PlainValue {
+  readonly plain: unknown;
+}
+
 /** A value as characters that stand for bytes: those of the header, then those of the segments. */
 interface PackedValue {
   readonly characters: string;
@@ -79,7 +84,8 @@
 const decodePart = (characters: string, encoding: Part['encoding']): string =>
   Buffer.from(characters, 'latin1').toString(encoding);
 
-const packValue = (value: unknown): PackedValue => {
+const packValue = (value: unknown): PackedValue | PlainValue => {
+  if (typeof value !== 'object' || value === null) return { plain: value };
   const remaining = new Map(isRecord(value) ? Object.entries(value) : []);
   const segments: Segment[] = [];
   const parts: Part[] = [];
@@ -95,11 +101,15 @@
   const rest = segments.length > 0 ? Object.fromEntries(remaining) : value;
   const headerText = JSON.stringify({ value: rest, segments });
   const headerEncoding = otherThanOneByte.test(headerText) ? 'utf8' : 'latin1';
+  if (segments.length === 0 && headerEncoding === 'latin1')
+    return { characters: headerText, headerLength: headerText.length, headerEncoding };
   const header = partOf(headerText, headerEncoding);
   return { characters: joinParts([header, ...parts]), headerLength: header.length, headerEncoding };
 };
 
-const unpackValue = ({ characters, headerLength, headerEncoding }: PackedValue): unknown => {
+const unpackValue = (packed: PackedValue | PlainValue): unknown => {
+  if ('plain' in packed) return packed.plain;
+  const { characters, headerLength, headerEncoding } = packed;
   const text = decodePart(characters.slice(0, headerLength), headerEncoding);
   const { value, segments } = Header.parse(JSON.parse(text));
   if (segments.length === 0 || !isRecord(value)) return value;
@@ -117,18 +127,17 @@
   readonly key: string;
   readonly ownershipEpoch: number;
   readonly seq: number;
-  private readonly packed: PackedValue;
+  /** The estimated memory of this item, in bytes. */
+  readonly bytes: number;
+  private readonly packed: PackedValue | PlainValue;
 
   constructor({ key, ownershipEpoch, seq, value }: Item) {
     this.key = key;
     this.ownershipEpoch = ownershipEpoch;
     this.seq = seq;
     this.packed = packValue(value);
-  }
-
-  /** The estimated memory of this item, in bytes. */
-  get bytes(): number {
-    return bytesPerItem + 2 * this.key.length + this.packed.characters.length;
+    const packedBytes = 'plain' in this.packed ? valueBytes(value) : this.packed.characters.length;
+    this.bytes = bytesPerItem + 2 * key.length + packedBytes;
   }
 
   /** The item as it was stored. */
