Hand hints off several at a time

Change: up to 16 hints are handed off at the same time and share syncs; the first failure stops the round, as before.

--- a/packages/store/src/maintenance.ts
+++ b/packages/store/src/maintenance.ts
@@ -2,6 +2,7 @@
  * Background maintenance of a store, which runs twice per heartbeat interval: it hands hints off to their target
  * stores, and drops items that expired or whose slots are assigned to other stores.
  */
+import pLimit from 'p-limit';
 import {
   compiledConfig,
   replicasToWrite,
@@ -19,6 +20,9 @@
 /** Maintenance rounds per heartbeat interval. */
 const roundsPerHeartbeat = 2;
 
+/** Hints that are handed off at the same time, so that they share syncs at both stores. */
+const maxConcurrentHandoffs = 16;
+
 /** Returned to `dropReassignedSlots` for a slot that must be kept; lower than any ownership epoch. */
 const notReassigned = -1;
 
@@ -84,18 +88,39 @@
       const member = state.nodes.get(storeId);
       const isReplica = state.slots.some((slot) => replicasToWrite(slot).includes(storeId));
       if (!member && isReplica) continue;
-      let count = 0;
-      for (const hint of replicaStore.hintsFor(storeId)) {
-        const slot = state.slots.at(hint.slot);
-        const isNeeded = slot !== undefined && replicasToWrite(slot).includes(storeId);
-        if (isNeeded && member && !(await this.handOff(hint, member))) break;
-        await replicaStore.removeHint(hint.n);
-        count++;
-      }
+      const count = await this.settleHints(state, storeId, member);
       if (count > 0) log.info(`Handed off ${count} hints to ${member?.addr ?? storeId}.`);
     }
   }
 
+  /**
+   * Hands off or drops the hints for one store, several at a time, so that a store that returns has them within the time
+   * for which it counts as lost. Stops at the first failure; resolves with the number of hints that are settled.
+   */
+  private async settleHints(
+    state: State,
+    storeId: string,
+    member: Member | undefined,
+  ): Promise<number> {
+    const { replicaStore } = this.options;
+    const limit = pLimit(maxConcurrentHandoffs);
+    let hasFailed = false;
+    let count = 0;
+    const settle = async (hint: Hint): Promise<void> => {
+      if (hasFailed) return;
+      const slot = state.slots.at(hint.slot);
+      const isNeeded = slot !== undefined && replicasToWrite(slot).includes(storeId);
+      if (isNeeded && member && !(await this.handOff(hint, member))) {
+        hasFailed = true;
+        return;
+      }
+      await replicaStore.removeHint(hint.n);
+      count++;
+    };
+    await Promise.all(replicaStore.hintsFor(storeId).map((hint) => limit(() => settle(hint))));
+    return count;
+  }
+
   /** Sends one hint to its target store; false if that failed. */
   private async handOff(hint: Hint, member: Member): Promise<boolean> {
     const { transport, bounds, log } = this.options;
--- a/tests/src/store/store-requests.test.ts
+++ b/tests/src/store/store-requests.test.ts
@@ -16,6 +16,10 @@
 
 const requests = suite('requests to a store');
 
+/** Time of a sync of a disk, and time for which a returned store counts as lost, of one of the deployments, in ms. */
+const syncMs = 2;
+const catchUpMs = 4800;
+
 const bounds = zenBounds({
   serveWithin: 12000,
   drainingWithin: 3000,
@@ -112,7 +116,7 @@
       disk: drive.disk(clock, incarnation),
       clock,
       timings: { clock, syncTimeoutMs: 1500, retryIntervalMs: 250 },
-      limits: { rewriteMinBytes: 1 << 30, retentionMs: 1e9, maxHints: 10 },
+      limits: { rewriteMinBytes: 1 << 30, retentionMs: 1e9, maxHints: 2000 },
       freshId: () => 'store-0',
       rewriteMinBytes: 1 << 30,
     }),
@@ -272,6 +276,25 @@
   await stop(fixture);
 });
 
+// Guards against a hand-off whose pace does not know the number of hints: the store would miss writes after catchUpS.
+requests('two thousand hints are handed off while the returned store counts as lost', async () => {
+  const slot = slotWith({ replicas: ['store-0', 'store-1', 'store-2'] });
+  const fixture = await startStore([slot], ['store-0', 'store-1', 'store-2']);
+  fixture.rejects = (call) => call === 'store-1 store/hand';
+  const hints = 2000;
+  for (let n = 0; n < hints; n++)
+    assert.is(
+      await fixture.ask('store/hint', { to: 'store-1', slot: 0, items: [item(`a${n}`, 1)] }),
+      '{}',
+    );
+  fixture.drive.delay = syncMs;
+  fixture.rejects = () => false;
+  await fixture.clock.run(catchUpMs);
+  const hintCount = fixture.node.nodeView().facts.find(([name]) => name === 'own hints')?.[1];
+  assert.is(hintCount, '0');
+  await stop(fixture);
+});
+
 requests(
   'a slot is dropped only if the state assigns it to other stores and it has no later fence',
   async () => {
