Rewrite a log beside its writes

The replicas of a slot have logs of the same size, so they rewrote at the same time, and a quorum was missing (503).

Change: the records of one moment are written to the new file while appends go on to the old one; what was appended since follows, and only then do appends wait until the new file has taken its place. A rewrite that fails leaves the old file and is tried again once the log has doubled; a failed append or a close ends the rewrite, and the log is recovered from memory as before. The timeout that grew with the log goes.

--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -9,8 +9,11 @@
   sync(): Promise<void>;
   /** Truncates the file to `sizeBytes` and syncs it. */
   truncate(sizeBytes: number): Promise<void>;
-  /** Replaces the content atomically: the old content stays under the file's name until all chunks are synced. */
-  replace(chunks: Iterable<Buffer>): Promise<void>;
+  /**
+   * Replaces the content atomically: the old content stays under the file's name until all chunks are synced. Until then
+   * `append` and `sync` work on the old content. If `chunks` throws, the old content stays.
+   */
+  replace(chunks: Iterable<Buffer> | AsyncIterable<Buffer>): Promise<void>;
   close(): Promise<void>;
 }
 
--- a/packages/journal/src/folder-disk.ts
+++ b/packages/journal/src/folder-disk.ts
@@ -15,6 +15,8 @@
 /** Path at which the replacement of a file is written; one left behind by a power loss is incomplete and is deleted. */
 const replacementPath = (path: string): string => `${path}.next`;
 
+const syncEveryBytes = 4 << 20;
+
 const syncFolder = async (folder: string): Promise<void> => {
   const handle = await open(folder, constants.O_RDONLY);
   try {
@@ -49,6 +51,21 @@
   }
 }
 
+/** Appends chunks and syncs them now and then, so that the sync after the last one is short. */
+const appendSyncing = async (
+  handle: FileHandle,
+  chunks: Iterable<Buffer> | AsyncIterable<Buffer>,
+): Promise<void> => {
+  let unsyncedBytes = 0;
+  for await (const chunk of chunks) {
+    await handle.appendFile(chunk);
+    unsyncedBytes += chunk.length;
+    if (unsyncedBytes < syncEveryBytes) continue;
+    await handle.datasync();
+    unsyncedBytes = 0;
+  }
+};
+
 /** One file of a data folder, open for appending. */
 class FolderFile implements DiskFile {
   constructor(
@@ -75,11 +92,11 @@
   }
 
   /** Writes and syncs a temporary file, renames it to this file, and syncs the folder to make the rename durable. */
-  async replace(chunks: Iterable<Buffer>): Promise<void> {
+  async replace(chunks: Iterable<Buffer> | AsyncIterable<Buffer>): Promise<void> {
     const nextPath = replacementPath(this.path);
     const nextHandle = await open(nextPath, truncateForAppend);
     try {
-      for (const chunk of chunks) await nextHandle.appendFile(chunk);
+      await appendSyncing(nextHandle, chunks);
       await nextHandle.sync();
       await rename(nextPath, this.path);
       await syncFolder(this.folder);
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -11,6 +11,7 @@
 import type { Disk, DiskFile } from './disk.js';
 import { errorText, JournalUnavailableError } from './errors.js';
 import { encodeFrame, frameChunks } from './frames.js';
+import { LogRewrite, RewriteAbortedError } from './log-rewrite.js';
 import { LogScanner } from './log-scanner.js';
 import { retryTransientDiskErrors, type JournalTimings } from './timings.js';
 
@@ -21,6 +22,12 @@
   reject(error: unknown): void;
 }
 
+/** A rewrite under way: the content of the new log, and the replacement of the file by it. */
+interface RunningRewrite {
+  readonly log: LogRewrite;
+  readonly replaced: Promise<void>;
+}
+
 /**
  * Returns all records that the owner holds at the moment of the call. The records are encoded over several turns of the
  * event loop, so the returned iterable must not change afterwards; it may be iterated more than once.
@@ -40,9 +47,6 @@
  */
 const finalTimeoutFraction = 0.2;
 
-/** A rewrite's timeout grows by one sync timeout for each of this many bytes of the file. */
-const rewriteBytesPerSyncTimeout = 4 << 20;
-
 /** A log is due for a rewrite once it exceeds its size after the last rewrite by this factor. */
 const rewriteGrowthFactor = 2;
 
@@ -76,7 +80,9 @@
   /** Whether the owner holds records that were rejected while pending, so that no write includes them. */
   private fileLacksRecords = false;
   private snapshot: JournalSnapshot | undefined;
-  private rewriting = false;
+  /** The rewrite under way, and its replacement of the file. */
+  private rewriting: RunningRewrite | undefined;
+  private isRewriting = false;
   private readonly closing = new AbortController();
   private syncs = 0;
   private bytes = 0;
@@ -172,39 +178,91 @@
   }
 
   private async flush(): Promise<void> {
+    const batch = this.takePending();
+    if (batch.length > 0) await this.appendBatch(batch);
+  }
+
+  private takePending(): readonly PendingAppend[] {
     const batch = this.pending;
     this.pending = [];
-    if (batch.length === 0) return;
-    await this.write(batch, this.timings.syncTimeoutMs, async () => {
+    return batch;
+  }
+
+  private appendBatch(batch: readonly PendingAppend[]): Promise<void> {
+    return this.write(batch, this.timings.syncTimeoutMs, async () => {
       const bytes = encodeFrame(batch.map(({ record }) => record));
       await this.file.append(bytes);
       await this.file.sync();
+      this.rewriting?.log.add(bytes);
       this.syncs++;
       this.bytes += bytes.length;
     });
   }
 
   /**
-   * Compacts the file to the owner's snapshot, which must include all records appended so far. Does nothing if a
-   * rewrite is in progress or the journal is not writable.
+   * Compacts the file to the owner's snapshot, which must include all records appended so far, and to what is appended
+   * meanwhile. Does nothing if a rewrite is in progress or the journal is not writable. If the new file cannot be written,
+   * the old one stays.
    */
   async rewrite(snapshot: JournalSnapshot): Promise<void> {
-    if (this.rewriting || !this.writable) return;
-    this.rewriting = true;
-    await this.writes
-      .run(async () => {
-        if (!this.writable) return;
-        const batch = this.pending;
-        this.pending = [];
-        await this.write(batch, this.rewriteTimeoutMs(), () => this.replaceFile(snapshot()));
-      })
-      .finally(() => {
-        this.rewriting = false;
-      });
+    if (this.isRewriting || !this.writable) return;
+    this.isRewriting = true;
+    try {
+      const rewriting = await this.writes.run(() => this.beginRewrite(snapshot));
+      if (rewriting) await this.finishRewrite(rewriting);
+    } finally {
+      this.isRewriting = false;
+    }
+  }
+
+  /** Takes the snapshot, with the pending appends in it, which are then written to the old file. */
+  private async beginRewrite(snapshot: JournalSnapshot): Promise<RunningRewrite | undefined> {
+    if (!this.writable) return undefined;
+    const batch = this.takePending();
+    const log = new LogRewrite(snapshot());
+    if (batch.length > 0) await this.appendBatch(batch);
+    if (!this.isWritableNow()) return undefined;
+    const replaced = this.file.replace(log.chunks());
+    replaced.catch(() => undefined);
+    this.rewriting = { log, replaced };
+    return this.rewriting;
   }
 
-  private rewriteTimeoutMs(): number {
-    return this.timings.syncTimeoutMs * (1 + this.bytes / rewriteBytesPerSyncTimeout);
+  /** Waits until the records are written, then replaces the file; if that is not possible, the old file stays. */
+  private async finishRewrite(rewriting: RunningRewrite): Promise<void> {
+    try {
+      await Promise.race([rewriting.log.recordsWritten(), rewriting.replaced]);
+      await this.writes.run(() => this.replaceByRewrite(rewriting));
+    } catch (error) {
+      this.bytesAfterRewrite = this.bytes;
+      this.timings.log?.warn(`Journal ${this.name} was not rewritten: ${errorText(error)}.`);
+    } finally {
+      this.rewriting = undefined;
+    }
+  }
+
+  /** Holds appends while the last frames are written and the new file takes the place of the old one. */
+  private async replaceByRewrite({ log, replaced }: RunningRewrite): Promise<void> {
+    if (log.isAborted) throw new RewriteAbortedError();
+    await this.write([], this.timings.syncTimeoutMs, async () => {
+      log.holdAppends();
+      await replaced;
+      this.bytes = log.written.bytes;
+      this.bytesAfterRewrite = log.written.bytes;
+    });
+  }
+
+  /** Ends the rewrite under way, so that the file can be replaced again. */
+  private async abortRewrite(): Promise<void> {
+    const { rewriting } = this;
+    if (!rewriting) return;
+    rewriting.log.abort();
+    await rewriting.replaced.catch(() => undefined);
+  }
+
+  /** Reads `writable` again after an await; the compiler would otherwise assume that it has not changed. */
+  private isWritableNow(): boolean {
+    return this.failure === undefined;
   }
 
   private async replaceFile(records: Iterable<unknown>): Promise<Digest> {
@@ -266,6 +324,7 @@
    * not change while the journal rejects appends.
    */
   private async recover(): Promise<void> {
+    await this.abortRewrite();
     const { snapshot } = this;
     if (!snapshot) return;
     const { clock, retryIntervalMs } = this.timings;
@@ -297,6 +356,7 @@
   /** Stops a running recovery, and closes the file after the write in flight has ended. */
   async close(): Promise<void> {
     this.closing.abort();
+    await this.abortRewrite();
     await this.writes.run(() => this.file.close());
     this.writes.close();
   }
--- a/packages/sim/src/sim-disk.ts
+++ b/packages/sim/src/sim-disk.ts
@@ -97,14 +97,17 @@
     };
   }
 
-  private async replace(name: string, chunks: Iterable<Buffer>): Promise<FileContent> {
+  private async replace(
+    name: string,
+    chunks: Iterable<Buffer> | AsyncIterable<Buffer>,
+  ): Promise<FileContent> {
     const nextName = `${name}.next`;
     const next = new FileContent();
     try {
       await this.work();
       this.drive.link(nextName, next);
       await this.step();
-      for (const chunk of chunks) await this.write(next, chunk);
+      for await (const chunk of chunks) await this.write(next, chunk);
       await this.sync(next);
       this.drive.link(name, next);
       this.drive.unlink(nextName);
--- a/tests/src/journal/chunked-log.test.ts
+++ b/tests/src/journal/chunked-log.test.ts
@@ -154,8 +154,10 @@
     setAside: (name) => disk.setAside(name),
     open: async (name) => {
       const file: DiskFile = await disk.open(name);
-      const reported = function* (chunks: Iterable<Buffer>): Generator<Buffer> {
-        for (const chunk of chunks) {
+      const reported = async function* (
+        chunks: Iterable<Buffer> | AsyncIterable<Buffer>,
+      ): AsyncGenerator<Buffer> {
+        for await (const chunk of chunks) {
           yield chunk;
           onChunk(chunk);
         }
@@ -211,10 +213,15 @@
   const seqs = writtenRecords.flatMap((record) =>
     record.t === 'put' ? (record.items ?? []).slice(0, 1).map((item) => item.seq) : [],
   );
-  assert.ok(seqs.length > 5 && seqs.every((seq) => seq === 1), seqs.join());
+  const snapshotCount = seqs.filter((seq) => seq === 1).length;
+  assert.ok(snapshotCount > 5, seqs.join());
+  assert.equal(seqs, [
+    ...Array.from({ length: snapshotCount }, () => 1),
+    ...Array.from({ length: longItemCount + 1 }, () => 9),
+  ]);
   assert.equal(
     writtenRecords.flatMap((record) => (record.t === 'hint' ? [record.to] : [])),
-    ['b'],
+    ['b', 'c'],
   );
   await clock.finish('later', Promise.all(laterWrites), 1000);
   drive.powerLoss();
@@ -298,7 +305,7 @@
           yield copy;
         }
       };
-      const replace = (content: Iterable<Buffer>): Promise<void> => {
+      const replace = (content: Iterable<Buffer> | AsyncIterable<Buffer>): Promise<void> => {
         replaced++;
         return file.replace(content);
       };
