--- a/tests/src/store/replica-refill.test.ts
+++ b/tests/src/store/replica-refill.test.ts
@@ -11,12 +11,51 @@
   small,
   worldUp,
 } from '../support/world-helpers.js';
+import { storeIdOf } from '../support/replica-cluster.js';
 import { runTurns } from '../support/run-turns.js';
 
 const refills = suite('recovery of stores and controls');
 
 const seeds = [21, 22, 23];
 
+/** Waits until a store is a replica of every slot and no slot is being filled. */
+const untilRefilled = async (cluster: World, store: Machine, withinMs: number): Promise<void> => {
+  await cluster.clock.until(
+    'refilled',
+    () =>
+      cluster.committed?.slots.every(
+        (slot) => slot.replicas.includes(storeIdOf(store)) && slot.joiningReplicas.length === 0,
+      ) ?? false,
+    withinMs,
+  );
+};
+
+const createPrograms = (cluster: World): Promise<readonly ReplyRecord[]> =>
+  cluster.clock.finish(
+    'programs',
+    Promise.all(Array.from({ length: 24 }, () => cluster.program(900))),
+    20000,
+  );
+
+/** Runs a turn of each program; resolves with the turns, all of them done. */
+const runOneTurnEach = async (
+  cluster: World,
+  programs: readonly ReplyRecord[],
+  tag: string,
+): Promise<readonly ReplyRecord[]> => {
+  const turns = await cluster.clock.finish(
+    'turns',
+    Promise.all(
+      programs.map((program, i) =>
+        cluster.turn(program.program, null, `${tag} #${cluster.seed}-${i}`, 'k'),
+      ),
+    ),
+    60000,
+  );
+  assert.ok(turns.every((turn) => turn.reported === 'done'));
+  return turns;
+};
+
 /** Destroys a store's disk, restarts the fronts, and checks that each turn of a program can still be fetched. */
 const loseDiskAndReadAll = async (
   cluster: World,
@@ -79,11 +118,12 @@
     emptied.kill('power');
     emptied.drive.wipe();
     emptied.start();
-    const storeId = () => emptied.store?.id ?? 'none';
     await cluster.clock.until(
       'the empty store to join slots',
       () =>
-        cluster.committed?.slots.some((slot) => slot.joiningReplicas.includes(storeId())) ?? false,
+        cluster.committed?.slots.some((slot) =>
+          slot.joiningReplicas.includes(storeIdOf(emptied)),
+        ) ?? false,
       30000,
     );
     const slots = cluster.committed?.slots ?? [];
@@ -91,14 +131,7 @@
       slots.filter((slot) => slot.joiningReplicas.length > 0).length <= slots.length / 2,
       'more than half of the slots are filled at once',
     );
-    await cluster.clock.until(
-      'refilled',
-      () =>
-        cluster.committed?.slots.every(
-          (slot) => slot.replicas.includes(storeId()) && slot.joiningReplicas.length === 0,
-        ) ?? false,
-      60000,
-    );
+    await untilRefilled(cluster, emptied, 60000);
     await loseDiskAndReadAll(cluster, other, program.program);
   }
 });
@@ -108,21 +141,10 @@
   async () => {
     for (const seed of seeds) {
       const cluster = await worldUp(seed, small);
-      const programs = await cluster.clock.finish(
-        'programs',
-        Promise.all(Array.from({ length: 24 }, () => cluster.program(900))),
-        20000,
-      );
+      const programs = await createPrograms(cluster);
       const dataAddresses = cluster.of('front').map((machine) => `${machine.addr}/data`);
       cluster.net.cutBoth(['store-1'], [...dataAddresses, 'store-0', 'store-2']);
-      const turns = await cluster.clock.finish(
-        'turns',
-        Promise.all(
-          programs.map((program, i) => cluster.turn(program.program, null, `h #${seed}-${i}`, 'k')),
-        ),
-        60000,
-      );
-      assert.ok(turns.every((turn) => turn.reported === 'done'));
+      const turns = await runOneTurnEach(cluster, programs, 'h');
       const store = cluster.at('store-0');
       store.kill('power');
       store.drive.wipe();
@@ -147,15 +169,7 @@
         assert.is.not(fetched.errorCode, 'missing');
       }
       cluster.net.healCuts();
-      await cluster.clock.until(
-        'refilled',
-        () =>
-          cluster.committed?.slots.every(
-            (slot) =>
-              slot.joiningReplicas.length === 0 && slot.replicas.includes(store.store?.id ?? ''),
-          ) ?? false,
-        60000,
-      );
+      await untilRefilled(cluster, store, 60000);
       await cluster.clock.run(2000);
       for (const turn of turns)
         assert.is(
@@ -228,15 +242,7 @@
     );
     assert.is(otherTurn.reported, 'done');
     store.start();
-    const storeId = () => store.store?.id ?? 'none';
-    await cluster.clock.until(
-      'refilled',
-      () =>
-        cluster.committed?.slots.every(
-          (slot) => slot.replicas.includes(storeId()) && slot.joiningReplicas.length === 0,
-        ) ?? false,
-      90000,
-    );
+    await untilRefilled(cluster, store, 90000);
     for (const kind of ['store/fence', 'store/pull', 'store/put', 'store/hand'])
       assert.ok(
         (cluster.net.largestMessages.get(kind) ?? 0) < 1 << 19,
@@ -268,15 +274,7 @@
       emptied.kill('power');
       emptied.drive.wipe();
       emptied.start();
-      const storeId = () => emptied.store?.id ?? 'none';
-      await cluster.clock.until(
-        'refilled',
-        () =>
-          cluster.committed?.slots.every(
-            (slot) => slot.replicas.includes(storeId()) && slot.joiningReplicas.length === 0,
-          ) ?? false,
-        60000,
-      );
+      await untilRefilled(cluster, emptied, 60000);
       await cluster.clock.run(1000);
       await loseDiskAndReadAll(cluster, lost, program.program);
     }
@@ -319,33 +317,14 @@
   async () => {
     for (const seed of seeds) {
       const cluster = await worldUp(seed, small);
-      const programs = await cluster.clock.finish(
-        'programs',
-        Promise.all(Array.from({ length: 24 }, () => cluster.program(900))),
-        20000,
-      );
-      const turns = await cluster.clock.finish(
-        'turns',
-        Promise.all(
-          programs.map((program, i) => cluster.turn(program.program, null, `q #${seed}-${i}`, 'k')),
-        ),
-        60000,
-      );
-      assert.ok(turns.every((turn) => turn.reported === 'done'));
+      const programs = await createPrograms(cluster);
+      const turns = await runOneTurnEach(cluster, programs, 'q');
       const store = cluster.at('store-0');
       store.kill('power');
       store.drive.wipe();
       if (seed === 22) await cluster.clock.run(1000);
       store.start();
-      const storeId = () => store.store?.id ?? 'none';
-      await cluster.clock.until(
-        'refilled',
-        () =>
-          cluster.committed?.slots.every(
-            (slot) => slot.replicas.includes(storeId()) && slot.joiningReplicas.length === 0,
-          ) ?? false,
-        4800,
-      );
+      await untilRefilled(cluster, store, 4800);
       await loseDiskAndReadAll(cluster, cluster.of('store')[1], programs[0]?.program ?? '');
       for (const turn of turns)
         assert.is(
