Unpack found turns only when the reply is written

Cause: since values are packed, a search for a turn unpacked the whole conversation, 5 MB here, before its reply was written; searches that wait for the same sync did so at the same time. Before, replies shared the stored strings.

Change: a search returns packed items, which JSON unpacks one at a time while the reply is written; to follow a conversation only the fields that link it are unpacked.

--- a/packages/store/src/packed-item.ts
+++ b/packages/store/src/packed-item.ts
@@ -107,19 +107,21 @@
   return { characters: joinParts([header, ...parts]), headerLength: header.length, headerEncoding };
 };
 
-const unpackValue = (packed: PackedValue | PlainValue): unknown => {
+/** The value, or with `fields` one in which the texts of other fields may be missing. */
+const unpackValue = (packed: PackedValue | PlainValue, fields?: readonly string[]): unknown => {
   if ('plain' in packed) return packed.plain;
   const { characters, headerLength, headerEncoding } = packed;
   const text = decodePart(characters.slice(0, headerLength), headerEncoding);
   const { value, segments } = Header.parse(JSON.parse(text));
   if (segments.length === 0 || !isRecord(value)) return value;
-  const fields = new Map(Object.entries(value));
+  const unpacked = new Map(Object.entries(value));
   let start = headerLength;
   for (const { field, encoding, length } of segments) {
-    fields.set(field, decodePart(characters.slice(start, start + length), encoding));
+    if (fields?.includes(field) ?? true)
+      unpacked.set(field, decodePart(characters.slice(start, start + length), encoding));
     start += length;
   }
-  return Object.fromEntries(fields);
+  return Object.fromEntries(unpacked);
 };
 
 /** An item whose value is packed; it does not change. */
@@ -146,6 +148,16 @@
     return { key, ownershipEpoch, seq, value: unpackValue(this.packed) };
   }
 
+  /** The item as it was stored, for JSON, so that a reply takes no memory for it before it is written. */
+  toJSON(): Item {
+    return this.unpack();
+  }
+
+  /** The value with these fields; the texts of others may be missing. */
+  pick(fields: readonly string[]): unknown {
+    return unpackValue(this.packed, fields);
+  }
+
   /** The version of this item, without its value. */
   version(): ItemVersion {
     const { key, ownershipEpoch, seq, bytes } = this;
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -22,6 +22,7 @@
 } from '@tillerstair/state';
 import { ByteBudget, ReplicaError, type Clock } from '@tillerstair/wire';
 import { HintTable } from './hint-table.js';
+import type { PackedItem } from './packed-item.js';
 import { ReplicaRecord, replicaStoreLog, snapshotRecords, type Hint } from './replica-records.js';
 import { SlotReplica } from './slot-replica.js';
 import { TurnIndex, type ItemLocation } from './turn-index.js';
@@ -29,6 +30,9 @@
 /** The fields of a turn's value that name the preceding turn and say whether the turn is done. */
 const TurnLink = z.object({ after: z.string(), status: z.string().optional() });
 
+const linkOf = (item: PackedItem): z.infer<typeof TurnLink> | undefined =>
+  TurnLink.safeParse(item.pick(['after', 'status'])).data;
+
 /** Size and retention limits of a store. */
 export interface ReplicaStoreLimits {
   /** Size below which the replica log is not rewritten, in bytes. */
@@ -268,24 +272,24 @@
    * The turn of that name followed by the turns before it, newest first, as far as this store holds them. Of a turn that
    * several programs hold, an item that is done is preferred.
    */
-  findTurns(turn: string): readonly Item[] {
-    const found: Item[] = [];
+  findTurns(turn: string): readonly PackedItem[] {
+    const found: PackedItem[] = [];
     let locations = this.turns.find(turn);
     for (;;) {
       const item = this.preferredItem(locations);
-      if (!item || found.some(({ key }) => key === item.key)) return found;
+      if (!item || found.includes(item)) return found;
       found.push(item);
-      const link = TurnLink.safeParse(item.value);
-      if (!link.success) return found;
-      locations = this.turns.findByName(link.data.after);
+      const link = linkOf(item);
+      if (!link) return found;
+      locations = this.turns.findByName(link.after);
     }
   }
 
-  private preferredItem(locations: readonly ItemLocation[]): Item | undefined {
-    let first: Item | undefined;
+  private preferredItem(locations: readonly ItemLocation[]): PackedItem | undefined {
+    let first: PackedItem | undefined;
     for (const { slot, key } of locations) {
-      const item = this.slots.get(slot)?.get(key);
-      if (TurnLink.safeParse(item?.value).data?.status === 'done') return item;
+      const item = this.slots.get(slot)?.getPacked(key);
+      if (item && linkOf(item)?.status === 'done') return item;
       first ??= item;
     }
     return first;
--- a/packages/store/src/slot-replica.ts
+++ b/packages/store/src/slot-replica.ts
@@ -70,7 +70,11 @@
   }
 
   get(key: string): Item | undefined {
-    return this.items.get(key)?.unpack();
+    return this.getPacked(key)?.unpack();
+  }
+
+  getPacked(key: string): PackedItem | undefined {
+    return this.items.get(key);
   }
 
   /** Whether an item is newer than the stored one of the same key; true if none is stored. */
--- a/tests/src/store/packed-item.test.ts
+++ b/tests/src/store/packed-item.test.ts
@@ -46,6 +46,15 @@
   assert.ok(bytes > body.length && bytes < body.length * 1.05, `${bytes} bytes`);
 });
 
+// Guards against searches that unpack a long conversation for each of many requests at the same time (heap, SIGABRT).
+packing('an item is unpacked for JSON only when a reply is written', () => {
+  const item = itemOf({ status: 'done', after: 'a'.repeat(long), input: base64 });
+  const packed = new PackedItem(item);
+  assert.is(JSON.stringify({ items: [packed] }), JSON.stringify({ items: [item] }));
+  const picked = packed.pick(['after', 'status']);
+  assert.equal(picked, { status: 'done', after: 'a'.repeat(long), input: '' });
+});
+
 packing('the same item is packed once', () => {
   const item = itemOf({ input: base64 });
   assert.is(packItem(item), packItem(item));
