--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -5,7 +5,6 @@
  * with an ownership epoch below the slot's fence is rejected; an acknowledged write is on disk (docs/design.md, "Slots,
  * owners, ownership epochs" and "Disk").
  */
-import { z } from 'zod';
 import {
   defaultTimings,
   Journal,
@@ -25,13 +24,8 @@
 import type { PackedItem } from './packed-item.js';
 import { ReplicaRecord, replicaStoreLog, snapshotRecords, type Hint } from './replica-records.js';
 import { SlotReplica } from './slot-replica.js';
-import { TurnIndex, type ItemLocation } from './turn-index.js';
-
-/** The fields of a turn's value that name the preceding turn and say whether the turn is done. */
-const TurnLink = z.object({ after: z.string(), status: z.string().optional() });
-
-const linkOf = (item: PackedItem): z.infer<typeof TurnLink> | undefined =>
-  TurnLink.safeParse(item.pick(['after', 'status'])).data;
+import { findConversation } from './conversation.js';
+import { TurnIndex } from './turn-index.js';
 
 /** Size and retention limits of a store. */
 export interface ReplicaStoreLimits {
@@ -268,31 +262,11 @@
     return this.replicaAtEpoch(slot, ownershipEpoch).get(key) ?? null;
   }
 
-  /**
-   * The turn of that name followed by the turns before it, newest first, as far as this store holds them. Of a turn that
-   * several programs hold, an item that is done is preferred.
-   */
+  /** The turn of that name followed by the turns before it, newest first, as far as this store holds them. */
   findTurns(turn: string): readonly PackedItem[] {
-    const found: PackedItem[] = [];
-    let locations = this.turns.find(turn);
-    for (;;) {
-      const item = this.preferredItem(locations);
-      if (!item || found.includes(item)) return found;
-      found.push(item);
-      const link = linkOf(item);
-      if (!link) return found;
-      locations = this.turns.findByName(link.after);
-    }
-  }
-
-  private preferredItem(locations: readonly ItemLocation[]): PackedItem | undefined {
-    let first: PackedItem | undefined;
-    for (const { slot, key } of locations) {
-      const item = this.slots.get(slot)?.getPacked(key);
-      if (item && linkOf(item)?.status === 'done') return item;
-      first ??= item;
-    }
-    return first;
+    return findConversation(this.turns, turn, ({ slot, key }) =>
+      this.slots.get(slot)?.getPacked(key),
+    );
   }
 
   /**
