Compare a store's answers with recorded ones as they are sent

Cause: repository/recorded-conversation compared what the store's handler returns. Since a search returns packed items, whose JSON is the recorded one; the test saw their fields. It now compares the JSON that a caller gets, which is what the record is of: no less strict.

--- a/tests/src/repository/recorded-conversation.test.ts
+++ b/tests/src/repository/recorded-conversation.test.ts
@@ -151,6 +151,9 @@
 });
 
 /** The address of a node at the time of the recording. */
+/** An answer as its caller gets it, by JSON. */
+const asSent = (answer: unknown): unknown => JSON.parse(JSON.stringify(answer ?? null));
+
 const addressOf = (expected: Expected, name: string): string => {
   const { id, accepted } = new Map(Object.entries(expected.nodes)).get(name)?.election ?? {
     id: '',
@@ -206,7 +209,8 @@
         if (end.error !== undefined) {
           assert.instance(answer, RpcError);
           assert.is(answer instanceof RpcError && answer.code, end.error.code);
-        } else assert.equal(answer, end.response, `${name} ${kind} ${JSON.stringify(body)}`);
+        } else
+          assert.equal(asSent(answer), end.response, `${name} ${kind} ${JSON.stringify(body)}`);
       }
     }
   }),
