Keep what was fetched for a slot, stop pulls that are over, and warn of slots that stay closed

Change: an opening keeps what it fetched at its epoch, and all slots of an owner share a limit of 8 requests. A pull stops once its epoch is over. Refills are tried at least four times in a heartbeat interval. The size of a page stands once.

--- a/packages/session-owner/src/session-owner.ts
+++ b/packages/session-owner/src/session-owner.ts
@@ -5,6 +5,7 @@
  * admission queues and the requests in flight. It serves only while the lease is valid, so that a partitioned front
  * stops serving before another front takes over its slots (`docs/design.md`, "Freshness and the read lease").
  */
+import pLimit from 'p-limit';
 import {
   slotForKey,
   type Route,
@@ -35,6 +36,9 @@
 import { findFinishedTurn } from './turn-search.js';
 import { Turns } from './turns.js';
 
+/** Requests for items of slots that are being opened, over all slots of an owner. */
+const maxConcurrentFetches = 8;
+
 /** Time limits of a session owner, in ms. */
 export interface SessionOwnerBounds {
   /** Interval of heartbeats; intervals of retries and maintenance derive from it. */
@@ -164,6 +168,7 @@
     this.requestMemory = options.memory?.requests ?? new ByteBudget();
     this.conversationMemory = options.memory?.conversations ?? new ByteBudget();
     const memory = options.memory?.items ?? new ByteBudget();
+    const limitFetches = pLimit(maxConcurrentFetches);
     this.slots = new OwnedSlots(id, (slotNumber, ownedSinceEpoch) => {
       // Read again for each replicator: a reload of the settings changes the bounds.
       const { putTimeoutMs, heartbeatInterval, retentionMs, minRetentionMs } = bounds;
@@ -177,6 +182,7 @@
         retentionMs,
         minRetentionMs,
         memory,
+        limitFetches,
       });
     });
     this.streams = new Streams(this);
--- a/packages/session-owner/src/slot-merge.ts
+++ b/packages/session-owner/src/slot-merge.ts
@@ -2,7 +2,7 @@
  * Merging of the items that a quorum of replicas stored when they were fenced, with those that the owner has in memory
  * (docs/design.md, "Slots, owners, ownership epochs"). Only items that the owner lacks are fetched, each once.
  */
-import pLimit from 'p-limit';
+import type { LimitFunction } from 'p-limit';
 import {
   isNewerItem,
   isSameItem,
@@ -15,16 +15,13 @@
 } from '@tillerstair/state';
 import { UnavailableError } from '@tillerstair/wire';
 
-/** Requests for items of one slot that are under way at the same time. */
-const maxConcurrentFetches = 2;
-
 type ItemsByKey = ReadonlyMap<string, Item>;
 
 /** What the fenced replicas of a slot listed, by replica. */
 export type FencedReplicas = ReadonlyMap<string, ReplicaListing>;
 
 /** Fetches items of the slot from a replica; those that the replica dropped meanwhile are left out. */
-export type FetchItems = (fetch: ItemFetch) => Promise<readonly Item[]>;
+type FetchItems = (fetch: ItemFetch) => Promise<readonly Item[]>;
 
 const keepNewest = (merged: Map<string, Item>, items: Iterable<Item>): void => {
   for (const item of items) {
@@ -42,25 +39,35 @@
     return !item || isNewerItem(version, item);
   });
 
+/** Inputs of one merge. */
+export interface SlotMergeOptions {
+  readonly fenced: FencedReplicas;
+  /** Returns the items in the owner's memory at present. */
+  readonly known: () => Iterable<readonly [string, Item]>;
+  /** The items that were fetched at this ownership epoch, to which the merge adds: the next attempt needs only the rest. */
+  readonly fetched: Map<string, Item>;
+  readonly fetchItems: FetchItems;
+  /** Limits the requests for items that are under way. */
+  readonly limitFetches: LimitFunction;
+}
+
 /**
  * Resolves with the newest item of each key, by ownership epoch and sequence number, among the listed ones and those in
- * memory, which `known` returns whenever it is called.
+ * memory.
  *
  * @throws UnavailableError if a replica dropped a listed item; what `fetchItems` rejects with
  */
-export const mergeItems = async (
-  fenced: FencedReplicas,
-  known: () => Iterable<readonly [string, Item]>,
-  fetchItems: FetchItems,
-): Promise<Map<string, Item>> => {
+export const mergeItems = async (options: SlotMergeOptions): Promise<Map<string, Item>> => {
+  const { fenced, known, fetched, fetchItems, limitFetches } = options;
   const newest = newestVersions(fenced.values());
-  const fetched = new Map<string, Item>();
   for (const { items } of fenced.values()) keepNewest(fetched, items);
-  const held = new Map([...known(), ...fetched]);
-  const limit = pLimit(maxConcurrentFetches);
+  const held = new Map(known());
+  keepNewest(held, fetched.values());
+  const fetchPage = async (fetch: ItemFetch): Promise<void> => {
+    keepNewest(fetched, await fetchItems(fetch));
+  };
   const fetches = planFetches(versionsLackingIn(held, newest), fenced);
-  const pages = await Promise.all(fetches.map((fetch) => limit(() => fetchItems(fetch))));
-  for (const items of pages) keepNewest(fetched, items);
+  await Promise.all(fetches.map((fetch) => limitFetches(() => fetchPage(fetch))));
   const merged = new Map(known());
   keepNewest(merged, fetched.values());
   const lacking = versionsLackingIn(merged, newest).at(0);
--- a/packages/session-owner/src/slot-replicator.ts
+++ b/packages/session-owner/src/slot-replicator.ts
@@ -4,6 +4,7 @@
  * written only while the open epoch equals the slot's ownership epoch (docs/design.md, "Slots, owners, ownership
  * epochs").
  */
+import pLimit, { type LimitFunction } from 'p-limit';
 import {
   requiredTurnRetentionMs,
   splitIntoPages,
@@ -15,6 +16,7 @@
   ByteBudget,
   delay,
   OwnershipError,
+  RetryLog,
   toRpcError,
   UnavailableError,
   type Clock,
@@ -36,6 +38,10 @@
 const newItemShare = 0.85;
 /** Share of the memory for items above which they expire early. */
 const earlyExpiryShare = 0.4;
+/** Requests for items of a slot that is being opened, if the owner sets no limit over all its slots. */
+const defaultConcurrentFetches = 2;
+/** Timeouts of a request for which a slot may fail to open before that is a warning. */
+const timeoutsUntilWarning = 2;
 /** The value of `openEpoch` while the slot is closed. */
 const notOpenEpoch = -1;
 
@@ -55,6 +61,8 @@
   readonly minRetentionMs?: number | undefined;
   /** The memory for the items of all slots of this owner; no limit by default. */
   readonly memory?: ByteBudget;
+  /** Limits the requests for items of all slots of this owner that are being opened. */
+  readonly limitFetches?: LimitFunction;
 }
 
 /** A slot that its owner has released: its number and the ownership epoch until which it was served. */
@@ -71,12 +79,14 @@
   private readonly log: Logger;
   private readonly compiledState: () => CompiledState | undefined;
   private readonly retryIntervalMs: number;
+  private readonly warnAfterMs: number;
   private readonly retentionMs: number;
   private readonly requiredRetentionMs: number;
   private readonly memory: ByteBudget;
   private readonly items: SlotItems;
   private readonly client: ReplicaClient;
   private readonly fencing: SlotFencing;
+  private readonly limitFetches: LimitFunction;
 
   constructor(
     readonly slotNumber: number,
@@ -88,6 +98,8 @@
     this.log = options.log;
     this.compiledState = compiledState;
     this.retryIntervalMs = options.heartbeatIntervalMs / retriesPerHeartbeat;
+    this.warnAfterMs = putTimeoutMs * timeoutsUntilWarning;
+    this.limitFetches = options.limitFetches ?? pLimit(defaultConcurrentFetches);
     this.retentionMs = options.retentionMs;
     this.requiredRetentionMs = options.minRetentionMs ?? options.retentionMs;
     this.memory = options.memory ?? new ByteBudget();
@@ -264,25 +276,27 @@
   }
 
   private async openWhenFenced(ownershipEpoch: number): Promise<void> {
+    const fetched = new Map<string, Item>();
+    const retryLog = new RetryLog(this.clock, this.log, this.warnAfterMs);
     for (let slot = this.slot; slot?.ownershipEpoch === ownershipEpoch; slot = this.slot) {
       try {
-        await this.openOnce(slot);
+        await this.openOnce(slot, fetched);
         return;
       } catch (error) {
-        this.log.debug(`Slot ${this.slotNumber} is not open yet: ${toRpcError(error).message}.`);
+        retryLog.failed(`Slot ${this.slotNumber} is not open yet: ${toRpcError(error).message}`);
       }
       await delay(this.clock, this.retryIntervalMs);
     }
   }
 
   /**
-   * Makes one attempt to open the slot: fences a quorum, merges its items and rewrites those below a quorum. Returns
-   * without opening if the slot's ownership epoch changes meanwhile.
+   * Makes one attempt to open the slot: fences a quorum, merges its items and rewrites those below a quorum. Adds what it
+   * fetches to `fetched`. Returns without opening if the slot's ownership epoch changes meanwhile.
    */
-  private async openOnce(slot: Slot): Promise<void> {
+  private async openOnce(slot: Slot, fetched: Map<string, Item>): Promise<void> {
     const { ownershipEpoch } = slot;
     const fenced = await this.fencing.fenceQuorum(slot);
-    const merged = await this.merge(fenced, ownershipEpoch);
+    const merged = await this.merge(fenced, ownershipEpoch, fetched);
     const uncertain = itemsBelowQuorum(merged, [...fenced.values()], this.quorum);
     // `write` rejects a superseded epoch too; this check keeps `renumber` from advancing the newer epoch's sequence.
     if (!this.isAtEpoch(ownershipEpoch)) return;
@@ -299,10 +313,18 @@
   }
 
   /** Merges in the items in memory unless the slot was closed since: another owner may have written then. */
-  private merge(fenced: FencedReplicas, ownershipEpoch: number): Promise<Map<string, Item>> {
-    const known = (): Iterable<readonly [string, Item]> =>
-      this.openEpoch === notOpenEpoch ? [] : this.items.entries();
-    return mergeItems(fenced, known, (fetch) => this.client.fetchItems(fetch, ownershipEpoch));
+  private merge(
+    fenced: FencedReplicas,
+    ownershipEpoch: number,
+    fetched: Map<string, Item>,
+  ): Promise<Map<string, Item>> {
+    return mergeItems({
+      fenced,
+      known: () => (this.openEpoch === notOpenEpoch ? [] : this.items.entries()),
+      fetched,
+      fetchItems: (fetch) => this.client.fetchItems(fetch, ownershipEpoch),
+      limitFetches: this.limitFetches,
+    });
   }
 
   private renumber(items: readonly Item[], ownershipEpoch: number): readonly Item[] {
--- a/packages/state/src/pages.ts
+++ b/packages/state/src/pages.ts
@@ -2,7 +2,10 @@
 import type { Item } from './item.js';
 
 /** Maximum size of a page, in characters of JSON; a larger item gets a page of its own. */
-export const maxPageBytes = 1 << 18;
+const maxPageBytes = 1 << 18;
+
+/** A page is closed once it exceeds this size, so that its last item rarely takes it over the maximum. */
+export const pageEndsAtBytes = maxPageBytes / 2;
 
 /** Splits items into pages for sending. */
 export const splitIntoPages = (items: readonly Item[]): readonly (readonly Item[])[] => {
--- a/packages/state/src/replica-listing.ts
+++ b/packages/state/src/replica-listing.ts
@@ -6,9 +6,7 @@
 import { isNewerItem, isSameItem, type Item, type ItemVersion } from './item.js';
 import { versionOfItem } from './item-size.js';
 import { ItemPage } from './messages.js';
-
-/** Maximum size of the items that are fetched by one request, in bytes; a larger item gets a request of its own. */
-const maxFetchBytes = 1 << 17;
+import { pageEndsAtBytes } from './pages.js';
 
 /** What one replica holds of a slot. */
 export interface ReplicaListing {
@@ -61,9 +59,10 @@
 
   constructor(readonly source: string) {}
 
+  /** Adds an item to the last request, or to a new one if it would exceed the size of a page. */
   add({ key, bytes }: ItemVersion): void {
     const last = this.fetches.at(-1);
-    if (last && this.lastFetchBytes + bytes <= maxFetchBytes) last.push(key);
+    if (last && this.lastFetchBytes + bytes <= pageEndsAtBytes) last.push(key);
     else {
       this.fetches.push([key]);
       this.lastFetchBytes = 0;
--- a/packages/store/src/replica-refill.ts
+++ b/packages/store/src/replica-refill.ts
@@ -10,6 +10,7 @@
 import {
   delay,
   ReplicaError,
+  RetryLog,
   toRpcError,
   UnavailableError,
   type Clock,
@@ -28,8 +29,8 @@
 /** Searches of the cluster state for slots to fill, per heartbeat interval; a new state is searched immediately. */
 const searchesPerHeartbeat = 2;
 
-/** Attempts to fill a slot in one heartbeat interval at most; after each failed one the delay doubles, up to the interval. */
-const attemptsPerHeartbeat = 16;
+/** Most and least attempts to fill a slot in one heartbeat interval; the delay doubles after each failed one. */
+const attemptsPerHeartbeat = { most: 16, least: 4 } as const;
 const retryDelayFactor = 2;
 
 /** Settings of the refill of one store, and the components that it uses. */
@@ -86,7 +87,8 @@
   private async fillUntilComplete(joining: JoiningSlot, stopped: AbortSignal): Promise<void> {
     const { clock, bounds, log, latestState } = this.options;
     const pull = this.pullOf(joining);
-    let retryDelayMs = bounds.heartbeatInterval / attemptsPerHeartbeat;
+    const retryLog = new RetryLog(clock, log, bounds.failureTimeout);
+    let retryDelayMs = bounds.heartbeatInterval / attemptsPerHeartbeat.most;
     while (!stopped.aborted) {
       const state = latestState();
       const slot = state?.slots[joining.number];
@@ -96,12 +98,13 @@
         await this.limitSlots(() => this.fill(joining, pull, sources));
         return;
       } catch (error) {
-        log.debug(
-          `Refill of slot ${joining.number} failed, will retry: ${toRpcError(error).message}.`,
-        );
+        retryLog.failed(`Slot ${joining.number} is not filled yet: ${toRpcError(error).message}`);
       }
       await delay(clock, retryDelayMs, stopped);
-      retryDelayMs = Math.min(retryDelayMs * retryDelayFactor, bounds.heartbeatInterval);
+      retryDelayMs = Math.min(
+        retryDelayMs * retryDelayFactor,
+        bounds.heartbeatInterval / attemptsPerHeartbeat.least,
+      );
     }
   }
 
@@ -127,6 +130,7 @@
       replicaStore,
       clock,
       requestTimeoutMs: bounds.failureTimeout,
+      isCurrent: () => latestState()?.slots[number]?.ownershipEpoch === ownershipEpoch,
       limitRequests: this.limitRequests,
       requestPage: async (source, request) =>
         transport.call(
--- a/packages/store/src/slot-pull.ts
+++ b/packages/store/src/slot-pull.ts
@@ -32,6 +32,8 @@
   readonly requestTimeoutMs: number;
   /** Requests a page from a replica that is fenced at the ownership epoch of the pull. */
   readonly requestPage: (source: string, request: PageRequest) => Promise<unknown>;
+  /** Whether the slot is still to be filled at the ownership epoch of the pull. */
+  readonly isCurrent: () => boolean;
   /** Runs a task once fewer than the allowed number of requests for items are under way. */
   readonly limitRequests: <Result>(task: () => Promise<Result>) => Promise<Result>;
 }
@@ -102,11 +104,21 @@
   private fetchItems({ source, keys }: ItemFetch): Promise<void> {
     const { slot, replicaStore, limitRequests } = this.options;
     return limitRequests(async () => {
+      this.requireCurrent();
       const { items } = await this.requestItems(source, keys);
       await replicaStore.acceptHandoff(slot, items);
     });
   }
 
+  /** A pull that is not needed any more leaves the requests to the one that followed it. */
+  private requireCurrent(): void {
+    if (!this.options.isCurrent())
+      throw new UnavailableError(
+        'unavailable',
+        `slot ${this.options.slot} is filled at another ownership epoch`,
+      );
+  }
+
   private async requestItems(source: string, keys: readonly string[]): Promise<ItemPage> {
     try {
       const request = { after: '', keys: [...keys] };
--- a/packages/store/src/slot-replica.ts
+++ b/packages/store/src/slot-replica.ts
@@ -6,7 +6,7 @@
  */
 import {
   isNewerItem,
-  maxPageBytes,
+  pageEndsAtBytes,
   recordGroup,
   type Item,
   type ItemPage,
@@ -17,11 +17,6 @@
 import { packItem, type PackedItem } from './packed-item.js';
 import type { SlotSnapshot } from './replica-records.js';
 
-/**
- * A page is closed once it exceeds half of the maximum size, so that its last item rarely takes it over the maximum.
- */
-const pageEndsAtBytes = maxPageBytes / 2;
-
 const maxVersionsPerPage = 1000;
 
 /** Share of the groups of a slot that are dropped at once if the store's log does not fit into its memory. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -13,6 +13,7 @@
 export * from './system-error.js';
 export * from './quorum-request.js';
 export * from './request-pipeline.js';
+export * from './retry-log.js';
 export * from './task-queue.js';
 export * from './tcp-transport.js';
 export * from './transport.js';
--- a/tests/src/session-owner/slot-fencing.test.ts
+++ b/tests/src/session-owner/slot-fencing.test.ts
@@ -252,6 +252,38 @@
   assert.is(fixture.replicator.get('o/c'), 'd');
 });
 
+// Guards against slots that stay closed while a slow link loses one of many requests at each attempt.
+fencing('what was fetched before a request failed is not fetched again', async () => {
+  const fixture = new ReplicatorFixture();
+  const large = 'x'.repeat(100_000);
+  const stored = [item('o/a', 1, 1, large), item('o/b', 1, 2, large), item('o/c', 1, 3, large)];
+  const asked: string[] = [];
+  fixture.replicas.reply = (request) => {
+    if (request.kind !== 'store/fence') return emptyReply(request);
+    asked.push(...(request.keys ?? []));
+    const isFirstAttempt = asked.length <= stored.length;
+    return request.keys?.includes('o/a') === true && isFirstAttempt
+      ? failWith('request-timeout')
+      : listingReply(stored, request);
+  };
+  fixture.replicator.apply(slotAt(2));
+  await fixture.clock.run(500);
+  assert.is(fixture.replicator.isOpen, true);
+  assert.equal(asked.sort(), ['o/a', 'o/a', 'o/b', 'o/c']);
+});
+
+// Guards against a slot that is closed for good and says so to nobody.
+fencing('a slot that does not open is a warning, not at every attempt', async () => {
+  const fixture = new ReplicatorFixture();
+  fixture.replicas.reply = () => failWith('connection-refused');
+  fixture.replicator.apply(slotAt(2));
+  await fixture.clock.run(500);
+  assert.equal(fixture.warnings, []);
+  await fixture.clock.run(2500);
+  assert.ok(fixture.warnings.length > 0 && fixture.warnings.length < 6, fixture.warnings.join());
+  assert.match(fixture.warnings.at(-1) ?? '', /Slot 0 is not open yet: 0 of 3 .*retried for/);
+});
+
 fencing('a slot stays closed while a listed item is not returned', async () => {
   const fixture = new ReplicatorFixture();
   const stored = [item('o/a', 1, 1, 'a')];
--- a/tests/src/store/slot-pull.test.ts
+++ b/tests/src/store/slot-pull.test.ts
@@ -45,12 +45,14 @@
   const requests: Request[] = [];
   const failing = new Set<string>();
   const beforeItems: (() => Promise<unknown>)[] = [];
+  const epochs = { current: epoch };
   const pull = new SlotPull({
     slot,
     quorum: () => quorum,
     replicaStore: target,
     clock,
     requestTimeoutMs,
+    isCurrent: () => epochs.current === epoch,
     limitRequests: (task) => task(),
     requestPage: async (source, page) => {
       requests.push({ source, page });
@@ -73,18 +75,8 @@
       .sort();
   const fetchedKeys = (): readonly string[] =>
     requests.flatMap(({ page }) => page.keys ?? []).sort();
-  return {
-    clock,
-    sources,
-    drive,
-    target,
-    run,
-    stored,
-    requests,
-    fetchedKeys,
-    failing,
-    beforeItems,
-  };
+  const state = { clock, sources, drive, target, requests, failing, beforeItems, epochs };
+  return { ...state, run, stored, fetchedKeys };
 };
 
 // Guards against a refill that copies every item from each replica of a quorum, so that large slots miss catchUpS (LOST).
@@ -147,6 +139,14 @@
   assert.is(await pulling.run(), 'unavailable');
 });
 
+// Guards against copies of a slot for an ownership epoch that is over, beside those for the next one.
+pulls('a pull fetches nothing once the slot has another ownership epoch', async () => {
+  const pulling = await setUp({ one: [itemOf('a', 1)], two: [itemOf('b', 1)] });
+  pulling.epochs.current++;
+  assert.is(await pulling.run(), 'unavailable');
+  assert.equal(pulling.fetchedKeys(), []);
+});
+
 pulls('fewer replicas than a quorum are not enough', async () => {
   const pulling = await setUp({ one: [itemOf('a', 1)] });
   assert.is(await pulling.run(), 'unavailable');
--- a/tests/src/support/fake-replicas.ts
+++ b/tests/src/support/fake-replicas.ts
@@ -152,6 +152,8 @@
 export class ReplicatorFixture {
   readonly clock = new SimClock();
   readonly replicas = new FakeReplicas();
+  /** The warnings that the replicator logged. */
+  readonly warnings: string[] = [];
   /** The memory for the items of the slot. */
   readonly memory = new ByteBudget(itemMemoryBytes);
   compiledState: CompiledState | undefined = {
@@ -162,7 +164,7 @@
   readonly replicator = new SlotReplicator(0, 1, {
     clock: this.clock,
     transport: this.replicas,
-    log: silentLogger,
+    log: { ...silentLogger, warn: (text) => this.warnings.push(text) },
     compiledState: () => this.compiledState,
     putTimeoutMs: putTimeoutMs,
     heartbeatIntervalMs: heartbeatIntervalMs,
