Read what was appended during a rewrite back from the old log

What was appended while the log was rewritten was kept in memory, and all of it was written while appends waited.

--- a/packages/journal/src/disk.ts
+++ b/packages/journal/src/disk.ts
@@ -2,8 +2,8 @@
 
 /** One append-only file. A failed operation may have reached the disk completely, in part or not at all. */
 export interface DiskFile {
-  /** Reads the file from its start. A chunk is valid only until the next one is requested. */
-  chunks(): AsyncIterable<Buffer>;
+  /** Reads the file from an offset, by default its start. A chunk is valid only until the next one is requested. */
+  chunks(start?: number): AsyncIterable<Buffer>;
   append(bytes: Buffer): Promise<void>;
   /** Resolves when all appended bytes are on disk. */
   sync(): Promise<void>;
--- a/packages/journal/src/folder-disk.ts
+++ b/packages/journal/src/folder-disk.ts
@@ -36,14 +36,15 @@
 
 const removeIfPresent = (path: string): Promise<void> => unlink(path).catch(() => undefined);
 
-/** Reads a file in chunks that share one buffer. */
-async function* readChunks(path: string): AsyncGenerator<Buffer> {
+/** Reads a file from an offset in chunks that share one buffer. */
+async function* readChunks(path: string, start: number): AsyncGenerator<Buffer> {
   const file = await open(path, constants.O_RDONLY);
   try {
     const buffer = Buffer.allocUnsafe(readChunkBytes);
-    for (;;) {
-      const { bytesRead } = await file.read(buffer, 0, readChunkBytes, null);
+    for (let position = start; ;) {
+      const { bytesRead } = await file.read(buffer, 0, readChunkBytes, position);
       if (bytesRead === 0) return;
+      position += bytesRead;
       yield buffer.subarray(0, bytesRead);
     }
   } finally {
@@ -74,8 +75,8 @@
     private handle: FileHandle,
   ) {}
 
-  chunks(): AsyncIterable<Buffer> {
-    return readChunks(this.path);
+  chunks(start = 0): AsyncIterable<Buffer> {
+    return readChunks(this.path, start);
   }
 
   async append(bytes: Buffer): Promise<void> {
--- a/packages/journal/src/index.ts
+++ b/packages/journal/src/index.ts
@@ -5,5 +5,6 @@
 export * from './folder-disk.js';
 export * from './frames.js';
 export * from './journal.js';
+export * from './log-rewrite.js';
 export * from './log-scanner.js';
 export * from './timings.js';
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -193,7 +193,6 @@
       const bytes = encodeFrame(batch.map(({ record }) => record));
       await this.file.append(bytes);
       await this.file.sync();
-      this.rewriting?.log.add(bytes);
       this.syncs++;
       this.bytes += bytes.length;
     });
@@ -219,9 +218,13 @@
   private async beginRewrite(snapshot: JournalSnapshot): Promise<RunningRewrite | undefined> {
     if (!this.writable) return undefined;
     const batch = this.takePending();
-    const log = new LogRewrite(snapshot());
+    const records = snapshot();
     if (batch.length > 0) await this.appendBatch(batch);
     if (!this.isWritableNow()) return undefined;
+    const log = new LogRewrite(records, {
+      size: () => this.bytes,
+      read: (start) => this.file.chunks(start),
+    });
     const replaced = this.file.replace(log.chunks());
     replaced.catch(() => undefined);
     this.rewriting = { log, replaced };
--- a/packages/sim/src/sim-disk.ts
+++ b/packages/sim/src/sim-disk.ts
@@ -83,7 +83,7 @@
   private fileOf(name: string, opened: FileContent): DiskFile {
     let content = opened;
     return {
-      chunks: () => slicesOf(content.cached),
+      chunks: (start = 0) => slicesOf(content.cached.subarray(start)),
       append: (bytes) => this.write(content, bytes),
       sync: () => this.sync(content),
       truncate: async (size) => {
