--- a/packages/settings/src/memory-limits.ts
+++ b/packages/settings/src/memory-limits.ts
@@ -87,7 +87,7 @@
  * Share of the free memory of a store for items and hints. Most of them stay until they expire and make little garbage; the
  * rest is for requests and pages, and for the garbage of all.
  */
-const storeProcessItemShare = 0.6;
+const storeProcessItemShare = 0.7;
 /** Share of a store's data for replies that are not sent yet. */
 const storeReplyShare = 0.1;
 
--- a/tests/src/store/bounded-store.test.ts
+++ b/tests/src/store/bounded-store.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import { Incarnation, seededRng, SimClock, SimDrive } from '@tillerstair/sim';
 import { ReplicaStore, type ReplicaStoreLimits } from '@tillerstair/store';
+import { storeItemBytes } from '@tillerstair/settings';
 import { toRpcError } from '@tillerstair/wire';
 
 const bounded = suite('the memory of a store');
@@ -78,6 +79,45 @@
   },
 );
 
+/** A deployment that keeps turns, by its sheet: what its stores have to hold until items may expire. */
+interface RetainingDeployment {
+  readonly memoryMb: number;
+  /** Turns of programs and of their helpers a second, over all stores. */
+  readonly turnsPerSecond: number;
+  readonly stores: number;
+  readonly replicas: number;
+}
+
+const retentionS = 60;
+const inputBytes = 3600;
+const outputBytes = 1150;
+const deployments: readonly RetainingDeployment[] = [
+  { memoryMb: 200, turnsPerSecond: 425, stores: 10, replicas: 5 },
+  { memoryMb: 340, turnsPerSecond: 145, stores: 3, replicas: 3 },
+];
+
+// Guards against stores that are full before retention lets anything go: all new work is refused then (RECOVER, SHORT).
+bounded('a store holds the turns of the time for which they are kept', async () => {
+  const body = Buffer.alloc(inputBytes, 200).toString('base64');
+  const output = 'é'.repeat(outputBytes);
+  for (const { memoryMb, turnsPerSecond, stores, replicas } of deployments) {
+    const maxBytes = storeItemBytes(memoryMb);
+    const { store, outcomeOf } = await openStore({ ...limits, maxItemBytes: maxBytes });
+    const count = Math.ceil((turnsPerSecond * retentionS * replicas) / stores);
+    const batch = 250;
+    for (let first = 0; first < count; first += batch) {
+      const items = Array.from({ length: batch }, (_, i) => ({
+        key: `p/x-0123456789abcdef/t/${String(first + i).padStart(16, '0')}`,
+        ownershipEpoch: epoch,
+        seq: first + i + 1,
+        value: { t: 'pass', status: 'done', after: '', cost: 120, input: body, output },
+      }));
+      const outcome = await outcomeOf(store.write(slot, epoch, items));
+      assert.is(outcome, 'stored', `${first} of ${count} turns in ${maxBytes} bytes`);
+    }
+  }
+});
+
 bounded('hints count as items do, and give their memory back', async () => {
   const { store, outcomeOf } = await openStore();
   let hints = 0;
