Take the memory for a store's reply before it is encoded

Cause: a reply was encoded whole (5 MB here) before its memory was asked for, and thrown away if there was none.

Change: a reply may say its size (SizedReply); its memory is taken before it is encoded, and corrected to the exact number after. Answers to searches and reads say theirs, and are unpacked only when encoded.

--- a/packages/store/src/packed-item.ts
+++ b/packages/store/src/packed-item.ts
@@ -129,6 +129,8 @@
   readonly key: string;
   readonly ownershipEpoch: number;
   readonly seq: number;
+  /** Size of the packed value in bytes; 0 for a plain one. */
+  readonly packedBytes: number;
   /** The estimated memory of this item, in bytes. */
   readonly bytes: number;
   private readonly packed: PackedValue | PlainValue;
@@ -138,8 +140,8 @@
     this.ownershipEpoch = ownershipEpoch;
     this.seq = seq;
     this.packed = packValue(value);
-    const packedBytes = 'plain' in this.packed ? valueBytes(value) : this.packed.characters.length;
-    this.bytes = bytesPerItem + 2 * key.length + packedBytes;
+    this.packedBytes = 'plain' in this.packed ? 0 : this.packed.characters.length;
+    this.bytes = bytesPerItem + 2 * key.length + (this.packedBytes || valueBytes(value));
   }
 
   /** The item as it was stored. */
--- a/packages/store/src/replica-store.ts
+++ b/packages/store/src/replica-store.ts
@@ -258,8 +258,8 @@
   }
 
   /** Reads one item; null if it is missing. @throws ReplicaError (`stale-epoch`) for an epoch below the fence. */
-  read(slot: number, ownershipEpoch: number, key: string): Item | null {
-    return this.replicaAtEpoch(slot, ownershipEpoch).get(key) ?? null;
+  read(slot: number, ownershipEpoch: number, key: string): PackedItem | null {
+    return this.replicaAtEpoch(slot, ownershipEpoch).getPacked(key) ?? null;
   }
 
   /** The turn of that name followed by the turns before it, newest first, as far as this store holds them. */
--- a/packages/store/src/store-requests.ts
+++ b/packages/store/src/store-requests.ts
@@ -8,7 +8,8 @@
   ReadRequest,
   StoreRequest,
 } from '@tillerstair/state';
-import { ProtocolError, ReplicaError, type RpcRequest } from '@tillerstair/wire';
+import { ProtocolError, ReplicaError, SizedReply, type RpcRequest } from '@tillerstair/wire';
+import type { PackedItem } from './packed-item.js';
 import type { ReplicaStore } from './replica-store.js';
 
 /** The replicas that requests work on, and their assignment to this store. */
@@ -26,6 +27,13 @@
     throw new ReplicaError('away', `store ${store} is not at this address, but ${storeId}`);
 };
 
+/** A reply with packed items, which are unpacked when it is encoded. */
+const replyWith = (body: unknown, items: readonly PackedItem[]): SizedReply =>
+  new SizedReply(
+    body,
+    items.reduce((bytes, item) => bytes + item.packedBytes, 0),
+  );
+
 /** Finds a turn and those before it. @throws ReplicaError (`moved`) if this store is no replica of one of the slots. */
 const findTurns = async (body: unknown, options: StoreRequestOptions): Promise<unknown> => {
   const { turn, slots } = FindTurnRequest.parse(body);
@@ -35,7 +43,8 @@
       'this store is no longer a replica of one of the requested slots',
     );
   await options.replicaStore.waitForSync();
-  return { items: options.replicaStore.findTurns(turn) };
+  const items = options.replicaStore.findTurns(turn);
+  return replyWith({ items }, items);
 };
 
 /**
@@ -61,7 +70,8 @@
     }
     case 'store/read': {
       const { slot, ownershipEpoch, key } = ReadRequest.parse(body);
-      return { item: replicaStore.read(slot, ownershipEpoch, key) };
+      const item = replicaStore.read(slot, ownershipEpoch, key);
+      return replyWith({ item }, item ? [item] : []);
     }
     case 'store/pull': {
       const { slot, ownershipEpoch, ...page } = FenceRequest.parse(body);
--- a/packages/wire/src/incoming-connection.ts
+++ b/packages/wire/src/incoming-connection.ts
@@ -8,6 +8,7 @@
 import { BudgetUse, type ByteBudget } from './byte-budget.js';
 import { toRpcError, UnavailableError } from './errors/index.js';
 import { CancelLine, encodeLine, HelloLine, RequestLine, type WireLine } from './messages.js';
+import { SizedReply } from './sized-reply.js';
 import type { RequestHandler } from './transport.js';
 
 const replyMemoryFull = (): UnavailableError =>
@@ -63,7 +64,8 @@
     void this.handler({ from: this.peer, kind, body }, emit, controller.signal)
       .then(
         (response) => {
-          if (!this.write({ id, response: response ?? null }))
+          const estimatedBytes = response instanceof SizedReply ? response.estimatedBytes : 0;
+          if (!this.write({ id, response: response ?? null }, estimatedBytes))
             this.writeError(id, replyMemoryFull());
         },
         (thrown: unknown) => this.writeError(id, thrown),
@@ -77,12 +79,19 @@
       this.socket.write(encodeLine({ id, error: { code, text: message, executed } }));
   }
 
-  /** Writes a reply; returns false, with nothing written, if there is no memory for it. */
-  private write(line: WireLine): boolean {
+  /**
+   * Writes a reply; returns false, with nothing written, if there is no memory for it. The memory
+   * for `estimatedBytes` is taken before the reply is encoded, so that a reply that is not sent makes no garbage.
+   */
+  private write(line: WireLine, estimatedBytes = 0): boolean {
     if (this.socket.destroyed) return true;
-    const text = encodeLine(line);
     const use = new BudgetUse(this.replyMemory);
-    if (!use.take(text.length)) return false;
+    if (!use.take(estimatedBytes)) return false;
+    const text = encodeLine(line);
+    if (!use.resize(text.length)) {
+      use.release();
+      return false;
+    }
     this.socket.write(text, () => use.release());
     return true;
   }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -14,6 +14,7 @@
 export * from './quorum-request.js';
 export * from './request-pipeline.js';
 export * from './retry-log.js';
+export * from './sized-reply.js';
 export * from './task-queue.js';
 export * from './tcp-transport.js';
 export * from './transport.js';
