--- a/tests/run.js
+++ b/tests/run.js
@@ -32,6 +32,7 @@
   'platform/hostile-owners.test.js',
   'platform/hostile-operators.test.js',
   'platform/hostile-mix.test.js',
+  'platform/hostile-deploy-heap.test.js',
   'platform/hostile-small-machine.test.js',
   'proxy/interface.test.js',
 ]);
