Encode large replies of stores in short parts, outside the heap

Cause: a reply that is sent was built as one string of 5 MB from texts of 267 kB each, which V8 puts beside the young generation; what is allocated there while it marks survives the collection, 50 MB of it at once.

Change: a packed item yields its JSON in parts of at most 32 kB, and a SizedReply is encoded into a buffer outside the heap.

Guards replayed: a reply without memory, the ends of parts: caught.

--- a/packages/store/src/packed-item.ts
+++ b/packages/store/src/packed-item.ts
@@ -107,23 +107,73 @@
   return { characters: joinParts([header, ...parts]), headerLength: header.length, headerEncoding };
 };
 
-/** The value, or with `fields` one in which the texts of other fields may be missing. */
-const unpackValue = (packed: PackedValue | PlainValue, fields?: readonly string[]): unknown => {
-  if ('plain' in packed) return packed.plain;
-  const { characters, headerLength, headerEncoding } = packed;
-  const text = decodePart(characters.slice(0, headerLength), headerEncoding);
-  const { value, segments } = Header.parse(JSON.parse(text));
-  if (segments.length === 0 || !isRecord(value)) return value;
-  const unpacked = new Map(Object.entries(value));
+/** The text of a field that is not decoded yet. */
+interface EncodedText {
+  readonly characters: string;
+  readonly encoding: Segment['encoding'];
+}
+
+/** A value whose long texts are left out, and these texts by their fields. */
+interface OpenedValue {
+  readonly value: unknown;
+  readonly texts: ReadonlyMap<string, EncodedText>;
+}
+
+const openValue = ({ characters, headerLength, headerEncoding }: PackedValue): OpenedValue => {
+  const header = decodePart(characters.slice(0, headerLength), headerEncoding);
+  const { value, segments } = Header.parse(JSON.parse(header));
+  const texts = new Map<string, EncodedText>();
   let start = headerLength;
   for (const { field, encoding, length } of segments) {
-    if (fields?.includes(field) ?? true)
-      unpacked.set(field, decodePart(characters.slice(start, start + length), encoding));
+    texts.set(field, { characters: characters.slice(start, start + length), encoding });
     start += length;
   }
+  return { value, texts };
+};
+
+/** The value, or with `fields` one in which the texts of other fields may be missing. */
+const unpackValue = (packed: PackedValue | PlainValue, fields?: readonly string[]): unknown => {
+  if ('plain' in packed) return packed.plain;
+  const { value, texts } = openValue(packed);
+  if (texts.size === 0 || !isRecord(value)) return value;
+  const unpacked = new Map(Object.entries(value));
+  for (const [field, { characters, encoding }] of texts)
+    if (fields?.includes(field) ?? true) unpacked.set(field, decodePart(characters, encoding));
   return Object.fromEntries(unpacked);
 };
 
+/** Characters of a text that are decoded at a time for JSON; a multiple of 3, so that base64 is padded at its end only. */
+const decodedAtOnce = 24 * 1024;
+
+/** The JSON of a text. Base64 needs no escapes, so it is decoded in short parts. */
+function* textJson({ characters, encoding }: EncodedText): Generator<string> {
+  if (encoding !== 'base64') {
+    yield JSON.stringify(decodePart(characters, encoding));
+    return;
+  }
+  yield '"';
+  for (let start = 0; start < characters.length; start += decodedAtOnce)
+    yield decodePart(characters.slice(start, start + decodedAtOnce), encoding);
+  yield '"';
+}
+
+function* valueJson(packed: PackedValue): Generator<string> {
+  const { value, texts } = openValue(packed);
+  if (texts.size === 0 || !isRecord(value)) {
+    yield JSON.stringify(value);
+    return;
+  }
+  let separator = '{';
+  for (const [field, entry] of Object.entries(value)) {
+    yield `${separator}${JSON.stringify(field)}:`;
+    const text = texts.get(field);
+    if (text) yield* textJson(text);
+    else yield JSON.stringify(entry);
+    separator = ',';
+  }
+  yield '}';
+}
+
 /** An item whose value is packed; it does not change. */
 export class PackedItem implements ItemVersion {
   readonly key: string;
@@ -155,6 +205,18 @@
     return this.unpack();
   }
 
+  /** The same JSON in parts, so that a long text is never a string of its own. */
+  *jsonParts(): Generator<string> {
+    const { key, ownershipEpoch, seq, packed } = this;
+    if ('plain' in packed) {
+      yield JSON.stringify(this);
+      return;
+    }
+    yield `${JSON.stringify({ key, ownershipEpoch, seq }).slice(0, -1)},"value":`;
+    yield* valueJson(packed);
+    yield '}';
+  }
+
   /** The value with these fields; the texts of others may be missing. */
   pick(fields: readonly string[]): unknown {
     return unpackValue(this.packed, fields);
--- a/packages/store/src/store-requests.ts
+++ b/packages/store/src/store-requests.ts
@@ -27,12 +27,30 @@
     throw new ReplicaError('away', `store ${store} is not at this address, but ${storeId}`);
 };
 
-/** A reply with packed items, which are unpacked when it is encoded. */
-const replyWith = (body: unknown, items: readonly PackedItem[]): SizedReply =>
-  new SizedReply(
-    body,
-    items.reduce((bytes, item) => bytes + item.packedBytes, 0),
-  );
+function* itemsJson(items: readonly PackedItem[]): Generator<string> {
+  let separator = '{"items":[';
+  for (const item of items) {
+    yield separator;
+    yield* item.jsonParts();
+    separator = ',';
+  }
+  yield items.length === 0 ? `${separator}]}` : ']}';
+}
+
+/** A reply with packed items, which are unpacked one at a time while it is encoded. */
+const itemsReply = (items: readonly PackedItem[]): SizedReply => {
+  const bytes = items.reduce((sum, { packedBytes }) => sum + packedBytes, 0);
+  return new SizedReply({ items }, bytes, () => itemsJson(items));
+};
+
+function* itemJson(item: PackedItem): Generator<string> {
+  yield '{"item":';
+  yield* item.jsonParts();
+  yield '}';
+}
+
+const itemReply = (item: PackedItem): SizedReply =>
+  new SizedReply({ item }, item.packedBytes, () => itemJson(item));
 
 /** Finds a turn and those before it. @throws ReplicaError (`moved`) if this store is no replica of one of the slots. */
 const findTurns = async (body: unknown, options: StoreRequestOptions): Promise<unknown> => {
@@ -43,8 +61,7 @@
       'this store is no longer a replica of one of the requested slots',
     );
   await options.replicaStore.waitForSync();
-  const items = options.replicaStore.findTurns(turn);
-  return replyWith({ items }, items);
+  return itemsReply(options.replicaStore.findTurns(turn));
 };
 
 /**
@@ -71,7 +88,7 @@
     case 'store/read': {
       const { slot, ownershipEpoch, key } = ReadRequest.parse(body);
       const item = replicaStore.read(slot, ownershipEpoch, key);
-      return replyWith({ item }, item ? [item] : []);
+      return item ? itemReply(item) : { item };
     }
     case 'store/pull': {
       const { slot, ownershipEpoch, ...page } = FenceRequest.parse(body);
--- a/packages/wire/src/incoming-connection.ts
+++ b/packages/wire/src/incoming-connection.ts
@@ -64,9 +64,7 @@
     void this.handler({ from: this.peer, kind, body }, emit, controller.signal)
       .then(
         (response) => {
-          const estimatedBytes = response instanceof SizedReply ? response.estimatedBytes : 0;
-          if (!this.write({ id, response: response ?? null }, estimatedBytes))
-            this.writeError(id, replyMemoryFull());
+          if (!this.writeResponse(id, response)) this.writeError(id, replyMemoryFull());
         },
         (thrown: unknown) => this.writeError(id, thrown),
       )
@@ -79,20 +77,31 @@
       this.socket.write(encodeLine({ id, error: { code, text: message, executed } }));
   }
 
-  /**
-   * Writes a reply; returns false, with nothing written, if there is no memory for it. The memory
-   * for `estimatedBytes` is taken before the reply is encoded, so that a reply that is not sent makes no garbage.
-   */
-  private write(line: WireLine, estimatedBytes = 0): boolean {
+  /** Writes the response to a request; returns false, with nothing written, if there is no memory for it. */
+  private writeResponse(id: number, response: unknown): boolean {
+    return response instanceof SizedReply
+      ? this.writeSized(id, response)
+      : this.write({ id, response: response ?? null });
+  }
+
+  /** Takes the memory for a reply before it is encoded, so that a reply that is not sent makes no garbage. */
+  private writeSized(id: number, reply: SizedReply): boolean {
     if (this.socket.destroyed) return true;
     const use = new BudgetUse(this.replyMemory);
-    if (!use.take(estimatedBytes)) return false;
-    const text = encodeLine(line);
-    if (!use.resize(text.length)) {
+    return use.take(reply.estimatedBytes) && this.send(reply.encodeLine(id), use);
+  }
+
+  /** Writes a reply; returns false, with nothing written, if there is no memory for it. */
+  private write(line: WireLine): boolean {
+    return this.socket.destroyed || this.send(encodeLine(line), new BudgetUse(this.replyMemory));
+  }
+
+  private send(line: string | Buffer, use: BudgetUse): boolean {
+    if (!use.resize(line.length)) {
       use.release();
       return false;
     }
-    this.socket.write(text, () => use.release());
+    this.socket.write(line, () => use.release());
     return true;
   }
 }
--- a/tests/src/store/packed-item.test.ts
+++ b/tests/src/store/packed-item.test.ts
@@ -55,6 +55,24 @@
   assert.equal(picked, { status: 'done', after: 'a'.repeat(long), input: '' });
 });
 
+// Guards against parts that do not give the JSON of the whole, at the ends of parts and for every kind of value.
+packing('the parts of the JSON of an item are its JSON', () => {
+  const lengths = [63, 64, 24 * 1024 - 1, 24 * 1024, 24 * 1024 + 1, 100_000];
+  const texts = lengths.map((length) => Buffer.alloc(length, 'Aé"').toString('base64'));
+  const turns = texts.map((input) => ({ status: 'done', input, after: '', output: input }));
+  for (const value of [...values, ...turns, { input: '"é\u2028'.repeat(100), output: base64 }]) {
+    const item = itemOf(value);
+    assert.is([...new PackedItem(item).jsonParts()].join(''), JSON.stringify(item));
+  }
+});
+
+// Guards against long strings, which stay in the heap until all of it is collected.
+packing('a long body is decoded in short parts', () => {
+  const input = Buffer.alloc(1_000_000, 'x').toString('base64');
+  const parts = [...new PackedItem(itemOf({ input })).jsonParts()];
+  assert.ok(Math.max(...parts.map(({ length }) => length)) <= 32 * 1024);
+});
+
 packing('the same item is packed once', () => {
   const item = itemOf({ input: base64 });
   assert.is(packItem(item), packItem(item));
--- a/tests/src/wire/reply-memory.test.ts
+++ b/tests/src/wire/reply-memory.test.ts
@@ -9,18 +9,21 @@
 const limitBytes = 1000;
 const timeoutMs = 2000;
 
-/** Counts how often it is encoded. */
+/** A text that counts how often it is encoded. */
 class CountedBody {
   encodings = 0;
 
   constructor(private readonly text: string) {}
 
-  toJSON(): string {
+  *jsonParts(): Generator<string> {
     this.encodings++;
-    return this.text;
+    yield JSON.stringify(this.text);
   }
 }
 
+const replyWith = (body: CountedBody, estimatedBytes: number): SizedReply =>
+  new SizedReply(body, estimatedBytes, () => body.jsonParts());
+
 interface Pair {
   readonly budget: ByteBudget;
   /** Requests a reply with this body; its error code, or 'done'. */
@@ -61,7 +64,7 @@
 replies('a reply for which there is no memory is not encoded', async () => {
   const { budget, request } = await startPair();
   const body = new CountedBody('x'.repeat(2 * limitBytes));
-  assert.is(await request(new SizedReply({ body }, 2 * limitBytes)), 'memory-full');
+  assert.is(await request(replyWith(body, 2 * limitBytes)), 'memory-full');
   assert.is(body.encodings, 0);
   assert.is(budget.used, 0);
 });
@@ -72,7 +75,7 @@
   async () => {
     const { budget, request } = await startPair();
     const body = new CountedBody('x'.repeat(2 * limitBytes));
-    assert.is(await request(new SizedReply({ body }, 1)), 'memory-full');
+    assert.is(await request(replyWith(body, 1)), 'memory-full');
     assert.is(body.encodings, 1);
     assert.is(budget.used, 0);
   },
@@ -81,7 +84,7 @@
 replies('a reply that fits is sent whole, and gives its memory back', async () => {
   const { budget, request } = await startPair();
   const body = new CountedBody('x'.repeat(limitBytes / 2));
-  assert.is(await request(new SizedReply({ body }, limitBytes / 2 + 100)), 'done');
+  assert.is(await request(replyWith(body, limitBytes / 2 + 100)), 'done');
   assert.is(body.encodings, 1);
   await until('the memory is given back', timeoutMs, () => Promise.resolve(budget.used === 0));
 });
