--- a/tests/run.js
+++ b/tests/run.js
@@ -29,6 +29,7 @@
   'platform/hostile-clients.test.js',
   'platform/hostile-pipelines.test.js',
   'platform/hostile-bodies.test.js',
+  'platform/hostile-chunks.test.js',
   'platform/hostile-owners.test.js',
   'platform/hostile-operators.test.js',
   'platform/hostile-mix.test.js',
